--- /dev/null
+++ b/include/redwingseam/base/Name.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <string>
+
+namespace redwingseam::base {
+
+// Text identifier that can't be confused with one of another `Tag`. A plain value; not synchronised.
+template <typename Tag>
+struct Name {
+    std::string text;
+
+    auto operator<=>(const Name&) const = default;
+    bool empty() const { return text.empty(); }
+};
+
+} // namespace redwingseam::base
+
+template <typename Tag>
+struct std::hash<redwingseam::base::Name<Tag>> {
+    size_t operator()(const redwingseam::base::Name<Tag>& name) const noexcept
+    {
+        return std::hash<std::string> {}(name.text);
+    }
+};
--- /dev/null
+++ b/include/redwingseam/base/Result.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "redwingseam/base/Error.h"
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/try.hpp>
+
+namespace redwingseam::base {
+
+// A value, or the error that kept it from being made. Reading the wrong side ends the process.
+template <typename Value>
+using Result = boost::outcome_v2::basic_result<Value, Error, boost::outcome_v2::policy::terminate>;
+
+} // namespace redwingseam::base
--- /dev/null
+++ b/include/redwingseam/base/ResultCode.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "redwingseam/base/EnumNames.h"
+
+#include <cstdint>
+
+namespace redwingseam::base {
+
+// Numbered outcome of an operation. docs/ERRORS.md lists number, name and meaning; a number is never reused.
+enum class ResultCode : uint16_t {
+    Ok = 0,
+    MalformedRequest = 101,
+    RequestTooLarge = 102,
+    UnknownModel = 103,
+    UnknownClient = 104,
+    UnknownRoute = 105,
+    MissingIdempotencyKey = 106,
+    ResumeRejected = 107,
+    QueueFull = 201,
+    DeadlinePassed = 202,
+    Draining = 203,
+    NoUpstream = 204,
+    ClaimStoreUnavailable = 205,
+    OutcomeUnknown = 301,
+    StreamLost = 302,
+    RetriesExhausted = 303,
+    HarmfulRequest = 304,
+    KeyInUse = 305,
+    SettingsUnreadable = 401,
+    SettingsInvalid = 402,
+    SettingsConflict = 403,
+    UnknownBranch = 404,
+    PlatformUnavailable = 501,
+    PlatformConflict = 502,
+    PlatformNotFound = 503,
+    PlatformThrottled = 504,
+    SocketFailure = 601,
+    MessageMalformed = 602,
+};
+
+template <>
+struct EnumNames<ResultCode> {
+    static constexpr std::array entries {
+        std::pair { ResultCode::Ok, std::string_view { "Ok" } },
+        std::pair { ResultCode::MalformedRequest, std::string_view { "MalformedRequest" } },
+        std::pair { ResultCode::RequestTooLarge, std::string_view { "RequestTooLarge" } },
+        std::pair { ResultCode::UnknownModel, std::string_view { "UnknownModel" } },
+        std::pair { ResultCode::UnknownClient, std::string_view { "UnknownClient" } },
+        std::pair { ResultCode::UnknownRoute, std::string_view { "UnknownRoute" } },
+        std::pair { ResultCode::MissingIdempotencyKey, std::string_view { "MissingIdempotencyKey" } },
+        std::pair { ResultCode::ResumeRejected, std::string_view { "ResumeRejected" } },
+        std::pair { ResultCode::QueueFull, std::string_view { "QueueFull" } },
+        std::pair { ResultCode::DeadlinePassed, std::string_view { "DeadlinePassed" } },
+        std::pair { ResultCode::Draining, std::string_view { "Draining" } },
+        std::pair { ResultCode::NoUpstream, std::string_view { "NoUpstream" } },
+        std::pair { ResultCode::ClaimStoreUnavailable, std::string_view { "ClaimStoreUnavailable" } },
+        std::pair { ResultCode::OutcomeUnknown, std::string_view { "OutcomeUnknown" } },
+        std::pair { ResultCode::StreamLost, std::string_view { "StreamLost" } },
+        std::pair { ResultCode::RetriesExhausted, std::string_view { "RetriesExhausted" } },
+        std::pair { ResultCode::HarmfulRequest, std::string_view { "HarmfulRequest" } },
+        std::pair { ResultCode::KeyInUse, std::string_view { "KeyInUse" } },
+        std::pair { ResultCode::SettingsUnreadable, std::string_view { "SettingsUnreadable" } },
+        std::pair { ResultCode::SettingsInvalid, std::string_view { "SettingsInvalid" } },
+        std::pair { ResultCode::SettingsConflict, std::string_view { "SettingsConflict" } },
+        std::pair { ResultCode::UnknownBranch, std::string_view { "UnknownBranch" } },
+        std::pair { ResultCode::PlatformUnavailable, std::string_view { "PlatformUnavailable" } },
+        std::pair { ResultCode::PlatformConflict, std::string_view { "PlatformConflict" } },
+        std::pair { ResultCode::PlatformNotFound, std::string_view { "PlatformNotFound" } },
+        std::pair { ResultCode::PlatformThrottled, std::string_view { "PlatformThrottled" } },
+        std::pair { ResultCode::SocketFailure, std::string_view { "SocketFailure" } },
+        std::pair { ResultCode::MessageMalformed, std::string_view { "MessageMalformed" } },
+    };
+};
+
+} // namespace redwingseam::base
--- /dev/null
+++ b/include/redwingseam/claim/Answer.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace redwingseam::claim {
+
+// Answer of a plain service: an HTTP status and a body.
+struct Answer {
+    uint16_t status = 0;
+    std::string body;
+
+    bool operator==(const Answer&) const = default;
+};
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/include/redwingseam/claim/Checkpoint.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "redwingseam/claim/ClaimRecord.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace redwingseam::claim {
+
+// State of a claim log after its first `nextNumber` objects, so that a node need not read them all.
+struct Checkpoint {
+    uint64_t nextNumber = 0;
+    // The record in force for each key that is still kept.
+    std::vector<ClaimRecord> records;
+
+    bool operator==(const Checkpoint&) const = default;
+};
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/include/redwingseam/claim/ClaimRecord.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/claim/Answer.h"
+#include "redwingseam/claim/RecordKind.h"
+
+#include <cstdint>
+
+namespace redwingseam::claim {
+
+// One entry of a claim log. `holder` is a random number drawn for one request at one node.
+struct ClaimRecord {
+    RecordKind kind = RecordKind::Claimed;
+    base::IdempotencyKey key;
+    uint64_t holder = 0;
+    // Only with Finished.
+    Answer answer;
+
+    bool operator==(const ClaimRecord&) const = default;
+};
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/include/redwingseam/membership/FactBody.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "redwingseam/membership/HeavyClients.h"
+#include "redwingseam/membership/VerdictRecord.h"
+#include "redwingseam/membership/VmRecord.h"
+#include "redwingseam/route/UpstreamRecord.h"
+#include "redwingseam/settings/Branch.h"
+
+#include <variant>
+
+namespace redwingseam::membership {
+
+// Content of a fact, one alternative per FactKind, in its order.
+using FactBody = std::variant<VmRecord, route::UpstreamRecord, VerdictRecord, HeavyClients, settings::Branch>;
+
+} // namespace redwingseam::membership
--- /dev/null
+++ b/include/redwingseam/membership/HeavyClients.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/membership/ClientUse.h"
+
+#include <compare>
+#include <vector>
+
+namespace redwingseam::membership {
+
+// Clients that a VM served most in its last reporting interval.
+struct HeavyClients {
+    base::VmName vm;
+    std::vector<ClientUse> clients;
+
+    auto operator<=>(const HeavyClients&) const = default;
+};
+
+} // namespace redwingseam::membership
--- /dev/null
+++ b/include/redwingseam/node/AttemptEnd.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "redwingseam/base/EnumNames.h"
+
+#include <cstdint>
+
+namespace redwingseam::node {
+
+// How an attempt ended.
+enum class AttemptEnd : uint8_t {
+    // The upstream said that the answer is complete.
+    Complete,
+    // The connection broke after the request was sent: the upstream may have died.
+    Lost,
+    // The upstream refused the request before running any of it.
+    Refused,
+    // The request was never sent.
+    Unreachable,
+};
+
+} // namespace redwingseam::node
+
+template <>
+struct redwingseam::base::EnumNames<redwingseam::node::AttemptEnd> {
+    using AttemptEnd = redwingseam::node::AttemptEnd;
+    static constexpr std::array entries {
+        std::pair { AttemptEnd::Complete, std::string_view { "complete" } },
+        std::pair { AttemptEnd::Lost, std::string_view { "lost" } },
+        std::pair { AttemptEnd::Refused, std::string_view { "refused" } },
+        std::pair { AttemptEnd::Unreachable, std::string_view { "unreachable" } },
+    };
+};
--- /dev/null
+++ b/include/redwingseam/node/CallerGone.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+namespace redwingseam::node {
+
+// The caller closed its connection before the answer was complete.
+struct CallerGone {
+    base::RequestId request;
+};
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/include/redwingseam/node/Decisions.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/node/AttemptEnded.h"
+#include "redwingseam/node/CallerGone.h"
+#include "redwingseam/node/CallerRequest.h"
+#include "redwingseam/node/Effect.h"
+#include "redwingseam/node/NodeConfig.h"
+#include "redwingseam/node/NodeStatus.h"
+#include "redwingseam/node/ProbeFailed.h"
+#include "redwingseam/node/Tick.h"
+#include "redwingseam/node/TokensReceived.h"
+#include "redwingseam/peer/PeerMessage.h"
+#include "redwingseam/platform/ObjectChanged.h"
+#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/report/BurnReport.h"
+#include "redwingseam/report/Counters.h"
+#include "redwingseam/report/LatencySummary.h"
+#include "redwingseam/report/Objective.h"
+#include "redwingseam/route/CacheEvent.h"
+#include "redwingseam/route/LoadReport.h"
+#include "redwingseam/settings/Tree.h"
+
+#include <memory>
+#include <vector>
+
+namespace redwingseam::node {
+
+struct DefaultPolicies;
+template <typename Policies>
+class NodeCore;
+
+// A node's decisions as a function of events, time and random words: each call returns the effects to
+// be carried out. `Node` wraps it with a clock, a source of randomness and a sink; use that instead,
+// unless a front end keeps these itself. Thread-safe; no lock is held when a call returns.
+template <typename Policies = DefaultPolicies>
+class Decisions {
+public:
+    explicit Decisions(NodeConfig);
+    ~Decisions();
+    Decisions(const Decisions&) = delete;
+    Decisions& operator=(const Decisions&) = delete;
+
+    EffectList start(base::Instant now, uint64_t random);
+    EffectList beginDrain(base::Instant now, uint64_t random);
+    EffectList handle(const CallerRequest&, base::Instant now, uint64_t random);
+    EffectList handle(const CallerGone&, base::Instant now, uint64_t random);
+    EffectList handle(const TokensReceived&, base::Instant now, uint64_t random);
+    EffectList handle(const AttemptEnded&, base::Instant now, uint64_t random);
+    EffectList handle(const ProbeFailed&, base::Instant now, uint64_t random);
+    EffectList handle(const route::LoadReport&, base::Instant now, uint64_t random);
+    EffectList handle(const route::CacheEvent&, base::Instant now, uint64_t random);
+    EffectList handle(const platform::PlatformReply&, base::Instant now, uint64_t random);
+    EffectList handle(const platform::ObjectChanged&, base::Instant now, uint64_t random);
+    EffectList handle(const peer::PeerMessage&, base::Instant now, uint64_t random);
+    EffectList handle(const Tick&, base::Instant now, uint64_t random);
+
+    bool isDrained();
+    NodeStatus status(base::Instant now);
+    std::shared_ptr<const settings::Tree> settings();
+    std::vector<route::UpstreamRecord> upstreams();
+    report::BurnReport burn(base::Instant now);
+    report::Counters counters();
+    report::LatencySummary latency(base::Rank, report::Objective);
+
+private:
+    template <typename Event>
+    EffectList run(const Event&, base::Instant now, uint64_t random);
+
+    std::unique_ptr<NodeCore<Policies>> m_core;
+};
+
+extern template class Decisions<DefaultPolicies>;
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/include/redwingseam/node/Effect.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "redwingseam/node/CallService.h"
+#include "redwingseam/node/CancelAttempt.h"
+#include "redwingseam/node/Finish.h"
+#include "redwingseam/node/Refuse.h"
+#include "redwingseam/node/SendTokens.h"
+#include "redwingseam/node/StartGeneration.h"
+#include "redwingseam/peer/PeerSend.h"
+#include "redwingseam/platform/PlatformCall.h"
+#include "redwingseam/platform/WatchObjects.h"
+
+#include <variant>
+#include <vector>
+
+namespace redwingseam::node {
+
+// What a node wants done.
+using Effect = std::variant<StartGeneration, CallService, CancelAttempt, SendTokens, Finish, Refuse, platform::PlatformCall, platform::WatchObjects, peer::PeerSend>;
+using EffectList = std::vector<Effect>;
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/include/redwingseam/node/NodeStatus.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace redwingseam::node {
+
+// Summary of a node for operators.
+struct NodeStatus {
+    base::VmName vm;
+    base::DataCentreName dataCentre;
+    // Highest version of a branch in force here.
+    base::ObjectVersion settingsVersion;
+    size_t branches = 0;
+    size_t requests = 0;
+    size_t queued = 0;
+    size_t upstreamsLive = 0;
+    size_t upstreamsDown = 0;
+    size_t vmsLive = 0;
+    size_t claimsPending = 0;
+    size_t facts = 0;
+    bool isDraining = false;
+    // Whether the platform's store has answered lately.
+    bool isPlatformReachable = true;
+    std::vector<base::DataCentreName> dataCentresSeen;
+};
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/include/redwingseam/peer/PeerMessage.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "redwingseam/peer/ClaimDecided.h"
+#include "redwingseam/peer/ClaimRelay.h"
+#include "redwingseam/peer/Digest.h"
+#include "redwingseam/peer/Gossip.h"
+#include "redwingseam/peer/Heartbeat.h"
+
+#include <variant>
+
+namespace redwingseam::peer {
+
+// Message between two VMs of the system.
+using PeerMessage = std::variant<Heartbeat, Gossip, Digest, ClaimRelay, ClaimDecided>;
+
+} // namespace redwingseam::peer
--- /dev/null
+++ b/include/redwingseam/platform/AcceptedBranch.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/settings/Branch.h"
+
+namespace redwingseam::platform {
+
+// A checked branch, and the version of the edit that it was made from.
+struct AcceptedBranch {
+    settings::Branch branch;
+    base::ObjectVersion rawVersion;
+
+    bool operator==(const AcceptedBranch&) const = default;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/include/redwingseam/platform/BranchStatus.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+#include <string>
+
+namespace redwingseam::platform {
+
+// What became of an edit: accepted, or why it was rejected.
+struct BranchStatus {
+    std::string path;
+    base::ObjectVersion rawVersion;
+    bool isAccepted = false;
+    std::string reason;
+
+    bool operator==(const BranchStatus&) const = default;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/include/redwingseam/platform/PlatformCall.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/platform/CallKind.h"
+#include "redwingseam/platform/ObjectValue.h"
+#include "redwingseam/platform/Purpose.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace redwingseam::platform {
+
+// A call to the platform's store, and what it is for.
+struct PlatformCall {
+    CallKind kind = CallKind::Read;
+    base::ObjectKey key;
+    // Only with Update.
+    base::ObjectVersion expected;
+    // With Create and Update.
+    std::optional<ObjectValue> value;
+    Purpose purpose = Purpose::ClaimRead;
+    // Claim group, for the purposes that have one.
+    uint64_t group = 0;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/include/redwingseam/platform/RawBranch.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace redwingseam::platform {
+
+// An operator's edit of a branch, as written: JSON that has not been checked yet.
+struct RawBranch {
+    std::string path;
+    std::string json;
+
+    bool operator==(const RawBranch&) const = default;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/include/redwingseam/platform/WatchObjects.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace redwingseam::platform {
+
+// Starts or stops watching all objects whose keys begin with `prefix`.
+struct WatchObjects {
+    std::string prefix;
+    bool isWanted = true;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/include/redwingseam/report/Counters.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "redwingseam/base/Rank.h"
+
+#include <array>
+#include <cstdint>
+
+namespace redwingseam::report {
+
+// Events counted since the node started.
+struct Counters {
+    std::array<uint64_t, base::rankCount> requests {};
+    std::array<uint64_t, base::rankCount> finished {};
+    std::array<uint64_t, base::rankCount> refused {};
+    uint64_t preemptions = 0;
+    uint64_t suspicions = 0;
+    uint64_t upstreamLosses = 0;
+
+    void add(const Counters& other);
+};
+
+} // namespace redwingseam::report
--- /dev/null
+++ b/include/redwingseam/settings/Branch.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/settings/Field.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace redwingseam::settings {
+
+// One branch of the tree: a path such as `/clients/lindqvist`, and the fields that it overrides.
+struct Branch {
+    std::string path;
+    base::ObjectVersion version;
+    bool isDeleted = false;
+    std::array<std::optional<int64_t>, fieldCount> values;
+
+    auto operator<=>(const Branch&) const = default;
+};
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/include/redwingseam/settings/Policy.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Rank.h"
+#include "redwingseam/settings/Origin.h"
+#include "redwingseam/settings/Scope.h"
+#include "redwingseam/settings/Tree.h"
+
+#include <cstdint>
+
+namespace redwingseam::settings {
+
+// Settings in force for one request, resolved once when it arrives.
+struct Policy {
+    base::Rank rank = base::Rank::Standard;
+    int64_t weight = 0;
+    base::Duration deadline {};
+    size_t queueLimit = 0;
+    uint32_t maxTokens = 0;
+    bool preemptsDeferrable = true;
+    base::Duration suspicionFloor {};
+    base::Duration suspicionCeiling {};
+    int64_t suspicionGapFactor = 0;
+    base::Duration firstTokenSuspicion {};
+    uint32_t resumeLimit = 0;
+    int64_t retryBudgetPermille = 0;
+    base::Duration firstTokenTarget {};
+    base::Duration betweenTokensTarget {};
+    base::Duration resumeTarget {};
+    int64_t objectivePermille = 0;
+    bool isIdempotent = true;
+    bool upstreamDeduplicates = false;
+};
+
+// Value of one field for a scope, with the branch that it comes from.
+Origin resolveField(const Tree&, const Scope&, Field);
+
+// Fills a policy from the tree.
+Policy resolvePolicy(const Tree&, const Scope&);
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/base/Hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace redwingseam::base {
+
+// 64-bit hash of `bytes`; equal on every node and in every release.
+uint64_t hashBytes(std::string_view bytes, uint64_t seed = 0);
+
+// Folds `word` into `hash`; used for rolling hashes over token ids.
+uint64_t hashWord(uint64_t hash, uint64_t word);
+
+} // namespace redwingseam::base
--- /dev/null
+++ b/src/base/NamedThread.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <memory>
+#include <pthread.h>
+#include <string>
+#include <utility>
+
+namespace redwingseam::base {
+
+// A POSIX thread with a name and a bounded stack; joined by the destructor.
+class NamedThread {
+public:
+    NamedThread() = default;
+
+    // Runs `function` on a new thread. `name` is cut to the 15 characters that the kernel keeps.
+    template <typename Function>
+    NamedThread(const std::string& name, Function function)
+    {
+        auto* heap = new Function(std::move(function));
+        start(name, &run<Function>, heap);
+    }
+
+    ~NamedThread() { join(); }
+    NamedThread(NamedThread&& other) noexcept { *this = std::move(other); }
+    NamedThread& operator=(NamedThread&&) noexcept;
+
+    void join();
+
+private:
+    template <typename Function>
+    static void* run(void* argument)
+    {
+        std::unique_ptr<Function> function(static_cast<Function*>(argument));
+        (*function)();
+        return nullptr;
+    }
+
+    void start(const std::string& name, void* (*entry)(void*), void* argument);
+
+    pthread_t m_native {};
+    bool m_isRunning = false;
+};
+
+} // namespace redwingseam::base
--- /dev/null
+++ b/src/claim/ClaimDesk.cpp
@@ -0,0 +1,171 @@
+#include "claim/ClaimDesk.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace redwingseam::claim {
+
+using platform::CallOutcome;
+
+static constexpr base::Duration firstBackoff = std::chrono::milliseconds(50);
+static constexpr uint32_t mostDoublings = 6;
+
+size_t ClaimDesk::groupOf(const base::IdempotencyKey& key)
+{
+    return base::hashBytes(key.text) % groupCount;
+}
+
+void ClaimDesk::append(ClaimRecord record, ClaimWaiter waiter)
+{
+    m_groups.with(groupOf(record.key), [&](ClaimGroup& group) {
+        group.waiters.insert_or_assign(ticketOf(record), std::move(waiter));
+        group.log.enqueue(std::move(record));
+    });
+}
+
+void ClaimDesk::relay(ClaimRecord record, ClaimWaiter waiter, base::Instant now)
+{
+    m_groups.with(groupOf(record.key), [&](ClaimGroup& group) {
+        auto ticket = ticketOf(record);
+        group.relayed.insert_or_assign(std::move(ticket), RelayedRecord { std::move(record), std::move(waiter), now });
+    });
+}
+
+std::optional<ClaimNotice> ClaimDesk::onDecided(const ClaimTicket& ticket, const ClaimRecord& inForce)
+{
+    return m_groups.with(groupOf(ticket.key), [&](ClaimGroup& group) -> std::optional<ClaimNotice> {
+        auto found = group.relayed.find(ticket);
+        if (found == group.relayed.end())
+            return std::nullopt;
+        ClaimNotice notice { ticket, inForce, found->second.waiter };
+        group.relayed.erase(found);
+        return notice;
+    });
+}
+
+LogCall ClaimDesk::poll(size_t index, base::Instant now)
+{
+    return m_groups.with(index, [&](ClaimGroup& group) -> LogCall {
+        if (now < group.notBefore)
+            return {};
+        return group.log.nextCall();
+    });
+}
+
+std::vector<ClaimNotice> ClaimDesk::onCheckpoint(size_t index, CallOutcome outcome, base::ObjectVersion version, const std::optional<Checkpoint>& checkpoint, base::Instant now, uint64_t jitter)
+{
+    return m_groups.with(index, [&](ClaimGroup& group) -> std::vector<ClaimNotice> {
+        if (outcome != CallOutcome::Done && outcome != CallOutcome::Absent) {
+            group.log.onCallLost();
+            backOff(group, now, jitter);
+            return {};
+        }
+        group.failures = 0;
+        group.log.onCheckpoint(checkpoint);
+        group.checkpointedAt = group.log.nextNumber();
+        group.checkpointVersion = version;
+        return {};
+    });
+}
+
+std::vector<ClaimNotice> ClaimDesk::onRead(size_t index, CallOutcome outcome, const std::optional<ClaimBatch>& batch, base::Instant now, uint64_t jitter)
+{
+    return m_groups.with(index, [&](ClaimGroup& group) -> std::vector<ClaimNotice> {
+        bool isAnswered = outcome == CallOutcome::Absent || (outcome == CallOutcome::Done && batch);
+        if (!isAnswered) {
+            group.log.onCallLost();
+            backOff(group, now, jitter);
+            return {};
+        }
+        group.failures = 0;
+        group.log.onRead(batch);
+        return takeNotices(group);
+    });
+}
+
+std::vector<ClaimNotice> ClaimDesk::onCreated(size_t index, CallOutcome outcome, base::Instant now, uint64_t jitter)
+{
+    return m_groups.with(index, [&](ClaimGroup& group) -> std::vector<ClaimNotice> {
+        if (outcome == CallOutcome::Done) {
+            group.failures = 0;
+            group.notBefore = now + appendInterval;
+            group.log.onCreated();
+            return takeNotices(group);
+        }
+        if (outcome == CallOutcome::Conflict) {
+            group.log.onTaken();
+            return {};
+        }
+        group.log.onCallLost();
+        backOff(group, now, jitter);
+        return {};
+    });
+}
+
+void ClaimDesk::takeBackRelayed(size_t index, base::Instant now)
+{
+    m_groups.with(index, [&](ClaimGroup& group) {
+        std::erase_if(group.relayed, [&](const auto& item) {
+            if (now - item.second.sentAt < relayPatience)
+                return false;
+            group.waiters.insert_or_assign(item.first, item.second.waiter);
+            group.log.enqueue(item.second.record);
+            return true;
+        });
+    });
+}
+
+std::optional<Checkpoint> ClaimDesk::dueCheckpoint(size_t index, base::ObjectVersion& expected)
+{
+    return m_groups.with(index, [&](ClaimGroup& group) -> std::optional<Checkpoint> {
+        if (!group.log.isLoaded() || group.log.nextNumber() < group.checkpointedAt + checkpointEvery)
+            return std::nullopt;
+        group.checkpointedAt = group.log.nextNumber();
+        expected = group.checkpointVersion;
+        return group.log.checkpoint(0);
+    });
+}
+
+void ClaimDesk::onCheckpointStored(size_t index, CallOutcome outcome, base::ObjectVersion version)
+{
+    m_groups.with(index, [&](ClaimGroup& group) {
+        // After a conflict or a lost answer the version is not known; the store's reply carries it.
+        if (outcome == CallOutcome::Done || outcome == CallOutcome::Conflict)
+            group.checkpointVersion = version;
+    });
+}
+
+size_t ClaimDesk::pending()
+{
+    size_t total = 0;
+    m_groups.forEach([&](ClaimGroup& group) { total += group.log.waiting() + group.relayed.size(); });
+    return total;
+}
+
+std::vector<ClaimNotice> ClaimDesk::takeNotices(ClaimGroup& group)
+{
+    std::vector<ClaimNotice> notices;
+    for (const auto& record : group.log.takeDecided()) {
+        auto ticket = ticketOf(record);
+        auto waiter = group.waiters.find(ticket);
+        if (waiter == group.waiters.end())
+            continue;
+        const auto* state = group.log.find(record.key);
+        ClaimRecord inForce = state ? ClaimRecord { state->kind, record.key, state->holder, state->answer } : record;
+        notices.push_back({ std::move(ticket), std::move(inForce), std::move(waiter->second) });
+        group.waiters.erase(waiter);
+    }
+    return notices;
+}
+
+void ClaimDesk::backOff(ClaimGroup& group, base::Instant now, uint64_t jitter)
+{
+    auto wait = firstBackoff * (1U << std::min(group.failures, mostDoublings));
+    ++group.failures;
+    // Anywhere from half to the whole wait, so that nodes do not return all at once.
+    auto spread = std::max<int64_t>(1, wait.count() / 2);
+    group.notBefore = now + wait / 2 + base::Duration(static_cast<int64_t>(jitter % static_cast<uint64_t>(spread)));
+}
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/src/claim/ClaimLog.cpp
@@ -0,0 +1,132 @@
+#include "claim/ClaimLog.h"
+
+#include <algorithm>
+
+namespace redwingseam::claim {
+
+// Keeps an object well under the platform's limit of one megabyte.
+static constexpr size_t mostRecordsPerBatch = 256;
+
+void ClaimLog::enqueue(ClaimRecord record)
+{
+    m_waiting.push_back(std::move(record));
+}
+
+bool ClaimLog::withdraw(const base::IdempotencyKey& key, uint64_t holder)
+{
+    return std::erase_if(m_waiting, [&](const ClaimRecord& record) {
+        return record.kind == RecordKind::Claimed && record.key == key && record.holder == holder;
+    }) > 0;
+}
+
+LogCall ClaimLog::nextCall()
+{
+    if (m_step != AppendStep::None)
+        return {};
+    bool hasWork = !m_waiting.empty() || !m_inFlight.records.empty();
+    if (!hasWork)
+        return {};
+    if (!m_isLoaded) {
+        m_step = AppendStep::ReadCheckpoint;
+        return { m_step, 0, {} };
+    }
+    if (m_mustRead) {
+        m_step = AppendStep::Read;
+        return { m_step, m_nextNumber, {} };
+    }
+    while (!m_waiting.empty() && m_inFlight.records.size() < mostRecordsPerBatch) {
+        m_inFlight.records.push_back(std::move(m_waiting.front()));
+        m_waiting.pop_front();
+    }
+    m_step = AppendStep::Create;
+    return { m_step, m_nextNumber, m_inFlight };
+}
+
+void ClaimLog::onCheckpoint(const std::optional<Checkpoint>& checkpoint)
+{
+    m_step = AppendStep::None;
+    m_isLoaded = true;
+    if (!checkpoint || checkpoint->nextNumber < m_nextNumber)
+        return;
+    m_nextNumber = checkpoint->nextNumber;
+    for (const auto& record : checkpoint->records)
+        m_keys[record.key] = { record.kind, record.holder, record.answer, m_nextNumber };
+}
+
+void ClaimLog::onCreated()
+{
+    m_step = AppendStep::None;
+    apply(std::exchange(m_inFlight, {}));
+}
+
+void ClaimLog::onTaken()
+{
+    m_step = AppendStep::None;
+    m_mustRead = true;
+}
+
+void ClaimLog::onRead(const std::optional<ClaimBatch>& batch)
+{
+    m_step = AppendStep::None;
+    if (!batch) {
+        // The end of the log: the number is free.
+        m_mustRead = false;
+        return;
+    }
+    // A call of ours whose answer was lost may have made this object, in whole or as an earlier try.
+    std::erase_if(m_inFlight.records, [&](const ClaimRecord& record) {
+        return std::find(batch->records.begin(), batch->records.end(), record) != batch->records.end();
+    });
+    apply(*batch);
+}
+
+void ClaimLog::onCallLost()
+{
+    m_step = AppendStep::None;
+    m_mustRead = true;
+}
+
+const KeyState* ClaimLog::find(const base::IdempotencyKey& key) const
+{
+    auto found = m_keys.find(key);
+    return found == m_keys.end() ? nullptr : &found->second;
+}
+
+void ClaimLog::apply(const ClaimBatch& batch)
+{
+    for (const auto& record : batch.records)
+        apply(record);
+    ++m_nextNumber;
+}
+
+void ClaimLog::apply(const ClaimRecord& record)
+{
+    auto [slot, isNew] = m_keys.try_emplace(record.key);
+    auto& state = slot->second;
+    bool isFree = isNew || state.kind == RecordKind::Abandoned;
+    bool isOfHolder = !isNew && state.kind == RecordKind::Claimed && state.holder == record.holder;
+    bool takesEffect = record.kind == RecordKind::Claimed ? isFree : isOfHolder;
+    if (takesEffect)
+        state = { record.kind, record.holder, record.answer, m_nextNumber };
+    else if (isNew)
+        m_keys.erase(slot);
+    // A record without effect is passed on too: whoever wrote it must learn that it lost.
+    m_decided.push_back(record);
+}
+
+Checkpoint ClaimLog::checkpoint(uint64_t oldest) const
+{
+    Checkpoint result { m_nextNumber, {} };
+    for (const auto& [key, state] : m_keys) {
+        if (state.number >= oldest)
+            result.records.push_back({ state.kind, key, state.holder, state.answer });
+    }
+    return result;
+}
+
+void ClaimLog::forgetBefore(uint64_t oldest)
+{
+    std::erase_if(m_keys, [&](const auto& item) { return item.second.number < oldest; });
+}
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/src/claim/ClaimPolicy.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "redwingseam/claim/ClaimRecord.h"
+
+#include <concepts>
+#include <cstdint>
+
+namespace redwingseam::claim {
+
+// Decides whether a holder may dispatch a key's work. Tests replace it to show that their properties
+// can fail.
+struct ClaimPolicy {
+    static bool isGranted(const ClaimRecord& inForce, uint64_t holder)
+    {
+        return inForce.kind == RecordKind::Claimed && inForce.holder == holder;
+    }
+    // Whether a dispatched call whose outcome is not known may be dispatched again.
+    static bool mayRepeatLostCall(bool isIdempotent) { return isIdempotent; }
+};
+
+template <typename T>
+concept ClaimRules = requires(const ClaimRecord& record, uint64_t holder, bool flag)
+{
+    {
+        T::isGranted(record, holder)
+        } -> std::same_as<bool>;
+    {
+        T::mayRepeatLostCall(flag)
+        } -> std::same_as<bool>;
+};
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/src/claim/RelayedRecord.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "claim/ClaimWaiter.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/claim/ClaimRecord.h"
+
+namespace redwingseam::claim {
+
+// A record that was handed to the group's preferred writer and is not yet known to be in the log.
+struct RelayedRecord {
+    ClaimRecord record;
+    ClaimWaiter waiter;
+    base::Instant sentAt;
+};
+
+} // namespace redwingseam::claim
--- /dev/null
+++ b/src/codec/ObjectCodec.cpp
@@ -0,0 +1,125 @@
+#include "codec/ObjectCodec.h"
+
+#include "codec/ClaimCodec.h"
+#include "codec/FactCodec.h"
+#include "codec/JsonReader.h"
+#include "codec/ObjectType.h"
+
+namespace redwingseam::codec {
+
+using nlohmann::json;
+
+static json format(const platform::RawBranch& raw)
+{
+    return { { "path", raw.path }, { "json", raw.json } };
+}
+
+static json format(const platform::AcceptedBranch& accepted)
+{
+    return { { "branch", format(accepted.branch) }, { "raw_version", accepted.rawVersion.value } };
+}
+
+static json format(const platform::BranchStatus& status)
+{
+    return { { "path", status.path }, { "raw_version", status.rawVersion.value }, { "accepted", status.isAccepted }, { "reason", status.reason } };
+}
+
+static json format(const platform::Lease& lease)
+{
+    return {
+        { "holder", lease.holder.text },
+        { "holder_incarnation", lease.holderIncarnation },
+        { "fencing", lease.fencing },
+        { "renewals", lease.renewals },
+        { "duration_ms", lease.durationMs },
+    };
+}
+
+std::string formatObject(const platform::ObjectValue& value)
+{
+    auto document = std::visit([](const auto& alternative) { return format(alternative); }, value);
+    document["type"] = base::nameOf(static_cast<ObjectType>(value.index()));
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+static std::optional<platform::RawBranch> parseRawBranch(const json& value)
+{
+    JsonReader reader(value);
+    platform::RawBranch raw { reader.text("path"), reader.text("json") };
+    if (!reader.isGood())
+        return std::nullopt;
+    return raw;
+}
+
+static std::optional<platform::AcceptedBranch> parseAcceptedBranch(const json& value)
+{
+    JsonReader reader(value);
+    auto branch = parseBranchObject(reader.object("branch"));
+    base::ObjectVersion rawVersion { reader.number("raw_version") };
+    if (!reader.isGood() || !branch)
+        return std::nullopt;
+    return platform::AcceptedBranch { std::move(*branch), rawVersion };
+}
+
+static std::optional<platform::BranchStatus> parseBranchStatus(const json& value)
+{
+    JsonReader reader(value);
+    platform::BranchStatus status { reader.text("path"), { reader.number("raw_version") }, reader.flag("accepted"), reader.text("reason") };
+    if (!reader.isGood())
+        return std::nullopt;
+    return status;
+}
+
+static std::optional<platform::Lease> parseLease(const json& value)
+{
+    JsonReader reader(value);
+    platform::Lease lease { { reader.text("holder") }, reader.number("holder_incarnation"), reader.number("fencing"), reader.number("renewals"), reader.number("duration_ms") };
+    if (!reader.isGood())
+        return std::nullopt;
+    return lease;
+}
+
+template <typename Value>
+static std::optional<platform::ObjectValue> widen(std::optional<Value> value)
+{
+    if (!value)
+        return std::nullopt;
+    return platform::ObjectValue(std::move(*value));
+}
+
+static std::optional<platform::ObjectValue> parseAs(ObjectType type, const json& document)
+{
+    switch (type) {
+    case ObjectType::ClaimBatch:
+        return widen(parseClaimBatch(document));
+    case ObjectType::Checkpoint:
+        return widen(parseCheckpoint(document));
+    case ObjectType::RawBranch:
+        return widen(parseRawBranch(document));
+    case ObjectType::AcceptedBranch:
+        return widen(parseAcceptedBranch(document));
+    case ObjectType::BranchStatus:
+        return widen(parseBranchStatus(document));
+    case ObjectType::Lease:
+        return widen(parseLease(document));
+    case ObjectType::Vm:
+        return widen(parseVmRecord(document));
+    case ObjectType::Upstream:
+        return widen(parseUpstreamRecord(document));
+    }
+    return std::nullopt;
+}
+
+std::optional<platform::ObjectValue> parseObject(std::string_view text)
+{
+    auto document = json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return std::nullopt;
+    JsonReader reader(document);
+    auto type = reader.named<ObjectType>("type");
+    if (!reader.isGood())
+        return std::nullopt;
+    return parseAs(type, document);
+}
+
+} // namespace redwingseam::codec
--- /dev/null
+++ b/src/daemon/AdminHandler.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "daemon/VmIo.h"
+#include "daemon/VmNode.h"
+#include "http/NoStream.h"
+#include "http/ServerRequest.h"
+#include "http/ServerResponse.h"
+
+namespace redwingseam::daemon {
+
+// Answers of the admin port, which only reads: /healthz, /readyz, /metrics, /status and /report.
+class AdminHandler {
+public:
+    using Stream = http::NoStream;
+    using Response = http::ServerResponse<Stream>;
+
+    AdminHandler(VmNode& node, VmIo& io)
+        : m_node(node)
+        , m_io(io)
+    {
+    }
+
+    Response handle(const http::ServerRequest&);
+
+private:
+    Response ready();
+    Response metrics();
+
+    VmNode& m_node;
+    VmIo& m_io;
+};
+
+} // namespace redwingseam::daemon
--- /dev/null
+++ b/src/daemon/NodeEvents.cpp
@@ -0,0 +1,62 @@
+#include "daemon/NodeEvents.h"
+
+#include "daemon/VmNode.h"
+
+namespace redwingseam::daemon {
+
+void NodeEvents::handle(const node::CallerRequest& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const node::CallerGone& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const node::TokensReceived& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const node::AttemptEnded& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const node::ProbeFailed& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const route::LoadReport& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const route::CacheEvent& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const platform::PlatformReply& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const platform::ObjectChanged& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const peer::PeerMessage& event)
+{
+    m_node.node().handle(event);
+}
+
+void NodeEvents::handle(const node::Tick& event)
+{
+    m_node.node().handle(event);
+}
+
+} // namespace redwingseam::daemon
--- /dev/null
+++ b/src/daemon/NodeEvents.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "redwingseam/node/AttemptEnded.h"
+#include "redwingseam/node/CallerGone.h"
+#include "redwingseam/node/CallerRequest.h"
+#include "redwingseam/node/ProbeFailed.h"
+#include "redwingseam/node/Tick.h"
+#include "redwingseam/node/TokensReceived.h"
+#include "redwingseam/peer/PeerMessage.h"
+#include "redwingseam/platform/ObjectChanged.h"
+#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/route/CacheEvent.h"
+#include "redwingseam/route/LoadReport.h"
+
+namespace redwingseam::daemon {
+
+class VmNode;
+
+// Passes what the servers and clients see on to the node. Thread-safe.
+class NodeEvents {
+public:
+    explicit NodeEvents(VmNode& node)
+        : m_node(node)
+    {
+    }
+
+    void handle(const node::CallerRequest&);
+    void handle(const node::CallerGone&);
+    void handle(const node::TokensReceived&);
+    void handle(const node::AttemptEnded&);
+    void handle(const node::ProbeFailed&);
+    void handle(const route::LoadReport&);
+    void handle(const route::CacheEvent&);
+    void handle(const platform::PlatformReply&);
+    void handle(const platform::ObjectChanged&);
+    void handle(const peer::PeerMessage&);
+    void handle(const node::Tick&);
+
+private:
+    VmNode& m_node;
+};
+
+} // namespace redwingseam::daemon
--- /dev/null
+++ b/src/daemon/ProbeSchedule.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/route/UpstreamRecord.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace redwingseam::daemon {
+
+// Says which upstreams are to be asked for their load now: often within the data centre, more seldom
+// beyond it, where links are billed. Used by one thread.
+class ProbeSchedule {
+public:
+    static constexpr base::Duration nearInterval = std::chrono::milliseconds(500);
+    static constexpr base::Duration farInterval = std::chrono::seconds(2);
+
+    explicit ProbeSchedule(base::DataCentreName dataCentre)
+        : m_dataCentre(std::move(dataCentre))
+    {
+    }
+
+    std::vector<route::UpstreamRecord> due(const std::vector<route::UpstreamRecord>& upstreams, base::Instant now);
+
+private:
+    base::DataCentreName m_dataCentre;
+    std::unordered_map<base::UpstreamName, base::Instant> m_nextAt;
+};
+
+} // namespace redwingseam::daemon
--- /dev/null
+++ b/src/daemon/Ticker.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/Condition.h"
+#include "base/NamedThread.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Mutex.h"
+
+#include <mutex>
+#include <string>
+
+namespace redwingseam::daemon {
+
+// Calls a function at a fixed interval on a thread of its own until it is destroyed.
+class Ticker {
+public:
+    template <typename Function>
+    Ticker(const std::string& name, base::Duration interval, Function function)
+    {
+        m_thread = base::NamedThread(name, [this, interval, function] {
+            while (waitFor(interval))
+                function();
+        });
+    }
+
+    ~Ticker()
+    {
+        {
+            std::lock_guard guard(m_mutex);
+            m_isStopping = true;
+        }
+        m_condition.broadcast();
+        m_thread.join();
+    }
+
+    Ticker(const Ticker&) = delete;
+    Ticker& operator=(const Ticker&) = delete;
+
+private:
+    // Returns false once the ticker is to stop.
+    bool waitFor(base::Duration interval)
+    {
+        std::lock_guard guard(m_mutex);
+        while (!m_isStopping) {
+            if (!m_condition.waitFor(m_mutex, interval))
+                break;
+        }
+        return !m_isStopping;
+    }
+
+    base::Mutex m_mutex;
+    base::Condition m_condition;
+    bool m_isStopping = false;
+    base::NamedThread m_thread;
+};
+
+} // namespace redwingseam::daemon
--- /dev/null
+++ b/src/http/BlockingClient.cpp
@@ -0,0 +1,43 @@
+#include "http/BlockingClient.h"
+
+#include <chrono>
+#include <curl/curl.h>
+
+namespace redwingseam::http {
+
+static size_t collect(char* bytes, size_t size, size_t count, void* body)
+{
+    static_cast<std::string*>(body)->append(bytes, size * count);
+    return size * count;
+}
+
+HttpResult exchange(const HttpRequest& request)
+{
+    using Millis = std::chrono::milliseconds;
+    HttpResult result;
+    auto* easy = curl_easy_init();
+    curl_slist* headers = nullptr;
+    for (const auto& header : request.headers)
+        headers = curl_slist_append(headers, header.c_str());
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    if (!request.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &collect);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &result.body);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.timeout).count()));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.connectTimeout).count()));
+    result.isAnswered = curl_easy_perform(easy) == CURLE_OK;
+    result.isSent = result.isAnswered;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
+    curl_easy_cleanup(easy);
+    curl_slist_free_all(headers);
+    return result;
+}
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/CallerServer.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "http/CallerConnection.h"
+#include "http/ClientKeyCodec.h"
+#include "http/ListenAddress.h"
+#include "redwingseam/base/Error.h"
+#include "redwingseam/base/Sharded.h"
+#include "redwingseam/node/CallerGone.h"
+#include "redwingseam/node/CallerRequest.h"
+#include "redwingseam/node/Finish.h"
+#include "redwingseam/node/Refuse.h"
+#include "redwingseam/node/SendTokens.h"
+#include "stream/ResumeTokenCodec.h"
+
+#include <atomic>
+#include <concepts>
+#include <memory>
+#include <unordered_map>
+
+namespace redwingseam::http {
+
+// Takes what callers ask for.
+template <typename T>
+concept CallerEvents = requires(T& events, const node::CallerRequest& request, const node::CallerGone& gone)
+{
+    events.handle(request);
+    events.handle(gone);
+};
+
+// Serves callers: completions as server-sent events or whole answers, and calls of plain services.
+// Threads of libmicrohttpd wait on epoll; a connection without anything to send is suspended. The
+// methods that take effects are thread-safe. It has no decisions of its own.
+template <CallerEvents Events>
+class CallerServer {
+public:
+    // `events` must outlive the server.
+    CallerServer(std::string secret, uint64_t firstRequestId, Events& events);
+    ~CallerServer();
+    CallerServer(const CallerServer&) = delete;
+    CallerServer& operator=(const CallerServer&) = delete;
+
+    // Starts to listen. Returns false if the address is taken.
+    bool start(const ListenAddress&);
+    // Ends all connections and the threads.
+    void stop();
+    // Connections whose answer has not been sent to its end.
+    size_t openConnections() const { return m_open; }
+
+    void send(const node::SendTokens&);
+    void finish(const node::Finish&);
+    void refuse(const node::Refuse&);
+
+private:
+    using ConnectionPointer = std::shared_ptr<CallerConnection>;
+    using ConnectionMap = std::unordered_map<base::RequestId, ConnectionPointer>;
+
+    static MHD_Result onAccess(void*, MHD_Connection*, const char* url, const char* method, const char*, const char* upload, size_t* uploadSize, void** state);
+    static void onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode);
+    static ssize_t onRead(void*, uint64_t, char* buffer, size_t size);
+
+    MHD_Result takeUpload(CallerConnection&, const char* upload, size_t* uploadSize);
+    MHD_Result begin(const ConnectionPointer&, const std::string& method);
+    MHD_Result queueAnswer(const ConnectionPointer&);
+    base::Error parse(CallerConnection&, const std::string& method, node::CallerRequest&);
+    base::Error parseCompletionRequest(CallerConnection&, node::CallerRequest&);
+    base::Error parseServiceRequest(CallerConnection&, node::CallerRequest&);
+    ConnectionPointer find(base::RequestId);
+    static void wake(CallerConnection&);
+
+    ClientKeyCodec m_keys;
+    stream::ResumeTokenCodec m_resumeTokens;
+    std::atomic<uint64_t> m_nextId;
+    std::atomic<size_t> m_open { 0 };
+    base::Sharded<ConnectionMap> m_connections;
+    Events& m_events;
+    MHD_Daemon* m_daemon = nullptr;
+};
+
+} // namespace redwingseam::http
+
+#include "http/CallerServerImpl.h"
--- /dev/null
+++ b/src/http/CallerServerImpl.h
@@ -0,0 +1,341 @@
+#pragma once
+
+#include "http/CallerServer.h"
+#include "http/ErrorBody.h"
+
+#include "http/RequestParser.h"
+#include "http/StatusOf.h"
+
+#include <algorithm>
+#include <cstring>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::http {
+
+inline constexpr size_t longestRequestBody = 1024 * 1024;
+inline constexpr size_t longestIdempotencyKey = 200;
+inline constexpr unsigned callerServerThreads = 2;
+// A caller that sends its request more slowly than this is cut off.
+inline constexpr unsigned callerIdleSeconds = 60;
+inline constexpr unsigned mostCallerConnections = 8192;
+inline constexpr size_t callerConnectionMemory = 8 * 1024;
+
+template <CallerEvents Events>
+CallerServer<Events>::CallerServer(std::string secret, uint64_t firstRequestId, Events& events)
+    : m_keys(secret)
+    , m_resumeTokens(secret)
+    , m_nextId(firstRequestId)
+    , m_events(events)
+{
+}
+
+template <CallerEvents Events>
+CallerServer<Events>::~CallerServer()
+{
+    stop();
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::stop()
+{
+    if (!m_daemon)
+        return;
+    // libmicrohttpd wants no connection suspended when it stops.
+    m_connections.forEach([](ConnectionMap& connections) {
+        for (auto& [id, connection] : connections) {
+            std::lock_guard guard(connection->mutex);
+            connection->isEnded = true;
+            connection->isReady = true;
+            wake(*connection);
+        }
+    });
+    MHD_stop_daemon(m_daemon);
+    m_daemon = nullptr;
+}
+
+template <CallerEvents Events>
+bool CallerServer<Events>::start(const ListenAddress& address)
+{
+    auto native = address.native();
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, address.port, nullptr, nullptr,
+        &CallerServer<Events>::onAccess, this,
+        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&native),
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_THREAD_POOL_SIZE, callerServerThreads,
+        MHD_OPTION_CONNECTION_TIMEOUT, callerIdleSeconds,
+        MHD_OPTION_CONNECTION_LIMIT, mostCallerConnections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, callerConnectionMemory,
+        MHD_OPTION_NOTIFY_COMPLETED, &CallerServer<Events>::onCompleted, this,
+        MHD_OPTION_END);
+    return m_daemon != nullptr;
+}
+
+template <CallerEvents Events>
+MHD_Result CallerServer<Events>::onAccess(void* self, MHD_Connection* native, const char* url, const char* method, const char*, const char* upload, size_t* uploadSize, void** state)
+{
+    auto& server = *static_cast<CallerServer*>(self);
+    if (!*state) {
+        auto connection = std::make_shared<CallerConnection>();
+        connection->connection = native;
+        connection->path = url;
+        *state = new ConnectionPointer(std::move(connection));
+        return MHD_YES;
+    }
+    auto& connection = *static_cast<ConnectionPointer*>(*state);
+    if (*uploadSize)
+        return server.takeUpload(*connection, upload, uploadSize);
+    if (connection->isRegistered)
+        return server.queueAnswer(connection);
+    return server.begin(connection, method);
+}
+
+template <CallerEvents Events>
+MHD_Result CallerServer<Events>::takeUpload(CallerConnection& connection, const char* upload, size_t* uploadSize)
+{
+    // The rest of an oversized body is read and dropped, so that the caller gets its answer.
+    if (connection.body.size() + *uploadSize > longestRequestBody)
+        connection.isTooLarge = true;
+    else
+        connection.body.append(upload, *uploadSize);
+    *uploadSize = 0;
+    return MHD_YES;
+}
+
+template <CallerEvents Events>
+MHD_Result CallerServer<Events>::begin(const ConnectionPointer& connection, const std::string& method)
+{
+    node::CallerRequest request;
+    auto error = parse(*connection, method, request);
+    connection->isRegistered = true;
+    ++m_open;
+    if (error.code != base::ResultCode::Ok) {
+        setError(*connection, error, "not-run");
+        return queueAnswer(connection);
+    }
+    connection->body = {};
+    connection->id = { m_nextId++ };
+    request.id = connection->id;
+    if (!request.seed && !request.resume)
+        request.seed = request.id.value;
+    connection->fingerprint = node::fingerprintOf(request);
+    m_connections.with(request.id.value, [&](ConnectionMap& connections) { connections.emplace(request.id, connection); });
+    m_events.handle(request);
+    return queueAnswer(connection);
+}
+
+template <CallerEvents Events>
+base::Error CallerServer<Events>::parse(CallerConnection& connection, const std::string& method, node::CallerRequest& request)
+{
+    if (connection.isTooLarge)
+        return { base::ResultCode::RequestTooLarge, "the body is longer than 1 MiB" };
+    if (method != "POST")
+        return { base::ResultCode::UnknownRoute, "POST /v1/completions or /v1/services/NAME" };
+    const char* authorization = MHD_lookup_connection_value(connection.connection, MHD_HEADER_KIND, "Authorization");
+    std::string_view bearer = authorization ? authorization : "";
+    static constexpr std::string_view scheme = "Bearer ";
+    auto client = m_keys.verify(bearer.starts_with(scheme) ? bearer.substr(scheme.size()) : std::string_view {});
+    if (!client)
+        return client.error();
+    connection.client = client.value();
+    auto error = connection.path == "/v1/completions" ? parseCompletionRequest(connection, request) : parseServiceRequest(connection, request);
+    request.client = connection.client;
+    return error;
+}
+
+template <CallerEvents Events>
+base::Error CallerServer<Events>::parseCompletionRequest(CallerConnection& connection, node::CallerRequest& request)
+{
+    auto parsed = parseCompletion(connection.body);
+    if (!parsed)
+        return parsed.error();
+    request = std::move(parsed.value().request);
+    connection.isStreamed = parsed.value().isStreamed;
+    const char* lastEvent = MHD_lookup_connection_value(connection.connection, MHD_HEADER_KIND, "Last-Event-ID");
+    if (!lastEvent)
+        return {};
+    auto point = m_resumeTokens.decode(connection.client, node::fingerprintOf(request), lastEvent);
+    if (!point)
+        return point.error();
+    request.resume = std::move(point.value());
+    return {};
+}
+
+template <CallerEvents Events>
+base::Error CallerServer<Events>::parseServiceRequest(CallerConnection& connection, node::CallerRequest& request)
+{
+    static constexpr std::string_view prefix = "/v1/services/";
+    if (!connection.path.starts_with(prefix) || connection.path.size() == prefix.size())
+        return { base::ResultCode::UnknownRoute, "POST /v1/completions or /v1/services/NAME" };
+    request.kind = node::RequestKind::ServiceCall;
+    request.target = connection.path.substr(prefix.size());
+    request.content = connection.body;
+    request.work.text = request.target;
+    const char* key = MHD_lookup_connection_value(connection.connection, MHD_HEADER_KIND, "Idempotency-Key");
+    if (!key)
+        return {};
+    if (!*key || std::strlen(key) > longestIdempotencyKey)
+        return { base::ResultCode::MalformedRequest, "Idempotency-Key: expected 1 to 200 bytes" };
+    // Keys of different clients never meet; the length keeps the parts apart.
+    request.key = base::IdempotencyKey { std::to_string(connection.client.text.size()) + ":" + connection.client.text + ":" + request.target + ":" + key };
+    return {};
+}
+
+template <CallerEvents Events>
+MHD_Result CallerServer<Events>::queueAnswer(const ConnectionPointer& connection)
+{
+    std::lock_guard guard(connection->mutex);
+    if (!connection->isReady) {
+        connection->isSuspended = true;
+        MHD_suspend_connection(connection->connection);
+        return MHD_YES;
+    }
+    static constexpr size_t blockBytes = 2048;
+    auto* response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, blockBytes, &CallerServer<Events>::onRead, new ConnectionPointer(connection),
+        [](void* pointer) { delete static_cast<ConnectionPointer*>(pointer); });
+    MHD_add_response_header(response, "Content-Type", connection->isEventStream ? "text/event-stream" : "application/json");
+    if (connection->retryAfterSeconds)
+        MHD_add_response_header(response, "Retry-After", std::to_string(connection->retryAfterSeconds).c_str());
+    auto result = MHD_queue_response(connection->connection, connection->status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+template <CallerEvents Events>
+ssize_t CallerServer<Events>::onRead(void* pointer, uint64_t, char* buffer, size_t size)
+{
+    auto& connection = **static_cast<ConnectionPointer*>(pointer);
+    std::lock_guard guard(connection.mutex);
+    auto count = std::min(size, connection.outgoing.size() - connection.offset);
+    std::memcpy(buffer, connection.outgoing.data() + connection.offset, count);
+    connection.offset += count;
+    if (connection.offset == connection.outgoing.size()) {
+        connection.outgoing.clear();
+        connection.offset = 0;
+    }
+    if (count)
+        return static_cast<ssize_t>(count);
+    if (connection.isEnded)
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    connection.isSuspended = true;
+    MHD_suspend_connection(connection.connection);
+    return 0;
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::wake(CallerConnection& connection)
+{
+    if (!connection.isSuspended)
+        return;
+    connection.isSuspended = false;
+    MHD_resume_connection(connection.connection);
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::onCompleted(void* self, MHD_Connection*, void** state, MHD_RequestTerminationCode)
+{
+    auto& server = *static_cast<CallerServer*>(self);
+    std::unique_ptr<ConnectionPointer> connection(static_cast<ConnectionPointer*>(*state));
+    if (!connection || !(*connection)->isRegistered)
+        return;
+    --server.m_open;
+    auto id = (*connection)->id;
+    if (!id.value)
+        return;
+    server.m_connections.with(id.value, [&](ConnectionMap& connections) { connections.erase(id); });
+    bool isEnded = false;
+    {
+        std::lock_guard guard((*connection)->mutex);
+        isEnded = (*connection)->isEnded;
+        // Nothing may touch the connection from here on.
+        (*connection)->isEnded = true;
+        (*connection)->isSuspended = false;
+    }
+    if (!isEnded)
+        server.m_events.handle(node::CallerGone { id });
+}
+
+template <CallerEvents Events>
+typename CallerServer<Events>::ConnectionPointer CallerServer<Events>::find(base::RequestId id)
+{
+    return m_connections.with(id.value, [&](ConnectionMap& connections) -> ConnectionPointer {
+        auto found = connections.find(id);
+        return found == connections.end() ? nullptr : found->second;
+    });
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::send(const node::SendTokens& effect)
+{
+    auto connection = find(effect.request);
+    if (!connection)
+        return;
+    auto eventId = m_resumeTokens.encode(connection->client, connection->fingerprint, effect.resumePoint);
+    auto tokens = nlohmann::json::array();
+    std::string text;
+    for (const auto& token : effect.tokens) {
+        tokens.push_back(token.id);
+        text += token.text;
+    }
+    nlohmann::json data { { "index", effect.firstIndex }, { "tokens", std::move(tokens) }, { "text", std::move(text) } };
+    std::lock_guard guard(connection->mutex);
+    if (connection->isEnded)
+        return;
+    if (connection->isStreamed) {
+        connection->outgoing += "id: " + eventId + "\ndata: " + dumpJson(data) + "\n\n";
+        connection->isEventStream = true;
+        connection->isReady = true;
+        wake(*connection);
+    } else {
+        connection->body += dumpJson(data) + ",";
+    }
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::finish(const node::Finish& effect)
+{
+    auto connection = find(effect.request);
+    if (!connection)
+        return;
+    std::lock_guard guard(connection->mutex);
+    if (connection->isEnded)
+        return;
+    bool isService = effect.answer.status != 0;
+    if (isService) {
+        connection->status = effect.answer.status;
+        connection->outgoing = effect.answer.body;
+    } else if (connection->isStreamed) {
+        connection->isEventStream = true;
+        connection->outgoing += "event: done\ndata: " + dumpJson({ { "total", effect.totalTokens }, { "resumes", effect.resumes } }) + "\n\n";
+    } else {
+        if (!connection->body.empty())
+            connection->body.pop_back();
+        connection->outgoing = "{\"total\":" + std::to_string(effect.totalTokens) + ",\"resumes\":" + std::to_string(effect.resumes) + ",\"pieces\":[" + connection->body + "]}";
+    }
+    connection->isReady = true;
+    connection->isEnded = true;
+    wake(*connection);
+}
+
+template <CallerEvents Events>
+void CallerServer<Events>::refuse(const node::Refuse& effect)
+{
+    auto connection = find(effect.request);
+    if (!connection)
+        return;
+    std::lock_guard guard(connection->mutex);
+    if (connection->isEnded)
+        return;
+    if (connection->isEventStream) {
+        // The status line has gone out, so the error is an event of its own.
+        connection->outgoing += "event: error\ndata: " + errorBody(effect.error, base::nameOf(effect.runState)) + "\n\n";
+        connection->isEnded = true;
+    } else {
+        static constexpr base::Duration second = std::chrono::seconds(1);
+        connection->retryAfterSeconds = static_cast<unsigned>((effect.retryAfter + second - base::Duration(1)) / second);
+        setError(*connection, effect.error, base::nameOf(effect.runState));
+    }
+    wake(*connection);
+}
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/CurlLoop.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "base/NamedThread.h"
+#include "http/HttpRequest.h"
+#include "http/TransferHandler.h"
+#include "redwingseam/base/Mutex.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace redwingseam::http {
+
+// Makes HTTP requests on one thread, many at a time. `submit` and `cancel` are thread-safe; a request
+// that was cancelled gets no `onDone`. The destructor ends the thread and drops what is under way.
+template <TransferHandler Handler>
+class CurlLoop {
+public:
+    using Tag = typename Handler::Tag;
+
+    CurlLoop(Handler& handler, const std::string& name)
+        : m_handler(handler)
+        , m_multi(curl_multi_init())
+    {
+        static constexpr long connectionsKept = 4096;
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, connectionsKept);
+        m_thread = base::NamedThread(name, [this] { run(); });
+    }
+
+    ~CurlLoop()
+    {
+        stop();
+        for (auto& [id, transfer] : m_transfers)
+            drop(*transfer);
+        curl_multi_cleanup(m_multi);
+    }
+
+    CurlLoop(const CurlLoop&) = delete;
+    CurlLoop& operator=(const CurlLoop&) = delete;
+
+    // Ends the thread; what is submitted later is dropped.
+    void stop()
+    {
+        m_isStopping = true;
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+    }
+
+    // Starts a request; `id` names it for `cancel` and must be unique among those under way.
+    void submit(uint64_t id, HttpRequest request, Tag tag)
+    {
+        auto transfer = std::make_unique<Transfer>(Transfer { *this, id, std::move(request), std::move(tag), {}, nullptr, nullptr, 0 });
+        {
+            std::lock_guard guard(m_mutex);
+            m_submitted.push_back(std::move(transfer));
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+    void cancel(uint64_t id)
+    {
+        {
+            std::lock_guard guard(m_mutex);
+            m_cancelled.push_back(id);
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+private:
+    struct Transfer {
+        CurlLoop& loop;
+        uint64_t id;
+        HttpRequest request;
+        Tag tag;
+        std::string body;
+        CURL* easy;
+        curl_slist* headers;
+        long status;
+    };
+
+    void run()
+    {
+        static constexpr int pollMillis = 1000;
+        while (!m_isStopping) {
+            takeCommands();
+            int running = 0;
+            curl_multi_perform(m_multi, &running);
+            finishDone();
+            curl_multi_poll(m_multi, nullptr, 0, pollMillis, nullptr);
+        }
+    }
+
+    void takeCommands()
+    {
+        std::vector<std::unique_ptr<Transfer>> submitted;
+        std::vector<uint64_t> cancelled;
+        {
+            std::lock_guard guard(m_mutex);
+            submitted.swap(m_submitted);
+            cancelled.swap(m_cancelled);
+        }
+        for (auto& transfer : submitted)
+            begin(std::move(transfer));
+        for (auto id : cancelled) {
+            auto found = m_transfers.find(id);
+            if (found == m_transfers.end())
+                continue;
+            drop(*found->second);
+            m_transfers.erase(found);
+        }
+    }
+
+    void begin(std::unique_ptr<Transfer> transfer)
+    {
+        auto* easy = curl_easy_init();
+        transfer->easy = easy;
+        auto& request = transfer->request;
+        for (const auto& header : request.headers)
+            transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+        // Without this an upload waits a second for a go-ahead that simple servers do not send.
+        transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        if (!request.body.empty()) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.c_str());
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlLoop::onWrite);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        // A small buffer keeps thousands of open streams within the memory of a small VM.
+        static constexpr long bufferBytes = 4096;
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, bufferBytes);
+        using Millis = std::chrono::milliseconds;
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.timeout).count()));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.connectTimeout).count()));
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(request.isHttp2 ? CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE : CURL_HTTP_VERSION_1_1));
+        if (request.isHttp2)
+            curl_easy_setopt(easy, CURLOPT_PIPEWAIT, 1L);
+        if (request.isSingleUse) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        curl_multi_add_handle(m_multi, easy);
+        auto id = transfer->id;
+        m_transfers.insert_or_assign(id, std::move(transfer));
+    }
+
+    static size_t onWrite(char* bytes, size_t size, size_t count, void* userData)
+    {
+        auto& transfer = *static_cast<Transfer*>(userData);
+        if (!transfer.status)
+            curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &transfer.status);
+        std::string_view data(bytes, size * count);
+        if (!transfer.loop.m_handler.onData(transfer.tag, transfer.status, data))
+            transfer.body.append(data);
+        return data.size();
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (auto* message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            Transfer* transfer = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+            finish(*transfer, message->data.result);
+        }
+    }
+
+    void finish(Transfer& transfer, CURLcode code)
+    {
+        HttpResult result;
+        result.isAnswered = code == CURLE_OK;
+        curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &result.status);
+        curl_off_t sentBytes = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        long requestBytes = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        // Whatever may have left this side counts as sent.
+        result.isSent = result.isAnswered || requestBytes > 0 || sentBytes > 0;
+        result.body = std::move(transfer.body);
+        auto node = m_transfers.extract(transfer.id);
+        drop(transfer);
+        m_handler.onDone(transfer.tag, std::move(result));
+    }
+
+    void drop(Transfer& transfer)
+    {
+        curl_multi_remove_handle(m_multi, transfer.easy);
+        curl_easy_cleanup(transfer.easy);
+        curl_slist_free_all(transfer.headers);
+    }
+
+    Handler& m_handler;
+    CURLM* m_multi;
+    std::atomic<bool> m_isStopping { false };
+    base::Mutex m_mutex;
+    std::vector<std::unique_ptr<Transfer>> m_submitted;
+    std::vector<uint64_t> m_cancelled;
+    std::unordered_map<uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    base::NamedThread m_thread;
+};
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/ErrorBody.cpp
@@ -0,0 +1,27 @@
+#include "http/ErrorBody.h"
+
+#include "http/StatusOf.h"
+
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::http {
+
+std::string dumpJson(const nlohmann::json& document)
+{
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string errorBody(const base::Error& error, std::string_view runState)
+{
+    return dumpJson({ { "error", { { "code", static_cast<unsigned>(error.code) }, { "name", base::nameOf(error.code) }, { "detail", error.detail }, { "run", runState } } } });
+}
+
+void setError(CallerConnection& connection, const base::Error& error, std::string_view runState)
+{
+    connection.status = statusOf(error.code);
+    connection.outgoing = errorBody(error, runState);
+    connection.isReady = true;
+    connection.isEnded = true;
+}
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/EventLines.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace redwingseam::http {
+
+// One server-sent event.
+struct ServerEvent {
+    std::string name;
+    std::string data;
+};
+
+// Cuts a byte stream into server-sent events. An event that grows past the limit is an error, which
+// stays: the rest of the stream cannot be trusted.
+class EventLines {
+public:
+    static constexpr size_t longestEvent = 256 * 1024;
+
+    // Feeds bytes and calls `onEvent(const ServerEvent&)` for each event that they complete. Returns
+    // false on an error.
+    template <typename Function>
+    bool feed(std::string_view bytes, Function&& onEvent)
+    {
+        if (m_isBroken)
+            return false;
+        m_buffer.append(bytes);
+        size_t start = 0;
+        for (auto end = m_buffer.find('\n', start); end != std::string::npos; end = m_buffer.find('\n', start)) {
+            takeLine(std::string_view(m_buffer).substr(start, end - start));
+            start = end + 1;
+            if (!m_isComplete)
+                continue;
+            onEvent(m_event);
+            m_event = {};
+            m_isComplete = false;
+        }
+        m_buffer.erase(0, start);
+        m_isBroken = m_buffer.size() + m_event.data.size() > longestEvent;
+        return !m_isBroken;
+    }
+
+private:
+    void takeLine(std::string_view line);
+
+    std::string m_buffer;
+    ServerEvent m_event;
+    bool m_isComplete = false;
+    bool m_isBroken = false;
+};
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/RequestParser.cpp
@@ -0,0 +1,75 @@
+#include "http/RequestParser.h"
+
+#include "codec/JsonReader.h"
+
+namespace redwingseam::http {
+
+using base::Error;
+using base::ResultCode;
+
+static constexpr uint64_t mostTokens = 200'000;
+static constexpr size_t deepestNesting = 16;
+
+// Depth is checked before parsing, so that a hostile body cannot exhaust the stack.
+static bool isTooDeep(std::string_view json)
+{
+    size_t depth = 0;
+    bool isInString = false;
+    for (size_t i = 0; i < json.size(); ++i) {
+        char c = json[i];
+        if (isInString && c == '\\')
+            ++i;
+        else if (c == '"')
+            isInString = !isInString;
+        else if (!isInString && (c == '{' || c == '['))
+            ++depth;
+        else if (!isInString && (c == '}' || c == ']') && depth)
+            --depth;
+        if (depth > deepestNesting)
+            return true;
+    }
+    return false;
+}
+
+static bool readCarried(codec::JsonReader& reader, std::vector<uint32_t>& ids)
+{
+    for (const auto& item : reader.array("received")) {
+        if (!item.is_number_unsigned() || item.get<uint64_t>() > UINT32_MAX || ids.size() == mostTokens)
+            return false;
+        ids.push_back(item.get<uint32_t>());
+    }
+    return true;
+}
+
+base::Result<ParsedCompletion> parseCompletion(std::string_view json)
+{
+    if (isTooDeep(json))
+        return Error { ResultCode::MalformedRequest, "/: nested too deeply" };
+    auto document = nlohmann::json::parse(json, nullptr, false);
+    if (document.is_discarded())
+        return Error { ResultCode::MalformedRequest, "/: expected JSON" };
+    codec::JsonReader reader(document);
+    ParsedCompletion parsed;
+    auto& request = parsed.request;
+    request.target = reader.text("model");
+    request.content = reader.text("prompt");
+    auto maxTokens = reader.number("max_tokens");
+    if (reader.isGood() && (!maxTokens || maxTokens > mostTokens))
+        return Error { ResultCode::RequestTooLarge, "/max_tokens: expected 1 to " + std::to_string(mostTokens) };
+    request.maxTokens = static_cast<uint32_t>(maxTokens);
+    if (reader.has("seed"))
+        request.seed = reader.number("seed");
+    if (reader.has("stream"))
+        parsed.isStreamed = reader.flag("stream");
+    if (reader.has("work"))
+        request.work.text = reader.text("work");
+    if (reader.has("rank"))
+        request.askedRank = reader.named<base::Rank>("rank");
+    if (reader.has("received") && !readCarried(reader, request.carriedIds))
+        reader.fail("received", "an array of token ids");
+    if (!reader.isGood())
+        return Error { ResultCode::MalformedRequest, reader.failure() };
+    return parsed;
+}
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/ServerRequest.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <microhttpd.h>
+#include <string>
+
+namespace redwingseam::http {
+
+// A request that a server has read whole.
+struct ServerRequest {
+    std::string method;
+    std::string path;
+    std::string body;
+    MHD_Connection* connection = nullptr;
+
+    // Value of a header or of a query argument; empty if there is none.
+    std::string header(const char* name) const { return lookUp(MHD_HEADER_KIND, name); }
+    std::string argument(const char* name) const { return lookUp(MHD_GET_ARGUMENT_KIND, name); }
+
+private:
+    std::string lookUp(MHD_ValueKind kind, const char* name) const
+    {
+        const char* value = MHD_lookup_connection_value(connection, kind, name);
+        return value ? value : "";
+    }
+};
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/StatusOf.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "redwingseam/base/ResultCode.h"
+
+namespace redwingseam::http {
+
+// HTTP status that stands for a result code.
+unsigned statusOf(base::ResultCode);
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/http/UpstreamAnswers.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "http/EngineEvents.h"
+#include "http/HttpResult.h"
+#include "http/UpstreamCall.h"
+#include "redwingseam/node/AttemptEnded.h"
+#include "redwingseam/node/ProbeFailed.h"
+
+#include <concepts>
+
+namespace redwingseam::http {
+
+// Takes what upstreams answer.
+template <typename T>
+concept UpstreamEvents = requires(T& events, const node::TokensReceived& tokens, const node::AttemptEnded& ended, const node::ProbeFailed& failed, const route::LoadReport& load, const route::CacheEvent& cache)
+{
+    events.handle(tokens);
+    events.handle(ended);
+    events.handle(failed);
+    events.handle(load);
+    events.handle(cache);
+};
+
+// Turns what upstreams answer into events.
+template <UpstreamEvents Events>
+class UpstreamAnswers {
+public:
+    using Tag = UpstreamCall;
+
+    explicit UpstreamAnswers(Events& events)
+        : m_events(events)
+    {
+    }
+
+    bool onData(Tag& call, long status, std::string_view bytes)
+    {
+        if (call.kind != UpstreamCallKind::Generation || status != 200)
+            return false;
+        call.lines.feed(bytes, [&](const ServerEvent& event) { onEvent(call, event); });
+        return true;
+    }
+
+    void onDone(Tag& call, HttpResult result)
+    {
+        if (call.kind == UpstreamCallKind::Probe) {
+            onProbed(call, result);
+            return;
+        }
+        node::AttemptEnded ended { call.request, call.attempt, endOf(call, result), call.totalTokens.value_or(0), {} };
+        if (call.kind == UpstreamCallKind::Service)
+            ended.answer = { static_cast<uint16_t>(result.status), std::move(result.body) };
+        m_events.handle(ended);
+    }
+
+private:
+    static constexpr long statusBusy = 503;
+
+    static node::AttemptEnd endOf(const Tag& call, const HttpResult& result)
+    {
+        if (!result.isSent)
+            return node::AttemptEnd::Unreachable;
+        // Both kinds of upstream answer 503 only before they run anything.
+        if (result.isAnswered && result.status == statusBusy)
+            return node::AttemptEnd::Refused;
+        if (call.kind == UpstreamCallKind::Service)
+            return result.isAnswered ? node::AttemptEnd::Complete : node::AttemptEnd::Lost;
+        if (result.isAnswered && result.status != 200)
+            return node::AttemptEnd::Refused;
+        return call.totalTokens ? node::AttemptEnd::Complete : node::AttemptEnd::Lost;
+    }
+
+    void onEvent(Tag& call, const ServerEvent& event)
+    {
+        if (event.name == "done") {
+            call.totalTokens = parseTotal(event.data);
+            return;
+        }
+        auto tokens = parseTokens(event.data);
+        if (!tokens)
+            return;
+        tokens->request = call.request;
+        tokens->attempt = call.attempt;
+        m_events.handle(*tokens);
+    }
+
+    void onProbed(const Tag& call, const HttpResult& result)
+    {
+        auto load = result.isAnswered && result.status == 200 ? parseLoad(call.upstream, result.body) : std::nullopt;
+        if (!load) {
+            m_events.handle(node::ProbeFailed { call.upstream });
+            return;
+        }
+        m_events.handle(load->load);
+        for (const auto& event : load->cacheEvents)
+            m_events.handle(event);
+    }
+
+    Events& m_events;
+};
+
+} // namespace redwingseam::http
--- /dev/null
+++ b/src/membership/FactFactory.cpp
@@ -0,0 +1,35 @@
+#include "redwingseam/membership/FactFactory.h"
+
+#include <array>
+#include <cstdio>
+
+namespace redwingseam::membership {
+
+Fact makeFact(const VmRecord& vm, uint64_t incarnation)
+{
+    return { { FactKind::Vm, vm.name.text }, incarnation, static_cast<uint64_t>(vm.state), vm };
+}
+
+Fact makeFact(const route::UpstreamRecord& upstream)
+{
+    return { { FactKind::Upstream, upstream.name.text }, upstream.incarnation, static_cast<uint64_t>(upstream.state), upstream };
+}
+
+Fact makeFact(const VerdictRecord& verdict)
+{
+    std::array<char, 24> subject {};
+    std::snprintf(subject.data(), subject.size(), "%016lx", verdict.fingerprint.value);
+    return { { FactKind::Verdict, subject.data() }, 0, verdict.isConvicted ? 1U : 0U, verdict };
+}
+
+Fact makeFact(const HeavyClients& heavy, uint64_t incarnation, uint64_t sequence)
+{
+    return { { FactKind::HeavyClients, heavy.vm.text }, incarnation, sequence, heavy };
+}
+
+Fact makeFact(const settings::Branch& branch)
+{
+    return { { FactKind::Branch, branch.path }, 0, branch.version.value, branch };
+}
+
+} // namespace redwingseam::membership
--- /dev/null
+++ b/src/membership/HeartbeatMonitor.cpp
@@ -0,0 +1,59 @@
+#include "membership/HeartbeatMonitor.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace redwingseam::membership {
+
+static std::vector<base::VmName> neighbours(std::span<const base::VmName> ring, const base::VmName& self, size_t count, size_t step)
+{
+    std::vector<base::VmName> sorted(ring.begin(), ring.end());
+    sorted.push_back(self);
+    std::sort(sorted.begin(), sorted.end());
+    sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
+    auto place = static_cast<size_t>(std::lower_bound(sorted.begin(), sorted.end(), self) - sorted.begin());
+    std::vector<base::VmName> result;
+    for (size_t i = 1; i <= std::min(count, sorted.size() - 1); ++i) {
+        place = (place + step) % sorted.size();
+        result.push_back(sorted[place]);
+    }
+    return result;
+}
+
+std::vector<base::VmName> HeartbeatMonitor::receivers(std::span<const base::VmName> ring) const
+{
+    return neighbours(ring, m_self, watchers, 1);
+}
+
+std::vector<base::VmName> HeartbeatMonitor::watched(std::span<const base::VmName> ring) const
+{
+    size_t backwards = std::max<size_t>(1, ring.size());
+    bool hasSelf = std::find(ring.begin(), ring.end(), m_self) != ring.end();
+    return neighbours(ring, m_self, watchers, hasSelf ? backwards - 1 : backwards);
+}
+
+void HeartbeatMonitor::onHeartbeat(const base::VmName& vm, base::Instant now)
+{
+    std::lock_guard guard(m_mutex);
+    m_heardAt[vm] = now;
+}
+
+std::vector<base::VmName> HeartbeatMonitor::silent(std::span<const base::VmName> ring, base::Instant now)
+{
+    auto candidates = watched(ring);
+    std::lock_guard guard(m_mutex);
+    std::vector<base::VmName> result;
+    std::unordered_map<base::VmName, base::Instant> kept;
+    for (const auto& vm : candidates) {
+        // A VM is given the whole patience from when it came under watch.
+        auto found = m_heardAt.find(vm);
+        auto heardAt = found == m_heardAt.end() ? now : found->second;
+        kept.emplace(vm, heardAt);
+        if (now - heardAt > m_patience)
+            result.push_back(vm);
+    }
+    m_heardAt = std::move(kept);
+    return result;
+}
+
+} // namespace redwingseam::membership
--- /dev/null
+++ b/src/membership/RumorQueue.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "redwingseam/base/Mutex.h"
+#include "redwingseam/membership/Fact.h"
+
+#include <deque>
+#include <vector>
+
+namespace redwingseam::membership {
+
+// Facts that a node still has to pass on, each a bounded number of times. Thread-safe.
+class RumorQueue {
+public:
+    // Replaces an older rumor on the same key.
+    void add(const Fact&, uint32_t sends);
+
+    // Facts for one message: the least often sent first, at most `most`. Books one send of each.
+    std::vector<Fact> take(size_t most);
+    size_t size();
+
+private:
+    struct Rumor {
+        Fact fact;
+        uint32_t sendsLeft;
+    };
+
+    base::Mutex m_mutex;
+    std::deque<Rumor> m_rumors;
+};
+
+} // namespace redwingseam::membership
--- /dev/null
+++ b/src/node/NodeCoreRequests.h
@@ -0,0 +1,230 @@
+#pragma once
+
+#include "node/NodeCore.h"
+#include "redwingseam/settings/FieldSpec.h"
+#include "route/PrefixHashes.h"
+
+// Arrival, refusal and end of requests.
+namespace redwingseam::node {
+
+template <typename Policies>
+template <typename Function>
+void NodeCore<Policies>::withRequest(const base::RequestId& id, Function&& function)
+{
+    m_requests.with(id.value, [&](RequestMap& requests) {
+        auto found = requests.find(id);
+        if (found != requests.end())
+            function(found->second);
+    });
+}
+
+template <typename Policies>
+std::optional<typename NodeCore<Policies>::State> NodeCore<Policies>::take(const base::RequestId& id)
+{
+    return m_requests.with(id.value, [&](RequestMap& requests) -> std::optional<State> {
+        auto found = requests.find(id);
+        if (found == requests.end())
+            return std::nullopt;
+        auto state = std::move(found->second);
+        requests.erase(found);
+        return state;
+    });
+}
+
+template <typename Policies>
+void NodeCore<Policies>::handle(const CallerRequest& request, Context& context)
+{
+    State state;
+    state.request = request;
+    state.policy = policyFor(request);
+    state.fingerprint = fingerprintOf(request);
+    state.arrivedAt = context.now;
+    state.deadline = context.now + state.policy.deadline;
+    m_recorder.countRequest(state.policy.rank);
+    if (m_isDraining) {
+        refuse(state, { base::ResultCode::Draining, "this VM is shutting down" }, RunState::NotRun, context);
+        return;
+    }
+    if (checkTarget(state, context) && checkResume(state, context))
+        admit(std::move(state), context);
+}
+
+template <typename Policies>
+bool NodeCore<Policies>::checkTarget(State& state, Context& context)
+{
+    const auto& target = state.request.resume ? state.request.resume->pool.text : state.request.target;
+    auto pool = m_directory.resolve(target);
+    if (!pool) {
+        refuse(state, { base::ResultCode::UnknownModel, "no upstream serves " + target }, RunState::NotRun, context);
+        return false;
+    }
+    state.pool = *pool;
+    if (state.request.maxTokens > state.policy.maxTokens) {
+        refuse(state, { base::ResultCode::RequestTooLarge, "max_tokens exceeds " + std::to_string(state.policy.maxTokens) }, RunState::NotRun, context);
+        return false;
+    }
+    if (m_blame.verdict(state.fingerprint) == route::Verdict::Convicted) {
+        refuse(state, { base::ResultCode::HarmfulRequest, "this request ended the upstreams that ran it" }, RunState::NotRun, context);
+        return false;
+    }
+    bool needsKey = !state.isRepeatable() && !state.request.key;
+    if (needsKey) {
+        refuse(state, { base::ResultCode::MissingIdempotencyKey, "this service needs an Idempotency-Key" }, RunState::NotRun, context);
+        return false;
+    }
+    return true;
+}
+
+template <typename Policies>
+bool NodeCore<Policies>::checkResume(State& state, Context& context)
+{
+    if (!state.request.resume)
+        return true;
+    const auto& resume = *state.request.resume;
+    state.request.seed = resume.seed;
+    state.sentBefore = resume.delivered;
+    if (state.request.carriedIds.empty())
+        return true;
+    state.ledger.preload(state.request.carriedIds);
+    const auto& transcript = state.ledger.transcript();
+    bool isDelivered = transcript.size() == resume.delivered && transcript.hash() == resume.prefixHash;
+    if (!isDelivered)
+        refuse(state, { base::ResultCode::ResumeRejected, "the tokens sent along are not the delivered ones" }, RunState::Partial, context);
+    return isDelivered;
+}
+
+template <typename Policies>
+void NodeCore<Policies>::admit(State state, Context& context)
+{
+    auto id = state.request.id;
+    bool needsClaim = !state.isRepeatable();
+    state.phase = needsClaim ? RequestPhase::Claiming : RequestPhase::Queued;
+    if (needsClaim)
+        state.holder = (static_cast<uint64_t>(context.random()) << 32) ^ context.random() ^ id.value;
+    State copyForClaim = needsClaim ? state : State {};
+    m_requests.with(id.value, [&](RequestMap& requests) { requests.insert_or_assign(id, std::move(state)); });
+    if (needsClaim)
+        claim(copyForClaim, context);
+    else
+        enqueue(id, context);
+}
+
+template <typename Policies>
+schedule::QueuedWork NodeCore<Policies>::describeWork(const State& state)
+{
+    auto rank = state.policy.rank;
+    if (state.request.askedRank)
+        rank = std::max(rank, *state.request.askedRank);
+    return {
+        .request = state.request.id,
+        .fingerprint = state.fingerprint,
+        .client = state.request.client,
+        .rank = rank,
+        .cost = state.remainingCost(),
+        .weight = state.policy.weight,
+        .deadline = state.deadline,
+        .isResume = state.attempts > 0,
+        .isSuspect = false,
+        .avoid = state.current ? state.current->upstream : state.lastLostAt,
+        .prefixHashes = state.isGeneration() ? route::prefixHashes(state.request.content) : std::vector<uint64_t> {},
+    };
+}
+
+template <typename Policies>
+void NodeCore<Policies>::enqueue(const base::RequestId& id, Context& context)
+{
+    std::optional<schedule::QueuedWork> work;
+    base::PoolName pool;
+    size_t queueLimit = 0;
+    withRequest(id, [&](State& state) {
+        work = describeWork(state);
+        pool = state.pool;
+        queueLimit = state.policy.queueLimit;
+    });
+    if (!work)
+        return;
+    work->isSuspect = m_blame.verdict(work->fingerprint) == route::Verdict::Suspected;
+    bool isQueued = true;
+    withPool(pool, [&](FairPool& target) {
+        bool isNew = !work->isResume;
+        isQueued = !isNew || target.queue().waitingOf(work->rank, work->client) < queueLimit;
+        if (isQueued)
+            target.push(std::move(*work));
+    });
+    if (!isQueued) {
+        refuse(id, { base::ResultCode::QueueFull, "too many requests of this client are waiting" }, RunState::NotRun, context);
+        return;
+    }
+    pump(pool, context);
+}
+
+template <typename Policies>
+void NodeCore<Policies>::refuse(const base::RequestId& id, base::Error error, RunState runState, Context& context)
+{
+    auto state = take(id);
+    if (!state)
+        return;
+    refuse(*state, std::move(error), runState, context);
+    dropFlights(*state, context);
+}
+
+template <typename Policies>
+void NodeCore<Policies>::refuse(const State& state, base::Error error, RunState runState, Context& context)
+{
+    bool mayComeBack = error.code == base::ResultCode::QueueFull || error.code == base::ResultCode::DeadlinePassed || error.code == base::ResultCode::ClaimStoreUnavailable || error.code == base::ResultCode::Draining;
+    m_recorder.countRefusal(state.policy, error.code, context.now);
+    // A claim that was granted and not used is given back, so that the key can be tried again.
+    bool wastesClaim = state.hasClaim && runState == RunState::NotRun && state.request.key;
+    if (wastesClaim)
+        submit({ claim::RecordKind::Abandoned, *state.request.key, state.holder, {} }, {}, context);
+    context.emit(Refuse { state.request.id, std::move(error), runState, mayComeBack ? retryAfter(state.pool) : base::Duration {} });
+}
+
+template <typename Policies>
+void NodeCore<Policies>::dropFlights(const State& state, Context& context)
+{
+    for (const auto* flight : { &state.current, &state.rival }) {
+        if (!*flight)
+            continue;
+        context.emit(CancelAttempt { state.request.id, (*flight)->attempt, (*flight)->upstream });
+        release(state.pool, (*flight)->upstream, state.request.id);
+    }
+    withPool(state.pool, [&](FairPool& pool) { pool.remove(state.request.id); });
+    pump(state.pool, context);
+}
+
+template <typename Policies>
+base::Duration NodeCore<Policies>::retryAfter(const base::PoolName& name)
+{
+    // Time for the queue to drain, taking each slot to turn over in a few seconds.
+    static constexpr base::Duration slotTurnover = std::chrono::seconds(5);
+    static constexpr base::Duration longestWait = std::chrono::minutes(2);
+    base::Duration wait = std::chrono::seconds(1);
+    withPool(name, [&](FairPool& pool) {
+        auto slots = std::max<int64_t>(1, pool.capacity());
+        wait += slotTurnover * static_cast<int64_t>(pool.queue().size()) / slots;
+    });
+    return std::min(wait, longestWait);
+}
+
+template <typename Policies>
+void NodeCore<Policies>::handle(const CallerGone& event, Context& context)
+{
+    bool keepsRunning = false;
+    withRequest(event.request, [&](State& state) {
+        // A call that may have run stays, so that its outcome is recorded for a repeat of its key.
+        keepsRunning = state.hasClaim && state.phase == RequestPhase::Running;
+        if (keepsRunning)
+            state.phase = RequestPhase::Detached;
+    });
+    if (keepsRunning)
+        return;
+    auto state = take(event.request);
+    if (!state)
+        return;
+    if (state->hasClaim && state->request.key)
+        submit({ claim::RecordKind::Abandoned, *state->request.key, state->holder, {} }, {}, context);
+    dropFlights(*state, context);
+}
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/src/node/Pool.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "node/Dispatch.h"
+#include "redwingseam/route/CacheEvent.h"
+#include "redwingseam/route/LoadReport.h"
+#include "route/Chooser.h"
+#include "schedule/WorkQueue.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace redwingseam::node {
+
+// Upstreams that serve the same work, and the work that waits for them. Not synchronised: it lies in
+// a shard. `Queue` decides what goes next and `Choice` where it goes.
+template <schedule::WorkQueue Queue, route::Chooser Choice>
+class Pool {
+public:
+    explicit Pool(Choice choice)
+        : m_choice(std::move(choice))
+    {
+    }
+
+    Queue& queue() { return m_queue; }
+    const Queue& queue() const { return m_queue; }
+    const std::vector<route::UpstreamView>& upstreams() const { return m_upstreams; }
+    route::PrefixIndex& prefixes() { return m_prefixes; }
+
+    // Takes in a record. `linkTier` is 0 within the data centre; `nodesSharing` are the nodes that
+    // send to the upstream. A new incarnation starts with a clean view.
+    void upsert(const route::UpstreamRecord& record, uint32_t linkTier, uint32_t nodesSharing)
+    {
+        auto* view = find(record.name);
+        if (!view) {
+            m_indices.emplace(record.name, static_cast<uint32_t>(m_upstreams.size()));
+            m_upstreams.push_back({ record, route::ConcurrencyLimit(record.slots, nodesSharing), linkTier, false, 0, 0, 0, {} });
+        } else if (view->record.incarnation != record.incarnation || view->record.slots != record.slots) {
+            view->record = record;
+            view->limit = route::ConcurrencyLimit(record.slots, nodesSharing);
+            view->isDown = false;
+            view->reportedLoad = 0;
+            view->ownAtReport = 0;
+        } else {
+            view->record = record;
+        }
+        dropGone();
+        m_choice.rebuild(m_upstreams);
+    }
+
+    void push(schedule::QueuedWork work) { m_queue.push(std::move(work)); }
+
+    // Gives out the next piece of work if an upstream has a free slot for it.
+    std::optional<Dispatch> next(base::Instant now, std::minstd_rand& random)
+    {
+        if (auto parked = nextParked(now, random))
+            return parked;
+        while (hasFreeSlot()) {
+            auto work = m_queue.pop();
+            if (!work)
+                return std::nullopt;
+            if (auto dispatch = place(*work, now, random))
+                return dispatch;
+            // A suspect that would meet another suspect everywhere steps aside instead of blocking others.
+            m_parked.push_back(std::move(*work));
+        }
+        return std::nullopt;
+    }
+
+    // Gives a slot back. Returns whether the request held one.
+    bool release(const base::UpstreamName& upstream, base::RequestId request)
+    {
+        auto* view = find(upstream);
+        if (!view)
+            return false;
+        return std::erase_if(view->flight, [&](const route::FlightEntry& entry) { return entry.request == request; }) > 0;
+    }
+
+    // Stops giving work to an upstream until it reports again; returns what was in flight there.
+    std::vector<route::FlightEntry> markDown(const base::UpstreamName& upstream)
+    {
+        auto* view = find(upstream);
+        if (!view)
+            return {};
+        view->isDown = true;
+        return std::exchange(view->flight, {});
+    }
+
+    // Stops giving work to an upstream until it reports again; what is in flight there goes on.
+    void setDown(const base::UpstreamName& upstream)
+    {
+        if (auto* view = find(upstream))
+            view->isDown = true;
+    }
+
+    void observe(const route::LoadReport& report)
+    {
+        auto* view = find(report.upstream);
+        if (!view)
+            return;
+        view->isDown = false;
+        view->reportedLoad = report.running + report.waiting;
+        view->ownAtReport = view->own();
+        view->limit.observe(report.running, report.waiting, view->own());
+    }
+
+    void observe(const route::CacheEvent& event)
+    {
+        auto found = m_indices.find(event.upstream);
+        if (found == m_indices.end())
+            return;
+        if (event.isStored)
+            m_prefixes.add(event.prefixHash, found->second);
+        else
+            m_prefixes.remove(event.prefixHash, found->second);
+    }
+
+    void observeGap(const base::UpstreamName& upstream, base::Duration gap)
+    {
+        static constexpr int64_t gapDivisor = 16;
+        if (auto* view = find(upstream))
+            view->tokenGap = view->tokenGap ? view->tokenGap + (gap.count() - view->tokenGap) / gapDivisor : gap.count();
+    }
+
+    // Deferrable stream to interrupt for waiting urgent work: the youngest one, which loses least.
+    // Nothing while a slot is free, or where deferrable work runs on no more than its floor.
+    std::optional<route::FlightEntry> preemptionVictim(int64_t deferrableFloorPermille) const
+    {
+        if (!m_queue.waiting(base::Rank::Urgent) || hasFreeSlot())
+            return std::nullopt;
+        int64_t slots = 0;
+        int64_t deferrable = 0;
+        std::optional<route::FlightEntry> youngest;
+        for (const auto& view : m_upstreams) {
+            if (view.takesWork())
+                slots += view.limit.value();
+            for (const auto& entry : view.flight) {
+                if (entry.rank != base::Rank::Deferrable)
+                    continue;
+                ++deferrable;
+                if (!youngest || entry.startedAt > youngest->startedAt)
+                    youngest = entry;
+            }
+        }
+        bool isAboveFloor = deferrable * 1000 > slots * deferrableFloorPermille;
+        return isAboveFloor ? youngest : std::nullopt;
+    }
+
+    // Work whose deadline has passed.
+    std::vector<schedule::QueuedWork> expire(base::Instant now)
+    {
+        auto expired = m_queue.expire(now);
+        auto isLate = [&](const schedule::QueuedWork& work) { return !work.isResume && work.deadline <= now; };
+        std::copy_if(m_parked.begin(), m_parked.end(), std::back_inserter(expired), isLate);
+        std::erase_if(m_parked, isLate);
+        return expired;
+    }
+
+    bool remove(base::RequestId request)
+    {
+        auto isRequested = [&](const schedule::QueuedWork& work) { return work.request == request; };
+        return std::erase_if(m_parked, isRequested) > 0 || m_queue.remove(request);
+    }
+
+    bool hasLiveUpstream() const
+    {
+        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& view) { return view.record.state == route::UpstreamState::Live; });
+    }
+
+    // Total of the slots that this node may use now.
+    uint32_t capacity() const
+    {
+        uint32_t slots = 0;
+        for (const auto& view : m_upstreams)
+            slots += view.takesWork() ? view.limit.value() : 0;
+        return slots;
+    }
+
+    size_t parked() const { return m_parked.size(); }
+
+private:
+    route::UpstreamView* find(const base::UpstreamName& name)
+    {
+        auto found = m_indices.find(name);
+        return found == m_indices.end() ? nullptr : &m_upstreams[found->second];
+    }
+
+    bool hasFreeSlot() const
+    {
+        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& view) { return view.hasFreeSlot(); });
+    }
+
+    std::optional<Dispatch> place(const schedule::QueuedWork& work, base::Instant now, std::minstd_rand& random)
+    {
+        auto index = m_choice.choose(m_upstreams, m_prefixes, work, random);
+        if (!index)
+            return std::nullopt;
+        auto& view = m_upstreams[*index];
+        view.flight.push_back({ work.request, work.rank, work.isSuspect, now });
+        for (auto hash : work.prefixHashes)
+            m_prefixes.add(hash, *index);
+        return Dispatch { work, view.record };
+    }
+
+    std::optional<Dispatch> nextParked(base::Instant now, std::minstd_rand& random)
+    {
+        for (auto work = m_parked.begin(); work != m_parked.end(); ++work) {
+            auto dispatch = place(*work, now, random);
+            if (!dispatch)
+                continue;
+            m_parked.erase(work);
+            return dispatch;
+        }
+        return std::nullopt;
+    }
+
+    // Forgets upstreams that are gone once they are many; indices change, so the cache hints start anew.
+    void dropGone()
+    {
+        auto isForgotten = [](const route::UpstreamView& view) { return view.record.state == route::UpstreamState::Gone && view.flight.empty(); };
+        auto forgotten = static_cast<size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), isForgotten));
+        if (forgotten * 4 <= m_upstreams.size())
+            return;
+        std::erase_if(m_upstreams, isForgotten);
+        m_prefixes = {};
+        m_indices.clear();
+        for (uint32_t index = 0; index < m_upstreams.size(); ++index)
+            m_indices.emplace(m_upstreams[index].record.name, index);
+    }
+
+    Queue m_queue;
+    Choice m_choice;
+    std::vector<route::UpstreamView> m_upstreams;
+    std::unordered_map<base::UpstreamName, uint32_t> m_indices;
+    route::PrefixIndex m_prefixes;
+    std::deque<schedule::QueuedWork> m_parked;
+};
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/src/node/TokenIntake.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "node/RequestState.h"
+#include "node/TokenOutcome.h"
+#include "redwingseam/node/TokensReceived.h"
+
+#include <algorithm>
+
+namespace redwingseam::node {
+
+// Books the time between tokens of the attempt that delivered.
+template <typename State>
+void bookGap(State& state, Flight& flight, size_t tokens, base::Instant now, TokenOutcome& outcome)
+{
+    // The first token of an attempt waits for the prefill, so it says nothing of the gaps.
+    if (flight.hasToken) {
+        outcome.gap = (now - flight.lastTokenAt) / static_cast<int64_t>(tokens);
+        state.gaps.add(*outcome.gap);
+    }
+    flight.hasToken = true;
+    flight.lastTokenAt = now;
+    outcome.upstream = flight.upstream;
+}
+
+// Makes the attempt that won the race the current one.
+template <typename State>
+void settleFlights(State& state, base::AttemptNumber winner, bool hasLoser, TokenOutcome& outcome)
+{
+    // The upstream has come back, so a rival that waits in the queue is not wanted any more.
+    state.isRivalQueued = false;
+    if (!hasLoser)
+        return;
+    bool hasRivalWon = state.rival && state.rival->attempt == winner;
+    if (hasRivalWon)
+        std::swap(state.current, state.rival);
+    outcome.loser = std::exchange(state.rival, std::nullopt);
+}
+
+// Whether an answer that is generated again differs from what the caller was given before. Judged
+// once, when it has reached the point where the caller left off.
+template <typename State>
+bool isForeignAnswer(const State& state, uint32_t firstIndex)
+{
+    const auto& resume = state.request.resume;
+    const auto& transcript = state.ledger.transcript();
+    bool isRegenerated = resume && state.request.carriedIds.empty();
+    bool hasReached = isRegenerated && firstIndex < resume->delivered && transcript.size() >= resume->delivered;
+    if (!hasReached)
+        return false;
+    stream::Transcript prefix;
+    for (uint32_t i = 0; i < resume->delivered; ++i)
+        prefix.append(transcript.ids()[i]);
+    return prefix.hash() != resume->prefixHash;
+}
+
+// Tokens that the caller has not been sent yet, and the times to be recorded for them.
+template <typename State>
+void prepareSend(State& state, const stream::Acceptance& acceptance, base::Instant now, TokenOutcome& outcome)
+{
+    size_t sent = state.sentBefore > acceptance.firstIndex ? state.sentBefore - acceptance.firstIndex : 0;
+    auto skipped = std::min(acceptance.fresh.size(), sent);
+    std::vector<stream::Token> unsent(acceptance.fresh.begin() + static_cast<ptrdiff_t>(skipped), acceptance.fresh.end());
+    if (unsent.empty())
+        return;
+    if (state.lastTokenAt)
+        outcome.silence = now - *state.lastTokenAt;
+    else
+        outcome.firstTokenAfter = now - state.arrivedAt;
+    state.lastTokenAt = now;
+    const auto& transcript = state.ledger.transcript();
+    stream::ResumePoint point { transcript.size(), transcript.hash(), state.request.seed, state.pool };
+    outcome.toSend = SendTokens { state.request.id, acceptance.firstIndex + static_cast<uint32_t>(skipped), std::move(unsent), std::move(point) };
+}
+
+// Takes tokens of one attempt into the answer and says what follows.
+template <typename State>
+TokenOutcome takeTokens(State& state, const TokensReceived& event, base::Instant now)
+{
+    TokenOutcome outcome;
+    auto acceptance = state.ledger.accept(event.attempt, event.firstIndex, event.tokens);
+    outcome.pool = state.pool;
+    outcome.policy = state.policy;
+    outcome.hasLoss = state.losses > 0;
+    outcome.hasHole = acceptance.hasGap;
+    if (acceptance.fresh.empty())
+        return outcome;
+    if (auto* flight = state.flight(event.attempt))
+        bookGap(state, *flight, acceptance.fresh.size(), now, outcome);
+    settleFlights(state, event.attempt, acceptance.loser.has_value(), outcome);
+    outcome.isForeign = isForeignAnswer(state, acceptance.firstIndex);
+    if (!outcome.isForeign)
+        prepareSend(state, acceptance, now, outcome);
+    return outcome;
+}
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/src/node/TokenOutcome.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "node/Flight.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/node/SendTokens.h"
+#include "redwingseam/settings/Policy.h"
+
+#include <optional>
+
+namespace redwingseam::node {
+
+// What follows from some tokens, to be carried out when the request's lock has been let go.
+struct TokenOutcome {
+    base::PoolName pool;
+    base::UpstreamName upstream;
+    settings::Policy policy;
+    std::optional<SendTokens> toSend;
+    // Attempt that lost the race and is to be cancelled.
+    std::optional<Flight> loser;
+    // Mean time between tokens at the upstream.
+    std::optional<base::Duration> gap;
+    // Time from the request's arrival, for its first token only.
+    std::optional<base::Duration> firstTokenAfter;
+    // Time since the caller was last sent something.
+    std::optional<base::Duration> silence;
+    bool hasLoss = false;
+    bool hasHole = false;
+    // The answer differs from what the caller was given before it came back.
+    bool isForeign = false;
+};
+
+} // namespace redwingseam::node
--- /dev/null
+++ b/src/peer/Socket.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <unistd.h>
+#include <utility>
+
+namespace redwingseam::peer {
+
+// Owner of a file descriptor.
+class Socket {
+public:
+    Socket() = default;
+    explicit Socket(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    ~Socket()
+    {
+        if (m_descriptor >= 0)
+            close(m_descriptor);
+    }
+    Socket(Socket&& other) noexcept
+        : m_descriptor(std::exchange(other.m_descriptor, -1))
+    {
+    }
+    Socket& operator=(Socket&& other) noexcept
+    {
+        std::swap(m_descriptor, other.m_descriptor);
+        return *this;
+    }
+
+    int descriptor() const { return m_descriptor; }
+    bool isOpen() const { return m_descriptor >= 0; }
+
+private:
+    int m_descriptor = -1;
+};
+
+} // namespace redwingseam::peer
--- /dev/null
+++ b/src/platform/ObjectKeys.cpp
@@ -0,0 +1,61 @@
+#include "platform/ObjectKeys.h"
+
+#include <cstdio>
+
+namespace redwingseam::platform {
+
+static constexpr std::string_view rawPrefix = "settings/raw";
+static constexpr std::string_view acceptedPrefix = "settings/accepted";
+static constexpr std::string_view statusPrefix = "settings/status";
+
+std::string claimGroupPrefix(uint64_t group)
+{
+    return "claims/" + std::to_string(group);
+}
+
+base::ObjectKey claimBatchKey(uint64_t group, uint64_t number)
+{
+    std::array<char, 24> digits {};
+    // Fixed width keeps a list in the order of the log.
+    std::snprintf(digits.data(), digits.size(), "/%012lu", number);
+    return { claimGroupPrefix(group) + digits.data() };
+}
+
+base::ObjectKey claimCheckpointKey(uint64_t group)
+{
+    return { claimGroupPrefix(group) + "/checkpoint" };
+}
+
+base::ObjectKey rawBranchKey(std::string_view path)
+{
+    return { std::string(rawPrefix) + std::string(path) };
+}
+
+base::ObjectKey acceptedBranchKey(std::string_view path)
+{
+    return { std::string(acceptedPrefix) + std::string(path) };
+}
+
+base::ObjectKey branchStatusKey(std::string_view path)
+{
+    return { std::string(statusPrefix) + std::string(path) };
+}
+
+base::ObjectKey upstreamKey(const base::UpstreamName& upstream)
+{
+    return { "upstreams/" + upstream.text };
+}
+
+base::ObjectKey leaseKey(std::string_view subject)
+{
+    return { "leases/" + std::string(subject) };
+}
+
+std::optional<std::string> rawBranchPath(const base::ObjectKey& key)
+{
+    if (!key.text.starts_with(rawPrefix))
+        return std::nullopt;
+    return key.text.substr(rawPrefix.size());
+}
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/src/platform/ObjectKeys.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace redwingseam::platform {
+
+// Keys of the system's objects in the platform's store.
+base::ObjectKey claimBatchKey(uint64_t group, uint64_t number);
+base::ObjectKey claimCheckpointKey(uint64_t group);
+std::string claimGroupPrefix(uint64_t group);
+base::ObjectKey rawBranchKey(std::string_view path);
+base::ObjectKey acceptedBranchKey(std::string_view path);
+base::ObjectKey branchStatusKey(std::string_view path);
+base::ObjectKey upstreamKey(const base::UpstreamName&);
+base::ObjectKey leaseKey(std::string_view subject);
+
+// Path of the branch whose edit lies under the key; nothing for other keys.
+std::optional<std::string> rawBranchPath(const base::ObjectKey&);
+
+// Prefixes that a watching VM watches.
+inline constexpr std::array<std::string_view, 3> watchedPrefixes { "settings/raw", "settings/accepted", "upstreams/" };
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/src/platform/StoreClient.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "codec/ObjectCodec.h"
+#include "http/CurlLoop.h"
+#include "platform/StoreAnswers.h"
+#include "redwingseam/platform/WatchObjects.h"
+
+#include <atomic>
+
+namespace redwingseam::platform {
+
+// Calls and watches the platform's store over HTTP. A watch lists its prefix, then waits for changes,
+// and starts over with a growing pause when the store fails. Thread-safe.
+template <StoreEvents Events>
+class StoreClient {
+public:
+    StoreClient(std::string url, Events& events)
+        : m_url(std::move(url))
+        , m_answers(events, m_watches)
+        , m_loop(m_answers, "store")
+    {
+    }
+
+    void call(PlatformCall call)
+    {
+        auto request = makeRequest(call);
+        m_loop.submit(m_nextId++, std::move(request), { std::move(call), {} });
+    }
+
+    void watch(const WatchObjects& effect) { m_watches.want(effect.prefix, effect.isWanted); }
+
+    // Asks for the watches that are due. Called every now and then.
+    void tick(base::Instant now)
+    {
+        for (const auto& due : m_watches.takeDue(now))
+            m_loop.submit(m_nextId++, watchRequest(due), { std::nullopt, due.prefix });
+    }
+
+    void stop() { m_loop.stop(); }
+
+private:
+    static constexpr base::Duration callTimeout = std::chrono::seconds(2);
+    static constexpr base::Duration watchWait = std::chrono::seconds(20);
+
+    http::HttpRequest makeRequest(const PlatformCall& call) const
+    {
+        http::HttpRequest request { "GET", m_url + "/objects/" + call.key.text };
+        request.timeout = callTimeout;
+        // A write is never sent again behind our back.
+        request.isSingleUse = call.kind != CallKind::Read;
+        if (call.kind == CallKind::Remove)
+            request.method = "DELETE";
+        else if (call.kind != CallKind::Read)
+            request.method = "PUT";
+        if (call.value)
+            request.body = codec::formatObject(*call.value);
+        if (call.kind == CallKind::Create)
+            request.headers.emplace_back("If-None-Match: *");
+        if (call.kind == CallKind::Update)
+            request.headers.push_back("If-Match: " + std::to_string(call.expected.value));
+        return request;
+    }
+
+    http::HttpRequest watchRequest(const DueWatch& due) const
+    {
+        auto waitMillis = std::chrono::duration_cast<std::chrono::milliseconds>(watchWait).count();
+        auto path = due.revision ? "/watch?prefix=" + due.prefix + "&after=" + std::to_string(due.revision) + "&wait_ms=" + std::to_string(waitMillis) : "/list?prefix=" + due.prefix;
+        http::HttpRequest request { "GET", m_url + path };
+        request.timeout = watchWait + callTimeout;
+        return request;
+    }
+
+    std::string m_url;
+    std::atomic<uint64_t> m_nextId { 1 };
+    WatchTable m_watches;
+    StoreAnswers<Events> m_answers;
+    http::CurlLoop<StoreAnswers<Events>> m_loop;
+};
+
+} // namespace redwingseam::platform
--- /dev/null
+++ b/src/report/BurnCell.cpp
@@ -0,0 +1,28 @@
+#include "redwingseam/report/BurnCell.h"
+
+namespace redwingseam::report {
+
+void BurnCell::add(const BurnCell& other)
+{
+    met += other.met;
+    missed += other.missed;
+    for (size_t cause = 0; cause < causeCount; ++cause)
+        causes[cause] += other.causes[cause];
+    objectivePermille = other.objectivePermille;
+}
+
+double BurnCell::burnRate() const
+{
+    auto total = met + missed;
+    if (!total)
+        return 0;
+    double budget = static_cast<double>(1000 - objectivePermille) / 1000;
+    double missedShare = static_cast<double>(missed) / static_cast<double>(total);
+    // An objective of all requests has no budget; any miss burns it at the highest rate that is shown.
+    static constexpr double highestRate = 1000;
+    if (budget <= 0)
+        return missed ? highestRate : 0;
+    return missedShare / budget;
+}
+
+} // namespace redwingseam::report
--- /dev/null
+++ b/src/report/RecorderShard.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "redwingseam/report/Counters.h"
+#include "redwingseam/report/Objective.h"
+#include "report/MinuteRing.h"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <vector>
+
+namespace redwingseam::report {
+
+using LatencyAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using LatencyHistogram = boost::histogram::histogram<std::tuple<LatencyAxis>, boost::histogram::dense_storage<uint64_t>>;
+
+// Counts of the threads that fall into one shard.
+struct RecorderShard {
+    // From 0.1 ms to 10 min; 12 bins a decade keep a quantile within a fifth of its value.
+    static constexpr int bins = 81;
+    static constexpr double lowestMs = 0.1;
+    static constexpr double highestMs = 600'000;
+
+    std::array<std::array<MinuteRing, objectiveCount>, base::rankCount> rings;
+    std::vector<LatencyHistogram> histograms = std::vector<LatencyHistogram>(base::rankCount * objectiveCount, LatencyHistogram(std::make_tuple(LatencyAxis(bins, lowestMs, highestMs))));
+    Counters counters;
+
+    LatencyHistogram& histogram(base::Rank rank, Objective objective) { return histograms[base::indexOf(rank) * objectiveCount + indexOf(objective)]; }
+};
+
+} // namespace redwingseam::report
--- /dev/null
+++ b/src/report/ReportCodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "redwingseam/report/BurnReport.h"
+#include "redwingseam/report/Counters.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace redwingseam::report {
+
+// JSON text of a VM's report, as served by its admin port.
+std::string formatBurnReport(const BurnReport&, const Counters&);
+
+// Reads it back. Nothing for text of another form.
+struct VmReport {
+    BurnReport burn;
+    Counters counters;
+};
+std::optional<VmReport> parseBurnReport(std::string_view json);
+
+} // namespace redwingseam::report
--- /dev/null
+++ b/src/route/Casualty.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+namespace redwingseam::route {
+
+// A request that was in flight at an upstream when it died.
+struct Casualty {
+    base::Fingerprint fingerprint;
+    // Whether this attempt had brought the answer further than the attempt before it.
+    bool madeProgress = false;
+};
+
+} // namespace redwingseam::route
--- /dev/null
+++ b/src/route/FlightEntry.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Rank.h"
+
+namespace redwingseam::route {
+
+// One request that this node runs at an upstream.
+struct FlightEntry {
+    base::RequestId request;
+    base::Rank rank = base::Rank::Standard;
+    bool isSuspect = false;
+    base::Instant startedAt;
+};
+
+} // namespace redwingseam::route
--- /dev/null
+++ b/src/route/SubsetChooser.cpp
@@ -0,0 +1,128 @@
+#include "route/SubsetChooser.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace redwingseam::route {
+
+// Score units: 1000 is a full upstream.
+static constexpr int64_t fullLoadScore = 1000;
+static constexpr int64_t cachedBlockScore = 120;
+static constexpr int64_t deepestCacheScore = 700;
+static constexpr int64_t avoidedScore = 4000;
+static constexpr int64_t highestSlowness = 4;
+static constexpr size_t tierCount = 2;
+
+static bool suits(const UpstreamView& view, const schedule::QueuedWork& work)
+{
+    if (!view.hasFreeSlot())
+        return false;
+    return !work.isSuspect || !view.hasSuspect();
+}
+
+// Mean token gap over the subset, for finding upstreams that are alive but slow.
+static int64_t meanGap(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier)
+{
+    int64_t sum = 0;
+    int64_t count = 0;
+    for (auto index : tier) {
+        if (auto gap = upstreams[index].tokenGap) {
+            sum += gap;
+            ++count;
+        }
+    }
+    return count ? sum / count : 0;
+}
+
+static int64_t slowness(const UpstreamView& view, int64_t usualGap)
+{
+    if (!usualGap || !view.tokenGap)
+        return 1;
+    return std::clamp<int64_t>(view.tokenGap / usualGap, 1, highestSlowness);
+}
+
+static int64_t score(const UpstreamView& view, const schedule::QueuedWork& work, uint32_t cachedBlocks, int64_t usualGap)
+{
+    int64_t load = (view.estimatedLoad() + 1) * fullLoadScore / std::max(1U, view.record.slots);
+    int64_t result = load * slowness(view, usualGap);
+    result -= std::min(deepestCacheScore, cachedBlocks * cachedBlockScore);
+    if (view.record.name == work.avoid)
+        result += avoidedScore;
+    return result;
+}
+
+void SubsetChooser::rebuild(std::span<const UpstreamView> upstreams)
+{
+    m_tiers.assign(tierCount, {});
+    std::vector<std::vector<std::pair<uint64_t, uint32_t>>> ranked(tierCount);
+    auto seed = base::hashBytes(m_self.text);
+    for (uint32_t index = 0; index < upstreams.size(); ++index) {
+        if (upstreams[index].record.state != UpstreamState::Live)
+            continue;
+        auto tier = std::min<size_t>(upstreams[index].linkTier, tierCount - 1);
+        ranked[tier].emplace_back(base::hashBytes(upstreams[index].record.name.text, seed), index);
+    }
+    for (size_t tier = 0; tier < tierCount; ++tier) {
+        auto kept = std::min(subsetSize, ranked[tier].size());
+        std::partial_sort(ranked[tier].begin(), ranked[tier].begin() + static_cast<ptrdiff_t>(kept), ranked[tier].end());
+        for (size_t i = 0; i < kept; ++i)
+            m_tiers[tier].push_back(ranked[tier][i].second);
+    }
+}
+
+std::optional<uint32_t> SubsetChooser::choose(std::span<const UpstreamView> upstreams, const PrefixIndex& prefixes, const schedule::QueuedWork& work, std::minstd_rand& random)
+{
+    for (const auto& tier : m_tiers) {
+        if (auto best = bestInTier(upstreams, tier, prefixes, work, random))
+            return best;
+    }
+    return firstUsable(upstreams, work, random);
+}
+
+std::optional<uint32_t> SubsetChooser::bestInTier(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier, const PrefixIndex& prefixes, const schedule::QueuedWork& work, std::minstd_rand& random) const
+{
+    if (tier.empty())
+        return std::nullopt;
+    auto usualGap = meanGap(upstreams, tier);
+    std::optional<uint32_t> best;
+    int64_t bestScore = 0;
+    auto consider = [&](uint32_t index, uint32_t cachedBlocks) {
+        if (!suits(upstreams[index], work))
+            return;
+        auto candidate = score(upstreams[index], work, cachedBlocks, usualGap);
+        if (!best || candidate < bestScore) {
+            best = index;
+            bestScore = candidate;
+        }
+    };
+    auto tierLink = upstreams[tier.front()].linkTier;
+    for (const auto& holder : prefixes.holders(work.prefixHashes)) {
+        if (holder.upstreamIndex < upstreams.size() && upstreams[holder.upstreamIndex].linkTier == tierLink)
+            consider(holder.upstreamIndex, holder.depth);
+    }
+    consider(tier[random() % tier.size()], 0);
+    consider(tier[random() % tier.size()], 0);
+    bool isAvoided = best && upstreams[*best].record.name == work.avoid;
+    if (!best || isAvoided) {
+        for (auto index : tier)
+            consider(index, 0);
+    }
+    return best;
+}
+
+// Reached only when the whole subset is full or down: any other upstream is better than waiting.
+std::optional<uint32_t> SubsetChooser::firstUsable(std::span<const UpstreamView> upstreams, const schedule::QueuedWork& work, std::minstd_rand& random) const
+{
+    if (upstreams.empty())
+        return std::nullopt;
+    auto start = random() % upstreams.size();
+    for (size_t step = 0; step < upstreams.size(); ++step) {
+        auto index = static_cast<uint32_t>((start + step) % upstreams.size());
+        if (suits(upstreams[index], work))
+            return index;
+    }
+    return std::nullopt;
+}
+
+} // namespace redwingseam::route
--- /dev/null
+++ b/src/route/SubsetChooser.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "route/Chooser.h"
+
+namespace redwingseam::route {
+
+// Two random choices within a subset that is fixed by hashing, beside the upstreams that probably
+// hold the prompt's prefix; the lowest score of load, speed, link and cache wins. A node talks to a
+// bounded number of upstreams, and the cost of a choice does not grow with the pool.
+class SubsetChooser {
+public:
+    static constexpr size_t subsetSize = 24;
+
+    explicit SubsetChooser(base::VmName self)
+        : m_self(std::move(self))
+    {
+    }
+
+    void rebuild(std::span<const UpstreamView>);
+    std::optional<uint32_t> choose(std::span<const UpstreamView>, const PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&);
+
+private:
+    std::optional<uint32_t> bestInTier(std::span<const UpstreamView>, const std::vector<uint32_t>& tier, const PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&) const;
+    std::optional<uint32_t> firstUsable(std::span<const UpstreamView>, const schedule::QueuedWork&, std::minstd_rand&) const;
+
+    base::VmName m_self;
+    // Indices by link tier, each tier in rendezvous order and cut to the subset's size.
+    std::vector<std::vector<uint32_t>> m_tiers;
+};
+
+static_assert(Chooser<SubsetChooser>);
+
+} // namespace redwingseam::route
--- /dev/null
+++ b/src/route/UpstreamView.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "redwingseam/route/UpstreamRecord.h"
+#include "route/ConcurrencyLimit.h"
+#include "route/FlightEntry.h"
+
+#include <vector>
+
+namespace redwingseam::route {
+
+// What this node knows of one upstream: the record, the last load report corrected by what this node
+// has sent since, and its own requests in flight.
+struct UpstreamView {
+    UpstreamRecord record;
+    ConcurrencyLimit limit;
+    // Links beyond the data centre are slower and billed: 0 same data centre, 1 another one.
+    uint32_t linkTier = 0;
+    // Set when a connection broke or a probe failed; cleared by the next load report.
+    bool isDown = false;
+    uint32_t reportedLoad = 0;
+    uint32_t ownAtReport = 0;
+    // Mean time between tokens that this node has seen from the upstream, in microseconds; 0 unknown.
+    int64_t tokenGap = 0;
+    std::vector<FlightEntry> flight;
+
+    uint32_t own() const { return static_cast<uint32_t>(flight.size()); }
+    bool hasSuspect() const;
+    bool takesWork() const { return record.state == UpstreamState::Live && !isDown; }
+    bool hasFreeSlot() const { return takesWork() && own() < limit.value(); }
+    // Requests at the upstream by the last report, corrected by what this node has sent and ended since.
+    uint32_t estimatedLoad() const;
+};
+
+} // namespace redwingseam::route
--- /dev/null
+++ b/src/schedule/FairQueue.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "schedule/RankQueue.h"
+#include "schedule/RankSelector.h"
+#include "schedule/WorkQueue.h"
+
+#include <array>
+
+namespace redwingseam::schedule {
+
+// Work queue with ranks, floors for the lower ranks, and fair sharing among clients within a rank.
+class FairQueue {
+public:
+    void setFloors(const RankFloors& floors) { m_selector.setFloors(floors); }
+    const RankFloors& floors() const { return m_selector.floors(); }
+
+    void push(QueuedWork);
+    std::optional<QueuedWork> pop();
+    std::vector<QueuedWork> expire(base::Instant now);
+    bool remove(base::RequestId);
+    size_t size() const;
+    size_t waiting(base::Rank rank) const { return m_ranks[base::indexOf(rank)].size(); }
+    size_t waitingOf(base::Rank rank, const base::ClientName& client) const { return m_ranks[base::indexOf(rank)].waitingOf(client); }
+    void charge(base::Rank rank, const base::ClientName& client, uint64_t cost, int64_t weight) { m_ranks[base::indexOf(rank)].charge(client, cost, weight); }
+
+private:
+    std::array<RankQueue, base::rankCount> m_ranks;
+    RankSelector m_selector;
+};
+
+static_assert(WorkQueue<FairQueue>);
+
+} // namespace redwingseam::schedule
--- /dev/null
+++ b/src/schedule/QueuedWork.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Rank.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace redwingseam::schedule {
+
+// Work that waits for an upstream's slot.
+struct QueuedWork {
+    base::RequestId request;
+    base::Fingerprint fingerprint;
+    base::ClientName client;
+    base::Rank rank = base::Rank::Standard;
+    // Expected cost in token equivalents: prefill plus decode still to be done.
+    uint64_t cost = 1;
+    int64_t weight = 100;
+    base::Instant deadline;
+    // A stream that a caller has already seen the beginning of; goes before new work of its rank.
+    bool isResume = false;
+    // Was in flight when an upstream died; must not share an upstream with another suspect.
+    bool isSuspect = false;
+    // Upstream that lost this work last; chosen again only if there is no other.
+    base::UpstreamName avoid;
+    // Hashes of growing prefixes of the prompt, shortest first.
+    std::vector<uint64_t> prefixHashes;
+};
+
+} // namespace redwingseam::schedule
--- /dev/null
+++ b/src/schedule/RankQueue.cpp
@@ -0,0 +1,130 @@
+#include "schedule/RankQueue.h"
+
+#include <algorithm>
+
+namespace redwingseam::schedule {
+
+// Keeps cost over weight from rounding to nothing.
+static constexpr uint64_t tagScale = 1000;
+// Idle clients are forgotten once there are this many, so memory follows the active ones.
+static constexpr size_t idleClientsKept = 8192;
+
+static uint64_t tagCost(uint64_t cost, int64_t weight)
+{
+    return std::max<uint64_t>(1, cost * tagScale / static_cast<uint64_t>(std::max<int64_t>(1, weight)));
+}
+
+void RankQueue::push(QueuedWork work)
+{
+    ++m_size;
+    if (work.isResume) {
+        m_resumes.push_back(std::move(work));
+        return;
+    }
+    auto& queue = m_clients[work.client];
+    if (queue.work.empty()) {
+        queue.startTag = std::max(queue.startTag, m_virtualTime);
+        m_order.emplace(queue.startTag, work.client);
+    }
+    queue.work.push_back(std::move(work));
+}
+
+std::optional<QueuedWork> RankQueue::pop()
+{
+    if (!m_size)
+        return std::nullopt;
+    --m_size;
+    if (m_resumes.empty())
+        return popFairly();
+    auto work = std::move(m_resumes.front());
+    m_resumes.pop_front();
+    return work;
+}
+
+QueuedWork RankQueue::popFairly()
+{
+    auto first = m_order.begin();
+    auto client = first->second;
+    m_virtualTime = std::max(m_virtualTime, first->first);
+    m_order.erase(first);
+    auto& queue = m_clients[client];
+    auto work = std::move(queue.work.front());
+    queue.work.pop_front();
+    queue.startTag += tagCost(work.cost, work.weight);
+    if (!queue.work.empty())
+        m_order.emplace(queue.startTag, client);
+    else if (m_clients.size() > idleClientsKept)
+        forgetIdleClients();
+    return work;
+}
+
+std::optional<uint64_t> RankQueue::headCost() const
+{
+    if (!m_resumes.empty())
+        return m_resumes.front().cost;
+    if (m_order.empty())
+        return std::nullopt;
+    return m_clients.at(m_order.begin()->second).work.front().cost;
+}
+
+std::vector<QueuedWork> RankQueue::expire(base::Instant now)
+{
+    std::vector<QueuedWork> expired;
+    for (auto& [client, queue] : m_clients) {
+        auto isLate = [&](const QueuedWork& work) { return work.deadline <= now; };
+        if (std::none_of(queue.work.begin(), queue.work.end(), isLate))
+            continue;
+        m_order.erase({ queue.startTag, client });
+        auto late = std::stable_partition(queue.work.begin(), queue.work.end(), std::not_fn(isLate));
+        std::move(late, queue.work.end(), std::back_inserter(expired));
+        queue.work.erase(late, queue.work.end());
+        if (!queue.work.empty())
+            m_order.emplace(queue.startTag, client);
+    }
+    m_size -= expired.size();
+    return expired;
+}
+
+bool RankQueue::remove(base::RequestId request)
+{
+    auto isRequested = [&](const QueuedWork& work) { return work.request == request; };
+    if (std::erase_if(m_resumes, isRequested)) {
+        --m_size;
+        return true;
+    }
+    for (auto& [client, queue] : m_clients) {
+        if (!std::erase_if(queue.work, isRequested))
+            continue;
+        --m_size;
+        if (queue.work.empty())
+            m_order.erase({ queue.startTag, client });
+        return true;
+    }
+    return false;
+}
+
+size_t RankQueue::waitingOf(const base::ClientName& client) const
+{
+    auto found = m_clients.find(client);
+    return found == m_clients.end() ? 0 : found->second.work.size();
+}
+
+void RankQueue::charge(const base::ClientName& client, uint64_t cost, int64_t weight)
+{
+    auto& queue = m_clients[client];
+    bool isWaiting = !queue.work.empty();
+    if (isWaiting)
+        m_order.erase({ queue.startTag, client });
+    queue.startTag = std::max(queue.startTag, m_virtualTime) + tagCost(cost, weight);
+    if (isWaiting)
+        m_order.emplace(queue.startTag, client);
+}
+
+void RankQueue::forgetIdleClients()
+{
+    std::erase_if(m_clients, [&](const auto& entry) {
+        return entry.second.work.empty() && entry.second.startTag <= m_virtualTime;
+    });
+}
+
+} // namespace redwingseam::schedule
--- /dev/null
+++ b/src/schedule/WorkQueue.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "schedule/QueuedWork.h"
+
+#include <concepts>
+#include <optional>
+
+namespace redwingseam::schedule {
+
+// Order in which queued work is given out. Not synchronised: the owner's shard lock guards it.
+template <typename T>
+concept WorkQueue = requires(T& queue, const T& constQueue, QueuedWork work, base::Instant now, base::RequestId request)
+{
+    queue.push(std::move(work));
+    {
+        queue.pop()
+        } -> std::same_as<std::optional<QueuedWork>>;
+    {
+        queue.expire(now)
+        } -> std::same_as<std::vector<QueuedWork>>;
+    {
+        queue.remove(request)
+        } -> std::same_as<bool>;
+    {
+        constQueue.size()
+        } -> std::same_as<size_t>;
+    {
+        constQueue.waiting(base::Rank::Urgent)
+        } -> std::same_as<size_t>;
+};
+
+} // namespace redwingseam::schedule
--- /dev/null
+++ b/src/settings/Acceptor.cpp
@@ -0,0 +1,88 @@
+#include "settings/Acceptor.h"
+
+#include "redwingseam/settings/BranchCodec.h"
+
+#include <mutex>
+
+namespace redwingseam::settings {
+
+void Acceptor::onRaw(const platform::RawBranch& raw, base::ObjectVersion version, base::Instant now)
+{
+    note(raw.path, version, raw.json, now);
+}
+
+void Acceptor::onRawDeleted(const std::string& path, base::ObjectVersion version, base::Instant now)
+{
+    note(path, version, std::nullopt, now);
+}
+
+void Acceptor::note(const std::string& path, base::ObjectVersion version, std::optional<std::string> json, base::Instant now)
+{
+    std::lock_guard guard(m_mutex);
+    auto& edit = m_edits[path];
+    if (version <= edit.version)
+        return;
+    edit = { version, std::move(json), now + patience, false };
+}
+
+void Acceptor::onAccepted(const std::string& path, base::ObjectVersion version, base::ObjectVersion rawVersion)
+{
+    std::lock_guard guard(m_mutex);
+    auto& accepted = m_accepted[path];
+    if (version > accepted.version)
+        accepted = { version, rawVersion };
+}
+
+void Acceptor::onAcceptReply(const platform::PlatformReply& reply, base::Instant now)
+{
+    const auto* written = reply.call.value ? std::get_if<platform::AcceptedBranch>(&*reply.call.value) : nullptr;
+    if (!written)
+        return;
+    std::lock_guard guard(m_mutex);
+    auto found = m_edits.find(written->branch.path);
+    // Another VM wrote first: what it wrote is known by now, so the edit can be judged again at once.
+    bool mustRetry = found != m_edits.end() && reply.outcome == platform::CallOutcome::Conflict;
+    if (mustRetry)
+        found->second.notBefore = now;
+}
+
+void Acceptor::onStatusReply(const platform::PlatformReply& reply, base::Instant now)
+{
+    const auto* written = reply.call.value ? std::get_if<platform::BranchStatus>(&*reply.call.value) : nullptr;
+    if (!written || reply.outcome == platform::CallOutcome::Done)
+        return;
+    std::lock_guard guard(m_mutex);
+    auto found = m_edits.find(written->path);
+    if (found == m_edits.end() || found->second.version != written->rawVersion)
+        return;
+    // The operator must be told of a rejection, so it is written again.
+    found->second.isRejected = false;
+    found->second.notBefore = now + patience + retryInterval;
+}
+
+std::vector<BranchDecision> Acceptor::due(base::Instant now, bool isPreferred)
+{
+    std::lock_guard guard(m_mutex);
+    std::vector<BranchDecision> decisions;
+    for (auto& [path, edit] : m_edits) {
+        const auto& accepted = m_accepted[path];
+        bool isSettled = edit.isRejected || accepted.rawVersion >= edit.version;
+        bool isEarly = isPreferred ? now + patience < edit.notBefore : now < edit.notBefore;
+        if (isSettled || isEarly)
+            continue;
+        edit.notBefore = now + patience + retryInterval;
+        BranchDecision decision { path, edit.version, accepted.version, std::nullopt, {} };
+        if (!edit.json) {
+            decision.branch = Branch { path, {}, true, {} };
+        } else if (auto parsed = parseBranch(path, {}, *edit.json)) {
+            decision.branch = std::move(parsed.value());
+        } else {
+            decision.reason = parsed.error().detail;
+            edit.isRejected = true;
+        }
+        decisions.push_back(std::move(decision));
+    }
+    return decisions;
+}
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/settings/Acceptor.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Mutex.h"
+#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/platform/RawBranch.h"
+#include "settings/BranchDecision.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace redwingseam::settings {
+
+// Checks operators' edits and decides what is accepted. Several VMs may do so at once: the accepted
+// branch is replaced by a conditional update, and never by an older edit. Thread-safe.
+class Acceptor {
+public:
+    // Time that a VM which is not the preferred one leaves an edit to it.
+    static constexpr base::Duration patience = std::chrono::seconds(2);
+    // Time after which an unanswered call is made again.
+    static constexpr base::Duration retryInterval = std::chrono::seconds(2);
+
+    void onRaw(const platform::RawBranch&, base::ObjectVersion, base::Instant now);
+    void onRawDeleted(const std::string& path, base::ObjectVersion, base::Instant now);
+    void onAccepted(const std::string& path, base::ObjectVersion, base::ObjectVersion rawVersion);
+    void onAcceptReply(const platform::PlatformReply&, base::Instant now);
+    void onStatusReply(const platform::PlatformReply&, base::Instant now);
+
+    // Decisions that are to be written now.
+    std::vector<BranchDecision> due(base::Instant now, bool isPreferred);
+
+private:
+    struct Edit {
+        base::ObjectVersion version;
+        // Nothing: the branch was deleted.
+        std::optional<std::string> json;
+        base::Instant notBefore;
+        bool isRejected = false;
+    };
+    struct Accepted {
+        base::ObjectVersion version;
+        base::ObjectVersion rawVersion;
+    };
+
+    void note(const std::string& path, base::ObjectVersion, std::optional<std::string> json, base::Instant now);
+
+    base::Mutex m_mutex;
+    std::map<std::string, Edit> m_edits;
+    std::map<std::string, Accepted> m_accepted;
+};
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/settings/BranchCodec.cpp
@@ -0,0 +1,107 @@
+#include "redwingseam/settings/BranchCodec.h"
+
+#include "redwingseam/base/Rank.h"
+#include "redwingseam/settings/FieldSpec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::settings {
+
+using base::Error;
+using base::ResultCode;
+
+static constexpr size_t longestPath = 200;
+
+static Error invalid(std::string_view key, const std::string& expected)
+{
+    return { ResultCode::SettingsInvalid, "/" + std::string(key) + ": expected " + expected };
+}
+
+static base::Result<int64_t> parseInteger(const FieldSpec& spec, std::string_view key, const nlohmann::json& value)
+{
+    auto expected = "an integer from " + std::to_string(spec.lowest) + " to " + std::to_string(spec.highest);
+    if (!value.is_number_integer())
+        return invalid(key, expected);
+    if (value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(spec.highest))
+        return invalid(key, expected);
+    auto number = value.get<int64_t>();
+    if (number < spec.lowest || number > spec.highest)
+        return invalid(key, expected);
+    return number;
+}
+
+static base::Result<int64_t> parseValue(const FieldSpec& spec, std::string_view key, const nlohmann::json& value)
+{
+    if (spec.kind == FieldKind::Integer)
+        return parseInteger(spec, key, value);
+    if (spec.kind == FieldKind::Boolean) {
+        if (!value.is_boolean())
+            return invalid(key, "true or false");
+        return value.get<bool>() ? 1 : 0;
+    }
+    auto rank = value.is_string() ? base::enumOf<base::Rank>(value.get_ref<const std::string&>()) : std::nullopt;
+    if (!rank)
+        return invalid(key, "urgent, standard or deferrable");
+    return static_cast<int64_t>(*rank);
+}
+
+base::Result<Branch> parseBranch(std::string path, base::ObjectVersion version, std::string_view json)
+{
+    if (!isBranchPath(path))
+        return Error { ResultCode::SettingsInvalid, path + ": expected a path of /segments in [a-z0-9_-]" };
+    auto document = nlohmann::json::parse(json, nullptr, false);
+    if (document.is_discarded())
+        return Error { ResultCode::SettingsUnreadable, "the branch is not JSON" };
+    if (!document.is_object())
+        return Error { ResultCode::SettingsInvalid, "/: expected an object of fields" };
+    Branch branch { std::move(path), version, false, {} };
+    for (const auto& [key, value] : document.items()) {
+        auto field = base::enumOf<Field>(key);
+        if (!field)
+            return invalid(key, "a known field");
+        auto parsed = parseValue(fieldSpecs[indexOf(*field)], key, value);
+        if (!parsed)
+            return parsed.error();
+        branch.values[indexOf(*field)] = parsed.value();
+    }
+    return branch;
+}
+
+static nlohmann::json formatValue(const FieldSpec& spec, int64_t value)
+{
+    if (spec.kind == FieldKind::Boolean)
+        return value != 0;
+    if (spec.kind == FieldKind::RankName)
+        return std::string(base::nameOf(static_cast<base::Rank>(value)));
+    return value;
+}
+
+std::string formatBranch(const Branch& branch)
+{
+    auto document = nlohmann::json::object();
+    for (const auto& spec : fieldSpecs) {
+        if (const auto& value = branch.values[indexOf(spec.field)])
+            document[std::string(base::nameOf(spec.field))] = formatValue(spec, *value);
+    }
+    return document.dump();
+}
+
+bool isBranchPath(std::string_view path)
+{
+    if (path == "/")
+        return true;
+    if (path.empty() || path.size() > longestPath || path.front() != '/' || path.back() == '/')
+        return false;
+    char previous = 0;
+    for (char c : path) {
+        bool isSegmentCharacter = (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' || c == '-';
+        if (c == '/' && previous == '/')
+            return false;
+        if (c != '/' && !isSegmentCharacter)
+            return false;
+        previous = c;
+    }
+    return true;
+}
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/settings/Reference.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace redwingseam::settings {
+
+// docs/SETTINGS.md, made from the table that checks the settings.
+std::string formatReference();
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/settings/SnapshotHolder.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "redwingseam/base/Mutex.h"
+#include "redwingseam/settings/Tree.h"
+
+#include <memory>
+#include <mutex>
+
+namespace redwingseam::settings {
+
+// The tree in force. Readers take a snapshot that never changes; a change replaces it. Thread-safe.
+class SnapshotHolder {
+public:
+    std::shared_ptr<const Tree> snapshot()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_tree;
+    }
+
+    // Takes a branch in if it is newer than the one held. Returns whether it was.
+    bool adopt(const Branch& branch)
+    {
+        std::lock_guard guard(m_mutex);
+        auto next = std::make_shared<Tree>(*m_tree);
+        if (!next->adopt(branch))
+            return false;
+        m_tree = std::move(next);
+        return true;
+    }
+
+private:
+    base::Mutex m_mutex;
+    std::shared_ptr<const Tree> m_tree = std::make_shared<const Tree>();
+};
+
+} // namespace redwingseam::settings
--- /dev/null
+++ b/src/stream/Ledger.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "stream/Acceptance.h"
+#include "stream/LedgerPolicy.h"
+#include "stream/Transcript.h"
+
+#include <span>
+
+namespace redwingseam::stream {
+
+// Keeps each token of one answer exactly once. Only the current attempt's next token is taken; with a
+// rival attempt under way, whichever delivers the next token first becomes the current one and the
+// other is shut out. Not synchronised: it lies in a shard.
+template <LedgerRules Rules = LedgerPolicy>
+class Ledger {
+public:
+    const Transcript& transcript() const { return m_transcript; }
+
+    // Starts from tokens that the caller already has.
+    void preload(std::span<const uint32_t> ids)
+    {
+        for (auto id : ids)
+            m_transcript.append(id);
+    }
+
+    void setCurrent(base::AttemptNumber attempt) { m_current = attempt; }
+    void setRival(base::AttemptNumber attempt) { m_rival = attempt; }
+    base::AttemptNumber current() const { return m_current; }
+    base::AttemptNumber rival() const { return m_rival; }
+
+    // Shuts an attempt out; a rival takes the place of the current one.
+    void close(base::AttemptNumber attempt)
+    {
+        if (attempt == m_rival)
+            m_rival = {};
+        if (attempt == m_current)
+            m_current = std::exchange(m_rival, {});
+    }
+
+    Acceptance accept(base::AttemptNumber attempt, uint32_t firstIndex, std::span<const Token> tokens)
+    {
+        Acceptance result { m_transcript.size(), {}, false, std::nullopt };
+        if (!Rules::isEligible(attempt.value, m_current.value, m_rival.value))
+            return result;
+        uint32_t index = firstIndex;
+        for (const auto& token : tokens) {
+            if (Rules::isNext(index, m_transcript.size())) {
+                m_transcript.append(token.id);
+                result.fresh.push_back(token);
+            } else if (index > m_transcript.size()) {
+                result.hasGap = true;
+                break;
+            }
+            ++index;
+        }
+        if (!result.fresh.empty())
+            result.loser = settleRace(attempt);
+        return result;
+    }
+
+private:
+    std::optional<base::AttemptNumber> settleRace(base::AttemptNumber winner)
+    {
+        if (!m_rival.value)
+            return std::nullopt;
+        auto loser = winner == m_current ? m_rival : m_current;
+        m_current = winner;
+        m_rival = {};
+        return loser;
+    }
+
+    Transcript m_transcript;
+    base::AttemptNumber m_current;
+    base::AttemptNumber m_rival;
+};
+
+} // namespace redwingseam::stream
--- /dev/null
+++ b/src/stream/ResumeTokenCodec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Result.h"
+#include "redwingseam/stream/ResumePoint.h"
+
+#include <string>
+#include <string_view>
+
+namespace redwingseam::stream {
+
+// Writes resume points as event ids that only a holder of the secret can make, bound to a client and
+// to the request's fingerprint. Immutable after construction; thread-safe.
+class ResumeTokenCodec {
+public:
+    explicit ResumeTokenCodec(std::string secret);
+
+    std::string encode(const base::ClientName&, base::Fingerprint, const ResumePoint&) const;
+
+    // Error ResumeRejected if the text is malformed, forged, or another client's or request's.
+    base::Result<ResumePoint> decode(const base::ClientName&, base::Fingerprint, std::string_view text) const;
+
+private:
+    uint64_t tag(const base::ClientName&, base::Fingerprint, std::string_view body) const;
+
+    std::string m_secret;
+};
+
+} // namespace redwingseam::stream
--- /dev/null
+++ b/src/stream/Transcript.cpp
@@ -0,0 +1,13 @@
+#include "stream/Transcript.h"
+
+#include "base/Hash.h"
+
+namespace redwingseam::stream {
+
+void Transcript::append(uint32_t id)
+{
+    m_ids.push_back(id);
+    m_hash = base::hashWord(m_hash, id);
+}
+
+} // namespace redwingseam::stream
--- /dev/null
+++ b/tools/redwingseam-call/CheckingCaller.cpp
@@ -0,0 +1,139 @@
+#include "CheckingCaller.h"
+
+#include "base/SystemClock.h"
+#include "codec/JsonReader.h"
+#include "standin/ModelFunction.h"
+
+#include <algorithm>
+#include <curl/curl.h>
+
+namespace redwingseam::standin {
+
+CallResult CheckingCaller::run()
+{
+    m_startedAt = base::SystemClock {}.now();
+    m_lastPieceAt = m_startedAt;
+    for (uint32_t attempt = 0; attempt <= m_options.mostReconnects && !m_isOver; ++attempt) {
+        m_result.reconnects = attempt;
+        m_lines = {};
+        m_result.error.clear();
+        tryOnce(m_options.targets[attempt % m_options.targets.size()]);
+    }
+    bool hasAll = m_result.tokens == m_options.maxTokens;
+    m_result.isWhole = m_result.isWhole && hasAll;
+    return m_result;
+}
+
+std::string CheckingCaller::body() const
+{
+    nlohmann::json body {
+        { "model", m_options.model },
+        { "prompt", m_options.prompt },
+        { "max_tokens", m_options.maxTokens },
+        { "seed", m_options.seed },
+        { "rank", base::nameOf(m_options.rank) },
+    };
+    if (!m_options.work.empty())
+        body["work"] = m_options.work;
+    if (!m_lastEventId.empty() && m_options.carriesTokens)
+        body["received"] = m_received;
+    return body.dump();
+}
+
+void CheckingCaller::tryOnce(const std::string& target)
+{
+    auto* easy = curl_easy_init();
+    auto content = body();
+    curl_slist* headers = nullptr;
+    headers = curl_slist_append(headers, ("Authorization: Bearer " + m_options.key).c_str());
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    if (!m_lastEventId.empty())
+        headers = curl_slist_append(headers, ("Last-Event-ID: " + m_lastEventId).c_str());
+    auto url = target + "/v1/completions";
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(content.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, content.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CheckingCaller::onWrite);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    auto code = curl_easy_perform(easy);
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(easy);
+    curl_slist_free_all(headers);
+    if (m_isOver)
+        return;
+    // A broken connection is worth another try; an answer that refuses is not, unless it says "later".
+    static constexpr long statusUnavailable = 503;
+    bool isRefused = code == CURLE_OK && status != 200;
+    m_result.error = code == CURLE_OK ? "status " + std::to_string(status) + " " + m_idBuffer : curl_easy_strerror(code);
+    m_isOver = isRefused && status != statusUnavailable;
+}
+
+size_t CheckingCaller::onWrite(char* bytes, size_t size, size_t count, void* self)
+{
+    auto& caller = *static_cast<CheckingCaller*>(self);
+    std::string_view data(bytes, size * count);
+    caller.m_idBuffer.append(data);
+    caller.m_lines.feed(data, [&](const http::ServerEvent& event) { caller.onEvent(event); });
+    return data.size();
+}
+
+void CheckingCaller::onEvent(const http::ServerEvent& event)
+{
+    // The id line belongs to the event that has just been completed.
+    static constexpr std::string_view mark = "id: ";
+    auto at = m_idBuffer.find(mark);
+    if (at != std::string::npos) {
+        auto end = m_idBuffer.find('\n', at);
+        m_lastEventId = m_idBuffer.substr(at + mark.size(), end - at - mark.size());
+    }
+    auto past = m_idBuffer.find("\n\n");
+    m_idBuffer.erase(0, past == std::string::npos ? 0 : past + 2);
+    if (event.name == "done") {
+        auto document = nlohmann::json::parse(event.data, nullptr, false);
+        codec::JsonReader reader(document);
+        m_result.resumes += static_cast<uint32_t>(reader.number("resumes"));
+        m_result.isWhole = reader.number("total") == m_result.tokens;
+        m_isOver = true;
+    } else if (event.name == "error") {
+        m_result.error = event.data;
+        m_isOver = true;
+    } else {
+        onPiece(event.data);
+    }
+}
+
+void CheckingCaller::onPiece(std::string_view json)
+{
+    noteTime();
+    auto document = nlohmann::json::parse(json, nullptr, false);
+    codec::JsonReader reader(document);
+    auto index = static_cast<uint32_t>(reader.number("index"));
+    std::string expectedText;
+    for (const auto& item : reader.array("tokens")) {
+        auto expected = tokenAt(m_options.prompt, m_options.seed, index);
+        bool isRight = index == m_result.tokens && item.is_number_unsigned() && item.get<uint32_t>() == expected.id;
+        m_result.wrongTokens += isRight ? 0 : 1;
+        expectedText += expected.text;
+        m_received.push_back(expected.id);
+        ++m_result.tokens;
+        ++index;
+    }
+    m_result.wrongTokens += reader.text("text") == expectedText ? 0 : 1;
+}
+
+void CheckingCaller::noteTime()
+{
+    using Millis = std::chrono::milliseconds;
+    auto now = base::SystemClock {}.now();
+    auto gap = static_cast<uint64_t>(std::chrono::duration_cast<Millis>(now - m_lastPieceAt).count());
+    if (!m_result.tokens)
+        m_result.firstTokenMs = gap;
+    else
+        m_result.longestGapMs = std::max(m_result.longestGapMs, gap);
+    m_lastPieceAt = now;
+}
+
+} // namespace redwingseam::standin
--- /dev/null
+++ b/tools/redwingseam/AppliedVersions.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+
+#include <map>
+#include <string>
+
+namespace redwingseam::cli {
+
+// Versions of the branches that a folder's files were made from, kept beside them in
+// `.applied.json`. An edit goes through only where the store still has that version.
+class AppliedVersions {
+public:
+    explicit AppliedVersions(const std::string& folder);
+
+    base::ObjectVersion versionOf(const std::string& path) const;
+    void set(const std::string& path, base::ObjectVersion version) { m_versions[path] = version; }
+    void erase(const std::string& path) { m_versions.erase(path); }
+    const std::map<std::string, base::ObjectVersion>& all() const { return m_versions; }
+    bool save() const;
+
+private:
+    std::string m_file;
+    std::map<std::string, base::ObjectVersion> m_versions;
+};
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/CheckCommand.cpp
@@ -0,0 +1,25 @@
+#include "Commands.h"
+#include "TreeFiles.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::cli {
+
+ExitCode check(const CommandLine& line)
+{
+    auto files = loadTree(line.text("tree"));
+    if (line.isJson()) {
+        auto errors = nlohmann::json::array();
+        for (const auto& error : files.errors)
+            errors.push_back({ { "code", static_cast<unsigned>(error.code) }, { "name", base::nameOf(error.code) }, { "detail", error.detail } });
+        std::cout << nlohmann::json { { "branches", files.branches.size() }, { "errors", std::move(errors) } }.dump() << "\n";
+    } else {
+        for (const auto& error : files.errors)
+            std::cout << base::nameOf(error.code) << " (" << static_cast<unsigned>(error.code) << ") " << error.detail << "\n";
+        std::cout << files.branches.size() << " branches in order, " << files.errors.size() << " not\n";
+    }
+    return files.errors.empty() ? ExitCode::Good : ExitCode::NotInOrder;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/ExplainCommand.cpp
@@ -0,0 +1,46 @@
+#include "Commands.h"
+#include "TreeFiles.h"
+#include "redwingseam/base/Rank.h"
+#include "redwingseam/settings/BranchCodec.h"
+#include "redwingseam/settings/FieldSpec.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::cli {
+
+static std::string describe(const settings::FieldSpec& spec, int64_t value)
+{
+    if (spec.kind == settings::FieldKind::Boolean)
+        return value ? "true" : "false";
+    if (spec.kind == settings::FieldKind::RankName)
+        return std::string(base::nameOf(static_cast<base::Rank>(value)));
+    auto text = std::to_string(value);
+    return spec.unit.empty() ? text : text + " " + std::string(spec.unit);
+}
+
+ExitCode explain(const CommandLine& line)
+{
+    if (line.arguments.empty() || !settings::isBranchPath(line.arguments.front())) {
+        std::cerr << "explain: expected the path of a branch, such as /clients/lindqvist\n";
+        return ExitCode::BadUsage;
+    }
+    const auto& path = line.arguments.front();
+    auto files = loadTree(line.text("tree"));
+    auto tree = files.tree();
+    auto document = nlohmann::json::object();
+    for (const auto& spec : settings::fieldSpecs) {
+        auto origin = tree.resolve(path, spec.field);
+        auto name = std::string(base::nameOf(spec.field));
+        auto from = origin.path.empty() ? std::string("built in") : origin.path;
+        if (line.isJson())
+            document[name] = { { "value", describe(spec, origin.value) }, { "from", from } };
+        else
+            std::cout << name << " = " << describe(spec, origin.value) << "  (" << from << ")\n";
+    }
+    if (line.isJson())
+        std::cout << document.dump() << "\n";
+    return files.errors.empty() ? ExitCode::Good : ExitCode::NotInOrder;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/StatusCommand.cpp
@@ -0,0 +1,67 @@
+#include "Commands.h"
+#include "StoreAccess.h"
+#include "VmAccess.h"
+
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::cli {
+
+static void printRow(const nlohmann::json& status)
+{
+    std::cout << std::left << std::setw(16) << status.value("vm", "") << std::setw(14) << status.value("data_centre", "")
+              << "settings " << std::setw(8) << status.value("settings_version", 0ULL)
+              << "requests " << std::setw(6) << status.value("requests", 0ULL)
+              << "queued " << std::setw(6) << status.value("queued", 0ULL)
+              << "upstreams " << status.value("upstreams_live", 0ULL) << "+" << status.value("upstreams_down", 0ULL) << " down"
+              << "  vms " << status.value("vms_live", 0ULL)
+              << (status.value("draining", false) ? "  draining" : "");
+    for (const auto& part : status["degraded"])
+        std::cout << "  degraded: " << part.get<std::string>();
+    std::cout << "\n";
+}
+
+static nlohmann::json rejectedEdits(const std::string& platformUrl)
+{
+    auto rejected = nlohmann::json::array();
+    if (platformUrl.empty())
+        return rejected;
+    auto listed = StoreAccess(platformUrl).list("settings/status");
+    if (!listed)
+        return rejected;
+    for (const auto& object : listed->changes) {
+        const auto* status = object.value ? std::get_if<platform::BranchStatus>(&*object.value) : nullptr;
+        if (status && !status->isAccepted)
+            rejected.push_back({ { "path", status->path }, { "reason", status->reason }, { "edit_version", status->rawVersion.value } });
+    }
+    return rejected;
+}
+
+ExitCode status(const CommandLine& line)
+{
+    auto vms = nlohmann::json::array();
+    auto missing = nlohmann::json::array();
+    for (const auto& address : line.list("vm")) {
+        auto body = readFromVm(address, "/status");
+        auto status = nlohmann::json::parse(body.value_or(""), nullptr, false);
+        if (status.is_object())
+            vms.push_back(std::move(status));
+        else
+            missing.push_back(address);
+    }
+    auto rejected = rejectedEdits(line.text("platform"));
+    if (line.isJson()) {
+        std::cout << nlohmann::json { { "vms", vms }, { "missing", missing }, { "rejected_edits", rejected } }.dump() << "\n";
+    } else {
+        for (const auto& vm : vms)
+            printRow(vm);
+        for (const auto& address : missing)
+            std::cout << address.get<std::string>() << " cannot be reached\n";
+        for (const auto& edit : rejected)
+            std::cout << "rejected edit of " << edit["path"].get<std::string>() << ": " << edit["reason"].get<std::string>() << "\n";
+    }
+    return missing.empty() && rejected.empty() ? ExitCode::Good : ExitCode::NotInOrder;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/StoreAccess.cpp
@@ -0,0 +1,38 @@
+#include "StoreAccess.h"
+
+#include "codec/ObjectCodec.h"
+#include "http/BlockingClient.h"
+
+namespace redwingseam::cli {
+
+static constexpr base::Duration callTimeout = std::chrono::seconds(5);
+
+std::optional<platform::StoreChanges> StoreAccess::list(const std::string& prefix) const
+{
+    http::HttpRequest request { "GET", m_url + "/list?prefix=" + prefix };
+    request.timeout = callTimeout;
+    auto result = http::exchange(request);
+    if (!result.isAnswered || result.status != 200)
+        return std::nullopt;
+    return platform::parseStoreChanges(result.body);
+}
+
+platform::CallOutcome StoreAccess::write(const base::ObjectKey& key, base::ObjectVersion expected, const std::optional<platform::ObjectValue>& value, base::ObjectVersion& written) const
+{
+    static constexpr long statusConflict = 412;
+    http::HttpRequest request { value ? "PUT" : "DELETE", m_url + "/objects/" + key.text };
+    request.timeout = callTimeout;
+    if (value)
+        request.body = codec::formatObject(*value);
+    request.headers.push_back(expected.value ? "If-Match: " + std::to_string(expected.value) : "If-None-Match: *");
+    auto result = http::exchange(request);
+    if (auto object = platform::parseStoredObject(result.body))
+        written = object->version;
+    if (!result.isAnswered)
+        return platform::CallOutcome::Unknown;
+    if (result.status == statusConflict)
+        return platform::CallOutcome::Conflict;
+    return result.status == 200 ? platform::CallOutcome::Done : platform::CallOutcome::Unknown;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/TreeChange.cpp
@@ -0,0 +1,42 @@
+#include "TreeChange.h"
+
+#include "redwingseam/settings/BranchCodec.h"
+
+#include <map>
+
+namespace redwingseam::cli {
+
+// Canonical JSON where the text is a valid branch, else the text as it is.
+static std::string canonical(const platform::RawBranch& raw)
+{
+    auto branch = settings::parseBranch(raw.path, {}, raw.json);
+    return branch ? settings::formatBranch(branch.value()) : raw.json;
+}
+
+std::optional<std::vector<TreeChange>> compareWithStore(const TreeFiles& files, const StoreAccess& store)
+{
+    auto listed = store.list("settings/raw");
+    if (!listed)
+        return std::nullopt;
+    std::map<std::string, std::string> stored;
+    for (const auto& object : listed->changes) {
+        if (const auto* raw = object.value ? std::get_if<platform::RawBranch>(&*object.value) : nullptr)
+            stored[raw->path] = canonical(*raw);
+    }
+    std::vector<TreeChange> changes;
+    for (const auto& file : files.branches) {
+        auto wanted = settings::formatBranch(file.branch);
+        auto found = stored.find(file.path);
+        if (found == stored.end())
+            changes.push_back({ ChangeKind::Added, file.path, {}, wanted });
+        else if (found->second != wanted)
+            changes.push_back({ ChangeKind::Changed, file.path, found->second, wanted });
+    }
+    for (const auto& [path, json] : stored) {
+        if (!files.find(path))
+            changes.push_back({ ChangeKind::Removed, path, json, {} });
+    }
+    return changes;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/TreeFiles.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "redwingseam/base/Error.h"
+#include "redwingseam/base/Result.h"
+#include "redwingseam/settings/Branch.h"
+#include "redwingseam/settings/Tree.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace redwingseam::cli {
+
+// A branch as it lies in a folder: `branch.json` in a folder named for the branch's path.
+struct BranchFile {
+    std::string path;
+    std::string file;
+    std::string json;
+    settings::Branch branch;
+};
+
+// A settings tree kept as files. `errors` has one entry per file that can't be used.
+struct TreeFiles {
+    std::vector<BranchFile> branches;
+    std::vector<base::Error> errors;
+
+    settings::Tree tree() const;
+    const BranchFile* find(const std::string& path) const;
+};
+
+TreeFiles loadTree(const std::string& folder);
+
+// Writes one branch's file, making folders as needed.
+bool writeBranch(const std::string& folder, const std::string& path, const std::string& json);
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/redwingseam/VmAccess.cpp
@@ -0,0 +1,18 @@
+#include "VmAccess.h"
+
+#include "http/BlockingClient.h"
+
+namespace redwingseam::cli {
+
+std::optional<std::string> readFromVm(const std::string& address, const std::string& path)
+{
+    static constexpr base::Duration timeout = std::chrono::seconds(3);
+    http::HttpRequest request { "GET", "http://" + address + path };
+    request.timeout = timeout;
+    auto result = http::exchange(request);
+    if (!result.isAnswered || result.status != 200)
+        return std::nullopt;
+    return result.body;
+}
+
+} // namespace redwingseam::cli
--- /dev/null
+++ b/tools/standin-engine/Main.cpp
@@ -0,0 +1,51 @@
+#include "EngineHandler.h"
+#include "http/RequestServer.h"
+#include "standin/Registration.h"
+#include "standin/WaitForSignal.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace {
+
+using namespace redwingseam;
+
+standin::EngineOptions makeOptions(const cxxopts::ParseResult& parsed)
+{
+    standin::EngineOptions options;
+    options.slots = parsed["slots"].as<uint32_t>();
+    options.tokenInterval = std::chrono::microseconds(parsed["token-us"].as<int64_t>());
+    options.prefillPerToken = std::chrono::microseconds(parsed["prefill-us"].as<int64_t>());
+    options.dieAtToken = parsed["die-at-token"].as<uint32_t>();
+    options.dieOnPrompt = parsed["die-on-prompt"].as<std::string>();
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("standin-engine", "Stand-in for a model engine, for tests and demos.");
+    options.add_options()("listen", "Address", cxxopts::value<std::string>())("slots", "Streams at once", cxxopts::value<uint32_t>()->default_value("8"))("token-us", "Time per token", cxxopts::value<int64_t>()->default_value("20000"))("prefill-us", "Prefill time per prompt token", cxxopts::value<int64_t>()->default_value("50"))("die-at-token", "Ends the process at this token", cxxopts::value<uint32_t>()->default_value("0"))("die-on-prompt", "Ends the process on a prompt with this text", cxxopts::value<std::string>()->default_value(""));
+    redwingseam::standin::addRegistrationOptions(options);
+    try {
+        auto parsed = options.parse(argc, argv);
+        auto address = redwingseam::http::parseListenAddress(parsed["listen"].as<std::string>());
+        if (!address)
+            return 2;
+        redwingseam::standin::blockStopSignals();
+        redwingseam::standin::Engine engine(makeOptions(parsed));
+        redwingseam::standin::EngineHandler handler(engine);
+        redwingseam::http::RequestServer<redwingseam::standin::EngineHandler> server(handler, address.value());
+        if (!server.isListening())
+            return 1;
+        if (!redwingseam::standin::registerUpstream(parsed, redwingseam::route::UpstreamKind::Engine, engine.options().slots))
+            return 1;
+        redwingseam::standin::waitForStopSignal();
+        // Streams may wait for a long time; the process just ends, as an engine does.
+        std::_Exit(0);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/standin-platform/StoreHandler.cpp
@@ -0,0 +1,121 @@
+#include "StoreHandler.h"
+
+#include "base/SystemClock.h"
+
+#include <cstdlib>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace redwingseam::standin {
+
+using nlohmann::json;
+
+static json describe(const StoredItem& item)
+{
+    json result { { "key", item.key }, { "version", item.version } };
+    if (item.value)
+        result["value"] = json::parse(*item.value, nullptr, false);
+    else
+        result["deleted"] = true;
+    return result;
+}
+
+static StoreHandler::Response changes(uint64_t revision, const std::vector<StoredItem>& items)
+{
+    auto objects = json::array();
+    for (const auto& item : items)
+        objects.push_back(describe(item));
+    return { 200, json { { "revision", revision }, { "objects", std::move(objects) } }.dump() };
+}
+
+StoreHandler::Response StoreHandler::handle(const http::ServerRequest& request)
+{
+    static const std::string objectsPrefix = "/objects/";
+    if (request.path.starts_with("/admin/"))
+        return order(request);
+    if (m_isDown)
+        return { 500, "{}" };
+    if (auto slow = m_slowMillis.load()) {
+        std::lock_guard guard(m_mutex);
+        m_never.waitFor(m_mutex, std::chrono::milliseconds(slow));
+    }
+    if (request.path.starts_with(objectsPrefix))
+        return object(request, request.path.substr(objectsPrefix.size()));
+    if (request.path == "/list")
+        return list(request);
+    if (request.path == "/watch")
+        return watch(request);
+    return { 404, "{}" };
+}
+
+bool StoreHandler::takeWrite()
+{
+    auto second = std::chrono::duration_cast<std::chrono::seconds>(base::SystemClock {}.now().time_since_epoch()).count();
+    if (m_second.exchange(second) != second)
+        m_writesThisSecond = 0;
+    return ++m_writesThisSecond <= m_writesPerSecond;
+}
+
+StoreHandler::Response StoreHandler::object(const http::ServerRequest& request, const std::string& key)
+{
+    if (request.method != "GET")
+        return write(request, key);
+    auto item = m_store.read(key);
+    if (!item)
+        return { 404, "{}" };
+    return { 200, describe(*item).dump() };
+}
+
+StoreHandler::Response StoreHandler::write(const http::ServerRequest& request, const std::string& key)
+{
+    if (!takeWrite())
+        return { 429, "{}" };
+    std::optional<uint64_t> expected;
+    if (request.header("If-None-Match") == "*")
+        expected = 0;
+    else if (auto version = request.header("If-Match"); !version.empty())
+        expected = std::strtoull(version.c_str(), nullptr, 10);
+    std::optional<std::string> value;
+    if (request.method == "PUT") {
+        if (!json::accept(request.body))
+            return { 400, "{}" };
+        value = request.body;
+    }
+    auto [item, isWritten] = m_store.write(key, expected, std::move(value));
+    auto loseEvery = m_loseEvery.load();
+    bool isAnswerLost = loseEvery && ++m_writes % loseEvery == 0;
+    if (isAnswerLost)
+        return { 500, "{}" };
+    return { isWritten ? 200U : 412U, describe(item).dump() };
+}
+
+StoreHandler::Response StoreHandler::list(const http::ServerRequest& request)
+{
+    uint64_t revision = 0;
+    auto items = m_store.list(request.argument("prefix"), revision);
+    return changes(revision, items);
+}
+
+StoreHandler::Response StoreHandler::watch(const http::ServerRequest& request)
+{
+    uint64_t revision = std::strtoull(request.argument("after").c_str(), nullptr, 10);
+    auto wait = std::strtol(request.argument("wait_ms").c_str(), nullptr, 10);
+    auto items = m_store.waitForChanges(request.argument("prefix"), revision, std::chrono::milliseconds(wait));
+    return changes(revision, items);
+}
+
+StoreHandler::Response StoreHandler::order(const http::ServerRequest& request)
+{
+    auto value = std::strtol(request.argument("value").c_str(), nullptr, 10);
+    if (request.path == "/admin/down")
+        m_isDown = value != 0;
+    else if (request.path == "/admin/slow")
+        m_slowMillis = value;
+    else if (request.path == "/admin/lose-every")
+        m_loseEvery = static_cast<uint32_t>(value);
+    else
+        return { 404, "{}" };
+    return { 200, "{}" };
+}
+
+} // namespace redwingseam::standin
--- /dev/null
+++ b/tools/standin/Registration.cpp
@@ -0,0 +1,34 @@
+#include "standin/Registration.h"
+
+#include "codec/ObjectCodec.h"
+#include "http/BlockingClient.h"
+#include "platform/ObjectKeys.h"
+
+namespace redwingseam::standin {
+
+void addRegistrationOptions(cxxopts::Options& options)
+{
+    auto text = [](const char* fallback) { return cxxopts::value<std::string>()->default_value(fallback); };
+    options.add_options()("platform", "Base URL of the store to be listed in", text(""))("name", "Name in the list", text(""))("pool", "Model with version, or the service's name", text("draft@1"))("data-centre", "Data centre", text(""))("incarnation", "Grows with each start", cxxopts::value<uint64_t>()->default_value("1"));
+}
+
+bool registerUpstream(const cxxopts::ParseResult& parsed, route::UpstreamKind kind, uint32_t slots)
+{
+    auto platformUrl = parsed["platform"].as<std::string>();
+    if (platformUrl.empty())
+        return true;
+    route::UpstreamRecord record;
+    record.name.text = parsed["name"].as<std::string>();
+    record.kind = kind;
+    record.pool.text = parsed["pool"].as<std::string>();
+    record.dataCentre.text = parsed["data-centre"].as<std::string>();
+    record.url = "http://" + parsed["listen"].as<std::string>();
+    record.slots = slots;
+    record.incarnation = parsed["incarnation"].as<uint64_t>();
+    http::HttpRequest request { "PUT", platformUrl + "/objects/" + platform::upstreamKey(record.name).text, codec::formatObject(record) };
+    request.timeout = std::chrono::seconds(5);
+    auto result = http::exchange(request);
+    return result.isAnswered && result.status == 200;
+}
+
+} // namespace redwingseam::standin
