--- a/include/redwingseam/base/Clock.h
+++ b/include/redwingseam/base/Clock.h
@@ -8,7 +8,7 @@
 
 // Source of the current time. `now()` must not go backwards and must be safe to call from
 // several threads.
-template <typename T>
+template<typename T>
 concept Clock = requires(T& clock)
 {
     {
--- a/include/redwingseam/base/EnumNames.h
+++ b/include/redwingseam/base/EnumNames.h
@@ -9,17 +9,17 @@
 
 // Table of an enum's names. Specialise it with a static constexpr array `entries` of
 // (enumerator, name) pairs, in the order of the enumerators.
-template <typename Enum>
+template<typename Enum>
 struct EnumNames;
 
-template <typename Enum>
+template<typename Enum>
 concept NamedEnum = requires
 {
     EnumNames<Enum>::entries.size();
 };
 
 // Name of an enumerator, "unknown" for a value outside the table.
-template <NamedEnum Enum>
+template<NamedEnum Enum>
 constexpr std::string_view nameOf(Enum value)
 {
     for (const auto& [enumerator, name] : EnumNames<Enum>::entries) {
@@ -30,7 +30,7 @@
 }
 
 // Enumerator of a name, nothing if the table has no such name.
-template <NamedEnum Enum>
+template<NamedEnum Enum>
 constexpr std::optional<Enum> enumOf(std::string_view text)
 {
     for (const auto& [enumerator, name] : EnumNames<Enum>::entries) {
--- a/include/redwingseam/base/Name.h
+++ b/include/redwingseam/base/Name.h
@@ -7,7 +7,7 @@
 namespace redwingseam::base {
 
 // Text identifier that can't be confused with one of another `Tag`. A plain value; not synchronised.
-template <typename Tag>
+template<typename Tag>
 struct Name {
     std::string text;
 
@@ -17,7 +17,7 @@
 
 } // namespace redwingseam::base
 
-template <typename Tag>
+template<typename Tag>
 struct std::hash<redwingseam::base::Name<Tag>> {
     size_t operator()(const redwingseam::base::Name<Tag>& name) const noexcept
     {
--- a/include/redwingseam/base/Number.h
+++ b/include/redwingseam/base/Number.h
@@ -7,7 +7,7 @@
 namespace redwingseam::base {
 
 // 64-bit identifier or counter that can't be confused with one of another `Tag`. A plain value.
-template <typename Tag>
+template<typename Tag>
 struct Number {
     uint64_t value = 0;
 
@@ -16,7 +16,7 @@
 
 } // namespace redwingseam::base
 
-template <typename Tag>
+template<typename Tag>
 struct std::hash<redwingseam::base::Number<Tag>> {
     size_t operator()(redwingseam::base::Number<Tag> number) const noexcept
     {
--- a/include/redwingseam/base/RandomSource.h
+++ b/include/redwingseam/base/RandomSource.h
@@ -6,7 +6,7 @@
 namespace redwingseam::base {
 
 // Source of uniformly distributed 64-bit words. `next()` must be safe to call from several threads.
-template <typename T>
+template<typename T>
 concept RandomSource = requires(T& source)
 {
     {
--- a/include/redwingseam/base/Rank.h
+++ b/include/redwingseam/base/Rank.h
@@ -20,7 +20,7 @@
     return static_cast<size_t>(rank);
 }
 
-template <>
+template<>
 struct EnumNames<Rank> {
     static constexpr std::array entries {
         std::pair { Rank::Urgent, std::string_view { "urgent" } },
--- a/include/redwingseam/base/Result.h
+++ b/include/redwingseam/base/Result.h
@@ -9,7 +9,7 @@
 namespace redwingseam::base {
 
 // A value, or the error that kept it from being made. Reading the wrong side ends the process.
-template <typename Value>
+template<typename Value>
 using Result = boost::outcome_v2::basic_result<Value, Error, boost::outcome_v2::policy::terminate>;
 
 } // namespace redwingseam::base
--- a/include/redwingseam/base/ResultCode.h
+++ b/include/redwingseam/base/ResultCode.h
@@ -38,7 +38,7 @@
     MessageMalformed = 602,
 };
 
-template <>
+template<>
 struct EnumNames<ResultCode> {
     static constexpr std::array entries {
         std::pair { ResultCode::Ok, std::string_view { "Ok" } },
--- a/include/redwingseam/base/Sharded.h
+++ b/include/redwingseam/base/Sharded.h
@@ -11,12 +11,12 @@
 
 // `Count` copies of `State`, each under a lock of its own. `with` runs a function on the copy that a
 // hash chooses. The function must not touch another shard: a thread holds one shard's lock at most.
-template <typename State, size_t Count = 16>
+template<typename State, size_t Count = 16>
 class Sharded {
 public:
     static constexpr size_t count() { return Count; }
 
-    template <typename Function>
+    template<typename Function>
     decltype(auto) with(uint64_t hash, Function&& function)
     {
         auto& shard = m_shards[hash % Count];
@@ -25,7 +25,7 @@
     }
 
     // Visits the shards one after the other; never holds two locks.
-    template <typename Function>
+    template<typename Function>
     void forEach(Function&& function)
     {
         for (auto& shard : m_shards) {
--- a/include/redwingseam/claim/RecordKind.h
+++ b/include/redwingseam/claim/RecordKind.h
@@ -18,7 +18,7 @@
 
 } // namespace redwingseam::claim
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::claim::RecordKind> {
     using RecordKind = redwingseam::claim::RecordKind;
     static constexpr std::array entries {
--- a/include/redwingseam/membership/FactKind.h
+++ b/include/redwingseam/membership/FactKind.h
@@ -17,7 +17,7 @@
 
 } // namespace redwingseam::membership
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::membership::FactKind> {
     using FactKind = redwingseam::membership::FactKind;
     static constexpr std::array entries {
--- a/include/redwingseam/membership/VmState.h
+++ b/include/redwingseam/membership/VmState.h
@@ -16,7 +16,7 @@
 
 } // namespace redwingseam::membership
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::membership::VmState> {
     using VmState = redwingseam::membership::VmState;
     static constexpr std::array entries {
--- a/include/redwingseam/node/AttemptEnd.h
+++ b/include/redwingseam/node/AttemptEnd.h
@@ -20,7 +20,7 @@
 
 } // namespace redwingseam::node
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::node::AttemptEnd> {
     using AttemptEnd = redwingseam::node::AttemptEnd;
     static constexpr std::array entries {
--- a/include/redwingseam/node/Decisions.h
+++ b/include/redwingseam/node/Decisions.h
@@ -27,13 +27,13 @@
 namespace redwingseam::node {
 
 struct DefaultPolicies;
-template <typename Policies>
+template<typename Policies>
 class NodeCore;
 
 // A node's decisions as a function of events, time and random words: each call returns the effects to
 // be carried out. `Node` wraps it with a clock, a source of randomness and a sink; use that instead,
 // unless a front end keeps these itself. Thread-safe; no lock is held when a call returns.
-template <typename Policies = DefaultPolicies>
+template<typename Policies = DefaultPolicies>
 class Decisions {
 public:
     explicit Decisions(NodeConfig);
@@ -64,7 +64,7 @@
     report::LatencySummary latency(base::Rank, report::Objective);
 
 private:
-    template <typename Event>
+    template<typename Event>
     EffectList run(const Event&, base::Instant now, uint64_t random);
 
     std::unique_ptr<NodeCore<Policies>> m_core;
--- a/include/redwingseam/node/Node.h
+++ b/include/redwingseam/node/Node.h
@@ -16,7 +16,7 @@
 // Thread-safe. Effects are emitted on the thread that called `handle`, after all locks were let go; an
 // effect may be emitted while another thread is inside `handle`. `clock`, `random` and `sink` must
 // outlive the node and be thread-safe themselves.
-template <base::Clock Clock, base::RandomSource Random, EffectSink Sink, typename Policies = DefaultPolicies>
+template<base::Clock Clock, base::RandomSource Random, EffectSink Sink, typename Policies = DefaultPolicies>
 class Node {
 public:
     Node(NodeConfig config, Clock& clock, Random& random, Sink& sink)
@@ -33,7 +33,7 @@
     // Takes an event: CallerRequest, CallerGone, TokensReceived, AttemptEnded, ProbeFailed, LoadReport,
     // CacheEvent, PlatformReply, ObjectChanged, PeerMessage or Tick. Every CallerRequest is answered by
     // exactly one Finish or Refuse, unless CallerGone comes first.
-    template <typename Event>
+    template<typename Event>
     void handle(const Event& event) { emitAll(m_decisions.handle(event, m_clock.now(), m_random.next())); }
 
     // Refuses new requests from now on with result code Draining; running ones go on.
--- a/include/redwingseam/node/RequestKind.h
+++ b/include/redwingseam/node/RequestKind.h
@@ -14,7 +14,7 @@
 
 } // namespace redwingseam::node
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::node::RequestKind> {
     using RequestKind = redwingseam::node::RequestKind;
     static constexpr std::array entries {
--- a/include/redwingseam/node/RunState.h
+++ b/include/redwingseam/node/RunState.h
@@ -15,7 +15,7 @@
 
 } // namespace redwingseam::node
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::node::RunState> {
     using RunState = redwingseam::node::RunState;
     static constexpr std::array entries {
--- a/include/redwingseam/platform/CallKind.h
+++ b/include/redwingseam/platform/CallKind.h
@@ -20,7 +20,7 @@
 
 } // namespace redwingseam::platform
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::platform::CallKind> {
     using CallKind = redwingseam::platform::CallKind;
     static constexpr std::array entries {
--- a/include/redwingseam/platform/CallOutcome.h
+++ b/include/redwingseam/platform/CallOutcome.h
@@ -19,7 +19,7 @@
 
 } // namespace redwingseam::platform
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::platform::CallOutcome> {
     using CallOutcome = redwingseam::platform::CallOutcome;
     static constexpr std::array entries {
--- a/include/redwingseam/platform/Purpose.h
+++ b/include/redwingseam/platform/Purpose.h
@@ -22,7 +22,7 @@
 
 } // namespace redwingseam::platform
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::platform::Purpose> {
     using Purpose = redwingseam::platform::Purpose;
     static constexpr std::array entries {
--- a/include/redwingseam/report/Cause.h
+++ b/include/redwingseam/report/Cause.h
@@ -25,7 +25,7 @@
 
 } // namespace redwingseam::report
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::report::Cause> {
     using Cause = redwingseam::report::Cause;
     static constexpr std::array entries {
--- a/include/redwingseam/report/Objective.h
+++ b/include/redwingseam/report/Objective.h
@@ -23,7 +23,7 @@
 
 } // namespace redwingseam::report
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::report::Objective> {
     using Objective = redwingseam::report::Objective;
     static constexpr std::array entries {
--- a/include/redwingseam/report/Window.h
+++ b/include/redwingseam/report/Window.h
@@ -24,7 +24,7 @@
 
 } // namespace redwingseam::report
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::report::Window> {
     using Window = redwingseam::report::Window;
     static constexpr std::array entries {
--- a/include/redwingseam/route/UpstreamKind.h
+++ b/include/redwingseam/route/UpstreamKind.h
@@ -14,7 +14,7 @@
 
 } // namespace redwingseam::route
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::route::UpstreamKind> {
     using UpstreamKind = redwingseam::route::UpstreamKind;
     static constexpr std::array entries {
--- a/include/redwingseam/route/UpstreamState.h
+++ b/include/redwingseam/route/UpstreamState.h
@@ -16,7 +16,7 @@
 
 } // namespace redwingseam::route
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::route::UpstreamState> {
     using UpstreamState = redwingseam::route::UpstreamState;
     static constexpr std::array entries {
--- a/include/redwingseam/settings/Field.h
+++ b/include/redwingseam/settings/Field.h
@@ -40,7 +40,7 @@
 
 } // namespace redwingseam::settings
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::settings::Field> {
     using Field = redwingseam::settings::Field;
     static constexpr std::array entries {
--- a/include/redwingseam/settings/FieldKind.h
+++ b/include/redwingseam/settings/FieldKind.h
@@ -15,7 +15,7 @@
 
 } // namespace redwingseam::settings
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::settings::FieldKind> {
     using FieldKind = redwingseam::settings::FieldKind;
     static constexpr std::array entries {
--- a/src/base/NamedThread.h
+++ b/src/base/NamedThread.h
@@ -13,7 +13,7 @@
     NamedThread() = default;
 
     // Runs `function` on a new thread. `name` is cut to the 15 characters that the kernel keeps.
-    template <typename Function>
+    template<typename Function>
     NamedThread(const std::string& name, Function function)
     {
         auto* heap = new Function(std::move(function));
@@ -27,7 +27,7 @@
     void join();
 
 private:
-    template <typename Function>
+    template<typename Function>
     static void* run(void* argument)
     {
         std::unique_ptr<Function> function(static_cast<Function*>(argument));
--- a/src/claim/AppendStep.h
+++ b/src/claim/AppendStep.h
@@ -16,7 +16,7 @@
 
 } // namespace redwingseam::claim
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::claim::AppendStep> {
     using AppendStep = redwingseam::claim::AppendStep;
     static constexpr std::array entries {
--- a/src/claim/ClaimDesk.cpp
+++ b/src/claim/ClaimDesk.cpp
@@ -44,9 +44,62 @@
     });
 }
 
+void ClaimDesk::withdraw(const ClaimTicket& ticket)
+{
+    m_groups.with(groupOf(ticket.key), [&](ClaimGroup& group) {
+        bool wasNeverSent = group.log.withdraw(ticket.key, ticket.holder);
+        if (!wasNeverSent)
+            group.withdrawn.insert(ticket);
+    });
+}
+
+bool ClaimDesk::takeWithdrawn(const ClaimTicket& ticket)
+{
+    return m_groups.with(groupOf(ticket.key), [&](ClaimGroup& group) { return group.withdrawn.erase(ticket) > 0; });
+}
+
+static ClaimRecord inForceOf(const ClaimLog& log, const ClaimRecord& record)
+{
+    const auto* state = log.find(record.key);
+    return state ? ClaimRecord { state->kind, record.key, state->holder, state->answer } : record;
+}
+
+std::optional<ClaimRecord> ClaimDesk::awaitOutcome(const base::IdempotencyKey& key, base::RequestId request, base::Instant deadline)
+{
+    return m_groups.with(groupOf(key), [&](ClaimGroup& group) -> std::optional<ClaimRecord> {
+        const auto* state = group.log.find(key);
+        if (state && state->kind != RecordKind::Claimed)
+            return ClaimRecord { state->kind, key, state->holder, state->answer };
+        group.outcomeWaiters.push_back({ key, request, deadline });
+        return std::nullopt;
+    });
+}
+
+void ClaimDesk::refreshForWaiters(ClaimGroup& group, base::Instant now)
+{
+    std::erase_if(group.outcomeWaiters, [&](const OutcomeWaiter& waiter) { return waiter.deadline <= now; });
+    if (group.outcomeWaiters.empty() || now < group.nextRefresh)
+        return;
+    group.nextRefresh = now + refreshInterval;
+    group.log.refresh();
+}
+
+void ClaimDesk::noticeOutcome(ClaimGroup& group, const ClaimRecord& record, std::vector<ClaimNotice>& notices)
+{
+    if (record.kind == RecordKind::Claimed)
+        return;
+    std::erase_if(group.outcomeWaiters, [&](const OutcomeWaiter& waiter) {
+        if (waiter.key != record.key)
+            return false;
+        notices.push_back({ ticketOf(record), inForceOf(group.log, record), { waiter.request, {} } });
+        return true;
+    });
+}
+
 LogCall ClaimDesk::poll(size_t index, base::Instant now)
 {
     return m_groups.with(index, [&](ClaimGroup& group) -> LogCall {
+        refreshForWaiters(group, now);
         if (now < group.notBefore)
             return {};
         return group.log.nextCall();
@@ -147,13 +200,12 @@
 {
     std::vector<ClaimNotice> notices;
     for (const auto& record : group.log.takeDecided()) {
+        noticeOutcome(group, record, notices);
         auto ticket = ticketOf(record);
         auto waiter = group.waiters.find(ticket);
         if (waiter == group.waiters.end())
             continue;
-        const auto* state = group.log.find(record.key);
-        ClaimRecord inForce = state ? ClaimRecord { state->kind, record.key, state->holder, state->answer } : record;
-        notices.push_back({ std::move(ticket), std::move(inForce), std::move(waiter->second) });
+        notices.push_back({ std::move(ticket), inForceOf(group.log, record), std::move(waiter->second) });
         group.waiters.erase(waiter);
     }
     return notices;
--- a/src/claim/ClaimDesk.h
+++ b/src/claim/ClaimDesk.h
@@ -19,6 +19,8 @@
     static constexpr size_t groupCount = 16;
     // Time between two appends of a group.
     static constexpr base::Duration appendInterval = std::chrono::milliseconds(60);
+    // Time between two looks at the log while a request waits for another's outcome.
+    static constexpr base::Duration refreshInterval = std::chrono::milliseconds(250);
     // Time after which a relayed record is appended by the node itself.
     static constexpr base::Duration relayPatience = std::chrono::milliseconds(800);
     // Log objects after which the preferred writer stores a new checkpoint.
@@ -33,6 +35,16 @@
     // Takes the answer of the preferred writer. Nothing if no one waits for it any more.
     std::optional<ClaimNotice> onDecided(const ClaimTicket&, const ClaimRecord& inForce);
 
+    // Notes that a claim's request was refused without having been dispatched. If the claim turns out
+    // to have taken its place in the log, it is to be given up.
+    void withdraw(const ClaimTicket&);
+    // Whether the claim was withdrawn; true once.
+    bool takeWithdrawn(const ClaimTicket&);
+
+    // Waits until the holder of a key has finished or given up. Returns what the log says if it already
+    // has; otherwise a notice with the request follows, unless the deadline passes first.
+    std::optional<ClaimRecord> awaitOutcome(const base::IdempotencyKey&, base::RequestId, base::Instant deadline);
+
     // Next call of a group, if it is time for one.
     LogCall poll(size_t group, base::Instant now);
     // Takes the result of a call. `jitter` is a random word that spreads retries.
@@ -52,6 +64,8 @@
 
 private:
     static std::vector<ClaimNotice> takeNotices(ClaimGroup&);
+    static void noticeOutcome(ClaimGroup&, const ClaimRecord&, std::vector<ClaimNotice>&);
+    static void refreshForWaiters(ClaimGroup&, base::Instant now);
     static void backOff(ClaimGroup&, base::Instant now, uint64_t jitter);
 
     base::Sharded<ClaimGroup, groupCount> m_groups;
--- a/src/claim/ClaimGroup.h
+++ b/src/claim/ClaimGroup.h
@@ -3,10 +3,13 @@
 #include "claim/ClaimLog.h"
 #include "claim/ClaimTicket.h"
 #include "claim/ClaimWaiter.h"
+#include "claim/OutcomeWaiter.h"
 #include "claim/RelayedRecord.h"
 #include "redwingseam/base/Instant.h"
 
 #include <map>
+#include <set>
+#include <vector>
 
 namespace redwingseam::claim {
 
@@ -15,6 +18,10 @@
     ClaimLog log;
     std::map<ClaimTicket, ClaimWaiter> waiters;
     std::map<ClaimTicket, RelayedRecord> relayed;
+    // Claims whose requests were refused before they were known to be in the log.
+    std::set<ClaimTicket> withdrawn;
+    std::vector<OutcomeWaiter> outcomeWaiters;
+    base::Instant nextRefresh;
     base::Instant notBefore;
     uint32_t failures = 0;
     uint64_t checkpointedAt = 0;
--- a/src/claim/ClaimLog.cpp
+++ b/src/claim/ClaimLog.cpp
@@ -24,13 +24,13 @@
     if (m_step != AppendStep::None)
         return {};
     bool hasWork = !m_waiting.empty() || !m_inFlight.records.empty();
-    if (!hasWork)
+    if (!hasWork && !m_isRefreshWanted)
         return {};
     if (!m_isLoaded) {
         m_step = AppendStep::ReadCheckpoint;
         return { m_step, 0, {} };
     }
-    if (m_mustRead) {
+    if (m_mustRead || !hasWork) {
         m_step = AppendStep::Read;
         return { m_step, m_nextNumber, {} };
     }
@@ -71,6 +71,7 @@
     if (!batch) {
         // The end of the log: the number is free.
         m_mustRead = false;
+        m_isRefreshWanted = false;
         return;
     }
     // A call of ours whose answer was lost may have made this object, in whole or as an earlier try.
--- a/src/claim/ClaimLog.h
+++ b/src/claim/ClaimLog.h
@@ -26,6 +26,9 @@
     // Takes back claims that have not been put into an append yet. Returns whether there was one.
     bool withdraw(const base::IdempotencyKey&, uint64_t holder);
 
+    // Asks for the log to be read to its end, though there is nothing to append.
+    void refresh() { m_isRefreshWanted = true; }
+
     // Next call to make; step None while one is under way or nothing is to be done.
     LogCall nextCall();
 
@@ -62,6 +65,7 @@
     AppendStep m_step = AppendStep::None;
     bool m_isLoaded = false;
     bool m_mustRead = true;
+    bool m_isRefreshWanted = false;
 };
 
 } // namespace redwingseam::claim
--- a/src/claim/ClaimPolicy.h
+++ b/src/claim/ClaimPolicy.h
@@ -18,7 +18,7 @@
     static bool mayRepeatLostCall(bool isIdempotent) { return isIdempotent; }
 };
 
-template <typename T>
+template<typename T>
 concept ClaimRules = requires(const ClaimRecord& record, uint64_t holder, bool flag)
 {
     {
--- a/src/codec/FactCodec.cpp
+++ b/src/codec/FactCodec.cpp
@@ -127,7 +127,7 @@
     return heavy;
 }
 
-template <typename Body>
+template<typename Body>
 static std::optional<membership::FactBody> widen(std::optional<Body> body)
 {
     if (!body)
--- a/src/codec/JsonReader.h
+++ b/src/codec/JsonReader.h
@@ -25,7 +25,7 @@
     const nlohmann::json& object(const char* key);
     bool has(const char* key) const { return m_object.is_object() && m_object.contains(key); }
 
-    template <typename Enum>
+    template<typename Enum>
     Enum named(const char* key);
 
     // Marks the reader as failed, for checks that go beyond types.
@@ -49,7 +49,7 @@
 
 namespace redwingseam::codec {
 
-template <typename Enum>
+template<typename Enum>
 Enum JsonReader::named(const char* key)
 {
     auto value = base::enumOf<Enum>(text(key));
--- a/src/codec/MessageType.h
+++ b/src/codec/MessageType.h
@@ -17,7 +17,7 @@
 
 } // namespace redwingseam::codec
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::codec::MessageType> {
     using MessageType = redwingseam::codec::MessageType;
     static constexpr std::array entries {
--- a/src/codec/ObjectCodec.cpp
+++ b/src/codec/ObjectCodec.cpp
@@ -79,7 +79,7 @@
     return lease;
 }
 
-template <typename Value>
+template<typename Value>
 static std::optional<platform::ObjectValue> widen(std::optional<Value> value)
 {
     if (!value)
--- a/src/codec/ObjectType.h
+++ b/src/codec/ObjectType.h
@@ -20,7 +20,7 @@
 
 } // namespace redwingseam::codec
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::codec::ObjectType> {
     using ObjectType = redwingseam::codec::ObjectType;
     static constexpr std::array entries {
--- a/src/daemon/Ticker.h
+++ b/src/daemon/Ticker.h
@@ -13,7 +13,7 @@
 // Calls a function at a fixed interval on a thread of its own until it is destroyed.
 class Ticker {
 public:
-    template <typename Function>
+    template<typename Function>
     Ticker(const std::string& name, base::Duration interval, Function function)
     {
         m_thread = base::NamedThread(name, [this, interval, function] {
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -20,7 +20,7 @@
 namespace redwingseam::http {
 
 // Takes what callers ask for.
-template <typename T>
+template<typename T>
 concept CallerEvents = requires(T& events, const node::CallerRequest& request, const node::CallerGone& gone)
 {
     events.handle(request);
@@ -30,7 +30,7 @@
 // Serves callers: completions as server-sent events or whole answers, and calls of plain services.
 // Threads of libmicrohttpd wait on epoll; a connection without anything to send is suspended. The
 // methods that take effects are thread-safe. It has no decisions of its own.
-template <CallerEvents Events>
+template<CallerEvents Events>
 class CallerServer {
 public:
     // `events` must outlive the server.
--- a/src/http/CurlLoop.h
+++ b/src/http/CurlLoop.h
@@ -16,7 +16,7 @@
 
 // Makes HTTP requests on one thread, many at a time. `submit` and `cancel` are thread-safe; a request
 // that was cancelled gets no `onDone`. The destructor ends the thread and drops what is under way.
-template <TransferHandler Handler>
+template<TransferHandler Handler>
 class CurlLoop {
 public:
     using Tag = typename Handler::Tag;
@@ -141,9 +141,7 @@
         using Millis = std::chrono::milliseconds;
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.timeout).count()));
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.connectTimeout).count()));
-        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(request.isHttp2 ? CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE : CURL_HTTP_VERSION_1_1));
-        if (request.isHttp2)
-            curl_easy_setopt(easy, CURLOPT_PIPEWAIT, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         if (request.isSingleUse) {
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/http/EventLines.h
+++ b/src/http/EventLines.h
@@ -19,7 +19,7 @@
 
     // Feeds bytes and calls `onEvent(const ServerEvent&)` for each event that they complete. Returns
     // false on an error.
-    template <typename Function>
+    template<typename Function>
     bool feed(std::string_view bytes, Function&& onEvent)
     {
         if (m_isBroken)
--- a/src/http/HttpRequest.h
+++ b/src/http/HttpRequest.h
@@ -17,8 +17,6 @@
     // Longest time for the whole exchange; zero for no limit.
     base::Duration timeout {};
     base::Duration connectTimeout = std::chrono::milliseconds(800);
-    // HTTP/2 without negotiation, which lets one connection carry many requests.
-    bool isHttp2 = false;
     // Uses a connection of its own. libcurl sends a request again by itself when a kept connection
     // turns out to be dead, which must not happen to work that may already have been run.
     bool isSingleUse = false;
--- a/src/http/RequestServer.h
+++ b/src/http/RequestServer.h
@@ -13,7 +13,7 @@
 // Serves HTTP with a thread per connection, for admin ports and small servers whose handlers may wait.
 // `Handler` has a type `Stream` with `next()`, which returns the next piece of a streamed body or
 // nothing at its end, and `handle(const ServerRequest&)`. Handlers run side by side.
-template <typename Handler>
+template<typename Handler>
 class RequestServer {
 public:
     using Response = ServerResponse<typename Handler::Stream>;
--- a/src/http/ServerResponse.h
+++ b/src/http/ServerResponse.h
@@ -6,7 +6,7 @@
 namespace redwingseam::http {
 
 // Answer of a request handler: a whole body, or a stream whose `next` may wait.
-template <typename Stream>
+template<typename Stream>
 struct ServerResponse {
     unsigned status = 200;
     std::string body;
--- a/src/http/TransferHandler.h
+++ b/src/http/TransferHandler.h
@@ -10,7 +10,7 @@
 // Takes the answers of a CurlLoop. `Tag` travels with each request. `onData` returns whether it
 // consumed the bytes; otherwise they are collected for `onDone`. Both run on the loop's thread and may
 // not wait.
-template <typename T>
+template<typename T>
 concept TransferHandler = requires(T& handler, typename T::Tag& tag, long status, std::string_view bytes, HttpResult result)
 {
     {
--- a/src/http/UpstreamAnswers.h
+++ b/src/http/UpstreamAnswers.h
@@ -11,7 +11,7 @@
 namespace redwingseam::http {
 
 // Takes what upstreams answer.
-template <typename T>
+template<typename T>
 concept UpstreamEvents = requires(T& events, const node::TokensReceived& tokens, const node::AttemptEnded& ended, const node::ProbeFailed& failed, const route::LoadReport& load, const route::CacheEvent& cache)
 {
     events.handle(tokens);
@@ -22,7 +22,7 @@
 };
 
 // Turns what upstreams answer into events.
-template <UpstreamEvents Events>
+template<UpstreamEvents Events>
 class UpstreamAnswers {
 public:
     using Tag = UpstreamCall;
--- a/src/http/UpstreamCallKind.h
+++ b/src/http/UpstreamCallKind.h
@@ -15,7 +15,7 @@
 
 } // namespace redwingseam::http
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::http::UpstreamCallKind> {
     using UpstreamCallKind = redwingseam::http::UpstreamCallKind;
     static constexpr std::array entries {
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -15,7 +15,7 @@
 
 // Carries out attempts at engines and plain services over HTTP. All events of one request come from
 // one thread, so they stay in order. Thread-safe.
-template <UpstreamEvents Events>
+template<UpstreamEvents Events>
 class UpstreamClient {
 public:
     explicit UpstreamClient(Events& events)
--- a/src/membership/FactStore.h
+++ b/src/membership/FactStore.h
@@ -16,7 +16,7 @@
 };
 
 // The facts that a node holds, in buckets that can be compared with another node's. Thread-safe.
-template <typename Policy = OverridePolicy>
+template<typename Policy = OverridePolicy>
 class FactStore {
 public:
     // Takes the fact in if it overrides the one held. Returns whether it did.
--- a/src/membership/FactStoreImpl.h
+++ b/src/membership/FactStoreImpl.h
@@ -15,7 +15,7 @@
     return base::hashWord(base::hashWord(bucketOf(fact.key), fact.incarnation), fact.sequence);
 }
 
-template <typename Policy>
+template<typename Policy>
 bool FactStore<Policy>::merge(const Fact& fact)
 {
     return m_buckets.with(bucketOf(fact.key), [&](FactBucket& bucket) {
@@ -31,7 +31,7 @@
     });
 }
 
-template <typename Policy>
+template<typename Policy>
 std::optional<Fact> FactStore<Policy>::find(const FactKey& key)
 {
     return m_buckets.with(bucketOf(key), [&](FactBucket& bucket) -> std::optional<Fact> {
@@ -42,7 +42,7 @@
     });
 }
 
-template <typename Policy>
+template<typename Policy>
 std::vector<Fact> FactStore<Policy>::all(FactKind kind)
 {
     std::vector<Fact> result;
@@ -53,7 +53,7 @@
     return result;
 }
 
-template <typename Policy>
+template<typename Policy>
 std::vector<Fact> FactStore<Policy>::bucket(size_t index)
 {
     return m_buckets.with(index, [](FactBucket& bucket) {
@@ -64,7 +64,7 @@
     });
 }
 
-template <typename Policy>
+template<typename Policy>
 BucketHashes FactStore<Policy>::hashes()
 {
     BucketHashes result {};
@@ -73,7 +73,7 @@
     return result;
 }
 
-template <typename Policy>
+template<typename Policy>
 size_t FactStore<Policy>::size()
 {
     size_t total = 0;
@@ -81,7 +81,7 @@
     return total;
 }
 
-template <typename Policy>
+template<typename Policy>
 void FactStore<Policy>::forget(const FactKey& key)
 {
     m_buckets.with(bucketOf(key), [&](FactBucket& bucket) {
--- a/src/node/DecisionsImpl.h
+++ b/src/node/DecisionsImpl.h
@@ -5,13 +5,13 @@
 
 namespace redwingseam::node {
 
-template <typename Policies>
+template<typename Policies>
 Decisions<Policies>::Decisions(NodeConfig config)
     : m_core(std::make_unique<NodeCore<Policies>>(std::move(config)))
 {
 }
 
-template <typename Policies>
+template<typename Policies>
 Decisions<Policies>::~Decisions() = default;
 
 inline Context makeContext(base::Instant now, uint64_t random)
@@ -19,8 +19,8 @@
     return { now, std::minstd_rand(static_cast<uint32_t>(random)), {} };
 }
 
-template <typename Policies>
-template <typename Event>
+template<typename Policies>
+template<typename Event>
 EffectList Decisions<Policies>::run(const Event& event, base::Instant now, uint64_t random)
 {
     auto context = makeContext(now, random);
@@ -28,7 +28,7 @@
     return std::move(context.effects);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::start(base::Instant now, uint64_t random)
 {
     auto context = makeContext(now, random);
@@ -36,7 +36,7 @@
     return std::move(context.effects);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::beginDrain(base::Instant now, uint64_t random)
 {
     auto context = makeContext(now, random);
@@ -44,109 +44,109 @@
     return std::move(context.effects);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const CallerRequest& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const CallerGone& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const TokensReceived& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const AttemptEnded& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const ProbeFailed& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const route::LoadReport& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const route::CacheEvent& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const platform::PlatformReply& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const platform::ObjectChanged& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const peer::PeerMessage& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 EffectList Decisions<Policies>::handle(const Tick& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
-template <typename Policies>
+template<typename Policies>
 bool Decisions<Policies>::isDrained()
 {
     return m_core->isDrained();
 }
 
-template <typename Policies>
+template<typename Policies>
 NodeStatus Decisions<Policies>::status(base::Instant now)
 {
     return m_core->status(now);
 }
 
-template <typename Policies>
+template<typename Policies>
 std::shared_ptr<const settings::Tree> Decisions<Policies>::settings()
 {
     return m_core->settings();
 }
 
-template <typename Policies>
+template<typename Policies>
 std::vector<route::UpstreamRecord> Decisions<Policies>::upstreams()
 {
     return m_core->upstreams();
 }
 
-template <typename Policies>
+template<typename Policies>
 report::BurnReport Decisions<Policies>::burn(base::Instant now)
 {
     return m_core->recorder().burn(now);
 }
 
-template <typename Policies>
+template<typename Policies>
 report::Counters Decisions<Policies>::counters()
 {
     return m_core->recorder().counters();
 }
 
-template <typename Policies>
+template<typename Policies>
 report::LatencySummary Decisions<Policies>::latency(base::Rank rank, report::Objective objective)
 {
     return m_core->recorder().latency(rank, objective);
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -33,7 +33,7 @@
 
 // Decisions of one VM, without I/O, clock or thread. Each `handle` takes an event and adds effects to
 // the context. Thread-safe: state lies in shards, and a call holds one shard's lock at a time.
-template <typename Policies>
+template<typename Policies>
 class NodeCore {
 public:
     explicit NodeCore(NodeConfig);
@@ -74,9 +74,10 @@
     void refuse(const base::RequestId&, base::Error, RunState, Context&);
     void refuse(const State&, base::Error, RunState, Context&);
     std::optional<State> take(const base::RequestId&);
-    template <typename Function>
+    template<typename Function>
     void withRequest(const base::RequestId&, Function&&);
     void dropFlights(const State&, Context&);
+    void giveUpClaim(const State&, Context&);
     base::Duration retryAfter(const base::PoolName&);
 
     // Dispatching: NodeCoreDispatch.h.
@@ -86,7 +87,7 @@
     bool begin(const Dispatch&, Context&);
     bool startFlight(const Dispatch&, Context&);
     void release(const base::PoolName&, const base::UpstreamName&, base::RequestId);
-    template <typename Function>
+    template<typename Function>
     void withPool(const base::PoolName&, Function&&);
 
     // Streams and losses: NodeCoreStreams.h.
@@ -106,6 +107,7 @@
     void pumpClaims(size_t group, Context&);
     void settle(const std::vector<claim::ClaimNotice>&, Context&);
     void settleRequest(base::RequestId, const claim::ClaimTicket&, const claim::ClaimRecord& inForce, Context&);
+    void settleForeign(base::RequestId, const claim::ClaimRecord& inForce, Context&);
     void onClaimReply(const platform::PlatformReply&, Context&);
 
     // Facts and peers: NodeCorePeers.h.
--- a/src/node/NodeCoreClaims.h
+++ b/src/node/NodeCoreClaims.h
@@ -7,13 +7,13 @@
 // Recording of non-idempotent calls before they are dispatched.
 namespace redwingseam::node {
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::claim(const State& state, Context& context)
 {
     submit({ claim::RecordKind::Claimed, *state.request.key, state.holder, {} }, { state.request.id, {} }, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::submit(claim::ClaimRecord record, claim::ClaimWaiter waiter, Context& context)
 {
     auto group = claim::ClaimDesk::groupOf(record.key);
@@ -29,7 +29,7 @@
     send(writer.front(), peer::ClaimRelay { m_config.self, { std::move(record) } }, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::pumpClaims(size_t group, Context& context)
 {
     auto call = m_claims.poll(group, context.now);
@@ -56,7 +56,7 @@
     context.emit(std::move(effect));
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::onClaimReply(const platform::PlatformReply& reply, Context& context)
 {
     auto group = reply.call.group;
@@ -79,7 +79,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::settle(const std::vector<claim::ClaimNotice>& notices, Context& context)
 {
     for (const auto& notice : notices) {
@@ -92,28 +92,31 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::settleRequest(base::RequestId id, const claim::ClaimTicket& ticket, const claim::ClaimRecord& inForce, Context& context)
 {
-    bool isGranted = Policies::ClaimRules::isGranted(inForce, ticket.holder);
+    bool isOwnClaim = ticket.kind == claim::RecordKind::Claimed && Policies::ClaimRules::isGranted(inForce, ticket.holder);
     bool isWaiting = false;
     withRequest(id, [&](State& state) {
-        isWaiting = state.phase == RequestPhase::Claiming && state.holder == ticket.holder;
-        if (!isWaiting || !isGranted)
+        isWaiting = state.phase == RequestPhase::Claiming && (state.holder == ticket.holder || state.awaitsOutcome);
+        if (!isWaiting || !isOwnClaim)
             return;
         state.hasClaim = true;
         state.phase = RequestPhase::Queued;
     });
-    if (!isWaiting) {
-        // The caller has been told that nothing was run, which this makes final.
-        if (isGranted)
-            submit({ claim::RecordKind::Abandoned, ticket.key, ticket.holder, {} }, {}, context);
-        return;
-    }
-    if (isGranted) {
+    if (isWaiting && isOwnClaim)
         enqueue(id, context);
-        return;
-    }
+    else if (isWaiting)
+        settleForeign(id, inForce, context);
+    else if (isOwnClaim && m_claims.takeWithdrawn(ticket))
+        // The caller was told that nothing was run. A second notice of a claim that is in use must not
+        // come here: the key would be free while its work is under way.
+        submit({ claim::RecordKind::Abandoned, ticket.key, ticket.holder, {} }, {}, context);
+}
+
+template<typename Policies>
+void NodeCore<Policies>::settleForeign(base::RequestId id, const claim::ClaimRecord& inForce, Context& context)
+{
     if (inForce.kind == claim::RecordKind::Finished) {
         if (auto state = take(id)) {
             m_recorder.recordFinish(state->policy, context.now);
@@ -121,10 +124,26 @@
         }
         return;
     }
-    refuse(id, { base::ResultCode::OutcomeUnknown, "another request with this key was sent and has no known outcome yet" }, RunState::Unknown, context);
+    bool isFreeAgain = inForce.kind == claim::RecordKind::Abandoned;
+    base::Instant deadline;
+    std::optional<State> copy;
+    withRequest(id, [&](State& state) {
+        state.awaitsOutcome = !isFreeAgain;
+        // A new holder: the record of the old one has lost for good.
+        state.holder += isFreeAgain ? 1 : 0;
+        deadline = state.deadline;
+        if (isFreeAgain)
+            copy = state;
+    });
+    if (copy) {
+        claim(*copy, context);
+        return;
+    }
+    if (auto known = m_claims.awaitOutcome(inForce.key, id, deadline))
+        settleForeign(id, *known, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::on(const peer::ClaimRelay& message, Context& context)
 {
     auto address = m_vms.addressOf(message.from);
@@ -136,7 +155,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::on(const peer::ClaimDecided& message, Context& context)
 {
     claim::ClaimTicket ticket { message.inForce.key, message.holder, message.kind };
--- a/src/node/NodeCoreDispatch.h
+++ b/src/node/NodeCoreDispatch.h
@@ -5,8 +5,8 @@
 // Giving queued work to upstreams.
 namespace redwingseam::node {
 
-template <typename Policies>
-template <typename Function>
+template<typename Policies>
+template<typename Function>
 void NodeCore<Policies>::withPool(const base::PoolName& name, Function&& function)
 {
     m_pools.with(std::hash<base::PoolName> {}(name), [&](PoolShard& shard) {
@@ -15,13 +15,13 @@
     });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::release(const base::PoolName& name, const base::UpstreamName& upstream, base::RequestId request)
 {
     withPool(name, [&](FairPool& pool) { pool.release(upstream, request); });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::pump(const base::PoolName& name, Context& context)
 {
     do {
@@ -29,7 +29,7 @@
     } while (preemptOne(name, context));
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::dispatchOne(const base::PoolName& name, Context& context)
 {
     std::optional<Dispatch> dispatch;
@@ -41,7 +41,7 @@
     return true;
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::begin(const Dispatch& dispatch, Context& context)
 {
     auto verdict = m_blame.verdict(dispatch.work.fingerprint);
@@ -66,7 +66,7 @@
     return hasBegun;
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::startFlight(const Dispatch& dispatch, Context& context)
 {
     bool hasBegun = false;
@@ -95,7 +95,7 @@
     return hasBegun;
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::preemptOne(const base::PoolName& name, Context& context)
 {
     std::optional<route::FlightEntry> victim;
--- a/src/node/NodeCorePeers.h
+++ b/src/node/NodeCorePeers.h
@@ -10,7 +10,7 @@
 // Facts that the nodes share, and the messages that carry them.
 namespace redwingseam::node {
 
-template <typename Policies>
+template<typename Policies>
 NodeCore<Policies>::NodeCore(NodeConfig config)
     : m_config(std::move(config))
     , m_incarnation(m_config.incarnation)
@@ -19,7 +19,7 @@
 {
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::start(Context& context)
 {
     for (const auto& seed : m_config.seeds) {
@@ -35,20 +35,20 @@
     chooseWatches(context);
 }
 
-template <typename Policies>
+template<typename Policies>
 peer::Digest NodeCore<Policies>::makeDigest(bool wantsDigest)
 {
     auto hashes = m_facts.hashes();
     return { m_config.self, m_config.peerAddress, { hashes.begin(), hashes.end() }, wantsDigest };
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::announceSelf(membership::VmState state, Context& context)
 {
     learn(membership::makeFact(membership::VmRecord { m_config.self, m_config.dataCentre, m_config.peerAddress, state }, m_incarnation), context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::beginDrain(Context& context)
 {
     m_isDraining = true;
@@ -56,7 +56,7 @@
     gossip(context);
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::isDrained()
 {
     size_t open = 0;
@@ -64,7 +64,7 @@
     return !open && !m_claims.pending();
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::learn(const membership::Fact& fact, Context& context)
 {
     if (!m_facts.merge(fact))
@@ -80,7 +80,7 @@
     apply(fact, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::apply(const membership::Fact& fact, Context& context)
 {
     switch (fact.key.kind) {
@@ -107,7 +107,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::applyFloors()
 {
     auto tree = m_settings.snapshot();
@@ -121,7 +121,7 @@
     });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::applyUpstream(const route::UpstreamRecord& record, Context& context)
 {
     bool isNear = record.dataCentre == m_config.dataCentre;
@@ -138,7 +138,7 @@
     pump(record.pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::applyVm(const membership::Fact& fact, Context& context)
 {
     const auto& record = std::get<membership::VmRecord>(fact.body);
@@ -155,7 +155,7 @@
     m_vms.update(record);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::applyHeavyClients(const membership::HeavyClients& heavy)
 {
     if (heavy.vm == m_config.self)
@@ -170,7 +170,7 @@
     });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::shareClientUse(Context& context)
 {
     static constexpr size_t heaviestShared = 8;
@@ -180,26 +180,26 @@
     learn(membership::makeFact(membership::HeavyClients { m_config.self, std::move(heaviest) }, m_incarnation, ++m_useSequence), context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::send(const base::VmName& vm, peer::PeerMessage message, Context& context)
 {
     if (auto address = m_vms.addressOf(vm))
         context.emit(peer::PeerSend { *address, std::move(message) });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const peer::PeerMessage& message, Context& context)
 {
     std::visit([&](const auto& alternative) { on(alternative, context); }, message);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::on(const peer::Heartbeat& message, Context& context)
 {
     m_monitor.onHeartbeat(message.from, context.now);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::on(const peer::Gossip& message, Context& context)
 {
     m_monitor.onHeartbeat(message.from, context.now);
@@ -207,7 +207,7 @@
         learn(fact, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::on(const peer::Digest& message, Context& context)
 {
     // Keeps a message well under the transport's limit; the next digest brings the rest.
@@ -230,7 +230,7 @@
         context.emit(peer::PeerSend { message.replyAddress, makeDigest(false) });
 }
 
-template <typename Policies>
+template<typename Policies>
 std::vector<base::VmName> NodeCore<Policies>::randomPeers(size_t count, Context& context)
 {
     auto peers = m_vms.liveInDataCentre(m_config.dataCentre);
@@ -240,7 +240,7 @@
     return peers;
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::gossip(Context& context)
 {
     static constexpr size_t fanout = 2;
@@ -260,14 +260,14 @@
         send(vm, peer::Gossip { m_config.self, far }, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::isRelay()
 {
     auto chosen = membership::rendezvous(m_vms.liveInDataCentre(m_config.dataCentre), "relay", relaysPerDataCentre);
     return chosen.size() < relaysPerDataCentre || std::find(chosen.begin(), chosen.end(), m_config.self) != chosen.end();
 }
 
-template <typename Policies>
+template<typename Policies>
 std::vector<base::VmName> NodeCore<Policies>::farRelays(Context& context)
 {
     std::vector<base::VmName> result;
@@ -279,7 +279,7 @@
     return result;
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::sendHeartbeats(Context& context)
 {
     auto ring = m_vms.liveInDataCentre(m_config.dataCentre);
@@ -295,7 +295,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::compareWithPeer(Context& context)
 {
     auto peers = randomPeers(1, context);
@@ -308,7 +308,7 @@
         send(vm, makeDigest(true), context);
 }
 
-template <typename Policies>
+template<typename Policies>
 NodeStatus NodeCore<Policies>::status(base::Instant now)
 {
     static constexpr base::Duration platformPatience = std::chrono::seconds(10);
@@ -336,7 +336,7 @@
     return status;
 }
 
-template <typename Policies>
+template<typename Policies>
 std::vector<route::UpstreamRecord> NodeCore<Policies>::upstreams()
 {
     std::vector<route::UpstreamRecord> records;
--- a/src/node/NodeCoreRequests.h
+++ b/src/node/NodeCoreRequests.h
@@ -7,8 +7,8 @@
 // Arrival, refusal and end of requests.
 namespace redwingseam::node {
 
-template <typename Policies>
-template <typename Function>
+template<typename Policies>
+template<typename Function>
 void NodeCore<Policies>::withRequest(const base::RequestId& id, Function&& function)
 {
     m_requests.with(id.value, [&](RequestMap& requests) {
@@ -18,7 +18,7 @@
     });
 }
 
-template <typename Policies>
+template<typename Policies>
 std::optional<typename NodeCore<Policies>::State> NodeCore<Policies>::take(const base::RequestId& id)
 {
     return m_requests.with(id.value, [&](RequestMap& requests) -> std::optional<State> {
@@ -31,7 +31,7 @@
     });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const CallerRequest& request, Context& context)
 {
     State state;
@@ -49,7 +49,7 @@
         admit(std::move(state), context);
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::checkTarget(State& state, Context& context)
 {
     const auto& target = state.request.resume ? state.request.resume->pool.text : state.request.target;
@@ -75,7 +75,7 @@
     return true;
 }
 
-template <typename Policies>
+template<typename Policies>
 bool NodeCore<Policies>::checkResume(State& state, Context& context)
 {
     if (!state.request.resume)
@@ -93,7 +93,7 @@
     return isDelivered;
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::admit(State state, Context& context)
 {
     auto id = state.request.id;
@@ -109,7 +109,7 @@
         enqueue(id, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 schedule::QueuedWork NodeCore<Policies>::describeWork(const State& state)
 {
     auto rank = state.policy.rank;
@@ -130,7 +130,7 @@
     };
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::enqueue(const base::RequestId& id, Context& context)
 {
     std::optional<schedule::QueuedWork> work;
@@ -158,7 +158,7 @@
     pump(pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::refuse(const base::RequestId& id, base::Error error, RunState runState, Context& context)
 {
     auto state = take(id);
@@ -168,19 +168,17 @@
     dropFlights(*state, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::refuse(const State& state, base::Error error, RunState runState, Context& context)
 {
     bool mayComeBack = error.code == base::ResultCode::QueueFull || error.code == base::ResultCode::DeadlinePassed || error.code == base::ResultCode::ClaimStoreUnavailable || error.code == base::ResultCode::Draining;
     m_recorder.countRefusal(state.policy, error.code, context.now);
-    // A claim that was granted and not used is given back, so that the key can be tried again.
-    bool wastesClaim = state.hasClaim && runState == RunState::NotRun && state.request.key;
-    if (wastesClaim)
-        submit({ claim::RecordKind::Abandoned, *state.request.key, state.holder, {} }, {}, context);
+    if (runState == RunState::NotRun)
+        giveUpClaim(state, context);
     context.emit(Refuse { state.request.id, std::move(error), runState, mayComeBack ? retryAfter(state.pool) : base::Duration {} });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::dropFlights(const State& state, Context& context)
 {
     for (const auto* flight : { &state.current, &state.rival }) {
@@ -193,7 +191,7 @@
     pump(state.pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 base::Duration NodeCore<Policies>::retryAfter(const base::PoolName& name)
 {
     // Time for the queue to drain, taking each slot to turn over in a few seconds.
@@ -207,7 +205,7 @@
     return std::min(wait, longestWait);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const CallerGone& event, Context& context)
 {
     bool keepsRunning = false;
@@ -222,9 +220,18 @@
     auto state = take(event.request);
     if (!state)
         return;
-    if (state->hasClaim && state->request.key)
-        submit({ claim::RecordKind::Abandoned, *state->request.key, state->holder, {} }, {}, context);
+    giveUpClaim(*state, context);
     dropFlights(*state, context);
 }
 
+template<typename Policies>
+void NodeCore<Policies>::giveUpClaim(const State& state, Context& context)
+{
+    // So that the key can be tried again.
+    if (state.hasClaim)
+        submit({ claim::RecordKind::Abandoned, *state.request.key, state.holder, {} }, {}, context);
+    else if (state.phase == RequestPhase::Claiming)
+        m_claims.withdraw({ *state.request.key, state.holder, claim::RecordKind::Claimed });
+}
+
 } // namespace redwingseam::node
--- a/src/node/NodeCoreSettings.h
+++ b/src/node/NodeCoreSettings.h
@@ -7,14 +7,14 @@
 // The settings tree, and what the platform's store shows.
 namespace redwingseam::node {
 
-template <typename Policies>
+template<typename Policies>
 settings::Policy NodeCore<Policies>::policyFor(const CallerRequest& request)
 {
     auto tree = m_settings.snapshot();
     return settings::resolvePolicy(*tree, { request.client, request.work, m_config.region });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::chooseWatches(Context& context)
 {
     static constexpr size_t watchersPerDataCentre = 2;
@@ -26,7 +26,7 @@
         context.emit(platform::WatchObjects { std::string(prefix), isChosen });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::acceptBranches(Context& context)
 {
     if (!m_isWatching)
@@ -44,7 +44,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const platform::ObjectChanged& event, Context& context)
 {
     if (!event.value) {
@@ -64,7 +64,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const platform::PlatformReply& reply, Context& context)
 {
     bool isAnswered = reply.outcome != platform::CallOutcome::Unknown;
--- a/src/node/NodeCoreStreams.h
+++ b/src/node/NodeCoreStreams.h
@@ -7,7 +7,7 @@
 // Tokens, and what happens when an attempt or an upstream is lost.
 namespace redwingseam::node {
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const TokensReceived& event, Context& context)
 {
     TokenOutcome outcome;
@@ -31,7 +31,7 @@
         loseAttempt(event.request, event.attempt, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const AttemptEnded& event, Context& context)
 {
     if (event.end == AttemptEnd::Complete) {
@@ -80,7 +80,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::complete(const AttemptEnded& event, Context& context)
 {
     bool isComplete = false;
@@ -121,7 +121,7 @@
     dropFlights(*state, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::loseAttempt(base::RequestId id, base::AttemptNumber attempt, Context& context)
 {
     std::optional<Flight> lost;
@@ -153,7 +153,7 @@
     pump(pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::requeueAfterLoss(base::RequestId id, Context& context)
 {
     bool mustQueue = false;
@@ -168,7 +168,7 @@
         enqueue(id, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::onUpstreamLost(const base::UpstreamName& upstream, base::RequestId reporter, Context& context)
 {
     auto pool = m_directory.poolOf(upstream);
@@ -197,7 +197,7 @@
         loseAttempt(request, attempt, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::applyVerdicts(const std::vector<route::VerdictChange>& changes, const base::UpstreamName& upstream, Context& context)
 {
     for (const auto& change : changes) {
@@ -207,7 +207,7 @@
     }
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const ProbeFailed& event, Context& context)
 {
     auto pool = m_directory.poolOf(event.upstream);
@@ -217,7 +217,7 @@
     pump(*pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const route::LoadReport& report, Context& context)
 {
     auto pool = m_directory.poolOf(report.upstream);
@@ -236,7 +236,7 @@
     pump(*pool, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const route::CacheEvent& event, Context&)
 {
     if (auto pool = m_directory.poolOf(event.upstream))
--- a/src/node/NodeCoreTimers.h
+++ b/src/node/NodeCoreTimers.h
@@ -16,7 +16,7 @@
     return last.compare_exchange_strong(previous, current);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::handle(const Tick&, Context& context)
 {
     static constexpr base::Duration gossipInterval = std::chrono::milliseconds(250);
@@ -44,7 +44,7 @@
         shareClientUse(context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::checkDeadlines(Context& context)
 {
     std::vector<base::RequestId> late;
@@ -57,13 +57,14 @@
     for (auto request : late)
         refuse(request, { base::ResultCode::DeadlinePassed, "no upstream was free before the deadline" }, RunState::NotRun, context);
     std::vector<base::RequestId> unclaimed;
+    std::vector<base::RequestId> unknown;
     std::vector<base::RequestId> unanswered;
     m_requests.forEach([&](RequestMap& requests) {
         for (auto& [id, state] : requests) {
             if (context.now < state.deadline)
                 continue;
             if (state.phase == RequestPhase::Claiming)
-                unclaimed.push_back(id);
+                (state.awaitsOutcome ? unknown : unclaimed).push_back(id);
             bool isOverdueCall = state.phase == RequestPhase::Running && !state.isRepeatable() && context.now - state.current->startedAt > state.policy.deadline;
             if (isOverdueCall)
                 unanswered.push_back(id);
@@ -71,11 +72,13 @@
     });
     for (auto request : unclaimed)
         refuse(request, { base::ResultCode::ClaimStoreUnavailable, "the call could not be recorded, so it was not sent" }, RunState::NotRun, context);
+    for (auto request : unknown)
+        refuse(request, { base::ResultCode::OutcomeUnknown, "another request with this key was sent and has no known outcome" }, RunState::Unknown, context);
     for (auto request : unanswered)
         detach(request, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::detach(base::RequestId id, Context& context)
 {
     bool isDetached = false;
@@ -88,7 +91,7 @@
         context.emit(Refuse { id, { base::ResultCode::OutcomeUnknown, "the call was sent and has not been answered; repeat the key to look it up" }, RunState::Unknown, {} });
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::checkSilence(Context& context)
 {
     std::vector<base::RequestId> silent;
@@ -106,7 +109,7 @@
         suspectSilent(request, context);
 }
 
-template <typename Policies>
+template<typename Policies>
 void NodeCore<Policies>::suspectSilent(base::RequestId id, Context& context)
 {
     std::optional<schedule::QueuedWork> work;
--- a/src/node/Pool.h
+++ b/src/node/Pool.h
@@ -13,7 +13,7 @@
 
 // Upstreams that serve the same work, and the work that waits for them. Not synchronised: it lies in
 // a shard. `Queue` decides what goes next and `Choice` where it goes.
-template <schedule::WorkQueue Queue, route::Chooser Choice>
+template<schedule::WorkQueue Queue, route::Chooser Choice>
 class Pool {
 public:
     explicit Pool(Choice choice)
--- a/src/node/RequestPhase.h
+++ b/src/node/RequestPhase.h
@@ -18,7 +18,7 @@
 
 } // namespace redwingseam::node
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::node::RequestPhase> {
     using RequestPhase = redwingseam::node::RequestPhase;
     static constexpr std::array entries {
--- a/src/node/RequestState.h
+++ b/src/node/RequestState.h
@@ -13,7 +13,7 @@
 namespace redwingseam::node {
 
 // All that a node keeps of one request. `Rules` decide which tokens are taken.
-template <stream::LedgerRules Rules>
+template<stream::LedgerRules Rules>
 struct RequestState {
     CallerRequest request;
     settings::Policy policy;
@@ -39,6 +39,8 @@
     // Non-idempotent calls: number that the claim is recorded under.
     uint64_t holder = 0;
     bool hasClaim = false;
+    // Another request with the same key was sent; this one waits for its outcome.
+    bool awaitsOutcome = false;
 
     bool isGeneration() const { return request.kind == RequestKind::Generation; }
     // Whether the work may be run again after it may have run.
--- a/src/node/TokenIntake.h
+++ b/src/node/TokenIntake.h
@@ -9,7 +9,7 @@
 namespace redwingseam::node {
 
 // Books the time between tokens of the attempt that delivered.
-template <typename State>
+template<typename State>
 void bookGap(State& state, Flight& flight, size_t tokens, base::Instant now, TokenOutcome& outcome)
 {
     // The first token of an attempt waits for the prefill, so it says nothing of the gaps.
@@ -23,7 +23,7 @@
 }
 
 // Makes the attempt that won the race the current one.
-template <typename State>
+template<typename State>
 void settleFlights(State& state, base::AttemptNumber winner, bool hasLoser, TokenOutcome& outcome)
 {
     // The upstream has come back, so a rival that waits in the queue is not wanted any more.
@@ -38,7 +38,7 @@
 
 // Whether an answer that is generated again differs from what the caller was given before. Judged
 // once, when it has reached the point where the caller left off.
-template <typename State>
+template<typename State>
 bool isForeignAnswer(const State& state, uint32_t firstIndex)
 {
     const auto& resume = state.request.resume;
@@ -54,7 +54,7 @@
 }
 
 // Tokens that the caller has not been sent yet, and the times to be recorded for them.
-template <typename State>
+template<typename State>
 void prepareSend(State& state, const stream::Acceptance& acceptance, base::Instant now, TokenOutcome& outcome)
 {
     size_t sent = state.sentBefore > acceptance.firstIndex ? state.sentBefore - acceptance.firstIndex : 0;
@@ -73,7 +73,7 @@
 }
 
 // Takes tokens of one attempt into the answer and says what follows.
-template <typename State>
+template<typename State>
 TokenOutcome takeTokens(State& state, const TokensReceived& event, base::Instant now)
 {
     TokenOutcome outcome;
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -1,44 +1,54 @@
 #pragma once
 
-#include "codec/PeerCodec.h"
-#include "http/CurlLoop.h"
-#include "peer/IgnoredAnswers.h"
+#include "base/NamedThread.h"
+#include "peer/PeerLink.h"
+#include "peer/Poller.h"
+#include "redwingseam/base/Mutex.h"
 #include "redwingseam/peer/PeerSend.h"
 
 #include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace redwingseam::peer {
 
-// Sends messages to other VMs, each as a stream of the one HTTP/2 connection to that VM. Thread-safe.
+// Sends messages to other VMs, each as a stream of the one HTTP/2 connection to that VM. What cannot be
+// delivered is dropped: the node sends again what it needs to. Thread-safe.
 class PeerClient {
 public:
-    PeerClient()
-        : m_loop(m_answers, "peer-out")
-    {
-    }
-
-    void send(const PeerSend& effect)
-    {
-        static constexpr base::Duration messageTimeout = std::chrono::seconds(2);
-        http::HttpRequest request { "POST", "http://" + effect.address + "/peer", codec::formatMessage(effect.message) };
-        request.headers.emplace_back("Content-Type: application/cbor");
-        request.isHttp2 = true;
-        request.timeout = messageTimeout;
-        m_bytes += request.body.size();
-        ++m_messages;
-        m_loop.submit(m_nextId++, std::move(request), {});
-    }
-
-    void stop() { m_loop.stop(); }
+    PeerClient();
+    ~PeerClient() { stop(); }
+    PeerClient(const PeerClient&) = delete;
+    PeerClient& operator=(const PeerClient&) = delete;
+
+    void send(const PeerSend&);
+    void stop();
     uint64_t bytesSent() const { return m_bytes; }
     uint64_t messagesSent() const { return m_messages; }
 
 private:
-    std::atomic<uint64_t> m_nextId { 1 };
+    struct Queued {
+        std::string address;
+        std::string message;
+    };
+
+    void run();
+    void takeQueued();
+    PeerLink* linkTo(const std::string& address);
+    void advance(const std::string& address);
+
     std::atomic<uint64_t> m_bytes { 0 };
     std::atomic<uint64_t> m_messages { 0 };
-    IgnoredAnswers m_answers;
-    http::CurlLoop<IgnoredAnswers> m_loop;
+    std::atomic<bool> m_isStopping { false };
+    base::Mutex m_mutex;
+    std::vector<Queued> m_queued;
+    Poller m_poller;
+    std::map<std::string, std::unique_ptr<PeerLink>> m_links;
+    std::unordered_map<int, std::string> m_addresses;
+    base::NamedThread m_thread;
 };
 
 } // namespace redwingseam::peer
--- /dev/null
+++ b/src/peer/PeerLink.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "http/ListenAddress.h"
+#include "peer/SessionPump.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace redwingseam::peer {
+
+// One HTTP/2 connection to another VM. Each message goes out as a stream of its own. Used by one thread.
+class PeerLink {
+public:
+    explicit PeerLink(const http::ListenAddress&);
+
+    int descriptor() const { return m_pump.descriptor(); }
+    bool advance() { return m_pump.advance(); }
+    bool hasUnsent() const { return m_pump.hasUnsent(); }
+
+    // Queues a message. Returns false if too much is queued already; the message is then dropped.
+    bool send(std::string message);
+
+private:
+    struct Outgoing {
+        std::string message;
+        size_t offset = 0;
+    };
+
+    static ssize_t onRead(nghttp2_session*, int32_t stream, uint8_t* buffer, size_t size, uint32_t* flags, nghttp2_data_source*, void* self);
+    static int onClosed(nghttp2_session*, int32_t stream, uint32_t, void* self);
+
+    SessionPump m_pump;
+    std::string m_authority;
+    std::unordered_map<int32_t, Outgoing> m_streams;
+    size_t m_queuedBytes = 0;
+};
+
+} // namespace redwingseam::peer
--- a/src/peer/PeerSession.cpp
+++ b/src/peer/PeerSession.cpp
@@ -1,8 +1,6 @@
 #include "peer/PeerSession.h"
 
 #include <array>
-#include <cerrno>
-#include <sys/socket.h>
 
 namespace redwingseam::peer {
 
@@ -10,66 +8,23 @@
 static constexpr uint32_t mostStreams = 256;
 
 PeerSession::PeerSession(Socket socket)
-    : m_socket(std::move(socket))
 {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &PeerSession::onData);
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &PeerSession::onFrame);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &PeerSession::onClosed);
-    nghttp2_session_server_new(&m_session, callbacks, this);
+    nghttp2_session* session = nullptr;
+    nghttp2_session_server_new(&session, callbacks, this);
     nghttp2_session_callbacks_del(callbacks);
     std::array settings {
         nghttp2_settings_entry { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, mostStreams },
         nghttp2_settings_entry { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, longestMessage },
     };
-    nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
-}
-
-PeerSession::~PeerSession()
-{
-    nghttp2_session_del(m_session);
-}
-
-bool PeerSession::advance()
-{
-    if (!readAll() || !writeAll())
-        return false;
-    return nghttp2_session_want_read(m_session) || nghttp2_session_want_write(m_session);
-}
-
-bool PeerSession::readAll()
-{
-    std::array<uint8_t, 16 * 1024> buffer {};
-    while (true) {
-        auto count = recv(m_socket.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
-        if (count == 0)
-            return false;
-        if (count < 0)
-            return errno == EAGAIN || errno == EINTR;
-        if (nghttp2_session_mem_recv(m_session, buffer.data(), static_cast<size_t>(count)) < 0)
-            return false;
-    }
-}
-
-bool PeerSession::writeAll()
-{
-    while (true) {
-        const uint8_t* bytes = nullptr;
-        auto size = nghttp2_session_mem_send(m_session, &bytes);
-        if (size < 0)
-            return false;
-        if (!size)
-            break;
-        m_outgoing.append(reinterpret_cast<const char*>(bytes), static_cast<size_t>(size));
-    }
-    while (!m_outgoing.empty()) {
-        auto count = ::send(m_socket.descriptor(), m_outgoing.data(), m_outgoing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        if (count < 0)
-            return errno == EAGAIN || errno == EINTR;
-        m_outgoing.erase(0, static_cast<size_t>(count));
-    }
-    return true;
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    // The window of the whole connection must let a long message through as well.
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, longestMessage);
+    m_pump.open(std::move(socket), session);
 }
 
 int PeerSession::onData(nghttp2_session*, uint8_t, int32_t stream, const uint8_t* bytes, size_t size, void* self)
--- a/src/peer/PeerSession.h
+++ b/src/peer/PeerSession.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "peer/Socket.h"
+#include "peer/SessionPump.h"
 
 #include <cstdint>
-#include <nghttp2/nghttp2.h>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace redwingseam::peer {
@@ -14,15 +14,9 @@
 class PeerSession {
 public:
     explicit PeerSession(Socket);
-    ~PeerSession();
-    PeerSession(const PeerSession&) = delete;
-    PeerSession& operator=(const PeerSession&) = delete;
 
-    int descriptor() const { return m_socket.descriptor(); }
-
-    // Reads and writes what the socket allows. Returns false when the connection is over.
-    bool advance();
-    bool wantsWrite() const { return !m_outgoing.empty(); }
+    bool advance() { return m_pump.advance(); }
+    bool hasUnsent() const { return m_pump.hasUnsent(); }
     // Messages that have come in whole since the last call.
     std::vector<std::string> takeMessages() { return std::exchange(m_messages, {}); }
 
@@ -31,14 +25,9 @@
     static int onFrame(nghttp2_session*, const nghttp2_frame*, void* self);
     static int onClosed(nghttp2_session*, int32_t stream, uint32_t, void* self);
 
-    bool readAll();
-    bool writeAll();
-
-    Socket m_socket;
-    nghttp2_session* m_session = nullptr;
+    SessionPump m_pump;
     std::unordered_map<int32_t, std::string> m_bodies;
     std::vector<std::string> m_messages;
-    std::string m_outgoing;
 };
 
 } // namespace redwingseam::peer
--- /dev/null
+++ b/src/peer/Poller.cpp
@@ -0,0 +1,45 @@
+#include "peer/Poller.h"
+
+#include <array>
+#include <sys/eventfd.h>
+
+namespace redwingseam::peer {
+
+Poller::Poller()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+    , m_event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    add(m_event.descriptor(), EPOLLIN);
+}
+
+void Poller::control(int operation, int descriptor, uint32_t events)
+{
+    epoll_event event {};
+    event.events = events;
+    event.data.fd = descriptor;
+    epoll_ctl(m_epoll.descriptor(), operation, descriptor, &event);
+}
+
+std::vector<int> Poller::wait()
+{
+    static constexpr int waitsForever = -1;
+    std::array<epoll_event, 64> events {};
+    int count = epoll_wait(m_epoll.descriptor(), events.data(), static_cast<int>(events.size()), waitsForever);
+    std::vector<int> ready;
+    for (int i = 0; i < count; ++i) {
+        auto descriptor = events[static_cast<size_t>(i)].data.fd;
+        eventfd_t ignored = 0;
+        if (descriptor == m_event.descriptor())
+            eventfd_read(descriptor, &ignored);
+        else
+            ready.push_back(descriptor);
+    }
+    return ready;
+}
+
+void Poller::wake()
+{
+    eventfd_write(m_event.descriptor(), 1);
+}
+
+} // namespace redwingseam::peer
--- /dev/null
+++ b/src/peer/SessionPump.cpp
@@ -0,0 +1,51 @@
+#include "peer/SessionPump.h"
+
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <sys/socket.h>
+
+namespace redwingseam::peer {
+
+bool SessionPump::advance()
+{
+    if (!readAll() || !writeAll())
+        return false;
+    return nghttp2_session_want_read(m_session) || nghttp2_session_want_write(m_session);
+}
+
+bool SessionPump::readAll()
+{
+    std::array<uint8_t, 16 * 1024> buffer {};
+    while (true) {
+        auto count = recv(m_socket.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (count == 0)
+            return false;
+        if (count < 0)
+            return errno == EAGAIN || errno == EINTR;
+        if (nghttp2_session_mem_recv(m_session, buffer.data(), static_cast<size_t>(count)) < 0)
+            return false;
+    }
+}
+
+bool SessionPump::writeAll()
+{
+    while (true) {
+        const uint8_t* bytes = nullptr;
+        auto size = nghttp2_session_mem_send(m_session, &bytes);
+        if (size < 0)
+            return false;
+        if (!size)
+            break;
+        m_outgoing.append(reinterpret_cast<const char*>(bytes), static_cast<size_t>(size));
+    }
+    while (!m_outgoing.empty()) {
+        auto count = ::send(m_socket.descriptor(), m_outgoing.data(), m_outgoing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count < 0)
+            return errno == EAGAIN || errno == EINTR;
+        m_outgoing.erase(0, static_cast<size_t>(count));
+    }
+    return true;
+}
+
+} // namespace redwingseam::peer
--- a/src/platform/StoreAnswers.h
+++ b/src/platform/StoreAnswers.h
@@ -11,7 +11,7 @@
 namespace redwingseam::platform {
 
 // Takes what the platform's store answers.
-template <typename T>
+template<typename T>
 concept StoreEvents = requires(T& events, const PlatformReply& reply, const ObjectChanged& changed)
 {
     events.handle(reply);
@@ -19,7 +19,7 @@
 };
 
 // Turns what the platform's store answers into events.
-template <StoreEvents Events>
+template<StoreEvents Events>
 class StoreAnswers {
 public:
     using Tag = StoreTag;
--- a/src/platform/StoreClient.h
+++ b/src/platform/StoreClient.h
@@ -11,7 +11,7 @@
 
 // Calls and watches the platform's store over HTTP. A watch lists its prefix, then waits for changes,
 // and starts over with a growing pause when the store fails. Thread-safe.
-template <StoreEvents Events>
+template<StoreEvents Events>
 class StoreClient {
 public:
     StoreClient(std::string url, Events& events)
--- a/src/report/Recorder.cpp
+++ b/src/report/Recorder.cpp
@@ -10,7 +10,7 @@
 struct Recorder::Shards {
     base::Sharded<RecorderShard, 4> shards;
 
-    template <typename Function>
+    template<typename Function>
     void here(Function&& function)
     {
         // Drops the low bits, which are equal for all threads' descriptors.
--- a/src/route/Chooser.h
+++ b/src/route/Chooser.h
@@ -14,7 +14,7 @@
 
 // Choice of an upstream for a piece of work among all of a pool. Returns an index into `upstreams`
 // with a free slot, nothing if there is none that suits.
-template <typename T>
+template<typename T>
 concept Chooser = requires(T& chooser, std::span<const UpstreamView> upstreams, const PrefixIndex& prefixes, const schedule::QueuedWork& work, std::minstd_rand& random)
 {
     chooser.rebuild(upstreams);
--- a/src/route/Verdict.h
+++ b/src/route/Verdict.h
@@ -15,7 +15,7 @@
 
 } // namespace redwingseam::route
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::route::Verdict> {
     using Verdict = redwingseam::route::Verdict;
     static constexpr std::array entries {
--- a/src/schedule/WorkQueue.h
+++ b/src/schedule/WorkQueue.h
@@ -8,7 +8,7 @@
 namespace redwingseam::schedule {
 
 // Order in which queued work is given out. Not synchronised: the owner's shard lock guards it.
-template <typename T>
+template<typename T>
 concept WorkQueue = requires(T& queue, const T& constQueue, QueuedWork work, base::Instant now, base::RequestId request)
 {
     queue.push(std::move(work));
--- a/src/stream/Ledger.h
+++ b/src/stream/Ledger.h
@@ -12,7 +12,7 @@
 // Keeps each token of one answer exactly once. Only the current attempt's next token is taken; with a
 // rival attempt under way, whichever delivers the next token first becomes the current one and the
 // other is shut out. Not synchronised: it lies in a shard.
-template <LedgerRules Rules = LedgerPolicy>
+template<LedgerRules Rules = LedgerPolicy>
 class Ledger {
 public:
     const Transcript& transcript() const { return m_transcript; }
--- a/src/stream/LedgerPolicy.h
+++ b/src/stream/LedgerPolicy.h
@@ -13,7 +13,7 @@
     static bool isNext(uint32_t index, uint32_t size) { return index == size; }
 };
 
-template <typename T>
+template<typename T>
 concept LedgerRules = requires(uint64_t attempt, uint32_t index)
 {
     {
--- a/tools/redwingseam/TreeChange.h
+++ b/tools/redwingseam/TreeChange.h
@@ -30,7 +30,7 @@
 
 } // namespace redwingseam::cli
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::cli::ChangeKind> {
     using ChangeKind = redwingseam::cli::ChangeKind;
     static constexpr std::array entries {
--- a/tools/redwingseam/Verb.h
+++ b/tools/redwingseam/Verb.h
@@ -21,7 +21,7 @@
 
 } // namespace redwingseam::cli
 
-template <>
+template<>
 struct redwingseam::base::EnumNames<redwingseam::cli::Verb> {
     using Verb = redwingseam::cli::Verb;
     static constexpr std::array entries {
