--- a/src/stream/Ledger.h
+++ b/src/stream/Ledger.h
@@ -6,6 +6,7 @@
 #include "stream/Transcript.h"
 
 #include <span>
+#include <utility>
 
 namespace redwingseam::stream {
 
--- /dev/null
+++ b/tests/Main.cpp
@@ -0,0 +1,12 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <cstdlib>
+
+int main(int argc, char** argv)
+{
+    // RapidCheck keeps caches that the leak detector would report.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    // The same cases in every run, unless someone asks for others.
+    setenv("RC_PARAMS", "seed=20261204 max_success=60", 0);
+    return CommandLineTestRunner::RunAllTests(argc, argv);
+}
--- /dev/null
+++ b/tests/PoisonTest.cpp
@@ -0,0 +1,107 @@
+#include "PropertyCheck.h"
+#include "fakes/Deployment.h"
+#include "route/BlameBook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct PoisonOutcome {
+    uint64_t enginesLost = 0;
+    uint32_t innocentRefusals = 0;
+    uint32_t innocentUnanswered = 0;
+    bool isHarmfulRefused = false;
+};
+
+// Sends a request that ends every engine among innocent ones, and again after each refusal, through
+// other nodes. `unrelatedDeath` ends one engine for no reason at that time.
+PoisonOutcome runPoison(uint64_t seed, size_t nodes, std::optional<base::Duration> unrelatedDeath)
+{
+    fakes::WorldOptions options { .seed = seed, .nodes = nodes };
+    fakes::Deployment<> deployment(options, 6);
+    auto& world = deployment.world;
+    world.setDeadlyPrompt("deadly");
+    std::vector<size_t> innocents;
+    for (size_t i = 0; i < 10; ++i)
+        innocents.push_back(world.call(i % nodes, fakes::generation("innocent " + std::to_string(i), 150)));
+    world.runFor(500ms);
+    std::vector<size_t> harmful;
+    harmful.push_back(world.call(0, fakes::generation("deadly", 100)));
+    auto victim = world.random().below(deployment.engines.size());
+    for (size_t step = 0; step < 400; ++step) {
+        world.runFor(100ms);
+        bool isTime = unrelatedDeath && *unrelatedDeath >= step * 100ms && *unrelatedDeath < (step + 1) * 100ms;
+        if (isTime && world.upstreams()[deployment.engines[victim]].isAlive)
+            world.killUpstream(deployment.engines[victim]);
+        // The caller does not give up.
+        if (world.callers()[harmful.back()].refusal && harmful.size() < 10)
+            harmful.push_back(world.call(harmful.size() % nodes, fakes::generation("deadly", 100)));
+        for (auto engine : deployment.engines) {
+            if (step % 20 == 19 && !world.upstreams()[engine].isAlive)
+                world.reviveUpstream(engine);
+        }
+    }
+    PoisonOutcome outcome;
+    for (auto engine : deployment.engines)
+        outcome.enginesLost += world.upstreams()[engine].deaths;
+    for (auto index : innocents) {
+        outcome.innocentRefusals += world.callers()[index].refusal ? 1 : 0;
+        outcome.innocentUnanswered += world.callers()[index].isOver() ? 0 : 1;
+    }
+    outcome.isHarmfulRefused = world.callers()[harmful.front()].refusal && world.callers()[harmful.front()].refusal->error.code == base::ResultCode::HarmfulRequest;
+    return outcome;
+}
+
+} // namespace
+
+TEST_GROUP(Poison) {};
+
+TEST(Poison, HarmfulRequestEndsTwoEnginesAtMost)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        auto outcome = runPoison(seed, 3, std::nullopt);
+        CHECK_TRUE(outcome.enginesLost <= 2);
+        CHECK_TRUE(outcome.isHarmfulRefused);
+        LONGS_EQUAL(0, outcome.innocentRefusals);
+        LONGS_EQUAL(0, outcome.innocentUnanswered);
+    }
+}
+
+TEST(Poison, UnrelatedDeathDoesNotConvictTheInnocent)
+{
+    CHECK_PROPERTY("an engine dies by chance at any time around the harmful request", [](uint16_t seed, uint16_t at) {
+        auto outcome = runPoison(seed, 3, std::chrono::milliseconds(at % 4000));
+        RC_ASSERT(outcome.enginesLost <= 3U);
+        RC_ASSERT(outcome.innocentRefusals == 0U);
+        RC_ASSERT(outcome.innocentUnanswered == 0U);
+    });
+}
+
+TEST(Poison, ConvictionClearsThoseItExplains)
+{
+    route::BlameBook book;
+    base::Instant now;
+    std::vector<route::Casualty> first { { { 1 }, false }, { { 2 }, true }, { { 3 }, true } };
+    book.onUpstreamLost(first, now);
+    CHECK_TRUE(book.verdict({ 2 }) == route::Verdict::Suspected);
+    std::vector<route::Casualty> second { { { 1 }, false }, { { 9 }, true } };
+    book.onUpstreamLost(second, now);
+    CHECK_TRUE(book.verdict({ 1 }) == route::Verdict::Convicted);
+    CHECK_TRUE(book.verdict({ 2 }) == route::Verdict::Clear);
+    CHECK_TRUE(book.verdict({ 3 }) == route::Verdict::Clear);
+    CHECK_TRUE(book.verdict({ 9 }) == route::Verdict::Clear);
+}
+
+TEST(Poison, TwoSuspectsAtOneDeathAreBothKeptApart)
+{
+    route::BlameBook book;
+    base::Instant now;
+    std::vector<route::Casualty> both { { { 1 }, false }, { { 2 }, false } };
+    book.onUpstreamLost(both, now);
+    book.onUpstreamLost(both, now);
+    CHECK_TRUE(book.verdict({ 1 }) == route::Verdict::Suspected);
+    CHECK_TRUE(book.verdict({ 2 }) == route::Verdict::Suspected);
+}
--- /dev/null
+++ b/tests/StreamFaultsTest.cpp
@@ -0,0 +1,130 @@
+#include "PropertyCheck.h"
+#include "fakes/FaultSchedule.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Mutation: a ledger that takes repeated tokens.
+struct TakesRepeats {
+    static bool isEligible(uint64_t attempt, uint64_t current, uint64_t rival) { return stream::LedgerPolicy::isEligible(attempt, current, rival); }
+    static bool isNext(uint32_t index, uint32_t size) { return index <= size; }
+};
+
+struct RepeatingPolicies : node::DefaultPolicies {
+    using LedgerRules = TakesRepeats;
+};
+
+struct StreamOutcome {
+    uint32_t wrongTokens = 0;
+    uint32_t unanswered = 0;
+    uint32_t unfinished = 0;
+    uint32_t lostStreams = 0;
+};
+
+// Runs long generations through a schedule of faults and counts what went wrong.
+template<typename Policies>
+StreamOutcome runStreams(const fakes::WorldOptions& options, const std::vector<uint32_t>& faults, bool carriesTokens)
+{
+    fakes::Deployment<Policies> deployment(options);
+    auto& world = deployment.world;
+    for (size_t i = 0; i < 12; ++i)
+        world.call(i % options.nodes, fakes::generation("dossier " + std::to_string(i), static_cast<uint32_t>(40 + 40 * i)), carriesTokens);
+    for (auto word : faults) {
+        world.runFor(300ms);
+        fakes::toggleFault(deployment, options, word);
+    }
+    fakes::healAll(deployment, options);
+    world.runFor(180s);
+    StreamOutcome outcome;
+    for (const auto& caller : world.callers()) {
+        outcome.wrongTokens += caller.wrongTokens;
+        outcome.unanswered += caller.isOver() ? 0 : 1;
+        bool isWhole = caller.finish && caller.received.size() == caller.request.maxTokens;
+        outcome.unfinished += caller.finish && !isWhole ? 1 : 0;
+        outcome.lostStreams += caller.refusal ? 1 : 0;
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_GROUP(StreamFaults) {};
+
+TEST(StreamFaults, EveryAnswerIsWholeAndEachTokenOnceOnOneNode)
+{
+    CHECK_PROPERTY("one node, engines that die, freeze and return", [](const std::vector<uint32_t>& words) {
+        std::vector<uint32_t> faults;
+        for (auto word : words)
+            faults.push_back(word / 2 * 7 + word % 2);
+        auto outcome = runStreams<node::DefaultPolicies>({ .seed = 11, .nodes = 1 }, faults, true);
+        RC_ASSERT(outcome.wrongTokens == 0U);
+        RC_ASSERT(outcome.unanswered == 0U);
+        RC_ASSERT(outcome.unfinished == 0U);
+    });
+}
+
+TEST(StreamFaults, EveryAnswerIsWholeAndEachTokenOnceOnSixNodes)
+{
+    CHECK_PROPERTY("six nodes in three data centres, every kind of fault", [](const std::vector<uint32_t>& faults) {
+        fakes::WorldOptions options { .seed = 12, .nodes = 6, .dataCentres = 3, .lostMessagesPermille = 20, .repeatedTokensPermille = 20 };
+        auto outcome = runStreams<node::DefaultPolicies>(options, faults, true);
+        RC_ASSERT(outcome.wrongTokens == 0U);
+        RC_ASSERT(outcome.unanswered == 0U);
+        RC_ASSERT(outcome.unfinished == 0U);
+    });
+}
+
+TEST(StreamFaults, CallersThatDoNotCarryTokensGetTheSameAnswer)
+{
+    CHECK_PROPERTY("the answer is generated again and checked", [](const std::vector<uint32_t>& faults) {
+        fakes::WorldOptions options { .seed = 13, .nodes = 3, .dataCentres = 3 };
+        auto outcome = runStreams<node::DefaultPolicies>(options, faults, false);
+        RC_ASSERT(outcome.wrongTokens == 0U);
+        RC_ASSERT(outcome.unanswered == 0U);
+        RC_ASSERT(outcome.unfinished == 0U);
+    });
+}
+
+TEST(StreamFaults, PropertyNoticesRepeatedTokens)
+{
+    fakes::WorldOptions options { .seed = 12, .nodes = 1, .repeatedTokensPermille = 20 };
+    CHECK_TRUE(runStreams<node::DefaultPolicies>(options, {}, true).wrongTokens == 0);
+    CHECK_TRUE(runStreams<RepeatingPolicies>(options, {}, true).wrongTokens > 0);
+}
+
+TEST(StreamFaults, EngineLossIsHardlySeen)
+{
+    fakes::WorldOptions options { .seed = 3, .nodes = 1 };
+    fakes::Deployment<> deployment(options);
+    auto& world = deployment.world;
+    auto caller = world.call(0, fakes::generation("dossier", 200));
+    world.runFor(2s);
+    for (auto engine : deployment.engines) {
+        if (!world.upstreams()[engine].flights.empty())
+            world.killUpstream(engine);
+    }
+    world.runFor(10s);
+    CHECK_TRUE(world.callers()[caller].finish.has_value());
+    LONGS_EQUAL(0, world.callers()[caller].wrongTokens);
+    LONGS_EQUAL(1, world.callers()[caller].finish->resumes);
+}
+
+TEST(StreamFaults, ForeignResumePointIsRefused)
+{
+    fakes::WorldOptions options { .seed = 4, .nodes = 1 };
+    fakes::Deployment<> deployment(options);
+    auto& world = deployment.world;
+    auto request = fakes::generation("dossier", 20);
+    request.resume = stream::ResumePoint { 5, 12345, 7, { "draft@1" } };
+    // The world gives each call its caller's own point, so this goes to the node directly.
+    request.id = { 999'999 };
+    request.carriedIds = { 1, 2, 3, 4, 5 };
+    world.node(0).handle(request);
+    world.runFor(5s);
+    CHECK_TRUE(world.upstreams()[deployment.engines[0]].flights.empty());
+    CHECK_TRUE(world.upstreams()[deployment.engines[1]].flights.empty());
+}
--- /dev/null
+++ b/tests/fakes/FakeModel.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/Hash.h"
+#include "redwingseam/stream/Token.h"
+
+#include <string_view>
+
+namespace redwingseam::fakes {
+
+// Tokens as a function of prompt, seed and index.
+inline stream::Token fakeToken(std::string_view prompt, uint64_t seed, uint32_t index)
+{
+    static constexpr uint64_t vocabulary = 50'000;
+    return { static_cast<uint32_t>(base::hashWord(base::hashBytes(prompt, seed), index) % vocabulary), "t" };
+}
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/FakeRandom.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace redwingseam::fakes {
+
+// Reproducible random words.
+class FakeRandom {
+public:
+    explicit FakeRandom(uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    uint64_t next() { return m_engine(); }
+    // Uniform number below `bound`.
+    uint64_t below(uint64_t bound) { return m_engine() % bound; }
+    bool hits(uint32_t permille) { return below(1000) < permille; }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/FakeUpstream.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "redwingseam/node/CallService.h"
+#include "redwingseam/node/StartGeneration.h"
+#include "redwingseam/route/UpstreamRecord.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace redwingseam::fakes {
+
+// One attempt that runs at a fake engine or service.
+struct FakeFlight {
+    size_t node = 0;
+    uint64_t nodeStart = 0;
+    node::StartGeneration order;
+    uint32_t next = 0;
+};
+
+// Names a flight: node, its start, request and attempt.
+struct FlightKey {
+    size_t node = 0;
+    uint64_t nodeStart = 0;
+    base::RequestId request;
+    base::AttemptNumber attempt;
+
+    auto operator<=>(const FlightKey&) const = default;
+};
+
+// An engine or a plain service.
+struct FakeUpstream {
+    route::UpstreamRecord record;
+    bool isAlive = true;
+    bool isFrozen = false;
+    base::Duration tokenGap = std::chrono::milliseconds(20);
+    std::map<FlightKey, FakeFlight> flights;
+    // Services: how often each key ran.
+    std::map<std::string, uint32_t> runs;
+    uint64_t deaths = 0;
+};
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/Fault.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "redwingseam/base/EnumNames.h"
+
+#include <cstdint>
+
+namespace redwingseam::fakes {
+
+// What can go wrong in a world.
+enum class Fault : uint8_t {
+    KillEngine,
+    FreezeEngine,
+    CrashNode,
+    PauseNode,
+    StoreDown,
+    LoseAnswers,
+    CutDataCentre,
+};
+
+inline constexpr size_t faultCount = 7;
+
+} // namespace redwingseam::fakes
+
+template<>
+struct redwingseam::base::EnumNames<redwingseam::fakes::Fault> {
+    using Fault = redwingseam::fakes::Fault;
+    static constexpr std::array entries {
+        std::pair { Fault::KillEngine, std::string_view { "kill-engine" } },
+        std::pair { Fault::FreezeEngine, std::string_view { "freeze-engine" } },
+        std::pair { Fault::CrashNode, std::string_view { "crash-node" } },
+        std::pair { Fault::PauseNode, std::string_view { "pause-node" } },
+        std::pair { Fault::StoreDown, std::string_view { "store-down" } },
+        std::pair { Fault::LoseAnswers, std::string_view { "lose-answers" } },
+        std::pair { Fault::CutDataCentre, std::string_view { "cut-data-centre" } },
+    };
+};
--- /dev/null
+++ b/tests/fakes/WorldEvent.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "fakes/FakeUpstream.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/node/AttemptEnded.h"
+#include "redwingseam/node/CallerGone.h"
+#include "redwingseam/node/CallerRequest.h"
+#include "redwingseam/node/ProbeFailed.h"
+#include "redwingseam/node/Tick.h"
+#include "redwingseam/node/TokensReceived.h"
+#include "redwingseam/peer/PeerMessage.h"
+#include "redwingseam/platform/ObjectChanged.h"
+#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/route/LoadReport.h"
+
+#include <variant>
+
+namespace redwingseam::fakes {
+
+// What a node can be given.
+using NodeEvent = std::variant<node::CallerRequest, node::CallerGone, node::TokensReceived, node::AttemptEnded, node::ProbeFailed, route::LoadReport, platform::PlatformReply, platform::ObjectChanged, peer::PeerMessage, node::Tick>;
+
+// The next token of a flight is due.
+struct EngineStep {
+    size_t upstream = 0;
+    uint64_t deaths = 0;
+    FlightKey flight;
+};
+
+// A call reaches the platform's store.
+struct StoreArrival {
+    platform::PlatformCall call;
+};
+
+// A caller comes back after its VM was lost.
+struct CallerReturn {
+    size_t caller = 0;
+};
+
+using WorldAction = std::variant<NodeEvent, EngineStep, StoreArrival, CallerReturn>;
+
+// Something that happens at a time. `node` and `nodeStart` say for which node, where it is for one.
+struct WorldEvent {
+    base::Instant at;
+    uint64_t order = 0;
+    size_t node = 0;
+    uint64_t nodeStart = 0;
+    WorldAction action;
+
+    bool operator>(const WorldEvent& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+};
+
+} // namespace redwingseam::fakes
