--- a/include/redwingseam/membership/VerdictRecord.h
+++ b/include/redwingseam/membership/VerdictRecord.h
@@ -1,17 +1,23 @@
 #pragma once
 
 #include "redwingseam/base/Ids.h"
+#include "redwingseam/route/DeathId.h"
 
 #include <compare>
+#include <vector>
 
 namespace redwingseam::membership {
 
-// A request that is suspected or convicted of killing upstreams.
+// A request that was in flight when an upstream died, or that is convicted of killing upstreams.
 struct VerdictRecord {
     base::Fingerprint fingerprint;
     bool isConvicted = false;
-    // Upstream whose death raised the suspicion.
-    base::UpstreamName upstream;
+    // Suspicion: it was under suspicion already, and had got no further since.
+    bool wasSuspect = false;
+    // Suspicion: some attempt at it had brought tokens.
+    bool hasTokens = false;
+    // Suspicion: the one death. Conviction: the deaths that it explains.
+    std::vector<route::DeathId> deaths;
 
     auto operator<=>(const VerdictRecord&) const = default;
 };
--- a/src/codec/FactCodec.cpp
+++ b/src/codec/FactCodec.cpp
@@ -34,7 +34,10 @@
 
 static json format(const membership::VerdictRecord& verdict)
 {
-    return { { "fingerprint", verdict.fingerprint.value }, { "convicted", verdict.isConvicted }, { "upstream", verdict.upstream.text } };
+    auto deaths = json::array();
+    for (const auto& death : verdict.deaths)
+        deaths.push_back({ { "upstream", death.upstream.text }, { "incarnation", death.incarnation } });
+    return { { "fingerprint", verdict.fingerprint.value }, { "convicted", verdict.isConvicted }, { "was_suspect", verdict.wasSuspect }, { "has_tokens", verdict.hasTokens }, { "deaths", std::move(deaths) } };
 }
 
 static json format(const membership::HeavyClients& heavy)
@@ -106,7 +109,13 @@
 static std::optional<membership::VerdictRecord> parseVerdict(const json& value)
 {
     JsonReader reader(value);
-    membership::VerdictRecord verdict { { reader.number("fingerprint") }, reader.flag("convicted"), { reader.text("upstream") } };
+    membership::VerdictRecord verdict { { reader.number("fingerprint") }, reader.flag("convicted"), reader.flag("was_suspect"), reader.flag("has_tokens"), {} };
+    for (const auto& item : reader.array("deaths")) {
+        JsonReader death(item);
+        verdict.deaths.push_back({ { death.text("upstream") }, death.number("incarnation") });
+        if (!death.isGood())
+            return std::nullopt;
+    }
     if (!reader.isGood())
         return std::nullopt;
     return verdict;
--- a/src/membership/FactFactory.cpp
+++ b/src/membership/FactFactory.cpp
@@ -17,9 +17,14 @@
 
 Fact makeFact(const VerdictRecord& verdict)
 {
-    std::array<char, 24> subject {};
-    std::snprintf(subject.data(), subject.size(), "%016lx", verdict.fingerprint.value);
-    return { { FactKind::Verdict, subject.data() }, 0, verdict.isConvicted ? 1U : 0U, verdict };
+    std::array<char, 24> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016lx", verdict.fingerprint.value);
+    std::string subject = digits.data();
+    // One fact for each death that a request was in flight at, and one for its conviction.
+    bool isSuspicion = !verdict.isConvicted && !verdict.deaths.empty();
+    if (isSuspicion)
+        subject += "/" + verdict.deaths.front().upstream.text + "/" + std::to_string(verdict.deaths.front().incarnation);
+    return { { FactKind::Verdict, subject }, 0, verdict.wasSuspect ? 1U : 0U, verdict };
 }
 
 Fact makeFact(const HeavyClients& heavy, uint64_t incarnation, uint64_t sequence)
--- a/src/node/BlameDesk.cpp
+++ b/src/node/BlameDesk.cpp
@@ -10,35 +10,52 @@
     return m_book.verdict(fingerprint);
 }
 
-std::vector<route::VerdictChange> BlameDesk::onUpstreamLost(const base::UpstreamName& upstream, std::span<const route::Casualty> casualties, base::Instant now)
+std::vector<membership::VerdictRecord> BlameDesk::onUpstreamLost(const route::DeathId& death, std::span<const route::Casualty> casualties, base::Instant now)
 {
     std::lock_guard guard(m_mutex);
-    auto changes = m_book.onUpstreamLost(casualties, now);
-    for (const auto& change : changes) {
-        if (change.verdict == route::Verdict::Suspected)
-            m_ownDeaths.try_emplace(change.fingerprint, upstream);
-        else
-            m_ownDeaths.erase(change.fingerprint);
-    }
-    return changes;
+    return m_book.onUpstreamLost(death, casualties, now);
 }
 
-bool BlameDesk::learn(const membership::VerdictRecord& record, base::Instant now)
+void BlameDesk::learn(const membership::VerdictRecord& record, base::Instant now)
 {
     std::lock_guard guard(m_mutex);
-    auto own = m_ownDeaths.find(record.fingerprint);
-    bool isSecondDeath = own != m_ownDeaths.end() && own->second != record.upstream;
-    bool wasConvicted = m_book.verdict(record.fingerprint) == route::Verdict::Convicted;
-    bool isConvicted = record.isConvicted || isSecondDeath;
-    m_book.learn(record.fingerprint, isConvicted ? route::Verdict::Convicted : route::Verdict::Suspected, now);
-    return isConvicted && !wasConvicted;
+    m_book.learn(record, now);
+}
+
+std::vector<membership::VerdictRecord> BlameDesk::judge(base::Instant now)
+{
+    std::lock_guard guard(m_mutex);
+    return m_book.judge(now);
+}
+
+void BlameDesk::clear(base::Fingerprint fingerprint)
+{
+    std::lock_guard guard(m_mutex);
+    m_book.clear(fingerprint);
+}
+
+bool BlameDesk::isHeard(base::Fingerprint fingerprint)
+{
+    std::lock_guard guard(m_mutex);
+    return m_book.isHeard(fingerprint);
+}
+
+base::Instant BlameDesk::hearingEnd(base::Fingerprint fingerprint)
+{
+    std::lock_guard guard(m_mutex);
+    return m_book.hearingEnd(fingerprint);
+}
+
+route::SuspectPlace BlameDesk::place(base::Fingerprint fingerprint)
+{
+    std::lock_guard guard(m_mutex);
+    return m_book.place(fingerprint);
 }
 
 void BlameDesk::expire(base::Instant now)
 {
     std::lock_guard guard(m_mutex);
     m_book.expire(now - verdictKept);
-    std::erase_if(m_ownDeaths, [&](const auto& item) { return m_book.verdict(item.first) == route::Verdict::Clear; });
 }
 
 } // namespace redwingseam::node
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -11,6 +11,7 @@
 #include "node/PoolDirectory.h"
 #include "node/PoolShard.h"
 #include "node/RequestState.h"
+#include "node/SuspectWard.h"
 #include "node/VmDirectory.h"
 #include "redwingseam/base/Sharded.h"
 #include "redwingseam/node/AttemptEnded.h"
@@ -94,13 +95,19 @@
     void complete(const AttemptEnded&, Context&);
     void loseAttempt(base::RequestId, base::AttemptNumber, Context&);
     void onUpstreamLost(const base::UpstreamName&, base::RequestId reporter, Context&);
+    route::DeathId deathOf(const base::UpstreamName&);
     void requeueAfterLoss(base::RequestId, Context&);
-    void applyVerdicts(const std::vector<route::VerdictChange>&, const base::UpstreamName&, Context&);
     void checkSilence(Context&);
     void checkDeadlines(Context&);
     void suspectSilent(base::RequestId, Context&);
     void detach(base::RequestId, Context&);
 
+    // Suspects: NodeCoreSuspects.h.
+    void hold(const schedule::QueuedWork&, const base::PoolName&, Context&);
+    void tryHeldSuspects(Context&);
+    void tryApart(const HeldSuspect&, Context&);
+    void tellAtOnce(const std::vector<membership::VerdictRecord>&, Context&);
+
     // Claims: NodeCoreClaims.h.
     void claim(const State&, Context&);
     void submit(claim::ClaimRecord, claim::ClaimWaiter, Context&);
@@ -129,6 +136,7 @@
     std::vector<base::VmName> farRelays(Context&);
     std::vector<base::VmName> randomPeers(size_t count, Context&);
     peer::Digest makeDigest(bool wantsDigest);
+    void applyVerdict(const membership::VerdictRecord&, Context&);
     void applyFloors();
     void applyHeavyClients(const membership::HeavyClients&);
     void shareClientUse(Context&);
@@ -155,6 +163,7 @@
     PoolDirectory m_directory;
     VmDirectory m_vms;
     BlameDesk m_blame;
+    SuspectWard m_ward;
     ClientUseMeter m_use;
     claim::ClaimDesk m_claims;
     membership::FactStore<typename Policies::OverrideRules> m_facts;
--- a/src/node/NodeCoreDispatch.h
+++ b/src/node/NodeCoreDispatch.h
@@ -49,16 +49,10 @@
         refuse(dispatch.work.request, { base::ResultCode::HarmfulRequest, "this request ended the upstreams that ran it" }, RunState::Partial, context);
         return false;
     }
-    // It became suspect while it waited; it has to be placed with that in view.
-    bool mustRequeue = verdict == route::Verdict::Suspected && !dispatch.work.isSuspect;
-    if (mustRequeue) {
-        auto work = dispatch.work;
-        work.isSuspect = true;
-        withPool(dispatch.upstream.pool, [&](FairPool& pool) {
-            pool.release(dispatch.upstream.name, work.request);
-            pool.push(std::move(work));
-        });
-        return true;
+    if (verdict == route::Verdict::Suspected) {
+        // It became suspect while it waited.
+        hold(dispatch.work, dispatch.upstream.pool, context);
+        return false;
     }
     bool hasBegun = startFlight(dispatch, context);
     if (hasBegun)
@@ -117,7 +111,6 @@
     });
     if (!ended)
         return false;
-    work->isSuspect = m_blame.verdict(work->fingerprint) == route::Verdict::Suspected;
     m_recorder.countPreemption();
     context.emit(CancelAttempt { victim->request, ended->attempt, ended->upstream });
     withPool(name, [&](FairPool& pool) {
--- a/src/node/NodeCoreImpl.h
+++ b/src/node/NodeCoreImpl.h
@@ -7,4 +7,5 @@
 #include "node/NodeCoreRequests.h"
 #include "node/NodeCoreSettings.h"
 #include "node/NodeCoreStreams.h"
+#include "node/NodeCoreSuspects.h"
 #include "node/NodeCoreTimers.h"
--- a/src/node/NodeCorePeers.h
+++ b/src/node/NodeCorePeers.h
@@ -90,13 +90,9 @@
     case membership::FactKind::Upstream:
         applyUpstream(std::get<route::UpstreamRecord>(fact.body), context);
         break;
-    case membership::FactKind::Verdict: {
-        const auto& verdict = std::get<membership::VerdictRecord>(fact.body);
-        bool isNewlyConvicted = m_blame.learn(verdict, context.now) && !verdict.isConvicted;
-        if (isNewlyConvicted)
-            learn(membership::makeFact(membership::VerdictRecord { verdict.fingerprint, true, verdict.upstream }), context);
+    case membership::FactKind::Verdict:
+        applyVerdict(std::get<membership::VerdictRecord>(fact.body), context);
         break;
-    }
     case membership::FactKind::HeavyClients:
         applyHeavyClients(std::get<membership::HeavyClients>(fact.body));
         break;
@@ -107,6 +103,20 @@
     }
 }
 
+template<typename Policies>
+void NodeCore<Policies>::applyVerdict(const membership::VerdictRecord& verdict, Context& context)
+{
+    m_blame.learn(verdict, context.now);
+    if (verdict.isConvicted)
+        return;
+    for (const auto& death : verdict.deaths) {
+        // A peer saw the upstream die. Nodes must agree on which are left, to keep suspects apart.
+        auto pool = m_directory.poolOf(death.upstream);
+        if (pool && deathOf(death.upstream) == death)
+            withPool(*pool, [&](FairPool& target) { target.setDown(death.upstream); });
+    }
+}
+
 template<typename Policies>
 void NodeCore<Policies>::applyFloors()
 {
--- a/src/node/NodeCoreRequests.h
+++ b/src/node/NodeCoreRequests.h
@@ -143,7 +143,10 @@
     });
     if (!work)
         return;
-    work->isSuspect = m_blame.verdict(work->fingerprint) == route::Verdict::Suspected;
+    if (m_blame.verdict(work->fingerprint) == route::Verdict::Suspected) {
+        hold(*work, pool, context);
+        return;
+    }
     bool isQueued = true;
     withPool(pool, [&](FairPool& target) {
         bool isNew = !work->isResume;
--- a/src/node/NodeCoreStreams.h
+++ b/src/node/NodeCoreStreams.h
@@ -18,6 +18,8 @@
         m_recorder.recordFirstToken(outcome.policy, *outcome.firstTokenAfter, outcome.hasLoss, context.now);
     if (outcome.silence)
         m_recorder.recordGap(outcome.policy, *outcome.silence, outcome.hasLoss, context.now);
+    if (outcome.isCleared)
+        m_blame.clear(outcome.fingerprint);
     if (outcome.toSend)
         context.emit(std::move(*outcome.toSend));
     if (outcome.loser) {
@@ -168,6 +170,13 @@
         enqueue(id, context);
 }
 
+template<typename Policies>
+route::DeathId NodeCore<Policies>::deathOf(const base::UpstreamName& upstream)
+{
+    auto fact = m_facts.find({ membership::FactKind::Upstream, upstream.text });
+    return { upstream, fact ? fact->incarnation : 0 };
+}
+
 template<typename Policies>
 void NodeCore<Policies>::onUpstreamLost(const base::UpstreamName& upstream, base::RequestId reporter, Context& context)
 {
@@ -186,27 +195,18 @@
             for (auto* flight : { &state.current, &state.rival }) {
                 if (!*flight || (*flight)->upstream != upstream)
                     continue;
-                casualties.push_back({ state.fingerprint, state.ledger.transcript().size() > (*flight)->firstIndex });
+                auto tokens = state.ledger.transcript().size();
+                casualties.push_back({ state.fingerprint, tokens > (*flight)->firstIndex, tokens > 0 });
                 attempts.emplace_back(entry.request, (*flight)->attempt);
             }
         });
     }
     m_recorder.countUpstreamLoss();
-    applyVerdicts(m_blame.onUpstreamLost(upstream, casualties, context.now), upstream, context);
+    tellAtOnce(m_blame.onUpstreamLost(deathOf(upstream), casualties, context.now), context);
     for (const auto& [request, attempt] : attempts)
         loseAttempt(request, attempt, context);
 }
 
-template<typename Policies>
-void NodeCore<Policies>::applyVerdicts(const std::vector<route::VerdictChange>& changes, const base::UpstreamName& upstream, Context& context)
-{
-    for (const auto& change : changes) {
-        if (change.verdict == route::Verdict::Clear)
-            continue;
-        learn(membership::makeFact(membership::VerdictRecord { change.fingerprint, change.verdict == route::Verdict::Convicted, upstream }), context);
-    }
-}
-
 template<typename Policies>
 void NodeCore<Policies>::handle(const ProbeFailed& event, Context& context)
 {
--- a/src/node/NodeCoreTimers.h
+++ b/src/node/NodeCoreTimers.h
@@ -25,6 +25,7 @@
     static constexpr base::Duration useInterval = std::chrono::seconds(5);
     checkDeadlines(context);
     checkSilence(context);
+    tryHeldSuspects(context);
     for (size_t group = 0; group < claim::ClaimDesk::groupCount; ++group) {
         m_claims.takeBackRelayed(group, context.now);
         pumpClaims(group, context);
@@ -125,7 +126,6 @@
     });
     if (!work)
         return;
-    work->isSuspect = m_blame.verdict(work->fingerprint) == route::Verdict::Suspected;
     m_recorder.countSuspicion();
     // The upstream gets no new work until it reports again; its streams go on if it comes back.
     withPool(pool, [&](FairPool& target) {
--- a/src/node/Pool.h
+++ b/src/node/Pool.h
@@ -52,20 +52,46 @@
     // Gives out the next piece of work if an upstream has a free slot for it.
     std::optional<Dispatch> next(base::Instant now, std::minstd_rand& random)
     {
-        if (auto parked = nextParked(now, random))
-            return parked;
         while (hasFreeSlot()) {
             auto work = m_queue.pop();
             if (!work)
                 return std::nullopt;
             if (auto dispatch = place(*work, now, random))
                 return dispatch;
-            // A suspect that would meet another suspect everywhere steps aside instead of blocking others.
-            m_parked.push_back(std::move(*work));
+            m_queue.push(std::move(*work));
+            return std::nullopt;
         }
         return std::nullopt;
     }
 
+    // Upstreams that are listed as live at the nearest link tier, in an order that all nodes share. Some
+    // may be down.
+    std::vector<const route::UpstreamView*> liveInOrder() const
+    {
+        std::vector<const route::UpstreamView*> views;
+        uint32_t nearest = UINT32_MAX;
+        for (const auto& view : m_upstreams) {
+            if (view.record.state != route::UpstreamState::Live || view.linkTier > nearest)
+                continue;
+            if (view.linkTier < nearest)
+                views.clear();
+            nearest = view.linkTier;
+            views.push_back(&view);
+        }
+        std::sort(views.begin(), views.end(), [](const auto* a, const auto* b) { return a->record.name < b->record.name; });
+        return views;
+    }
+
+    // Places work at one upstream, whether it has a free slot or not.
+    std::optional<Dispatch> placeAt(const schedule::QueuedWork& work, const base::UpstreamName& upstream, base::Instant now)
+    {
+        auto* view = find(upstream);
+        if (!view || !view->takesWork())
+            return std::nullopt;
+        view->flight.push_back({ work.request, work.rank, work.isSuspect, now });
+        return Dispatch { work, view->record };
+    }
+
     // Gives a slot back. Returns whether the request held one.
     bool release(const base::UpstreamName& upstream, base::RequestId request)
     {
@@ -148,18 +174,10 @@
     // Work whose deadline has passed.
     std::vector<schedule::QueuedWork> expire(base::Instant now)
     {
-        auto expired = m_queue.expire(now);
-        auto isLate = [&](const schedule::QueuedWork& work) { return !work.isResume && work.deadline <= now; };
-        std::copy_if(m_parked.begin(), m_parked.end(), std::back_inserter(expired), isLate);
-        std::erase_if(m_parked, isLate);
-        return expired;
+        return m_queue.expire(now);
     }
 
-    bool remove(base::RequestId request)
-    {
-        auto isRequested = [&](const schedule::QueuedWork& work) { return work.request == request; };
-        return std::erase_if(m_parked, isRequested) > 0 || m_queue.remove(request);
-    }
+    bool remove(base::RequestId request) { return m_queue.remove(request); }
 
     bool hasLiveUpstream() const
     {
@@ -175,8 +193,6 @@
         return slots;
     }
 
-    size_t parked() const { return m_parked.size(); }
-
 private:
     route::UpstreamView* find(const base::UpstreamName& name)
     {
@@ -201,18 +217,6 @@
         return Dispatch { work, view.record };
     }
 
-    std::optional<Dispatch> nextParked(base::Instant now, std::minstd_rand& random)
-    {
-        for (auto work = m_parked.begin(); work != m_parked.end(); ++work) {
-            auto dispatch = place(*work, now, random);
-            if (!dispatch)
-                continue;
-            m_parked.erase(work);
-            return dispatch;
-        }
-        return std::nullopt;
-    }
-
     // Forgets upstreams that are gone once they are many; indices change, so the cache hints start anew.
     void dropGone()
     {
@@ -232,7 +236,6 @@
     std::vector<route::UpstreamView> m_upstreams;
     std::unordered_map<base::UpstreamName, uint32_t> m_indices;
     route::PrefixIndex m_prefixes;
-    std::deque<schedule::QueuedWork> m_parked;
 };
 
 } // namespace redwingseam::node
--- a/src/node/TokenIntake.h
+++ b/src/node/TokenIntake.h
@@ -84,6 +84,8 @@
     outcome.hasHole = acceptance.hasGap;
     if (acceptance.fresh.empty())
         return outcome;
+    outcome.fingerprint = state.fingerprint;
+    outcome.isCleared = state.losses > 0;
     if (auto* flight = state.flight(event.attempt))
         bookGap(state, *flight, acceptance.fresh.size(), now, outcome);
     settleFlights(state, event.attempt, acceptance.loser.has_value(), outcome);
--- a/src/node/TokenOutcome.h
+++ b/src/node/TokenOutcome.h
@@ -23,6 +23,9 @@
     std::optional<base::Duration> firstTokenAfter;
     // Time since the caller was last sent something.
     std::optional<base::Duration> silence;
+    // The attempt got further than the one before, which clears it of suspicion.
+    bool isCleared = false;
+    base::Fingerprint fingerprint;
     bool hasLoss = false;
     bool hasHole = false;
     // The answer differs from what the caller was given before it came back.
--- a/src/route/BlameBook.cpp
+++ b/src/route/BlameBook.cpp
@@ -5,88 +5,165 @@
 
 namespace redwingseam::route {
 
-std::vector<VerdictChange> BlameBook::onUpstreamLost(std::span<const Casualty> casualties, base::Instant now)
+std::vector<membership::VerdictRecord> BlameBook::onUpstreamLost(const DeathId& death, std::span<const Casualty> casualties, base::Instant now)
 {
-    std::vector<VerdictChange> changes;
-    std::optional<Casualty> onlySuspect;
-    size_t suspects = 0;
+    std::map<base::Fingerprint, Casualty> merged;
     for (const auto& casualty : casualties) {
-        if (verdict(casualty.fingerprint) == Verdict::Clear)
-            continue;
-        bool isRepeated = onlySuspect && onlySuspect->fingerprint == casualty.fingerprint;
-        if (isRepeated) {
-            onlySuspect->madeProgress |= casualty.madeProgress;
-            continue;
-        }
-        ++suspects;
-        onlySuspect = casualty;
+        auto& entry = merged[casualty.fingerprint];
+        entry.madeProgress |= casualty.madeProgress;
+        entry.hasTokens |= casualty.hasTokens;
     }
-    if (suspects == 1 && !onlySuspect->madeProgress) {
-        convict(onlySuspect->fingerprint, now, changes);
-        return changes;
+    std::vector<membership::VerdictRecord> told;
+    for (const auto& [fingerprint, casualty] : merged) {
+        DeathMember member { m_suspects.contains(fingerprint) && !casualty.madeProgress, casualty.hasTokens };
+        suspect(fingerprint, death, member, now);
+        told.push_back({ fingerprint, false, member.wasSuspect, member.hasTokens, { death } });
     }
-    auto death = m_nextDeath++;
-    for (const auto& casualty : casualties)
-        suspect(casualty.fingerprint, death, now, changes);
-    return changes;
+    return told;
 }
 
-void BlameBook::learn(base::Fingerprint fingerprint, Verdict verdict, base::Instant now)
+void BlameBook::suspect(base::Fingerprint fingerprint, const DeathId& death, DeathMember member, base::Instant now)
 {
-    if (verdict == Verdict::Clear)
+    auto [record, isNew] = m_deaths.try_emplace(death);
+    if (isNew)
+        record->second.verdictAt = now + hearingTime;
+    auto& known = record->second.members[fingerprint];
+    known.wasSuspect |= member.wasSuspect;
+    known.hasTokens |= member.hasTokens;
+    if (m_convicts.contains(fingerprint))
         return;
-    auto& entry = m_entries[fingerprint];
-    entry.verdict = std::max(entry.verdict, verdict);
+    auto& entry = m_suspects[fingerprint];
+    entry.deaths.insert(death);
+    entry.latest = death;
     entry.at = now;
 }
 
-Verdict BlameBook::verdict(base::Fingerprint fingerprint) const
+void BlameBook::learn(const membership::VerdictRecord& record, base::Instant now)
 {
-    auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? Verdict::Clear : found->second.verdict;
+    if (record.isConvicted) {
+        m_suspects.erase(record.fingerprint);
+        m_convicts[record.fingerprint] = now;
+        explain(record.deaths);
+        return;
+    }
+    for (const auto& death : record.deaths) {
+        // Two nodes that ran the same request at two deaths have each seen but one of them.
+        auto known = m_suspects.find(record.fingerprint);
+        bool isSecondDeath = known != m_suspects.end() && !known->second.deaths.contains(death);
+        suspect(record.fingerprint, death, { record.wasSuspect || isSecondDeath, record.hasTokens }, now);
+    }
 }
 
-void BlameBook::expire(base::Instant oldest)
+std::optional<base::Fingerprint> BlameBook::onlySuspect(const DeathRecord& record) const
 {
-    std::erase_if(m_entries, [&](const auto& item) { return item.second.at < oldest; });
+    std::optional<base::Fingerprint> only;
+    for (const auto& [fingerprint, member] : record.members) {
+        bool counts = member.wasSuspect && m_suspects.contains(fingerprint);
+        if (counts && only)
+            return std::nullopt;
+        if (counts)
+            only = fingerprint;
+    }
+    return only;
 }
 
-void BlameBook::convict(base::Fingerprint fingerprint, base::Instant now, std::vector<VerdictChange>& changes)
+std::vector<membership::VerdictRecord> BlameBook::judge(base::Instant now)
 {
-    auto& entry = m_entries[fingerprint];
-    auto explained = std::exchange(entry.deaths, {});
-    entry.verdict = Verdict::Convicted;
-    entry.at = now;
-    changes.push_back({ fingerprint, Verdict::Convicted });
-    for (auto death : explained)
-        clearDeath(death, changes);
+    std::vector<membership::VerdictRecord> convictions;
+    for (auto death = m_deaths.begin(); death != m_deaths.end();) {
+        auto& record = (death++)->second;
+        if (record.isDecided || now < record.verdictAt)
+            continue;
+        auto only = onlySuspect(record);
+        // One that has brought tokens is less likely to be at fault: a conviction of another one that
+        // has not may explain its first death meanwhile.
+        bool mustWait = only && record.members.at(*only).hasTokens && now < record.verdictAt + doubtTime;
+        if (mustWait)
+            continue;
+        record.isDecided = true;
+        if (!only)
+            continue;
+        convictions.push_back(convict(*only, now));
+        // The conviction takes deaths out of the table.
+        death = m_deaths.begin();
+    }
+    return convictions;
 }
 
-void BlameBook::suspect(base::Fingerprint fingerprint, uint64_t death, base::Instant now, std::vector<VerdictChange>& changes)
+membership::VerdictRecord BlameBook::convict(base::Fingerprint fingerprint, base::Instant now)
 {
-    auto& entry = m_entries[fingerprint];
-    entry.at = now;
-    if (std::find(entry.deaths.begin(), entry.deaths.end(), death) == entry.deaths.end())
-        entry.deaths.push_back(death);
-    if (entry.verdict != Verdict::Clear)
-        return;
-    entry.verdict = Verdict::Suspected;
-    changes.push_back({ fingerprint, Verdict::Suspected });
+    auto suspect = m_suspects.extract(fingerprint);
+    m_convicts[fingerprint] = now;
+    const auto& deaths = suspect.mapped().deaths;
+    membership::VerdictRecord record { fingerprint, true, false, false, { deaths.begin(), deaths.end() } };
+    explain(record.deaths);
+    return record;
+}
+
+void BlameBook::explain(std::span<const DeathId> deaths)
+{
+    for (const auto& death : deaths) {
+        m_deaths.erase(death);
+        for (auto& [fingerprint, suspect] : m_suspects)
+            suspect.deaths.erase(death);
+    }
+    std::erase_if(m_suspects, [](const auto& item) { return item.second.deaths.empty(); });
+}
+
+void BlameBook::clear(base::Fingerprint fingerprint)
+{
+    m_suspects.erase(fingerprint);
+}
+
+Verdict BlameBook::verdict(base::Fingerprint fingerprint) const
+{
+    if (m_convicts.contains(fingerprint))
+        return Verdict::Convicted;
+    return m_suspects.contains(fingerprint) ? Verdict::Suspected : Verdict::Clear;
+}
+
+bool BlameBook::isHeard(base::Fingerprint fingerprint) const
+{
+    auto suspect = m_suspects.find(fingerprint);
+    if (suspect == m_suspects.end())
+        return true;
+    auto death = m_deaths.find(suspect->second.latest);
+    return death == m_deaths.end() || death->second.isDecided;
+}
+
+base::Instant BlameBook::hearingEnd(base::Fingerprint fingerprint) const
+{
+    auto suspect = m_suspects.find(fingerprint);
+    if (suspect == m_suspects.end())
+        return {};
+    auto death = m_deaths.find(suspect->second.latest);
+    return death == m_deaths.end() ? base::Instant {} : death->second.verdictAt;
 }
 
-void BlameBook::clearDeath(uint64_t death, std::vector<VerdictChange>& changes)
+SuspectPlace BlameBook::place(base::Fingerprint suspect) const
 {
-    for (auto item = m_entries.begin(); item != m_entries.end();) {
-        auto& entry = item->second;
-        bool wasBlamed = std::erase(entry.deaths, death) > 0;
-        bool isCleared = wasBlamed && entry.deaths.empty() && entry.verdict == Verdict::Suspected;
-        if (!isCleared) {
-            ++item;
+    SuspectPlace place { 0, 1, hearingEnd(suspect) };
+    // Whoever was cleared since keeps its place, for other nodes do not know that it was.
+    std::set<base::Fingerprint> members;
+    for (const auto& [death, record] : m_deaths) {
+        if (record.verdictAt + sameTime < place.hearingEnd)
             continue;
-        }
-        changes.push_back({ item->first, Verdict::Clear });
-        item = m_entries.erase(item);
+        for (const auto& [fingerprint, member] : record.members)
+            members.insert(fingerprint);
     }
+    auto found = members.find(suspect);
+    if (found == members.end())
+        return place;
+    place.rank = static_cast<size_t>(std::distance(members.begin(), found));
+    place.suspects = members.size();
+    return place;
+}
+
+void BlameBook::expire(base::Instant oldest)
+{
+    std::erase_if(m_suspects, [&](const auto& item) { return item.second.at < oldest; });
+    std::erase_if(m_convicts, [&](const auto& item) { return item.second < oldest; });
+    std::erase_if(m_deaths, [&](const auto& item) { return item.second.verdictAt < oldest; });
 }
 
 } // namespace redwingseam::route
--- a/src/route/Casualty.h
+++ b/src/route/Casualty.h
@@ -9,6 +9,8 @@
     base::Fingerprint fingerprint;
     // Whether this attempt had brought the answer further than the attempt before it.
     bool madeProgress = false;
+    // Whether any attempt at it has ever brought a token.
+    bool hasTokens = false;
 };
 
 } // namespace redwingseam::route
--- a/src/route/SubsetChooser.cpp
+++ b/src/route/SubsetChooser.cpp
@@ -14,13 +14,6 @@
 static constexpr int64_t highestSlowness = 4;
 static constexpr size_t tierCount = 2;
 
-static bool suits(const UpstreamView& view, const schedule::QueuedWork& work)
-{
-    if (!view.hasFreeSlot())
-        return false;
-    return !work.isSuspect || !view.hasSuspect();
-}
-
 // Mean token gap over the subset, for finding upstreams that are alive but slow.
 static int64_t meanGap(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier)
 {
@@ -77,7 +70,7 @@
         if (auto best = bestInTier(upstreams, tier, prefixes, work, random))
             return best;
     }
-    return firstUsable(upstreams, work, random);
+    return firstUsable(upstreams, random);
 }
 
 std::optional<uint32_t> SubsetChooser::bestInTier(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier, const PrefixIndex& prefixes, const schedule::QueuedWork& work, std::minstd_rand& random) const
@@ -88,7 +81,7 @@
     std::optional<uint32_t> best;
     int64_t bestScore = 0;
     auto consider = [&](uint32_t index, uint32_t cachedBlocks) {
-        if (!suits(upstreams[index], work))
+        if (!upstreams[index].hasFreeSlot())
             return;
         auto candidate = score(upstreams[index], work, cachedBlocks, usualGap);
         if (!best || candidate < bestScore) {
@@ -112,14 +105,14 @@
 }
 
 // Reached only when the whole subset is full or down: any other upstream is better than waiting.
-std::optional<uint32_t> SubsetChooser::firstUsable(std::span<const UpstreamView> upstreams, const schedule::QueuedWork& work, std::minstd_rand& random) const
+std::optional<uint32_t> SubsetChooser::firstUsable(std::span<const UpstreamView> upstreams, std::minstd_rand& random)
 {
     if (upstreams.empty())
         return std::nullopt;
     auto start = random() % upstreams.size();
     for (size_t step = 0; step < upstreams.size(); ++step) {
         auto index = static_cast<uint32_t>((start + step) % upstreams.size());
-        if (suits(upstreams[index], work))
+        if (upstreams[index].hasFreeSlot())
             return index;
     }
     return std::nullopt;
--- a/src/route/SubsetChooser.h
+++ b/src/route/SubsetChooser.h
@@ -22,7 +22,7 @@
 
 private:
     std::optional<uint32_t> bestInTier(std::span<const UpstreamView>, const std::vector<uint32_t>& tier, const PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&) const;
-    std::optional<uint32_t> firstUsable(std::span<const UpstreamView>, const schedule::QueuedWork&, std::minstd_rand&) const;
+    static std::optional<uint32_t> firstUsable(std::span<const UpstreamView>, std::minstd_rand&);
 
     base::VmName m_self;
     // Indices by link tier, each tier in rendezvous order and cut to the subset's size.
--- a/src/route/UpstreamView.cpp
+++ b/src/route/UpstreamView.cpp
@@ -4,11 +4,6 @@
 
 namespace redwingseam::route {
 
-bool UpstreamView::hasSuspect() const
-{
-    return std::any_of(flight.begin(), flight.end(), [](const FlightEntry& entry) { return entry.isSuspect; });
-}
-
 uint32_t UpstreamView::estimatedLoad() const
 {
     int64_t load = static_cast<int64_t>(reportedLoad) + own() - ownAtReport;
--- a/src/route/UpstreamView.h
+++ b/src/route/UpstreamView.h
@@ -24,7 +24,6 @@
     std::vector<FlightEntry> flight;
 
     uint32_t own() const { return static_cast<uint32_t>(flight.size()); }
-    bool hasSuspect() const;
     bool takesWork() const { return record.state == UpstreamState::Live && !isDown; }
     bool hasFreeSlot() const { return takesWork() && own() < limit.value(); }
     // Requests at the upstream by the last report, corrected by what this node has sent and ended since.
--- /dev/null
+++ b/tests/ErrorTableTest.cpp
@@ -0,0 +1,52 @@
+#include "base/ReadFile.h"
+#include "redwingseam/base/ResultCode.h"
+#include "redwingseam/settings/FieldSpec.h"
+#include "settings/Reference.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+#include <string>
+
+using namespace redwingseam;
+
+namespace {
+
+std::string page(const char* name)
+{
+    auto text = base::readFile(std::string(REDWINGSEAM_SOURCE_DIR) + "/docs/" + name);
+    return text ? text.value() : std::string();
+}
+
+} // namespace
+
+TEST_GROUP(ErrorTable) {};
+
+TEST(ErrorTable, PageListsEveryCodeWithItsNumber)
+{
+    auto text = page("ERRORS.md");
+    std::set<unsigned> numbers;
+    for (const auto& [code, name] : base::EnumNames<base::ResultCode>::entries) {
+        auto number = static_cast<unsigned>(code);
+        CHECK_TRUE(numbers.insert(number).second);
+        auto row = "| " + std::to_string(number) + " | " + std::string(name) + " |";
+        CHECK_TEXT(text.find(row) != std::string::npos, row.c_str());
+    }
+    size_t rows = 0;
+    for (size_t at = text.find("\n| "); at != std::string::npos; at = text.find("\n| ", at + 1))
+        rows += text[at + 3] >= '0' && text[at + 3] <= '9' ? 1 : 0;
+    LONGS_EQUAL(numbers.size(), rows);
+}
+
+TEST(ErrorTable, SettingsPageIsMadeFromTheTable)
+{
+    CHECK_TRUE(page("SETTINGS.md") == settings::formatReference());
+}
+
+TEST(ErrorTable, FieldTableIsInOrder)
+{
+    for (size_t index = 0; index < settings::fieldCount; ++index) {
+        LONGS_EQUAL(index, settings::indexOf(settings::fieldSpecs[index].field));
+        CHECK_TRUE(settings::fieldSpecs[index].lowest <= settings::fieldSpecs[index].fallback);
+        CHECK_TRUE(settings::fieldSpecs[index].fallback <= settings::fieldSpecs[index].highest);
+    }
+}
