--- a/bench/FloodBench.cpp
+++ b/bench/FloodBench.cpp
@@ -1,6 +1,6 @@
 #include "Benches.h"
-#include "FigureList.h"
 #include "FifoQueue.h"
+#include "FigureList.h"
 #include "PriorityQueue.h"
 #include "QueueModel.h"
 #include "RoundRobinQueue.h"
--- a/bench/SettingsBench.cpp
+++ b/bench/SettingsBench.cpp
@@ -69,22 +69,35 @@
 
 } // namespace
 
-void benchSettings(FigureList& figures)
+static void benchNodes(FigureList& figures, size_t nodes)
 {
     static constexpr double longestSeconds = 18;
     static constexpr double mostBytes = 8000;
     static constexpr double mostWrites = 300;
     static constexpr double mostReads = 2000;
-    for (size_t nodes : { 9, 90, 330 }) {
-        auto run = runChanges(nodes, nodes == 9 ? 3 : 6);
-        auto prefix = std::to_string(nodes) + "_nodes.";
-        figures.add(prefix + "settings.in_force_s.p99", run.inForceSeconds.quantile(0.99), "s", longestSeconds, Direction::AtMost);
-        figures.show(prefix + "settings.in_force_s.p50", run.inForceSeconds.quantile(0.5), "s");
-        figures.add(prefix + "settings.reverts", run.reverts, "reverts", 0, Direction::AtMost);
-        figures.add(prefix + "control.bytes_per_s_per_node", run.bytesPerSecondPerNode, "bytes/s", mostBytes, Direction::AtMost);
-        figures.add(prefix + "platform.writes_per_s", run.writesPerSecond, "writes/s", mostWrites, Direction::AtMost);
-        figures.add(prefix + "platform.reads_per_s", run.readsPerSecond, "reads/s", mostReads, Direction::AtMost);
-    }
+    auto run = runChanges(nodes, nodes == 9 ? 3 : 6);
+    auto prefix = std::to_string(nodes) + "_nodes.";
+    figures.add(prefix + "settings.in_force_s.p99", run.inForceSeconds.quantile(0.99), "s", longestSeconds, Direction::AtMost);
+    figures.show(prefix + "settings.in_force_s.p50", run.inForceSeconds.quantile(0.5), "s");
+    figures.add(prefix + "settings.reverts", run.reverts, "reverts", 0, Direction::AtMost);
+    figures.add(prefix + "control.bytes_per_s_per_node", run.bytesPerSecondPerNode, "bytes/s", mostBytes, Direction::AtMost);
+    figures.add(prefix + "platform.writes_per_s", run.writesPerSecond, "writes/s", mostWrites, Direction::AtMost);
+    figures.add(prefix + "platform.reads_per_s", run.readsPerSecond, "reads/s", mostReads, Direction::AtMost);
+}
+
+void benchSettings9(FigureList& figures)
+{
+    benchNodes(figures, 9);
+}
+
+void benchSettings90(FigureList& figures)
+{
+    benchNodes(figures, 90);
+}
+
+void benchSettings330(FigureList& figures)
+{
+    benchNodes(figures, 330);
 }
 
 } // namespace redwingseam::bench
--- a/bench/TokensBench.cpp
+++ b/bench/TokensBench.cpp
@@ -2,19 +2,22 @@
 #include "FigureList.h"
 #include "fakes/FaultSchedule.h"
 
+#include <map>
+#include <string>
+
 namespace redwingseam::bench {
 
 using namespace std::chrono_literals;
 
 // Short generations under every kind of fault, checked token by token.
-void benchTokens(FigureList& figures)
+static void runGenerations(FigureList& figures, uint64_t wantedGenerations)
 {
-    static constexpr uint64_t wantedGenerations = 100'000;
     static constexpr size_t perRound = 40;
     uint64_t generations = 0;
     uint64_t wrong = 0;
     uint64_t cutShort = 0;
     uint64_t refused = 0;
+    std::map<base::ResultCode, uint64_t> refusals;
     for (uint64_t seed = 1; generations < wantedGenerations; ++seed) {
         fakes::WorldOptions options { .seed = seed, .nodes = 3, .dataCentres = 3, .repeatedTokensPermille = 5 };
         fakes::Deployment<> deployment(options, 4);
@@ -34,12 +37,26 @@
             wrong += caller.wrongTokens;
             cutShort += caller.finish && caller.received.size() != caller.request.maxTokens ? 1 : 0;
             refused += caller.refusal ? 1 : 0;
+            if (caller.refusal)
+                ++refusals[caller.refusal->error.code];
         }
     }
     figures.show("tokens.generations", static_cast<double>(generations), "generations");
     figures.add("tokens.wrong", static_cast<double>(wrong), "tokens", 0, Direction::AtMost);
     figures.add("tokens.cut_short", static_cast<double>(cutShort), "answers", 0, Direction::AtMost);
+    for (const auto& [code, count] : refusals)
+        figures.show("tokens.refused." + std::string(base::nameOf(code)), static_cast<double>(count), "requests");
     figures.show("tokens.refused_ratio", static_cast<double>(refused) / static_cast<double>(generations), "ratio");
 }
 
+void benchTokens5k(FigureList& figures)
+{
+    runGenerations(figures, 5'000);
+}
+
+void benchTokens100k(FigureList& figures)
+{
+    runGenerations(figures, 100'000);
+}
+
 } // namespace redwingseam::bench
--- a/src/claim/ClaimDesk.cpp
+++ b/src/claim/ClaimDesk.cpp
@@ -75,6 +75,16 @@
     });
 }
 
+void ClaimDesk::forgetOldKeys(ClaimGroup& group, base::Instant now)
+{
+    if (group.marks.empty() || now - group.marks.back().at >= markInterval)
+        group.marks.push_back({ now, group.log.nextNumber() });
+    while (now - group.marks.front().at > keyRetention) {
+        group.log.forgetBefore(group.marks.front().number);
+        group.marks.pop_front();
+    }
+}
+
 void ClaimDesk::refreshForWaiters(ClaimGroup& group, base::Instant now)
 {
     std::erase_if(group.outcomeWaiters, [&](const OutcomeWaiter& waiter) { return waiter.deadline <= now; });
@@ -99,6 +109,7 @@
 LogCall ClaimDesk::poll(size_t index, base::Instant now)
 {
     return m_groups.with(index, [&](ClaimGroup& group) -> LogCall {
+        forgetOldKeys(group, now);
         refreshForWaiters(group, now);
         if (now < group.notBefore)
             return {};
--- a/src/claim/ClaimDesk.h
+++ b/src/claim/ClaimDesk.h
@@ -23,6 +23,10 @@
     static constexpr base::Duration refreshInterval = std::chrono::milliseconds(250);
     // Time after which a relayed record is appended by the node itself.
     static constexpr base::Duration relayPatience = std::chrono::milliseconds(800);
+    // Time for which a key is remembered at least. A start from a checkpoint begins it anew.
+    static constexpr base::Duration keyRetention = std::chrono::hours(24);
+    // Time between two marks of how far a log had come.
+    static constexpr base::Duration markInterval = std::chrono::minutes(10);
     // Log objects after which the preferred writer stores a new checkpoint.
     static constexpr uint64_t checkpointEvery = 64;
 
@@ -65,6 +69,7 @@
 private:
     static std::vector<ClaimNotice> takeNotices(ClaimGroup&);
     static void noticeOutcome(ClaimGroup&, const ClaimRecord&, std::vector<ClaimNotice>&);
+    static void forgetOldKeys(ClaimGroup&, base::Instant now);
     static void refreshForWaiters(ClaimGroup&, base::Instant now);
     static void backOff(ClaimGroup&, base::Instant now, uint64_t jitter);
 
--- a/src/claim/ClaimGroup.h
+++ b/src/claim/ClaimGroup.h
@@ -3,10 +3,12 @@
 #include "claim/ClaimLog.h"
 #include "claim/ClaimTicket.h"
 #include "claim/ClaimWaiter.h"
+#include "claim/LogMark.h"
 #include "claim/OutcomeWaiter.h"
 #include "claim/RelayedRecord.h"
 #include "redwingseam/base/Instant.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -21,6 +23,8 @@
     // Claims whose requests were refused before they were known to be in the log.
     std::set<ClaimTicket> withdrawn;
     std::vector<OutcomeWaiter> outcomeWaiters;
+    // Oldest first; keys that have not changed since the oldest one are forgotten in time.
+    std::deque<LogMark> marks;
     base::Instant nextRefresh;
     base::Instant notBefore;
     uint32_t failures = 0;
--- /dev/null
+++ b/src/claim/LogMark.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+#include <cstdint>
+
+namespace redwingseam::claim {
+
+// How far a claim log had come at a time, by this node's clock.
+struct LogMark {
+    base::Instant at;
+    uint64_t number = 0;
+};
+
+} // namespace redwingseam::claim
--- a/src/daemon/AdminHandler.cpp
+++ b/src/daemon/AdminHandler.cpp
@@ -55,7 +55,8 @@
 AdminHandler::Response AdminHandler::ready()
 {
     auto status = m_node.node().status();
-    bool isReady = !status.isDraining;
+    // A VM that has just started and knows no upstream would only refuse.
+    bool isReady = !status.isDraining && status.upstreamsLive + status.upstreamsDown > 0;
     return { isReady ? 200U : 503U, isReady ? R"({"ready":true})" : R"({"ready":false})" };
 }
 
--- a/src/node/NodeCoreRequests.h
+++ b/src/node/NodeCoreRequests.h
@@ -54,6 +54,10 @@
 {
     const auto& target = state.request.resume ? state.request.resume->pool.text : state.request.target;
     auto pool = m_directory.resolve(target);
+    if (!pool && m_directory.isEmpty()) {
+        refuse(state, { base::ResultCode::NoUpstream, "this VM has just started and knows no upstream yet" }, RunState::NotRun, context);
+        return false;
+    }
     if (!pool) {
         refuse(state, { base::ResultCode::UnknownModel, "no upstream serves " + target }, RunState::NotRun, context);
         return false;
@@ -175,7 +179,7 @@
 template<typename Policies>
 void NodeCore<Policies>::refuse(const State& state, base::Error error, RunState runState, Context& context)
 {
-    bool mayComeBack = error.code == base::ResultCode::QueueFull || error.code == base::ResultCode::DeadlinePassed || error.code == base::ResultCode::ClaimStoreUnavailable || error.code == base::ResultCode::Draining;
+    bool mayComeBack = error.code == base::ResultCode::QueueFull || error.code == base::ResultCode::DeadlinePassed || error.code == base::ResultCode::ClaimStoreUnavailable || error.code == base::ResultCode::NoUpstream || error.code == base::ResultCode::Draining;
     m_recorder.countRefusal(state.policy, error.code, context.now);
     if (runState == RunState::NotRun)
         giveUpClaim(state, context);
--- a/src/node/PoolDirectory.cpp
+++ b/src/node/PoolDirectory.cpp
@@ -36,6 +36,12 @@
     return found->second.pool;
 }
 
+bool PoolDirectory::isEmpty()
+{
+    std::lock_guard guard(m_mutex);
+    return m_pools.empty();
+}
+
 std::optional<base::PoolName> PoolDirectory::resolve(std::string_view target)
 {
     std::lock_guard guard(m_mutex);
--- a/src/node/PoolDirectory.h
+++ b/src/node/PoolDirectory.h
@@ -16,6 +16,8 @@
 public:
     void update(const route::UpstreamRecord&);
     std::optional<base::PoolName> poolOf(const base::UpstreamName&);
+    // Whether no upstream has been heard of yet, as after a start without platform and peers.
+    bool isEmpty();
     // Pool for a target: itself if it names one, else the highest version of the model that is live,
     // else one that was live before.
     std::optional<base::PoolName> resolve(std::string_view target);
--- a/src/route/Chooser.h
+++ b/src/route/Chooser.h
@@ -19,7 +19,9 @@
 {
     chooser.rebuild(upstreams);
     // Differs between nodes, so that they do not all do the same at the same time.
-    { chooser.seed() } -> std::same_as<uint64_t>;
+    {
+        chooser.seed()
+        } -> std::same_as<uint64_t>;
     {
         chooser.choose(upstreams, prefixes, work, random)
         } -> std::same_as<std::optional<uint32_t>>;
--- a/src/route/SubsetChooser.cpp
+++ b/src/route/SubsetChooser.cpp
@@ -8,8 +8,9 @@
 
 // Score units: 1000 is a full upstream.
 static constexpr int64_t fullLoadScore = 1000;
-static constexpr int64_t cachedBlockScore = 40;
+static constexpr int64_t cachedBlockScore = 60;
 static constexpr int64_t deepestCacheScore = 400;
+static constexpr int64_t ownWeight = 4;
 static constexpr int64_t avoidedScore = 4000;
 static constexpr int64_t highestSlowness = 4;
 static constexpr size_t tierCount = 2;
@@ -39,7 +40,10 @@
 
 static int64_t score(const UpstreamView& view, const schedule::QueuedWork& work, uint32_t cachedBlocks, int64_t usualGap)
 {
-    int64_t load = (view.estimatedLoad() + 1) * fullLoadScore / std::max(1U, view.record.slots);
+    // Reports are late and the same for all nodes, so what this node itself has there weighs more: nodes
+    // that all followed the reports would choose the same upstream.
+    int64_t requests = view.estimatedLoad() + ownWeight * view.own() + 1;
+    int64_t load = requests * fullLoadScore / (2 * std::max(1U, view.record.slots));
     int64_t result = load * slowness(view, usualGap);
     result -= std::min(deepestCacheScore, cachedBlocks * cachedBlockScore);
     if (view.record.name == work.avoid)
--- /dev/null
+++ b/tests/ClaimLogTest.cpp
@@ -0,0 +1,111 @@
+#include "claim/ClaimDesk.h"
+#include "claim/ClaimPolicy.h"
+
+#include "PropertyCheck.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Several writers on one log whose store loses answers and delays writes. Returns the holders that were
+// told that they may dispatch each key.
+std::map<std::string, std::set<uint64_t>> runWriters(const std::vector<uint16_t>& words)
+{
+    static constexpr size_t writers = 3;
+    std::array<claim::ClaimLog, writers> logs;
+    std::map<uint64_t, claim::ClaimBatch> store;
+    std::vector<std::pair<uint64_t, claim::ClaimBatch>> delayed;
+    std::map<std::string, std::set<uint64_t>> granted;
+    uint64_t holder = 1;
+    auto create = [&](uint64_t number, const claim::ClaimBatch& batch) { return store.try_emplace(number, batch).second; };
+    for (auto word : words) {
+        auto& log = logs[word % writers];
+        auto fault = (word / writers) % 5;
+        if (fault == 4 && !delayed.empty()) {
+            // A write whose answer was lost arrives only now.
+            create(delayed.front().first, delayed.front().second);
+            delayed.erase(delayed.begin());
+        }
+        log.enqueue({ claim::RecordKind::Claimed, { "key-" + std::to_string((word / 15) % 4) }, holder++, {} });
+        auto call = log.nextCall();
+        if (call.step == claim::AppendStep::ReadCheckpoint) {
+            log.onCheckpoint(std::nullopt);
+        } else if (fault == 0) {
+            if (call.step == claim::AppendStep::Create)
+                create(call.number, call.batch);
+            log.onCallLost();
+        } else if (fault == 1) {
+            if (call.step == claim::AppendStep::Create)
+                delayed.emplace_back(call.number, call.batch);
+            log.onCallLost();
+        } else if (call.step == claim::AppendStep::Read) {
+            auto found = store.find(call.number);
+            log.onRead(found == store.end() ? std::nullopt : std::optional(found->second));
+        } else if (call.step == claim::AppendStep::Create) {
+            if (create(call.number, call.batch))
+                log.onCreated();
+            else
+                log.onTaken();
+        }
+        for (const auto& record : log.takeDecided()) {
+            const auto* state = log.find(record.key);
+            if (state && claim::ClaimPolicy::isGranted({ state->kind, record.key, state->holder, state->answer }, record.holder))
+                granted[record.key.text].insert(record.holder);
+        }
+    }
+    return granted;
+}
+
+} // namespace
+
+TEST_GROUP(ClaimLog) {};
+
+TEST(ClaimLog, OneHolderPerKeyWhateverIsLostOrLate)
+{
+    CHECK_PROPERTY("lost answers and late writes", [](const std::vector<uint16_t>& words) {
+        for (const auto& [key, holders] : runWriters(words))
+            RC_ASSERT(holders.size() == 1U);
+    });
+}
+
+TEST(ClaimLog, AbandonedKeyCanBeClaimedAgain)
+{
+    claim::ClaimLog log;
+    log.enqueue({ claim::RecordKind::Claimed, { "k" }, 1, {} });
+    log.enqueue({ claim::RecordKind::Abandoned, { "k" }, 1, {} });
+    log.enqueue({ claim::RecordKind::Claimed, { "k" }, 2, {} });
+    log.nextCall();
+    log.onCheckpoint(std::nullopt);
+    log.nextCall();
+    log.onRead(std::nullopt);
+    log.nextCall();
+    log.onCreated();
+    LONGS_EQUAL(2, log.find({ "k" })->holder);
+}
+
+TEST(ClaimLog, KeysAreForgottenAfterADayAndNotBefore)
+{
+    claim::ClaimDesk desk;
+    base::IdempotencyKey key { "k" };
+    auto group = claim::ClaimDesk::groupOf(key);
+    base::Instant start { 1h };
+    desk.append({ claim::RecordKind::Claimed, key, 1, {} }, {});
+    desk.poll(group, start);
+    desk.onCheckpoint(group, platform::CallOutcome::Absent, {}, std::nullopt, start, 0);
+    desk.poll(group, start);
+    desk.onRead(group, platform::CallOutcome::Absent, std::nullopt, start, 0);
+    desk.poll(group, start);
+    desk.onCreated(group, platform::CallOutcome::Done, start, 0);
+    desk.append({ claim::RecordKind::Finished, key, 1, { 200, "done" } }, {});
+    desk.poll(group, start + 1s);
+    desk.onCreated(group, platform::CallOutcome::Done, start + 1s, 0);
+    for (auto time = start + 10min; time <= start + 23h; time += 10min)
+        desk.poll(group, time);
+    CHECK_TRUE(desk.awaitOutcome(key, { 1 }, start + 48h).has_value());
+    for (auto time = start + 23h; time <= start + 25h; time += 10min)
+        desk.poll(group, time);
+    CHECK_FALSE(desk.awaitOutcome(key, { 1 }, start + 48h).has_value());
+}
