--- a/src/http/RequestServer.h
+++ b/src/http/RequestServer.h
@@ -23,12 +23,14 @@
     {
         static constexpr size_t stackBytes = 256 * 1024;
         static constexpr unsigned idleSeconds = 120;
+        static constexpr unsigned mostConnections = 8192;
         auto native = address.native();
-        m_daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, address.port, nullptr, nullptr,
+        m_daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, address.port, nullptr, nullptr,
             &RequestServer::onRequest, this,
             MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&native),
             MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
             MHD_OPTION_THREAD_STACK_SIZE, stackBytes,
+            MHD_OPTION_CONNECTION_LIMIT, mostConnections,
             MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
             MHD_OPTION_NOTIFY_COMPLETED, &RequestServer::onCompleted, nullptr,
             MHD_OPTION_END);
--- a/src/node/BlameDesk.cpp
+++ b/src/node/BlameDesk.cpp
@@ -28,6 +28,12 @@
     return m_book.judge(now);
 }
 
+void BlameDesk::disprove(const route::DeathId& death)
+{
+    std::lock_guard guard(m_mutex);
+    m_book.disprove(death);
+}
+
 void BlameDesk::clear(base::Fingerprint fingerprint)
 {
     std::lock_guard guard(m_mutex);
--- a/src/node/BlameDesk.h
+++ b/src/node/BlameDesk.h
@@ -17,6 +17,7 @@
     std::vector<membership::VerdictRecord> onUpstreamLost(const route::DeathId&, std::span<const route::Casualty>, base::Instant now);
     void learn(const membership::VerdictRecord&, base::Instant now);
     std::vector<membership::VerdictRecord> judge(base::Instant now);
+    void disprove(const route::DeathId&);
     void clear(base::Fingerprint);
     bool isHeard(base::Fingerprint);
     base::Instant hearingEnd(base::Fingerprint);
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -12,6 +12,7 @@
 #include "node/PoolShard.h"
 #include "node/RequestState.h"
 #include "node/SuspectWard.h"
+#include "node/TokenOutcome.h"
 #include "node/VmDirectory.h"
 #include "redwingseam/base/Sharded.h"
 #include "redwingseam/node/AttemptEnded.h"
@@ -95,7 +96,8 @@
     // Streams and losses: NodeCoreStreams.h.
     void complete(const AttemptEnded&, Context&);
     void loseAttempt(base::RequestId, base::AttemptNumber, Context&);
-    void onUpstreamLost(const base::UpstreamName&, base::RequestId reporter, Context&);
+    void onConnectionLost(base::RequestId, const Flight&, Context&);
+    void onTokenGap(const TokenOutcome&, Context&);
     route::DeathId deathOf(const base::UpstreamName&);
     void requeueAfterLoss(base::RequestId, Context&);
     void checkSilence(Context&);
--- a/src/node/NodeCoreStreams.h
+++ b/src/node/NodeCoreStreams.h
@@ -13,7 +13,7 @@
     TokenOutcome outcome;
     withRequest(event.request, [&](State& state) { outcome = takeTokens(state, event, context.now); });
     if (outcome.gap)
-        withPool(outcome.pool, [&](FairPool& target) { target.observeGap(outcome.upstream, *outcome.gap); });
+        onTokenGap(outcome, context);
     if (outcome.firstTokenAfter)
         m_recorder.recordFirstToken(outcome.policy, *outcome.firstTokenAfter, outcome.hasLoss, context.now);
     if (outcome.silence)
@@ -33,6 +33,16 @@
         loseAttempt(event.request, event.attempt, context);
 }
 
+template<typename Policies>
+void NodeCore<Policies>::onTokenGap(const TokenOutcome& outcome, Context&)
+{
+    bool wasDown = false;
+    withPool(outcome.pool, [&](FairPool& target) { wasDown = target.observeGap(outcome.upstream, *outcome.gap); });
+    // It was taken for dead, and is not: no one is to blame.
+    if (wasDown)
+        m_blame.disprove(deathOf(outcome.upstream));
+}
+
 template<typename Policies>
 void NodeCore<Policies>::handle(const AttemptEnded& event, Context& context)
 {
@@ -54,7 +64,7 @@
         return;
     bool mayHaveDied = event.end == AttemptEnd::Lost && isAbout;
     if (mayHaveDied) {
-        onUpstreamLost(ended->upstream, event.request, context);
+        onConnectionLost(event.request, *ended, context);
         return;
     }
     if (event.end != AttemptEnd::Lost) {
@@ -178,33 +188,25 @@
 }
 
 template<typename Policies>
-void NodeCore<Policies>::onUpstreamLost(const base::UpstreamName& upstream, base::RequestId reporter, Context& context)
+void NodeCore<Policies>::onConnectionLost(base::RequestId request, const Flight& flight, Context& context)
 {
-    auto pool = m_directory.poolOf(upstream);
-    if (!pool)
+    // Each stream speaks for itself: one connection that breaks does not take the others with it. If the
+    // upstream has died, all of its streams are in the death's record before it is judged.
+    bool wasUp = false;
+    std::optional<route::Casualty> casualty;
+    base::PoolName pool;
+    withRequest(request, [&](State& state) {
+        auto tokens = state.ledger.transcript().size();
+        casualty = { state.fingerprint, tokens > flight.firstIndex, tokens > 0 };
+        pool = state.pool;
+    });
+    if (!casualty)
         return;
-    std::vector<route::FlightEntry> inFlight;
-    withPool(*pool, [&](FairPool& target) { inFlight = target.markDown(upstream); });
-    bool hasReporter = std::any_of(inFlight.begin(), inFlight.end(), [&](const auto& entry) { return entry.request == reporter; });
-    if (!hasReporter)
-        inFlight.push_back({ reporter, base::Rank::Standard, false, false, context.now });
-    std::vector<route::Casualty> casualties;
-    std::vector<std::pair<base::RequestId, base::AttemptNumber>> attempts;
-    for (const auto& entry : inFlight) {
-        withRequest(entry.request, [&](State& state) {
-            for (auto* flight : { &state.current, &state.rival }) {
-                if (!*flight || (*flight)->upstream != upstream)
-                    continue;
-                auto tokens = state.ledger.transcript().size();
-                casualties.push_back({ state.fingerprint, tokens > (*flight)->firstIndex, tokens > 0 });
-                attempts.emplace_back(entry.request, (*flight)->attempt);
-            }
-        });
-    }
-    m_recorder.countUpstreamLoss();
-    tellAtOnce(m_blame.onUpstreamLost(deathOf(upstream), casualties, context.now), context);
-    for (const auto& [request, attempt] : attempts)
-        loseAttempt(request, attempt, context);
+    withPool(pool, [&](FairPool& target) { wasUp = target.setDown(flight.upstream); });
+    if (wasUp)
+        m_recorder.countUpstreamLoss();
+    tellAtOnce(m_blame.onUpstreamLost(deathOf(flight.upstream), std::span(&*casualty, 1), context.now), context);
+    loseAttempt(request, flight.attempt, context);
 }
 
 template<typename Policies>
--- a/src/node/Pool.h
+++ b/src/node/Pool.h
@@ -103,21 +103,12 @@
         return std::erase_if(view->flight, [&](const route::FlightEntry& entry) { return entry.request == request; }) > 0;
     }
 
-    // Stops giving work to an upstream until it reports again; returns what was in flight there.
-    std::vector<route::FlightEntry> markDown(const base::UpstreamName& upstream)
-    {
-        auto* view = find(upstream);
-        if (!view)
-            return {};
-        view->isDown = true;
-        return std::exchange(view->flight, {});
-    }
-
     // Stops giving work to an upstream until it reports again; what is in flight there goes on.
-    void setDown(const base::UpstreamName& upstream)
+    // Returns whether it was taken to be up before.
+    bool setDown(const base::UpstreamName& upstream)
     {
-        if (auto* view = find(upstream))
-            view->isDown = true;
+        auto* view = find(upstream);
+        return view && !std::exchange(view->isDown, true);
     }
 
     void observe(const route::LoadReport& report)
@@ -142,11 +133,15 @@
             m_prefixes.remove(event.prefixHash, found->second);
     }
 
-    void observeGap(const base::UpstreamName& upstream, base::Duration gap)
+    // Notes the time between tokens of an upstream. Returns whether it was taken to be down.
+    bool observeGap(const base::UpstreamName& upstream, base::Duration gap)
     {
         static constexpr int64_t gapDivisor = 16;
-        if (auto* view = find(upstream))
-            view->tokenGap = view->tokenGap ? view->tokenGap + (gap.count() - view->tokenGap) / gapDivisor : gap.count();
+        auto* view = find(upstream);
+        if (!view)
+            return false;
+        view->tokenGap = view->tokenGap ? view->tokenGap + (gap.count() - view->tokenGap) / gapDivisor : gap.count();
+        return view->isDown;
     }
 
     // Deferrable stream to interrupt for waiting urgent work: the youngest one, which loses least.
--- a/src/route/BlameBook.cpp
+++ b/src/route/BlameBook.cpp
@@ -15,13 +15,20 @@
     }
     std::vector<membership::VerdictRecord> told;
     for (const auto& [fingerprint, casualty] : merged) {
-        DeathMember member { m_suspects.contains(fingerprint) && !casualty.madeProgress, casualty.hasTokens };
+        DeathMember member { hasOtherDeath(fingerprint, death) && !casualty.madeProgress, casualty.hasTokens };
         suspect(fingerprint, death, member, now);
         told.push_back({ fingerprint, false, member.wasSuspect, member.hasTokens, { death } });
     }
     return told;
 }
 
+bool BlameBook::hasOtherDeath(base::Fingerprint fingerprint, const DeathId& death) const
+{
+    // An upstream dies once in an incarnation; if it seems to do so twice, it is connections that break.
+    auto known = m_suspects.find(fingerprint);
+    return known != m_suspects.end() && std::any_of(known->second.deaths.begin(), known->second.deaths.end(), [&](const DeathId& other) { return other != death; });
+}
+
 void BlameBook::suspect(base::Fingerprint fingerprint, const DeathId& death, DeathMember member, base::Instant now)
 {
     auto [record, isNew] = m_deaths.try_emplace(death);
@@ -111,6 +118,12 @@
     std::erase_if(m_suspects, [](const auto& item) { return item.second.deaths.empty(); });
 }
 
+void BlameBook::disprove(const DeathId& death)
+{
+    if (m_deaths.contains(death))
+        explain(std::span(&death, 1));
+}
+
 void BlameBook::clear(base::Fingerprint fingerprint)
 {
     m_suspects.erase(fingerprint);
--- a/src/route/BlameBook.h
+++ b/src/route/BlameBook.h
@@ -41,6 +41,8 @@
     void learn(const membership::VerdictRecord&, base::Instant now);
     // Judges the deaths whose hearing is over; returns new convictions.
     std::vector<membership::VerdictRecord> judge(base::Instant now);
+    // The upstream is alive after all.
+    void disprove(const DeathId&);
     // The request got further than before.
     void clear(base::Fingerprint);
 
@@ -63,6 +65,7 @@
         base::Instant at;
     };
 
+    bool hasOtherDeath(base::Fingerprint, const DeathId&) const;
     void suspect(base::Fingerprint, const DeathId&, DeathMember, base::Instant now);
     std::optional<base::Fingerprint> onlySuspect(const DeathRecord&) const;
     membership::VerdictRecord convict(base::Fingerprint, base::Instant now);
--- a/tests/PoisonTest.cpp
+++ b/tests/PoisonTest.cpp
@@ -124,3 +124,17 @@
     LONGS_EQUAL(1, book.judge(now + 2s).size());
     CHECK_TRUE(book.verdict({ 1 }) == route::Verdict::Convicted);
 }
+
+TEST(Poison, UpstreamThatSeemsToDieTwiceInOneIncarnationConvictsNoOne)
+{
+    // An engine that turned connections away was taken for dead each time, and 1,992 of 2,000 equal
+    // requests were refused as harmful.
+    route::BlameBook book;
+    base::Instant now;
+    std::vector<route::Casualty> own { { { 1 }, false, false } };
+    book.onUpstreamLost({ { "a" }, 1 }, own, now);
+    CHECK_TRUE(book.judge(now + 1s).empty());
+    book.onUpstreamLost({ { "a" }, 1 }, own, now + 2s);
+    CHECK_TRUE(book.judge(now + 4s).empty());
+    CHECK_TRUE(book.verdict({ 1 }) == route::Verdict::Suspected);
+}
--- /dev/null
+++ b/tools/redwingseam-load/Main.cpp
@@ -0,0 +1,78 @@
+#include "StreamCounter.h"
+#include "base/Condition.h"
+#include "base/SystemClock.h"
+#include "http/BlockingClient.h"
+#include "http/CurlLoop.h"
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <mutex>
+
+namespace {
+
+using namespace redwingseam;
+
+http::HttpRequest makeRequest(const cxxopts::ParseResult& parsed)
+{
+    http::HttpRequest request { "POST", parsed["to"].as<std::string>(), parsed["body"].as<std::string>() };
+    request.headers.push_back("Authorization: Bearer " + parsed["key"].as<std::string>());
+    return request;
+}
+
+void pause(base::Duration duration)
+{
+    base::Mutex mutex;
+    base::Condition condition;
+    std::lock_guard guard(mutex);
+    condition.waitFor(mutex, duration);
+}
+
+// Sends requests one after the other and prints the median of their times.
+int runSequence(const http::HttpRequest& request, size_t count)
+{
+    std::vector<int64_t> micros;
+    for (size_t i = 0; i < count; ++i) {
+        auto start = base::SystemClock {}.now();
+        auto result = http::exchange(request);
+        if (result.status != 200)
+            return 1;
+        micros.push_back((base::SystemClock {}.now() - start).count());
+    }
+    std::sort(micros.begin(), micros.end());
+    std::cout << micros[micros.size() / 2] << "\n";
+    return 0;
+}
+
+// Opens streams, waits, and prints how many of them are open and have brought data.
+int runStreams(const http::HttpRequest& request, size_t count, base::Duration wait)
+{
+    standin::StreamCounter counter;
+    http::CurlLoop<standin::StreamCounter> loop(counter, "load");
+    for (size_t i = 0; i < count; ++i)
+        loop.submit(i + 1, request, {});
+    pause(wait);
+    std::cout << counter.open() << "\n"
+              << std::flush;
+    pause(std::chrono::seconds(2));
+    return counter.open() == count ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("redwingseam-load", "Measures: times requests one by one, or holds many streams open at once.");
+    options.add_options()("to", "URL", cxxopts::value<std::string>())("body", "Request body", cxxopts::value<std::string>())("key", "Client key", cxxopts::value<std::string>()->default_value("none"))("sequence", "Requests one by one; prints the median in microseconds", cxxopts::value<size_t>())("streams", "Streams at once; prints how many are open", cxxopts::value<size_t>())("wait-ms", "Time for the streams to open", cxxopts::value<int64_t>()->default_value("8000"));
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    try {
+        auto parsed = options.parse(argc, argv);
+        auto request = makeRequest(parsed);
+        if (parsed.count("sequence"))
+            return runSequence(request, parsed["sequence"].as<size_t>());
+        return runStreams(request, parsed["streams"].as<size_t>(), std::chrono::milliseconds(parsed["wait-ms"].as<int64_t>()));
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+}
