--- a/bench/ClientsBench.cpp
+++ b/bench/ClientsBench.cpp
@@ -16,6 +16,7 @@
     std::vector<Arrivals> makeArrivals(bool hasLarge)
     {
         std::vector<Arrivals> arrivals;
+        arrivals.reserve(10);
         for (int i = 0; i < 8; ++i)
             arrivals.push_back({ { "small-" + std::to_string(i) }, base::Rank::Standard, 1000ms, 50 });
         if (!hasLarge)
--- a/bench/RouteBench.cpp
+++ b/bench/RouteBench.cpp
@@ -90,7 +90,7 @@
                 auto family = random() % 50;
                 std::string prompt = family < 40 ? std::string(1024, static_cast<char>('A' + family)) : std::string(1024, 'z') + std::to_string(nextId);
                 if (family >= 40)
-                    prompt = std::to_string(nextId) + prompt;
+                    prompt.insert(0, std::to_string(nextId));
                 schedule::QueuedWork work { { nextId }, {}, { "c" }, base::Rank::Standard, 50 };
                 work.deadline = now + 1h;
                 work.prefixHashes = route::prefixHashes(prompt);
--- a/src/http/EngineEvents.h
+++ b/src/http/EngineEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/EngineLoad.h"
 #include "http/EventLines.h"
 #include "redwingseam/node/TokensReceived.h"
 #include "redwingseam/route/CacheEvent.h"
@@ -12,12 +13,6 @@
 
 namespace redwingseam::http {
 
-// An engine's load answer: how busy it is, and what it cached or evicted since the last one.
-struct EngineLoad {
-    route::LoadReport load;
-    std::vector<route::CacheEvent> cacheEvents;
-};
-
 // Tokens of a `data:` event. Nothing if the event is of another form.
 std::optional<node::TokensReceived> parseTokens(std::string_view json);
 // Total of a `done` event.
--- a/src/http/EventLines.h
+++ b/src/http/EventLines.h
@@ -1,16 +1,11 @@
 #pragma once
 
+#include "http/ServerEvent.h"
 #include <string>
 #include <string_view>
 
 namespace redwingseam::http {
 
-// One server-sent event.
-struct ServerEvent {
-    std::string name;
-    std::string data;
-};
-
 // Cuts a byte stream into server-sent events. An event that grows past the limit is an error, which
 // stays: the rest of the stream cannot be trusted.
 class EventLines {
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/ParsedCompletion.h"
 #include "redwingseam/base/Result.h"
 #include "redwingseam/node/CallerRequest.h"
 
@@ -7,12 +8,6 @@
 
 namespace redwingseam::http {
 
-// What a caller asked for in a request's body.
-struct ParsedCompletion {
-    node::CallerRequest request;
-    bool isStreamed = true;
-};
-
 // Fills a request from the body of `POST /v1/completions`. Errors MalformedRequest and RequestTooLarge
 // name the JSON pointer. Leaves id, client and resume point to the caller.
 base::Result<ParsedCompletion> parseCompletion(std::string_view json);
--- /dev/null
+++ b/src/http/ServerEvent.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace redwingseam::http {
+
+// One server-sent event.
+struct ServerEvent {
+    std::string name;
+    std::string data;
+};
+
+} // namespace redwingseam::http
--- a/src/node/NodeCoreImpl.h
+++ b/src/node/NodeCoreImpl.h
@@ -3,6 +3,8 @@
 #include "node/NodeCore.h"
 #include "node/NodeCoreClaims.h"
 #include "node/NodeCoreDispatch.h"
+#include "node/NodeCoreFacts.h"
+#include "node/NodeCoreLifecycle.h"
 #include "node/NodeCorePeers.h"
 #include "node/NodeCoreRequests.h"
 #include "node/NodeCoreSettings.h"
--- /dev/null
+++ b/src/node/NodeCoreLifecycle.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "membership/FactStoreImpl.h"
+#include "node/NodeCore.h"
+#include "redwingseam/membership/FactFactory.h"
+
+// Start, end and state of a node.
+namespace redwingseam::node {
+
+template<typename Policies>
+NodeCore<Policies>::NodeCore(NodeConfig config)
+    : m_config(std::move(config))
+    , m_incarnation(m_config.incarnation)
+    , m_vms(m_config.self, m_config.dataCentre)
+    , m_monitor(m_config.self, std::chrono::seconds(4))
+{
+}
+
+template<typename Policies>
+void NodeCore<Policies>::start(Context& context)
+{
+    for (const auto& seed : m_config.seeds) {
+        // Incarnation 0: whatever a seed says of itself goes before the settings file.
+        if (seed.name != m_config.self)
+            learn(membership::makeFact(seed, 0), context);
+    }
+    announceSelf(membership::VmState::Live, context);
+    // A few answers are enough; asking everyone would make a storm when a whole region starts.
+    static constexpr size_t askedAtStart = 3;
+    auto peers = randomPeers(askedAtStart, context);
+    for (const auto& vm : farRelays(context)) {
+        if (peers.size() < askedAtStart)
+            peers.push_back(vm);
+    }
+    for (const auto& vm : peers)
+        send(vm, makeDigest(true), context);
+    chooseWatches(context);
+}
+
+template<typename Policies>
+void NodeCore<Policies>::announceSelf(membership::VmState state, Context& context)
+{
+    learn(membership::makeFact(membership::VmRecord { m_config.self, m_config.dataCentre, m_config.peerAddress, state }, m_incarnation), context);
+}
+
+template<typename Policies>
+void NodeCore<Policies>::beginDrain(Context& context)
+{
+    m_isDraining = true;
+    announceSelf(membership::VmState::Leaving, context);
+    gossip(context);
+}
+
+template<typename Policies>
+bool NodeCore<Policies>::isDrained()
+{
+    size_t open = 0;
+    m_requests.forEach([&](RequestMap& requests) { open += requests.size(); });
+    return !open && !m_claims.pending();
+}
+
+template<typename Policies>
+NodeStatus NodeCore<Policies>::status(base::Instant now)
+{
+    static constexpr base::Duration platformPatience = std::chrono::seconds(10);
+    NodeStatus status;
+    status.vm = m_config.self;
+    status.dataCentre = m_config.dataCentre;
+    auto tree = m_settings.snapshot();
+    status.settingsVersion = tree->version();
+    status.branches = tree->branches().size();
+    m_requests.forEach([&](RequestMap& requests) { status.requests += requests.size(); });
+    m_pools.forEach([&](PoolShard& shard) {
+        for (const auto& [name, pool] : shard.pools) {
+            status.queued += pool.queue().size();
+            for (const auto& view : pool.upstreams())
+                ++(view.takesWork() ? status.upstreamsLive : status.upstreamsDown);
+        }
+    });
+    status.vmsLive = m_vms.live().size();
+    status.claimsPending = m_claims.pending();
+    status.facts = m_facts.size();
+    status.isDraining = m_isDraining;
+    auto silentSince = m_platformSilentSince.load();
+    status.isPlatformReachable = !silentSince || now.time_since_epoch().count() - silentSince < platformPatience.count();
+    status.dataCentresSeen = m_vms.otherDataCentres();
+    return status;
+}
+
+template<typename Policies>
+std::vector<route::UpstreamRecord> NodeCore<Policies>::upstreams()
+{
+    std::vector<route::UpstreamRecord> records;
+    for (const auto& fact : m_facts.all(membership::FactKind::Upstream))
+        records.push_back(std::get<route::UpstreamRecord>(fact.body));
+    return records;
+}
+
+} // namespace redwingseam::node
--- a/src/platform/WatchTable.h
+++ b/src/platform/WatchTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/DueWatch.h"
 #include "platform/WatchState.h"
 #include "redwingseam/base/Mutex.h"
 
@@ -9,12 +10,6 @@
 
 namespace redwingseam::platform {
 
-// A list or watch that is to be asked for.
-struct DueWatch {
-    std::string prefix;
-    uint64_t revision = 0;
-};
-
 // The watches of the platform's store: which are wanted, how far each has come, and when it is to be
 // asked for again. Thread-safe.
 class WatchTable {
--- a/src/report/ReportCodec.h
+++ b/src/report/ReportCodec.h
@@ -2,6 +2,7 @@
 
 #include "redwingseam/report/BurnReport.h"
 #include "redwingseam/report/Counters.h"
+#include "report/VmReport.h"
 
 #include <optional>
 #include <string>
@@ -13,10 +14,6 @@
 std::string formatBurnReport(const BurnReport&, const Counters&);
 
 // Reads it back. Nothing for text of another form.
-struct VmReport {
-    BurnReport burn;
-    Counters counters;
-};
 std::optional<VmReport> parseBurnReport(std::string_view json);
 
 } // namespace redwingseam::report
--- a/tools/redwingseam/TreeFiles.h
+++ b/tools/redwingseam/TreeFiles.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BranchFile.h"
 #include "redwingseam/base/Error.h"
 #include "redwingseam/base/Result.h"
 #include "redwingseam/settings/Branch.h"
@@ -11,14 +12,6 @@
 
 namespace redwingseam::cli {
 
-// A branch as it lies in a folder: `branch.json` in a folder named for the branch's path.
-struct BranchFile {
-    std::string path;
-    std::string file;
-    std::string json;
-    settings::Branch branch;
-};
-
 // A settings tree kept as files. `errors` has one entry per file that can't be used.
 struct TreeFiles {
     std::vector<BranchFile> branches;
--- /dev/null
+++ b/tools/standin-engine/GenerationOrder.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "redwingseam/base/Rank.h"
+
+#include <cstdint>
+#include <string>
+
+namespace redwingseam::standin {
+
+// What an engine was asked to generate.
+struct GenerationOrder {
+    std::string prompt;
+    uint64_t seed = 0;
+    uint32_t maxTokens = 0;
+    uint32_t prefixSize = 0;
+    base::Rank priority = base::Rank::Standard;
+};
+
+} // namespace redwingseam::standin
--- a/tools/standin-engine/GenerationStream.h
+++ b/tools/standin-engine/GenerationStream.h
@@ -1,21 +1,13 @@
 #pragma once
 
 #include "Engine.h"
+#include "GenerationOrder.h"
 
 #include <optional>
 #include <string>
 
 namespace redwingseam::standin {
 
-// What an engine was asked to generate.
-struct GenerationOrder {
-    std::string prompt;
-    uint64_t seed = 0;
-    uint32_t maxTokens = 0;
-    uint32_t prefixSize = 0;
-    base::Rank priority = base::Rank::Standard;
-};
-
 // One generation as a stream of server-sent events. It holds a slot from its first event to its end.
 class GenerationStream {
 public:
--- a/tools/standin-platform/ObjectStore.h
+++ b/tools/standin-platform/ObjectStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StoredItem.h"
 #include "base/Condition.h"
 #include "redwingseam/base/Instant.h"
 #include "redwingseam/base/Mutex.h"
@@ -13,14 +14,6 @@
 
 namespace redwingseam::standin {
 
-// An object as it lies in the store.
-struct StoredItem {
-    std::string key;
-    uint64_t version = 0;
-    // JSON text; nothing once it was deleted.
-    std::optional<std::string> value;
-};
-
 // Versioned objects with conditional writes and a log of changes to watch. Thread-safe.
 class ObjectStore {
 public:
