--- /dev/null
+++ b/tests/fakes/LockedSink.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "redwingseam/base/Mutex.h"
+#include "redwingseam/node/Effect.h"
+
+#include <mutex>
+#include <utility>
+
+namespace redwingseam::fakes {
+
+// Keeps effects that several threads emit.
+class LockedSink {
+public:
+    void emit(node::Effect effect)
+    {
+        std::lock_guard guard(m_mutex);
+        m_effects.push_back(std::move(effect));
+    }
+
+    node::EffectList take()
+    {
+        std::lock_guard guard(m_mutex);
+        return std::exchange(m_effects, {});
+    }
+
+private:
+    base::Mutex m_mutex;
+    node::EffectList m_effects;
+};
+
+} // namespace redwingseam::fakes
