--- /dev/null
+++ b/bench/BaselineChoosers.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "route/Chooser.h"
+
+namespace redwingseam::bench {
+
+// Index of the first upstream with a free slot at or after `start`.
+inline std::optional<uint32_t> firstFree(std::span<const route::UpstreamView> upstreams, size_t start)
+{
+    for (size_t step = 0; step < upstreams.size(); ++step) {
+        auto index = (start + step) % upstreams.size();
+        if (upstreams[index].hasFreeSlot())
+            return static_cast<uint32_t>(index);
+    }
+    return std::nullopt;
+}
+
+// Baseline: any upstream.
+struct RandomChooser {
+    void rebuild(std::span<const route::UpstreamView>) { }
+    std::optional<uint32_t> choose(std::span<const route::UpstreamView> upstreams, const route::PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand& random)
+    {
+        return firstFree(upstreams, random() % upstreams.size());
+    }
+};
+
+// Baseline: each in turn.
+struct RoundRobinChooser {
+    void rebuild(std::span<const route::UpstreamView>) { }
+    std::optional<uint32_t> choose(std::span<const route::UpstreamView> upstreams, const route::PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&)
+    {
+        return firstFree(upstreams, turn++ % upstreams.size());
+    }
+    size_t turn = 0;
+};
+
+// Baseline: whichever reported the least load, however long ago.
+struct LeastReportedChooser {
+    void rebuild(std::span<const route::UpstreamView>) { }
+    std::optional<uint32_t> choose(std::span<const route::UpstreamView> upstreams, const route::PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&)
+    {
+        std::optional<uint32_t> best;
+        for (uint32_t index = 0; index < upstreams.size(); ++index) {
+            bool isBetter = upstreams[index].hasFreeSlot() && (!best || upstreams[index].reportedLoad < upstreams[*best].reportedLoad);
+            if (isBetter)
+                best = index;
+        }
+        return best;
+    }
+};
+
+static_assert(route::Chooser<RandomChooser>);
+static_assert(route::Chooser<RoundRobinChooser>);
+static_assert(route::Chooser<LeastReportedChooser>);
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/ClaimsBench.cpp
@@ -0,0 +1,80 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "Samples.h"
+#include "fakes/FaultSchedule.h"
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    struct BookingRun {
+        double writesPerThousand = 0;
+        double readsPerThousand = 0;
+        Samples latency;
+    };
+
+    // Bookings at a steady rate over nine VMs in three data centres.
+    BookingRun runSteady(size_t bookings, base::Duration interval)
+    {
+        fakes::WorldOptions options { .seed = 53, .nodes = 9, .dataCentres = 3 };
+        fakes::Deployment<> deployment(options);
+        auto& world = deployment.world;
+        auto writes = world.store().writes();
+        auto calls = world.store().calls();
+        for (size_t i = 0; i < bookings; ++i) {
+            world.call(i % 9, fakes::booking("key-" + std::to_string(i)));
+            world.runFor(interval);
+        }
+        world.runFor(10s);
+        BookingRun run;
+        auto thousands = static_cast<double>(bookings) / 1000;
+        run.writesPerThousand = static_cast<double>(world.store().writes() - writes) / thousands;
+        run.readsPerThousand = static_cast<double>(world.store().calls() - calls) / thousands - run.writesPerThousand;
+        for (const auto& caller : world.callers())
+            run.latency.add(static_cast<double>((caller.endedAt - caller.startedAt).count()) / 1000);
+        return run;
+    }
+
+    // Keys sent through several VMs at once under every kind of fault.
+    double countDuplicates()
+    {
+        static constexpr uint64_t worlds = 40;
+        static constexpr size_t rounds = 25;
+        double duplicates = 0;
+        for (uint64_t seed = 1; seed <= worlds; ++seed) {
+            fakes::WorldOptions options { .seed = seed, .nodes = 6, .dataCentres = 3, .lostMessagesPermille = 50 };
+            fakes::Deployment<> deployment(options);
+            auto& world = deployment.world;
+            world.setLosesServiceAnswers(50);
+            for (size_t round = 0; round < rounds; ++round) {
+                for (size_t copy = 0; copy < 3; ++copy)
+                    world.call((round + copy) % 6, fakes::booking("key-" + std::to_string(round)));
+                world.runFor(300ms);
+                fakes::toggleFault(deployment, options, static_cast<uint32_t>(world.random().next()));
+            }
+            fakes::healAll(deployment, options);
+            world.runFor(30s);
+            for (const auto& [key, runs] : world.serviceRuns())
+                duplicates += runs > 1 ? 1 : 0;
+        }
+        return duplicates;
+    }
+
+} // namespace
+
+void benchClaims(FigureList& figures)
+{
+    auto slow = runSteady(500, 50ms);
+    figures.show("claims.at_20_per_s.platform_writes_per_1000", slow.writesPerThousand, "writes");
+    figures.show("claims.at_20_per_s.latency_ms.p95", slow.latency.quantile(0.95), "ms");
+    auto fast = runSteady(4000, 2ms);
+    // Two writes a call, its claim and its outcome, is the cost without any batching.
+    figures.add("claims.platform_writes_per_1000", fast.writesPerThousand, "writes", 2000, Direction::AtMost);
+    figures.show("claims.platform_reads_per_1000", fast.readsPerThousand, "reads");
+    figures.show("claims.at_500_per_s.latency_ms.p95", fast.latency.quantile(0.95), "ms");
+    figures.add("claims.duplicates", countDuplicates(), "keys", 0, Direction::AtMost);
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/ClientsBench.cpp
@@ -0,0 +1,72 @@
+#include "Benches.h"
+#include "FifoQueue.h"
+#include "FigureList.h"
+#include "QueueModel.h"
+#include "Samples.h"
+
+#include <string>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    // Eight small clients, with or without two that ask for a hundred times as much.
+    std::vector<Arrivals> makeArrivals(bool hasLarge)
+    {
+        std::vector<Arrivals> arrivals;
+        for (int i = 0; i < 8; ++i)
+            arrivals.push_back({ { "small-" + std::to_string(i) }, base::Rank::Standard, 1000ms, 50 });
+        if (!hasLarge)
+            return arrivals;
+        for (int i = 0; i < 2; ++i)
+            arrivals.push_back({ { "large-" + std::to_string(i) }, base::Rank::Standard, 10ms, 50 });
+        return arrivals;
+    }
+
+    template<typename Queue>
+    QueueOutcome runClients(bool hasLarge)
+    {
+        Queue queue;
+        return runQueue(queue, makeArrivals(hasLarge), 64, 20ms, 60s);
+    }
+
+    // Wait and service together: what a small client sees of its answer's beginning.
+    double smallWait(QueueOutcome& outcome)
+    {
+        static constexpr double firstTokenMs = 100;
+        Samples all;
+        for (auto& [client, samples] : outcome.waitMs) {
+            if (client.text.starts_with("small"))
+                all.add(samples.quantile(0.95));
+        }
+        return all.quantile(0.95) + firstTokenMs;
+    }
+
+    double smallJain(const QueueOutcome& outcome)
+    {
+        Samples served;
+        for (const auto& [client, cost] : outcome.servedByClient) {
+            if (client.text.starts_with("small"))
+                served.add(cost);
+        }
+        return served.jain();
+    }
+
+} // namespace
+
+void benchClients(FigureList& figures)
+{
+    static constexpr double highestRatio = 1.2;
+    static constexpr double lowestJain = 0.95;
+    auto alone = runClients<schedule::FairQueue>(false);
+    auto crowded = runClients<schedule::FairQueue>(true);
+    auto fifo = runClients<FifoQueue>(true);
+    figures.add("clients.small.wait_ratio.p95", smallWait(crowded) / smallWait(alone), "ratio", highestRatio, Direction::AtMost);
+    figures.show("clients.fifo.small.wait_ratio.p95", smallWait(fifo) / smallWait(alone), "ratio");
+    figures.add("clients.jain", smallJain(crowded), "index", lowestJain, Direction::AtLeast);
+    figures.show("clients.fifo.jain", smallJain(fifo), "index");
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/FloodBench.cpp
@@ -0,0 +1,141 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "FifoQueue.h"
+#include "PriorityQueue.h"
+#include "QueueModel.h"
+#include "RoundRobinQueue.h"
+#include "Samples.h"
+#include "fakes/Deployment.h"
+
+#include <string>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    struct FloodSize {
+        const char* name;
+        size_t nodes;
+        size_t engines;
+    };
+
+    struct FloodRun {
+        Samples urgentFirstTokenMs;
+        std::array<uint64_t, base::rankCount> tokens {};
+    };
+
+    node::CallerRequest ranked(base::Rank rank, uint64_t number)
+    {
+        auto request = fakes::generation(std::string(base::nameOf(rank)) + std::to_string(number), 50, "client-" + std::to_string(number % 10));
+        request.work.text = std::string(base::nameOf(rank));
+        return request;
+    }
+
+    // Requests a second of each rank against one data centre whose engines make `engines * 8` streams of
+    // 50 tokens a second.
+    FloodRun runFlood(const FloodSize& size, const std::array<size_t, base::rankCount>& perSecond, size_t seconds)
+    {
+        fakes::WorldOptions options { .seed = 54, .nodes = size.nodes };
+        fakes::Deployment<> deployment(options, size.engines);
+        auto& world = deployment.world;
+        for (const auto& [rank, name] : base::EnumNames<base::Rank>::entries)
+            fakes::editBranch(world, "/work/" + std::string(name), "{\"rank\":\"" + std::string(name) + "\",\"queue_limit\":100000,\"deadline_ms\":600000}");
+        world.runFor(5s);
+        static constexpr size_t stepsPerSecond = 20;
+        uint64_t number = 0;
+        for (size_t step = 0; step < seconds * stepsPerSecond; ++step) {
+            for (const auto& [rank, name] : base::EnumNames<base::Rank>::entries) {
+                auto rate = perSecond[base::indexOf(rank)];
+                auto due = (step + 1) * rate / stepsPerSecond - step * rate / stepsPerSecond;
+                for (size_t i = 0; i < due; ++i) {
+                    world.call(number % size.nodes, ranked(rank, number));
+                    ++number;
+                }
+            }
+            world.runFor(1000ms / stepsPerSecond);
+        }
+        FloodRun run;
+        for (const auto& caller : world.callers()) {
+            auto rank = base::enumOf<base::Rank>(caller.request.work.text);
+            if (!rank)
+                continue;
+            run.tokens[base::indexOf(*rank)] += caller.received.size();
+            if (*rank != base::Rank::Urgent)
+                continue;
+            // One that still waits has waited at least this long.
+            auto took = caller.firstTokenAfter.value_or(world.clock().now() - caller.startedAt);
+            run.urgentFirstTokenMs.add(static_cast<double>(took.count()) / 1000);
+        }
+        return run;
+    }
+
+    // The same flood of deferrable work on a bare queue, for the order alone.
+    template<typename Queue>
+    double baselineUrgentWait()
+    {
+        Queue queue;
+        std::vector<Arrivals> arrivals {
+            { { "urgent" }, base::Rank::Urgent, 50ms, 50 },
+            { { "flood" }, base::Rank::Deferrable, 1ms, 50 },
+        };
+        auto outcome = runQueue(queue, arrivals, 96, 20ms, 20s);
+        return outcome.waitMsByRank[0].quantile(0.95);
+    }
+
+    // Share of the served cost that deferrable work gets under an urgent flood.
+    template<typename Queue>
+    double baselineDeferrableShare()
+    {
+        Queue queue;
+        std::vector<Arrivals> arrivals {
+            { { "flood" }, base::Rank::Urgent, 1ms, 50 },
+            { { "other" }, base::Rank::Deferrable, 50ms, 50 },
+        };
+        auto outcome = runQueue(queue, arrivals, 96, 20ms, 20s);
+        return outcome.servedCost[2] / (outcome.servedCost[0] + outcome.servedCost[2]);
+    }
+
+    void benchSize(FigureList& figures, const FloodSize& size)
+    {
+        static constexpr double urgentTargetMs = 1500;
+        static constexpr double urgentRatio = 1.1;
+        static constexpr double floorShare = 0.95;
+        auto name = "flood." + std::string(size.name);
+        auto capacity = size.engines * 8;
+        auto calm = runFlood(size, { capacity / 5, 0, 0 }, 15);
+        auto flooded = runFlood(size, { capacity / 5, 0, capacity * 10 }, 15);
+        auto calmP95 = calm.urgentFirstTokenMs.quantile(0.95);
+        auto floodedP95 = flooded.urgentFirstTokenMs.quantile(0.95);
+        figures.add(name + ".urgent.first_token_ms.p95", floodedP95, "ms", urgentTargetMs, Direction::AtMost);
+        figures.show(name + ".urgent.calm.first_token_ms.p95", calmP95, "ms");
+        figures.add(name + ".urgent.first_token_ratio", floodedP95 / calmP95, "ratio", urgentRatio, Direction::AtMost);
+        // An urgent flood, with the other ranks asking for all of the capacity too.
+        auto urgentFlood = runFlood(size, { capacity * 10, capacity, capacity }, 15);
+        double total = 0;
+        for (auto tokens : urgentFlood.tokens)
+            total += static_cast<double>(tokens);
+        static constexpr double standardFloor = 0.15;
+        static constexpr double deferrableFloor = 0.05;
+        figures.add(name + ".standard.floor_kept", static_cast<double>(urgentFlood.tokens[1]) / total / standardFloor, "ratio", floorShare, Direction::AtLeast);
+        figures.add(name + ".deferrable.floor_kept", static_cast<double>(urgentFlood.tokens[2]) / total / deferrableFloor, "ratio", floorShare, Direction::AtLeast);
+    }
+
+} // namespace
+
+void benchFlood(FigureList& figures)
+{
+    benchSize(figures, { "pressun", 3, 7 });
+    benchSize(figures, { "studsbok", 3, 12 });
+    figures.show("flood.queue.fair.urgent_wait_ms.p95", baselineUrgentWait<schedule::FairQueue>(), "ms");
+    figures.show("flood.queue.fifo.urgent_wait_ms.p95", baselineUrgentWait<FifoQueue>(), "ms");
+    figures.show("flood.queue.strict.urgent_wait_ms.p95", baselineUrgentWait<PriorityQueue>(), "ms");
+    figures.show("flood.queue.round_robin.urgent_wait_ms.p95", baselineUrgentWait<RoundRobinQueue>(), "ms");
+    figures.show("flood.queue.fair.deferrable_share", baselineDeferrableShare<schedule::FairQueue>(), "ratio");
+    figures.show("flood.queue.fifo.deferrable_share", baselineDeferrableShare<FifoQueue>(), "ratio");
+    figures.show("flood.queue.strict.deferrable_share", baselineDeferrableShare<PriorityQueue>(), "ratio");
+    figures.show("flood.queue.round_robin.deferrable_share", baselineDeferrableShare<RoundRobinQueue>(), "ratio");
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/LeavingBench.cpp
@@ -0,0 +1,40 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "fakes/Deployment.h"
+
+#include <algorithm>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+// Time after the platform says that an upstream leaves until no VM gives it work any more.
+void benchLeaving(FigureList& figures)
+{
+    static constexpr double longestSeconds = 3;
+    for (size_t nodes : { 9, 90 }) {
+        fakes::WorldOptions options { .seed = 56, .nodes = nodes, .dataCentres = 3 };
+        fakes::Deployment<> deployment(options, 2);
+        auto& world = deployment.world;
+        world.runFor(10s);
+        auto leaving = deployment.engines[0];
+        world.upstreams()[leaving].record.state = route::UpstreamState::Leaving;
+        world.publish(leaving);
+        base::Duration lastNewWork {};
+        uint64_t known = 0;
+        for (base::Duration passed {}; passed < 8s; passed += 50ms) {
+            for (size_t node = 0; node < nodes; node += 3)
+                world.call(node, fakes::generation("p" + std::to_string(passed.count()) + "-" + std::to_string(node), 2));
+            world.runFor(50ms);
+            for (const auto& [key, flight] : world.upstreams()[leaving].flights) {
+                if (key.request.value <= known)
+                    continue;
+                known = key.request.value;
+                lastNewWork = passed + 50ms;
+            }
+        }
+        figures.add(std::to_string(nodes) + "_nodes.leaving.new_work_after_s", static_cast<double>(lastNewWork.count()) / 1e6, "s", longestSeconds, Direction::AtMost);
+    }
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/Main.cpp
@@ -0,0 +1,45 @@
+#include "Benches.h"
+#include "FigureList.h"
+
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+namespace {
+
+using namespace redwingseam::bench;
+
+struct Bench {
+    std::string_view name;
+    void (*run)(FigureList&);
+};
+
+constexpr std::array benches {
+    Bench { "resume", benchResume },
+    Bench { "suspicion", benchSuspicion },
+    Bench { "claims", benchClaims },
+    Bench { "poison", benchPoison },
+    Bench { "tokens", benchTokens },
+    Bench { "flood", benchFlood },
+    Bench { "clients", benchClients },
+    Bench { "route", benchRoute },
+    Bench { "settings", benchSettings },
+    Bench { "leaving", benchLeaving },
+    Bench { "slopes", benchSlopes },
+};
+
+} // namespace
+
+// Runs the benchmarks named on the command line, or all. Exits with 1 if a figure is past its bound.
+int main(int argc, char** argv)
+{
+    FigureList figures;
+    for (const auto& bench : benches) {
+        bool isWanted = argc == 1;
+        for (int i = 1; i < argc; ++i)
+            isWanted |= bench.name == argv[i];
+        if (isWanted)
+            bench.run(figures);
+    }
+    return figures.isGood() ? 0 : 1;
+}
--- /dev/null
+++ b/bench/PoisonBench.cpp
@@ -0,0 +1,58 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "fakes/Deployment.h"
+
+#include <algorithm>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    struct PoisonRun {
+        uint64_t enginesLost = 0;
+        uint64_t innocentRefusals = 0;
+    };
+
+    // A harmful request among innocent ones, sent again through the next VM after each refusal.
+    PoisonRun runHarmful(uint64_t seed)
+    {
+        fakes::WorldOptions options { .seed = seed, .nodes = 3 };
+        fakes::Deployment<> deployment(options, 8);
+        auto& world = deployment.world;
+        world.setDeadlyPrompt("deadly");
+        static constexpr size_t innocents = 24;
+        for (size_t i = 0; i < innocents; ++i)
+            world.call(i % 3, fakes::generation("innocent " + std::to_string(i), 200));
+        world.runFor(500ms);
+        auto harmful = world.call(0, fakes::generation("deadly", 100));
+        for (size_t sent = 1; sent < 8; ++sent) {
+            world.runFor(3s);
+            if (world.callers()[harmful].isOver())
+                harmful = world.call(sent % 3, fakes::generation("deadly", 100));
+        }
+        world.runFor(30s);
+        PoisonRun run;
+        for (auto engine : deployment.engines)
+            run.enginesLost += world.upstreams()[engine].deaths;
+        for (size_t i = 0; i < innocents; ++i)
+            run.innocentRefusals += world.callers()[i].refusal ? 1 : 0;
+        return run;
+    }
+
+} // namespace
+
+void benchPoison(FigureList& figures)
+{
+    PoisonRun worst;
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        auto run = runHarmful(seed);
+        worst.enginesLost = std::max(worst.enginesLost, run.enginesLost);
+        worst.innocentRefusals += run.innocentRefusals;
+    }
+    figures.add("poison.engines_lost", static_cast<double>(worst.enginesLost), "engines", 2, Direction::AtMost);
+    figures.add("poison.innocent_refusals", static_cast<double>(worst.innocentRefusals), "requests", 0, Direction::AtMost);
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/QueueModel.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Samples.h"
+#include "schedule/FairQueue.h"
+#include "schedule/WorkQueue.h"
+
+#include <array>
+#include <map>
+#include <queue>
+
+namespace redwingseam::bench {
+
+// Work that arrives at a steady rate: one stream of requests of one client.
+struct Arrivals {
+    base::ClientName client;
+    base::Rank rank = base::Rank::Standard;
+    base::Duration interval {};
+    uint64_t cost = 50;
+};
+
+// What became of the work of one queue model.
+struct QueueOutcome {
+    std::map<base::ClientName, Samples> waitMs;
+    std::array<Samples, base::rankCount> waitMsByRank;
+    std::array<double, base::rankCount> servedCost {};
+    std::map<base::ClientName, double> servedByClient;
+};
+
+// A pool of slots in front of a queue, without nodes or links: each piece of work holds a slot for its
+// cost times `perCost`. Shows what the order of a queue does by itself.
+template<schedule::WorkQueue Queue>
+QueueOutcome runQueue(Queue& queue, const std::vector<Arrivals>& arrivals, size_t slots, base::Duration perCost, base::Duration length)
+{
+    using Ends = std::priority_queue<base::Instant, std::vector<base::Instant>, std::greater<>>;
+    static constexpr base::Duration step = std::chrono::milliseconds(1);
+    QueueOutcome outcome;
+    Ends ends;
+    std::vector<base::Duration> nextAt(arrivals.size(), base::Duration {});
+    std::map<uint64_t, base::Instant> arrivedAt;
+    uint64_t nextId = 0;
+    for (base::Duration time {}; time < length; time += step) {
+        base::Instant now(time);
+        for (size_t i = 0; i < arrivals.size(); ++i) {
+            for (; nextAt[i] <= time; nextAt[i] += arrivals[i].interval) {
+                schedule::QueuedWork work { { ++nextId }, {}, arrivals[i].client, arrivals[i].rank, arrivals[i].cost };
+                work.deadline = now + std::chrono::hours(1);
+                arrivedAt[nextId] = now;
+                queue.push(std::move(work));
+            }
+        }
+        while (!ends.empty() && ends.top() <= now)
+            ends.pop();
+        while (ends.size() < slots) {
+            auto work = queue.pop();
+            if (!work)
+                break;
+            auto waited = static_cast<double>((now - arrivedAt[work->request.value]).count()) / 1000;
+            arrivedAt.erase(work->request.value);
+            outcome.waitMs[work->client].add(waited);
+            outcome.waitMsByRank[base::indexOf(work->rank)].add(waited);
+            outcome.servedCost[base::indexOf(work->rank)] += static_cast<double>(work->cost);
+            outcome.servedByClient[work->client] += static_cast<double>(work->cost);
+            ends.push(now + perCost * static_cast<int64_t>(work->cost));
+        }
+    }
+    return outcome;
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/ResumeBench.cpp
@@ -0,0 +1,100 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "Samples.h"
+#include "fakes/Deployment.h"
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr double microsPerMilli = 1000;
+    constexpr uint32_t answerTokens = 1500;
+
+    enum class Loss : uint8_t {
+        Engine,
+        Vm,
+    };
+
+    struct LossRun {
+        Samples silence;
+        double extraDecode = 0;
+        double extraPrefill = 0;
+        double restartDecode = 0;
+        double delivered = 0;
+    };
+
+    // One data centre of Pressun's size of today: 3 VMs, 7 engines, long dossiers, one loss after another.
+    LossRun runLosses(Loss loss, bool carriesTokens)
+    {
+        fakes::WorldOptions options { .seed = 51, .nodes = 3 };
+        fakes::Deployment<> deployment(options, 7);
+        auto& world = deployment.world;
+        static constexpr size_t dossiers = 28;
+        std::vector<uint32_t> lostAt(dossiers, 0);
+        for (size_t i = 0; i < dossiers; ++i)
+            world.call(i % 3, fakes::generation(std::string(4000, 'd') + std::to_string(i), answerTokens), carriesTokens);
+        auto noteLoss = [&](size_t caller) {
+            if (!lostAt[caller])
+                lostAt[caller] = static_cast<uint32_t>(world.callers()[caller].received.size());
+        };
+        for (size_t round = 0; round < 3; ++round) {
+            world.runFor(4s);
+            auto engine = deployment.engines[round * 2];
+            std::vector<size_t> hit;
+            for (size_t caller = 0; caller < dossiers; ++caller) {
+                bool isAtEngine = false;
+                for (const auto& [key, flight] : world.upstreams()[engine].flights)
+                    isAtEngine |= key.request == world.callers()[caller].request.id;
+                bool isHit = loss == Loss::Engine ? isAtEngine : world.callers()[caller].node == round;
+                if (isHit && !world.callers()[caller].isOver())
+                    noteLoss(caller);
+            }
+            if (loss == Loss::Engine)
+                world.killUpstream(engine);
+            else
+                world.crashNode(round);
+            world.runFor(6s);
+            if (loss == Loss::Engine)
+                world.reviveUpstream(engine);
+            else
+                world.startNode(round);
+        }
+        world.runFor(240s);
+        LossRun run;
+        uint64_t delivered = 0;
+        for (size_t caller = 0; caller < dossiers; ++caller) {
+            const auto& state = world.callers()[caller];
+            delivered += state.received.size();
+            run.restartDecode += lostAt[caller];
+            if (lostAt[caller])
+                run.silence.add(static_cast<double>(state.longestSilence.count()) / microsPerMilli);
+        }
+        run.delivered = static_cast<double>(delivered);
+        run.extraDecode = static_cast<double>(world.decodedTokens() - delivered);
+        run.extraPrefill = static_cast<double>(world.prefilledTokens()) - static_cast<double>(dossiers) * 4000 / 4;
+        return run;
+    }
+
+} // namespace
+
+void benchResume(FigureList& figures)
+{
+    static constexpr double slowestMs = 5000;
+    auto engine = runLosses(Loss::Engine, true);
+    figures.add("resume.engine_loss.latency_ms.p95", engine.silence.quantile(0.95), "ms", slowestMs, Direction::AtMost);
+    figures.show("resume.engine_loss.samples", static_cast<double>(engine.silence.size()), "streams");
+    figures.show("resume.extra_decode_ratio", engine.extraDecode / engine.delivered, "ratio");
+    figures.show("resume.extra_prefill_ratio", engine.extraPrefill / engine.delivered, "ratio");
+    figures.show("resume.restart_from_zero.extra_decode_ratio", engine.restartDecode / engine.delivered, "ratio");
+    figures.add("resume.extra_tokens_ratio.vs_restart", engine.extraDecode / engine.restartDecode, "ratio", 1, Direction::AtMost);
+    auto vm = runLosses(Loss::Vm, true);
+    figures.add("resume.vm_loss.latency_ms.p95", vm.silence.quantile(0.95), "ms", slowestMs, Direction::AtMost);
+    figures.show("resume.vm_loss.extra_decode_ratio", vm.extraDecode / vm.delivered, "ratio");
+    auto bare = runLosses(Loss::Vm, false);
+    figures.show("resume.vm_loss.not_carried.latency_ms.p95", bare.silence.quantile(0.95), "ms");
+    figures.show("resume.vm_loss.not_carried.extra_decode_ratio", bare.extraDecode / bare.delivered, "ratio");
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/SettingsBench.cpp
@@ -0,0 +1,90 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "Samples.h"
+#include "fakes/Deployment.h"
+
+#include <string>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    struct SettingsRun {
+        Samples inForceSeconds;
+        double reverts = 0;
+        double bytesPerSecondPerNode = 0;
+        double writesPerSecond = 0;
+        double readsPerSecond = 0;
+    };
+
+    // Settings changes at the design rate of 19,000 a day, upstreams that come and go, and a VM lost.
+    SettingsRun runChanges(size_t nodes, size_t dataCentres)
+    {
+        fakes::WorldOptions options { .seed = 55, .nodes = nodes, .dataCentres = dataCentres, .countsBytes = true };
+        fakes::Deployment<> deployment(options, 1);
+        auto& world = deployment.world;
+        world.runFor(20s);
+        auto bytes = world.peerBytes();
+        auto writes = world.store().writes();
+        auto reads = world.store().calls() - writes + world.watchCalls();
+        SettingsRun run;
+        static constexpr size_t changes = 20;
+        // 19,000 changes a day are one every 4.5 seconds.
+        static constexpr base::Duration interval = 4500ms;
+        static constexpr base::Duration lookInterval = 100ms;
+        std::vector<int64_t> last(nodes, 0);
+        for (size_t change = 0; change < changes; ++change) {
+            auto weight = static_cast<int64_t>(200 + change);
+            fakes::editBranch(world, "/clients/c", "{\"weight\":" + std::to_string(weight) + "}");
+            std::vector<bool> isInForce(nodes, false);
+            for (base::Duration passed {}; passed < interval; passed += lookInterval) {
+                world.runFor(lookInterval);
+                for (size_t node = 0; node < nodes; ++node) {
+                    if (!world.isRunning(node))
+                        continue;
+                    auto seen = world.node(node).settings()->resolve("/clients/c", settings::Field::Weight).value;
+                    run.reverts += seen < last[node] ? 1 : 0;
+                    last[node] = seen;
+                    if (isInForce[node] || seen < weight)
+                        continue;
+                    isInForce[node] = true;
+                    run.inForceSeconds.add(static_cast<double>((passed + lookInterval).count()) / 1e6);
+                }
+            }
+            for (size_t node = 0; node < nodes; ++node) {
+                if (!isInForce[node] && world.isRunning(node))
+                    run.inForceSeconds.add(static_cast<double>(interval.count()) / 1e6);
+            }
+            if (change == changes / 2)
+                world.crashNode(nodes - 1);
+        }
+        auto seconds = static_cast<double>(changes) * static_cast<double>(interval.count()) / 1e6;
+        run.bytesPerSecondPerNode = static_cast<double>(world.peerBytes() - bytes) / seconds / static_cast<double>(nodes);
+        run.writesPerSecond = static_cast<double>(world.store().writes() - writes) / seconds;
+        run.readsPerSecond = static_cast<double>(world.store().calls() - world.store().writes() + world.watchCalls() - reads) / seconds;
+        return run;
+    }
+
+} // namespace
+
+void benchSettings(FigureList& figures)
+{
+    static constexpr double longestSeconds = 18;
+    static constexpr double mostBytes = 8000;
+    static constexpr double mostWrites = 300;
+    static constexpr double mostReads = 2000;
+    for (size_t nodes : { 9, 90, 330 }) {
+        auto run = runChanges(nodes, nodes == 9 ? 3 : 6);
+        auto prefix = std::to_string(nodes) + "_nodes.";
+        figures.add(prefix + "settings.in_force_s.p99", run.inForceSeconds.quantile(0.99), "s", longestSeconds, Direction::AtMost);
+        figures.show(prefix + "settings.in_force_s.p50", run.inForceSeconds.quantile(0.5), "s");
+        figures.add(prefix + "settings.reverts", run.reverts, "reverts", 0, Direction::AtMost);
+        figures.add(prefix + "control.bytes_per_s_per_node", run.bytesPerSecondPerNode, "bytes/s", mostBytes, Direction::AtMost);
+        figures.add(prefix + "platform.writes_per_s", run.writesPerSecond, "writes/s", mostWrites, Direction::AtMost);
+        figures.add(prefix + "platform.reads_per_s", run.readsPerSecond, "reads/s", mostReads, Direction::AtMost);
+    }
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/SlopesBench.cpp
@@ -0,0 +1,197 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "Samples.h"
+#include "base/SystemClock.h"
+#include "base/SystemRandom.h"
+#include "claim/ClaimLog.h"
+#include "codec/PeerCodec.h"
+#include "fakes/FakeModel.h"
+#include "fakes/RecordingSink.h"
+#include "fakes/Requests.h"
+#include "membership/FactStoreImpl.h"
+#include "redwingseam/membership/FactFactory.h"
+#include "redwingseam/node/Node.h"
+#include "redwingseam/settings/Tree.h"
+
+#include <malloc.h>
+#include <string>
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    using Node = node::Node<base::SystemClock, base::SystemRandom, fakes::RecordingSink>;
+
+    double bytesInUse()
+    {
+        return static_cast<double>(mallinfo2().uordblks) + static_cast<double>(mallinfo2().hblkhd);
+    }
+
+    double microsOf(base::Instant start)
+    {
+        return static_cast<double>((base::SystemClock {}.now() - start).count());
+    }
+
+    // One node with one upstream that has room for all.
+    struct Bed {
+        base::SystemClock clock;
+        base::SystemRandom random;
+        fakes::RecordingSink sink;
+        Node node { { { "vm" }, { "dc" }, { "r" }, "127.0.0.1:1", 1, {} }, clock, random, sink };
+
+        Bed()
+        {
+            node.start();
+            route::UpstreamRecord record { { "up" }, route::UpstreamKind::Engine, { "draft@1" }, { "dc" }, "http://u", 100'000, 1, route::UpstreamState::Live };
+            node.handle(platform::ObjectChanged { { "upstreams/up" }, { 1 }, record });
+            sink.take();
+        }
+    };
+
+    void measureStreams(FigureList& figures)
+    {
+        static constexpr uint64_t streams = 2000;
+        static constexpr uint32_t tokens = 200;
+        Bed bed;
+        auto before = bytesInUse();
+        auto start = bed.clock.now();
+        for (uint64_t id = 1; id <= streams; ++id) {
+            auto request = fakes::generation(std::string(400, 'p'), 1000);
+            request.id = { id };
+            bed.node.handle(request);
+        }
+        figures.show("slope.request.us", microsOf(start) / streams, "us");
+        bed.sink.take();
+        figures.show("slope.stream.bytes", (bytesInUse() - before) / streams, "bytes");
+        before = bytesInUse();
+        start = bed.clock.now();
+        for (uint32_t index = 0; index < tokens; ++index) {
+            for (uint64_t id = 1; id <= streams; ++id)
+                bed.node.handle(node::TokensReceived { { id }, { 1 }, index, { { index, "word " } } });
+            bed.sink.take();
+        }
+        figures.show("slope.token.us", microsOf(start) / (streams * tokens), "us");
+        figures.show("slope.token.bytes", (bytesInUse() - before) / (streams * tokens), "bytes");
+        start = bed.clock.now();
+        static constexpr int ticks = 200;
+        for (int i = 0; i < ticks; ++i)
+            bed.node.handle(node::Tick {});
+        bed.sink.take();
+        figures.show("slope.tick.us_per_stream", microsOf(start) / ticks / streams, "us");
+    }
+
+    void measureIdleTick(FigureList& figures)
+    {
+        Bed bed;
+        static constexpr int ticks = 2000;
+        auto start = bed.clock.now();
+        for (int i = 0; i < ticks; ++i)
+            bed.node.handle(node::Tick {});
+        figures.show("slope.tick.us", microsOf(start) / ticks, "us");
+    }
+
+    void measureUpstreams(FigureList& figures)
+    {
+        static constexpr int upstreams = 5300;
+        Bed bed;
+        auto before = bytesInUse();
+        auto start = bed.clock.now();
+        for (int i = 0; i < upstreams; ++i) {
+            route::UpstreamRecord record { { "upstream-" + std::to_string(i) }, route::UpstreamKind::Engine, { "model-" + std::to_string(i % 13) + "@1" }, { "dc-" + std::to_string(i % 6) }, "http://10.0.0.1:8000", 16, 1, route::UpstreamState::Live };
+            bed.node.handle(platform::ObjectChanged { { "upstreams/x" }, { 1 }, record });
+        }
+        figures.show("slope.upstream.us", microsOf(start) / upstreams, "us");
+        bed.sink.take();
+        figures.show("slope.upstream.bytes", (bytesInUse() - before) / upstreams, "bytes");
+        start = bed.clock.now();
+        static constexpr int reports = 20'000;
+        for (int i = 0; i < reports; ++i)
+            bed.node.handle(route::LoadReport { { "upstream-" + std::to_string(i % upstreams) }, 3, 0, false });
+        figures.show("slope.load_report.us", microsOf(start) / reports, "us");
+    }
+
+    void measureBranches(FigureList& figures)
+    {
+        static constexpr int branches = 4200;
+        Bed bed;
+        auto before = bytesInUse();
+        for (int i = 0; i < branches; ++i) {
+            settings::Branch branch { "/clients/client-" + std::to_string(i), { static_cast<uint64_t>(i + 1) }, false, {} };
+            branch.values[settings::indexOf(settings::Field::Weight)] = 100;
+            bed.node.handle(platform::ObjectChanged { { "settings/accepted" + branch.path }, branch.version, platform::AcceptedBranch { branch, branch.version } });
+        }
+        bed.sink.take();
+        figures.show("slope.branch.bytes", (bytesInUse() - before) / branches, "bytes");
+        auto start = bed.clock.now();
+        static constexpr int changes = 200;
+        for (int i = 0; i < changes; ++i) {
+            settings::Branch branch { "/clients/client-7", { static_cast<uint64_t>(10'000 + i) }, false, {} };
+            bed.node.handle(platform::ObjectChanged { { "settings/accepted/clients/client-7" }, branch.version, platform::AcceptedBranch { branch, branch.version } });
+        }
+        figures.show("slope.branch_change.us", microsOf(start) / changes, "us");
+    }
+
+    void measureClaims(FigureList& figures)
+    {
+        static constexpr int keys = 20'000;
+        claim::ClaimLog log;
+        log.enqueue({ claim::RecordKind::Claimed, { "first" }, 1, {} });
+        log.nextCall();
+        log.onCheckpoint(std::nullopt);
+        log.nextCall();
+        log.onRead(std::nullopt);
+        log.nextCall();
+        auto before = bytesInUse();
+        auto start = base::SystemClock {}.now();
+        log.onCreated();
+        for (int i = 0; i < keys; ++i)
+            log.enqueue({ claim::RecordKind::Claimed, { "6:client:booking:key-" + std::to_string(i) }, 7, {} });
+        while (log.nextCall().step == claim::AppendStep::Create)
+            log.onCreated();
+        log.takeDecided();
+        figures.show("slope.claim.us", microsOf(start) / keys, "us");
+        figures.show("slope.claim.bytes", (bytesInUse() - before) / keys, "bytes");
+    }
+
+    void measureFacts(FigureList& figures)
+    {
+        static constexpr int facts = 330;
+        membership::FactStore<> store;
+        auto before = bytesInUse();
+        peer::Gossip message { { "vm-1" }, {} };
+        for (int i = 0; i < facts; ++i) {
+            auto fact = membership::makeFact(membership::VmRecord { { "vm-" + std::to_string(i) }, { "dc-1" }, "10.0.0.1:9000", membership::VmState::Live }, 1'700'000'000'000ULL);
+            store.merge(fact);
+            message.facts.push_back(std::move(fact));
+        }
+        figures.show("slope.node.bytes", (bytesInUse() - before) / facts / 2, "bytes");
+        auto start = base::SystemClock {}.now();
+        auto bytes = codec::formatMessage(message);
+        auto parsed = codec::parseMessage(bytes);
+        figures.show("slope.fact.codec_us", microsOf(start) / facts, "us");
+        figures.show("slope.fact.message_bytes", static_cast<double>(bytes.size()) / facts, "bytes");
+    }
+
+    void measureRecorder(FigureList& figures)
+    {
+        auto before = bytesInUse();
+        Bed bed;
+        figures.show("slope.empty_node.bytes", bytesInUse() - before, "bytes");
+    }
+
+} // namespace
+
+void benchSlopes(FigureList& figures)
+{
+    measureRecorder(figures);
+    measureIdleTick(figures);
+    measureStreams(figures);
+    measureUpstreams(figures);
+    measureBranches(figures);
+    measureClaims(figures);
+    measureFacts(figures);
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/TokensBench.cpp
@@ -0,0 +1,45 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "fakes/FaultSchedule.h"
+
+namespace redwingseam::bench {
+
+using namespace std::chrono_literals;
+
+// Short generations under every kind of fault, checked token by token.
+void benchTokens(FigureList& figures)
+{
+    static constexpr uint64_t wantedGenerations = 100'000;
+    static constexpr size_t perRound = 40;
+    uint64_t generations = 0;
+    uint64_t wrong = 0;
+    uint64_t cutShort = 0;
+    uint64_t refused = 0;
+    for (uint64_t seed = 1; generations < wantedGenerations; ++seed) {
+        fakes::WorldOptions options { .seed = seed, .nodes = 3, .dataCentres = 3, .repeatedTokensPermille = 5 };
+        fakes::Deployment<> deployment(options, 4);
+        auto& world = deployment.world;
+        for (size_t round = 0; round < 100; ++round) {
+            for (size_t i = 0; i < perRound; ++i)
+                world.call(i % 3, fakes::generation("p" + std::to_string(round * perRound + i), 6));
+            world.runFor(600ms);
+            fakes::toggleFault(deployment, options, static_cast<uint32_t>(world.random().next()));
+            if (round % 10 == 9)
+                fakes::healAll(deployment, options);
+        }
+        fakes::healAll(deployment, options);
+        world.runFor(90s);
+        generations += world.callers().size();
+        for (const auto& caller : world.callers()) {
+            wrong += caller.wrongTokens;
+            cutShort += caller.finish && caller.received.size() != caller.request.maxTokens ? 1 : 0;
+            refused += caller.refusal ? 1 : 0;
+        }
+    }
+    figures.show("tokens.generations", static_cast<double>(generations), "generations");
+    figures.add("tokens.wrong", static_cast<double>(wrong), "tokens", 0, Direction::AtMost);
+    figures.add("tokens.cut_short", static_cast<double>(cutShort), "answers", 0, Direction::AtMost);
+    figures.show("tokens.refused_ratio", static_cast<double>(refused) / static_cast<double>(generations), "ratio");
+}
+
+} // namespace redwingseam::bench
