--- a/bench/FifoQueue.h
+++ b/bench/FifoQueue.h
@@ -12,7 +12,7 @@
 public:
     void push(schedule::QueuedWork work) { m_work.push_back(std::move(work)); }
 
-    std::optional<schedule::QueuedWork> pop()
+    std::optional<schedule::QueuedWork> pop(base::Rank = base::Rank::Deferrable)
     {
         if (m_work.empty())
             return std::nullopt;
@@ -21,6 +21,8 @@
         return work;
     }
 
+    std::optional<schedule::QueuedWork> popResume() { return std::nullopt; }
+
     std::vector<schedule::QueuedWork> expire(base::Instant now)
     {
         std::vector<schedule::QueuedWork> expired;
--- a/bench/PriorityQueue.h
+++ b/bench/PriorityQueue.h
@@ -11,7 +11,7 @@
 public:
     void push(schedule::QueuedWork work) { m_ranks[base::indexOf(work.rank)].push(std::move(work)); }
 
-    std::optional<schedule::QueuedWork> pop()
+    std::optional<schedule::QueuedWork> pop(base::Rank = base::Rank::Deferrable)
     {
         for (auto& rank : m_ranks) {
             if (auto work = rank.pop())
@@ -20,6 +20,8 @@
         return std::nullopt;
     }
 
+    std::optional<schedule::QueuedWork> popResume() { return std::nullopt; }
+
     std::vector<schedule::QueuedWork> expire(base::Instant now)
     {
         std::vector<schedule::QueuedWork> expired;
--- a/bench/RoundRobinQueue.h
+++ b/bench/RoundRobinQueue.h
@@ -11,7 +11,7 @@
 public:
     void push(schedule::QueuedWork work) { m_ranks[base::indexOf(work.rank)].push(std::move(work)); }
 
-    std::optional<schedule::QueuedWork> pop()
+    std::optional<schedule::QueuedWork> pop(base::Rank = base::Rank::Deferrable)
     {
         for (size_t step = 0; step < base::rankCount; ++step) {
             m_turn = (m_turn + 1) % base::rankCount;
@@ -21,6 +21,8 @@
         return std::nullopt;
     }
 
+    std::optional<schedule::QueuedWork> popResume() { return std::nullopt; }
+
     std::vector<schedule::QueuedWork> expire(base::Instant now)
     {
         std::vector<schedule::QueuedWork> expired;
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -83,8 +83,9 @@
 
     // Dispatching: NodeCoreDispatch.h.
     void pump(const base::PoolName&, Context&);
-    bool dispatchOne(const base::PoolName&, Context&);
-    bool preemptOne(const base::PoolName&, Context&);
+    bool dispatchOne(const base::PoolName&, std::vector<CancelAttempt>&, Context&);
+    bool preemptOne(const base::PoolName&, std::vector<CancelAttempt>&, Context&);
+    bool preempt(const base::PoolName&, base::RequestId, std::vector<CancelAttempt>&);
     bool begin(const Dispatch&, Context&);
     bool startFlight(const Dispatch&, Context&);
     void release(const base::PoolName&, const base::UpstreamName&, base::RequestId);
@@ -142,6 +143,7 @@
     void shareClientUse(Context&);
 
     // Settings: NodeCoreSettings.h.
+    bool isPreferredAcceptor();
     void acceptBranches(Context&);
     void chooseWatches(Context&);
     settings::Policy policyFor(const CallerRequest&);
--- a/src/node/NodeCoreDispatch.h
+++ b/src/node/NodeCoreDispatch.h
@@ -24,13 +24,18 @@
 template<typename Policies>
 void NodeCore<Policies>::pump(const base::PoolName& name, Context& context)
 {
+    std::vector<CancelAttempt> preempted;
     do {
-        while (dispatchOne(name, context)) { }
-    } while (preemptOne(name, context));
+        while (dispatchOne(name, preempted, context)) { }
+    } while (preemptOne(name, preempted, context));
+    // The urgent work is sent before the preempted is cancelled: the engine then gives the slot to it,
+    // and not to whatever else waits there.
+    for (auto& cancel : preempted)
+        context.emit(std::move(cancel));
 }
 
 template<typename Policies>
-bool NodeCore<Policies>::dispatchOne(const base::PoolName& name, Context& context)
+bool NodeCore<Policies>::dispatchOne(const base::PoolName& name, std::vector<CancelAttempt>& cancels, Context& context)
 {
     std::optional<Dispatch> dispatch;
     withPool(name, [&](FairPool& pool) { dispatch = pool.next(context.now, context.random); });
@@ -38,6 +43,8 @@
         return false;
     if (!begin(*dispatch, context))
         release(name, dispatch->upstream.name, dispatch->work.request);
+    else if (dispatch->displaced)
+        preempt(name, dispatch->displaced->request, cancels);
     return true;
 }
 
@@ -81,8 +88,10 @@
             state.ledger.setCurrent(flight.attempt);
         }
         const auto& request = state.request;
+        // An engine that serves higher ranks first would hold back what the floor has just let through.
+        auto engineRank = dispatch.work.isFloorGrant ? base::Rank::Urgent : dispatch.work.rank;
         if (state.isGeneration())
-            context.emit(StartGeneration { request.id, flight.attempt, dispatch.upstream, request.content, request.maxTokens, request.seed, dispatch.work.rank, state.ledger.transcript().ids() });
+            context.emit(StartGeneration { request.id, flight.attempt, dispatch.upstream, request.content, request.maxTokens, request.seed, engineRank, state.ledger.transcript().ids() });
         else
             context.emit(CallService { request.id, flight.attempt, dispatch.upstream, request.content, request.key });
     });
@@ -90,17 +99,23 @@
 }
 
 template<typename Policies>
-bool NodeCore<Policies>::preemptOne(const base::PoolName& name, Context& context)
+bool NodeCore<Policies>::preemptOne(const base::PoolName& name, std::vector<CancelAttempt>& cancels, Context&)
 {
     std::optional<route::FlightEntry> victim;
     withPool(name, [&](FairPool& pool) {
-        victim = pool.preemptionVictim(pool.queue().floors().permille[base::indexOf(base::Rank::Deferrable)]);
+        victim = pool.preemptionVictim();
     });
     if (!victim)
         return false;
+    return preempt(name, victim->request, cancels);
+}
+
+template<typename Policies>
+bool NodeCore<Policies>::preempt(const base::PoolName& name, base::RequestId request, std::vector<CancelAttempt>& cancels)
+{
     std::optional<Flight> ended;
     std::optional<schedule::QueuedWork> work;
-    withRequest(victim->request, [&](State& state) {
+    withRequest(request, [&](State& state) {
         bool mayStop = state.isGeneration() && state.policy.preemptsDeferrable && state.current && !state.rival && !state.isRivalQueued;
         if (!mayStop)
             return;
@@ -108,13 +123,14 @@
         state.ledger.close(ended->attempt);
         state.phase = RequestPhase::Queued;
         work = describeWork(state);
+        work->isPreempted = true;
     });
     if (!ended)
         return false;
     m_recorder.countPreemption();
-    context.emit(CancelAttempt { victim->request, ended->attempt, ended->upstream });
+    cancels.push_back({ request, ended->attempt, ended->upstream });
     withPool(name, [&](FairPool& pool) {
-        pool.release(ended->upstream, victim->request);
+        pool.release(ended->upstream, request);
         pool.push(std::move(*work));
     });
     return true;
--- a/src/node/NodeCorePeers.h
+++ b/src/node/NodeCorePeers.h
@@ -28,10 +28,15 @@
             learn(membership::makeFact(seed, 0), context);
     }
     announceSelf(membership::VmState::Live, context);
-    for (const auto& seed : m_config.seeds) {
-        if (seed.name != m_config.self)
-            context.emit(peer::PeerSend { seed.peerAddress, makeDigest(true) });
+    // A few answers are enough; asking everyone would make a storm when a whole region starts.
+    static constexpr size_t askedAtStart = 3;
+    auto peers = randomPeers(askedAtStart, context);
+    for (const auto& vm : farRelays(context)) {
+        if (peers.size() < askedAtStart)
+            peers.push_back(vm);
     }
+    for (const auto& vm : peers)
+        send(vm, makeDigest(true), context);
     chooseWatches(context);
 }
 
@@ -126,8 +131,10 @@
     floors.permille[base::indexOf(base::Rank::Standard)] = settings::resolveField(*tree, scope, settings::Field::StandardFloorPermille).value;
     floors.permille[base::indexOf(base::Rank::Deferrable)] = settings::resolveField(*tree, scope, settings::Field::DeferrableFloorPermille).value;
     m_pools.forEach([&](PoolShard& shard) {
-        for (auto& [name, pool] : shard.pools)
+        for (auto& [name, pool] : shard.pools) {
             pool.queue().setFloors(floors);
+            pool.setDeferrableFloor(floors.permille[base::indexOf(base::Rank::Deferrable)]);
+        }
     });
 }
 
--- a/src/node/NodeCoreSettings.h
+++ b/src/node/NodeCoreSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Hash.h"
 #include "membership/Rendezvous.h"
 #include "node/NodeCore.h"
 #include "platform/ObjectKeys.h"
@@ -26,13 +27,26 @@
         context.emit(platform::WatchObjects { std::string(prefix), isChosen });
 }
 
+template<typename Policies>
+bool NodeCore<Policies>::isPreferredAcceptor()
+{
+    // The first watcher of one data centre; all nodes that see the same ones agree on which.
+    auto dataCentres = m_vms.otherDataCentres();
+    dataCentres.push_back(m_config.dataCentre);
+    auto weight = [](const base::DataCentreName& name) { return base::hashBytes(name.text); };
+    auto first = std::max_element(dataCentres.begin(), dataCentres.end(), [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
+    if (*first != m_config.dataCentre)
+        return false;
+    auto watchers = membership::rendezvous(m_vms.liveInDataCentre(m_config.dataCentre), "watch", 1);
+    return watchers.empty() || watchers.front() == m_config.self;
+}
+
 template<typename Policies>
 void NodeCore<Policies>::acceptBranches(Context& context)
 {
     if (!m_isWatching)
         return;
-    auto chosen = membership::rendezvous(m_vms.live(), "accept", 1);
-    bool isPreferred = chosen.empty() || chosen.front() == m_config.self;
+    bool isPreferred = isPreferredAcceptor();
     for (auto& decision : m_acceptor.due(context.now, isPreferred)) {
         platform::BranchStatus status { decision.path, decision.rawVersion, decision.branch.has_value(), decision.reason };
         if (decision.branch) {
--- a/src/node/NodeCoreStreams.h
+++ b/src/node/NodeCoreStreams.h
@@ -187,7 +187,7 @@
     withPool(*pool, [&](FairPool& target) { inFlight = target.markDown(upstream); });
     bool hasReporter = std::any_of(inFlight.begin(), inFlight.end(), [&](const auto& entry) { return entry.request == reporter; });
     if (!hasReporter)
-        inFlight.push_back({ reporter, base::Rank::Standard, false, context.now });
+        inFlight.push_back({ reporter, base::Rank::Standard, false, false, context.now });
     std::vector<route::Casualty> casualties;
     std::vector<std::pair<base::RequestId, base::AttemptNumber>> attempts;
     for (const auto& entry : inFlight) {
--- a/src/node/NodeCoreSuspects.h
+++ b/src/node/NodeCoreSuspects.h
@@ -10,7 +10,7 @@
 {
     // Whoever else runs the same request is given time to find out.
     static constexpr base::Duration newcomerWait = std::chrono::seconds(2);
-    bool isNewcomer = !work.isResume;
+    bool isNewcomer = work.isNewcomer;
     auto notBefore = std::max(m_blame.hearingEnd(work.fingerprint), isNewcomer ? context.now + newcomerWait : context.now);
     m_ward.add({ work.request, work.fingerprint, pool, notBefore });
 }
@@ -40,12 +40,24 @@
 {
     auto views = pool.liveInOrder();
     for (size_t index = place.rank; index < views.size(); index += place.suspects) {
-        if (views[index]->takesWork())
+        if (views[index]->takesWork() && views[index]->estimatedLoad() < views[index]->record.slots)
             return views[index];
     }
     return nullptr;
 }
 
+// Least loaded upstream, for when there are more suspects than places.
+inline const route::UpstreamView* sharedPlace(const FairPool& pool)
+{
+    const route::UpstreamView* best = nullptr;
+    for (const auto* view : pool.liveInOrder()) {
+        bool isBetter = view->takesWork() && (!best || view->estimatedLoad() < best->estimatedLoad());
+        if (isBetter)
+            best = view;
+    }
+    return best;
+}
+
 template<typename Policies>
 void NodeCore<Policies>::tryApart(const HeldSuspect& suspect, Context& context)
 {
@@ -65,10 +77,8 @@
         const auto* view = placeOfSuspect(pool, place);
         auto wait = std::min(longestWait, firstTurn + turnTime * static_cast<int64_t>(place.rank));
         bool mayShare = context.now >= place.hearingEnd + wait;
-        for (const auto* other : pool.liveInOrder()) {
-            if (!view && mayShare && other->takesWork())
-                view = other;
-        }
+        if (!view && mayShare)
+            view = sharedPlace(pool);
         if (view)
             dispatch = pool.placeAt(*work, base::UpstreamName(view->record.name), context.now);
     });
--- a/src/node/Pool.h
+++ b/src/node/Pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Hash.h"
 #include "node/Dispatch.h"
 #include "redwingseam/route/CacheEvent.h"
 #include "redwingseam/route/LoadReport.h"
@@ -33,10 +34,10 @@
         auto* view = find(record.name);
         if (!view) {
             m_indices.emplace(record.name, static_cast<uint32_t>(m_upstreams.size()));
-            m_upstreams.push_back({ record, route::ConcurrencyLimit(record.slots, nodesSharing), linkTier, false, 0, 0, 0, {} });
+            m_upstreams.push_back({ record, makeLimit(record, nodesSharing), linkTier, false, 0, 0, 0, {} });
         } else if (view->record.incarnation != record.incarnation || view->record.slots != record.slots) {
             view->record = record;
-            view->limit = route::ConcurrencyLimit(record.slots, nodesSharing);
+            view->limit = makeLimit(record, nodesSharing);
             view->isDown = false;
             view->reportedLoad = 0;
             view->ownAtReport = 0;
@@ -47,21 +48,22 @@
         m_choice.rebuild(m_upstreams);
     }
 
+    // Share of the slots, in thousandths, on which deferrable work is not made to give way.
+    void setDeferrableFloor(int64_t permille) { m_deferrableFloorPermille = permille; }
+
     void push(schedule::QueuedWork work) { m_queue.push(std::move(work)); }
 
     // Gives out the next piece of work if an upstream has a free slot for it.
     std::optional<Dispatch> next(base::Instant now, std::minstd_rand& random)
     {
-        while (hasFreeSlot()) {
-            auto work = m_queue.pop();
-            if (!work)
-                return std::nullopt;
-            if (auto dispatch = place(*work, now, random))
-                return dispatch;
-            m_queue.push(std::move(*work));
-            return std::nullopt;
-        }
-        return std::nullopt;
+        std::optional<schedule::QueuedWork> work;
+        if (hasFreeSlot(base::Rank::Deferrable))
+            work = m_queue.pop(base::Rank::Deferrable);
+        else if (hasFreeSlot(base::Rank::Urgent))
+            work = m_queue.pop(base::Rank::Urgent);
+        if (work)
+            return place(*work, now, random);
+        return nextResume(now);
     }
 
     // Upstreams that are listed as live at the nearest link tier, in an order that all nodes share. Some
@@ -88,8 +90,8 @@
         auto* view = find(upstream);
         if (!view || !view->takesWork())
             return std::nullopt;
-        view->flight.push_back({ work.request, work.rank, work.isSuspect, now });
-        return Dispatch { work, view->record };
+        view->flight.push_back({ work.request, work.rank, work.isSuspect, work.isFloorGrant, now });
+        return Dispatch { work, view->record, std::nullopt };
     }
 
     // Gives a slot back. Returns whether the request held one.
@@ -149,26 +151,19 @@
 
     // Deferrable stream to interrupt for waiting urgent work: the youngest one, which loses least.
     // Nothing while a slot is free, or where deferrable work runs on no more than its floor.
-    std::optional<route::FlightEntry> preemptionVictim(int64_t deferrableFloorPermille) const
+    std::optional<route::FlightEntry> preemptionVictim() const
     {
-        if (!m_queue.waiting(base::Rank::Urgent) || hasFreeSlot())
+        if (!m_queue.waiting(base::Rank::Urgent) || hasFreeSlot(base::Rank::Urgent))
+            return std::nullopt;
+        if (!canSpareDeferrable())
             return std::nullopt;
-        int64_t slots = 0;
-        int64_t deferrable = 0;
         std::optional<route::FlightEntry> youngest;
         for (const auto& view : m_upstreams) {
-            if (view.takesWork())
-                slots += view.limit.value();
-            for (const auto& entry : view.flight) {
-                if (entry.rank != base::Rank::Deferrable)
-                    continue;
-                ++deferrable;
-                if (!youngest || entry.startedAt > youngest->startedAt)
-                    youngest = entry;
-            }
+            auto entry = youngestDeferrable(view);
+            if (entry && (!youngest || entry->startedAt > youngest->startedAt))
+                youngest = entry;
         }
-        bool isAboveFloor = deferrable * 1000 > slots * deferrableFloorPermille;
-        return isAboveFloor ? youngest : std::nullopt;
+        return youngest;
     }
 
     // Work whose deadline has passed.
@@ -194,15 +189,39 @@
     }
 
 private:
+    route::ConcurrencyLimit makeLimit(const route::UpstreamRecord& record, uint32_t nodesSharing) const
+    {
+        return { record.slots, nodesSharing, base::hashBytes(record.name.text, m_choice.seed()) };
+    }
+
     route::UpstreamView* find(const base::UpstreamName& name)
     {
         auto found = m_indices.find(name);
         return found == m_indices.end() ? nullptr : &m_upstreams[found->second];
     }
 
-    bool hasFreeSlot() const
+    bool hasFreeSlot(base::Rank rank) const
     {
-        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& view) { return view.hasFreeSlot(); });
+        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& view) { return view.hasFreeSlot(rank); });
+    }
+
+    // An interrupted stream, whose caller waits, may use any slot that is really free, whatever this
+    // node's share is: the share of a VM that was lost is free before anyone knows that it was.
+    std::optional<Dispatch> nextResume(base::Instant now)
+    {
+        const route::UpstreamView* best = nullptr;
+        for (const auto& view : m_upstreams) {
+            bool isFree = view.takesWork() && view.estimatedLoad() < view.record.slots;
+            bool isBetter = isFree && (!best || std::pair(view.linkTier, view.estimatedLoad()) < std::pair(best->linkTier, best->estimatedLoad()));
+            if (isBetter)
+                best = &view;
+        }
+        if (!best)
+            return std::nullopt;
+        auto work = m_queue.popResume();
+        if (!work)
+            return std::nullopt;
+        return placeAt(*work, base::UpstreamName(best->record.name), now);
     }
 
     std::optional<Dispatch> place(const schedule::QueuedWork& work, base::Instant now, std::minstd_rand& random)
@@ -211,10 +230,35 @@
         if (!index)
             return std::nullopt;
         auto& view = m_upstreams[*index];
-        view.flight.push_back({ work.request, work.rank, work.isSuspect, now });
+        view.flight.push_back({ work.request, work.rank, work.isSuspect, work.isFloorGrant, now });
+        // Other nodes may have filled the upstream: what is urgent then takes the place of own work.
+        bool mustDisplace = work.rank == base::Rank::Urgent && view.estimatedLoad() >= view.record.slots && canSpareDeferrable();
         for (auto hash : work.prefixHashes)
             m_prefixes.add(hash, *index);
-        return Dispatch { work, view.record };
+        return Dispatch { work, view.record, mustDisplace ? youngestDeferrable(view) : std::nullopt };
+    }
+
+    static std::optional<route::FlightEntry> youngestDeferrable(const route::UpstreamView& view)
+    {
+        std::optional<route::FlightEntry> youngest;
+        for (const auto& entry : view.flight) {
+            bool isYounger = entry.rank == base::Rank::Deferrable && !entry.isFloorGrant && (!youngest || entry.startedAt > youngest->startedAt);
+            if (isYounger)
+                youngest = entry;
+        }
+        return youngest;
+    }
+
+    // Whether deferrable work would still hold its floor if one stream of it gave way.
+    bool canSpareDeferrable() const
+    {
+        int64_t slots = 0;
+        int64_t deferrable = 0;
+        for (const auto& view : m_upstreams) {
+            slots += view.takesWork() ? view.limit.value() : 0;
+            deferrable += view.ownOf(base::Rank::Deferrable);
+        }
+        return deferrable && (deferrable - 1) * 1000 >= slots * m_deferrableFloorPermille;
     }
 
     // Forgets upstreams that are gone once they are many; indices change, so the cache hints start anew.
@@ -232,6 +276,7 @@
     }
 
     Queue m_queue;
+    int64_t m_deferrableFloorPermille = 0;
     Choice m_choice;
     std::vector<route::UpstreamView> m_upstreams;
     std::unordered_map<base::UpstreamName, uint32_t> m_indices;
--- a/src/route/ConcurrencyLimit.cpp
+++ b/src/route/ConcurrencyLimit.cpp
@@ -4,20 +4,44 @@
 
 namespace redwingseam::route {
 
-ConcurrencyLimit::ConcurrencyLimit(uint32_t slots, uint32_t nodesSharing)
+ConcurrencyLimit::ConcurrencyLimit(uint32_t slots, uint32_t nodesSharing, uint64_t phase)
     : m_slots(std::max(1U, slots))
-    , m_value(std::clamp((slots + nodesSharing - 1) / std::max(1U, nodesSharing), 1U, m_slots))
+    , m_nodesSharing(std::max(1U, nodesSharing))
+    , m_value(std::max(1U, (m_slots - reserve()) / m_nodesSharing))
+    , m_drift(static_cast<int64_t>(phase % whole))
 {
 }
 
+int64_t ConcurrencyLimit::target() const
+{
+    return m_slots - reserve();
+}
+
+uint32_t ConcurrencyLimit::reserve() const
+{
+    static constexpr uint32_t slotsPerReserved = 8;
+    return m_slots / slotsPerReserved;
+}
+
 void ConcurrencyLimit::observe(uint32_t running, uint32_t waiting, uint32_t own)
 {
-    bool isQueueing = waiting > 0;
-    bool hasRoom = running < m_slots;
-    if (isQueueing && own > 1)
-        m_value = std::max(1U, m_value * 4 / 5);
-    else if (!isQueueing && hasRoom && own >= m_value)
+    auto used = static_cast<int64_t>(running) + waiting;
+    auto excess = used - target();
+    bool wantsMore = own >= m_value;
+    // Reports are late, so room is taken up in steps, while an upstream that is too full is left at once.
+    static constexpr int64_t growthDivisor = 8;
+    if (excess > 0)
+        m_drift -= whole * excess / m_nodesSharing;
+    else if (wantsMore)
+        m_drift -= whole * excess / growthDivisor / m_nodesSharing;
+    while (m_drift >= whole) {
+        m_drift -= whole;
         m_value = std::min(m_slots, m_value + 1);
+    }
+    while (m_drift < 0) {
+        m_drift += whole;
+        m_value = std::max(1U, m_value - 1);
+    }
 }
 
 } // namespace redwingseam::route
--- a/src/route/FlightEntry.h
+++ b/src/route/FlightEntry.h
@@ -11,6 +11,8 @@
     base::RequestId request;
     base::Rank rank = base::Rank::Standard;
     bool isSuspect = false;
+    // Runs on its rank's floor, so it does not give way.
+    bool isFloorGrant = false;
     base::Instant startedAt;
 };
 
--- a/src/route/SubsetChooser.cpp
+++ b/src/route/SubsetChooser.cpp
@@ -8,11 +8,13 @@
 
 // Score units: 1000 is a full upstream.
 static constexpr int64_t fullLoadScore = 1000;
-static constexpr int64_t cachedBlockScore = 120;
-static constexpr int64_t deepestCacheScore = 700;
+static constexpr int64_t cachedBlockScore = 40;
+static constexpr int64_t deepestCacheScore = 400;
 static constexpr int64_t avoidedScore = 4000;
 static constexpr int64_t highestSlowness = 4;
 static constexpr size_t tierCount = 2;
+static constexpr size_t usualChoices = 2;
+static constexpr size_t urgentChoices = 3;
 
 // Mean token gap over the subset, for finding upstreams that are alive but slow.
 static int64_t meanGap(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier)
@@ -45,16 +47,20 @@
     return result;
 }
 
+uint64_t SubsetChooser::seed() const
+{
+    return base::hashBytes(m_self.text);
+}
+
 void SubsetChooser::rebuild(std::span<const UpstreamView> upstreams)
 {
     m_tiers.assign(tierCount, {});
     std::vector<std::vector<std::pair<uint64_t, uint32_t>>> ranked(tierCount);
-    auto seed = base::hashBytes(m_self.text);
     for (uint32_t index = 0; index < upstreams.size(); ++index) {
         if (upstreams[index].record.state != UpstreamState::Live)
             continue;
         auto tier = std::min<size_t>(upstreams[index].linkTier, tierCount - 1);
-        ranked[tier].emplace_back(base::hashBytes(upstreams[index].record.name.text, seed), index);
+        ranked[tier].emplace_back(base::hashBytes(upstreams[index].record.name.text, seed()), index);
     }
     for (size_t tier = 0; tier < tierCount; ++tier) {
         auto kept = std::min(subsetSize, ranked[tier].size());
@@ -70,7 +76,7 @@
         if (auto best = bestInTier(upstreams, tier, prefixes, work, random))
             return best;
     }
-    return firstUsable(upstreams, random);
+    return firstUsable(upstreams, work.rank, random);
 }
 
 std::optional<uint32_t> SubsetChooser::bestInTier(std::span<const UpstreamView> upstreams, const std::vector<uint32_t>& tier, const PrefixIndex& prefixes, const schedule::QueuedWork& work, std::minstd_rand& random) const
@@ -81,7 +87,7 @@
     std::optional<uint32_t> best;
     int64_t bestScore = 0;
     auto consider = [&](uint32_t index, uint32_t cachedBlocks) {
-        if (!upstreams[index].hasFreeSlot())
+        if (!upstreams[index].hasFreeSlot(work.rank))
             return;
         auto candidate = score(upstreams[index], work, cachedBlocks, usualGap);
         if (!best || candidate < bestScore) {
@@ -94,8 +100,10 @@
         if (holder.upstreamIndex < upstreams.size() && upstreams[holder.upstreamIndex].linkTier == tierLink)
             consider(holder.upstreamIndex, holder.depth);
     }
-    consider(tier[random() % tier.size()], 0);
-    consider(tier[random() % tier.size()], 0);
+    // Urgent work looks at more of them. All of them would make the nodes choose the same one.
+    auto choices = work.rank == base::Rank::Urgent ? urgentChoices : usualChoices;
+    for (size_t choice = 0; choice < choices; ++choice)
+        consider(tier[random() % tier.size()], 0);
     bool isAvoided = best && upstreams[*best].record.name == work.avoid;
     if (!best || isAvoided) {
         for (auto index : tier)
@@ -105,14 +113,14 @@
 }
 
 // Reached only when the whole subset is full or down: any other upstream is better than waiting.
-std::optional<uint32_t> SubsetChooser::firstUsable(std::span<const UpstreamView> upstreams, std::minstd_rand& random)
+std::optional<uint32_t> SubsetChooser::firstUsable(std::span<const UpstreamView> upstreams, base::Rank rank, std::minstd_rand& random)
 {
     if (upstreams.empty())
         return std::nullopt;
     auto start = random() % upstreams.size();
     for (size_t step = 0; step < upstreams.size(); ++step) {
         auto index = static_cast<uint32_t>((start + step) % upstreams.size());
-        if (upstreams[index].hasFreeSlot())
+        if (upstreams[index].hasFreeSlot(rank))
             return index;
     }
     return std::nullopt;
--- a/src/route/SubsetChooser.h
+++ b/src/route/SubsetChooser.h
@@ -17,12 +17,13 @@
     {
     }
 
+    uint64_t seed() const;
     void rebuild(std::span<const UpstreamView>);
     std::optional<uint32_t> choose(std::span<const UpstreamView>, const PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&);
 
 private:
     std::optional<uint32_t> bestInTier(std::span<const UpstreamView>, const std::vector<uint32_t>& tier, const PrefixIndex&, const schedule::QueuedWork&, std::minstd_rand&) const;
-    static std::optional<uint32_t> firstUsable(std::span<const UpstreamView>, std::minstd_rand&);
+    static std::optional<uint32_t> firstUsable(std::span<const UpstreamView>, base::Rank, std::minstd_rand&);
 
     base::VmName m_self;
     // Indices by link tier, each tier in rendezvous order and cut to the subset's size.
--- a/src/route/UpstreamView.h
+++ b/src/route/UpstreamView.h
@@ -25,7 +25,9 @@
 
     uint32_t own() const { return static_cast<uint32_t>(flight.size()); }
     bool takesWork() const { return record.state == UpstreamState::Live && !isDown; }
-    bool hasFreeSlot() const { return takesWork() && own() < limit.value(); }
+    uint32_t ownOf(base::Rank) const;
+    // Work that is not urgent leaves the reserve free.
+    bool hasFreeSlot(base::Rank) const;
     // Requests at the upstream by the last report, corrected by what this node has sent and ended since.
     uint32_t estimatedLoad() const;
 };
--- a/src/schedule/FairQueue.cpp
+++ b/src/schedule/FairQueue.cpp
@@ -10,15 +10,26 @@
     rank.push(std::move(work));
 }
 
-std::optional<QueuedWork> FairQueue::pop()
+std::optional<QueuedWork> FairQueue::pop(base::Rank lowest)
 {
     RankSelector::HeadCosts heads;
     for (size_t rank = 0; rank < base::rankCount; ++rank)
         heads[rank] = m_ranks[rank].headCost();
-    auto rank = m_selector.select(heads);
+    auto rank = m_selector.select(heads, lowest);
     if (!rank)
         return std::nullopt;
-    return m_ranks[base::indexOf(*rank)].pop();
+    auto work = m_ranks[base::indexOf(*rank)].pop();
+    work->isFloorGrant = std::any_of(heads.begin(), heads.begin() + static_cast<ptrdiff_t>(base::indexOf(*rank)), [](const auto& head) { return head.has_value(); });
+    return work;
+}
+
+std::optional<QueuedWork> FairQueue::popResume()
+{
+    for (auto& rank : m_ranks) {
+        if (auto work = rank.popResume())
+            return work;
+    }
+    return std::nullopt;
 }
 
 std::vector<QueuedWork> FairQueue::expire(base::Instant now)
--- a/src/schedule/FairQueue.h
+++ b/src/schedule/FairQueue.h
@@ -15,7 +15,9 @@
     const RankFloors& floors() const { return m_selector.floors(); }
 
     void push(QueuedWork);
-    std::optional<QueuedWork> pop();
+    // With `lowest` urgent, only urgent work is given out; otherwise the ranks share as their floors say.
+    std::optional<QueuedWork> pop(base::Rank lowest = base::Rank::Deferrable);
+    std::optional<QueuedWork> popResume();
     std::vector<QueuedWork> expire(base::Instant now);
     bool remove(base::RequestId);
     size_t size() const;
--- a/src/schedule/RankQueue.cpp
+++ b/src/schedule/RankQueue.cpp
@@ -41,6 +41,17 @@
     return work;
 }
 
+std::optional<QueuedWork> RankQueue::popResume()
+{
+    auto found = std::find_if(m_resumes.begin(), m_resumes.end(), [](const QueuedWork& work) { return !work.isPreempted; });
+    if (found == m_resumes.end())
+        return std::nullopt;
+    --m_size;
+    auto work = std::move(*found);
+    m_resumes.erase(found);
+    return work;
+}
+
 QueuedWork RankQueue::popFairly()
 {
     auto first = m_order.begin();
--- a/src/schedule/RankQueue.h
+++ b/src/schedule/RankQueue.h
@@ -15,6 +15,8 @@
 public:
     void push(QueuedWork);
     std::optional<QueuedWork> pop();
+    // Next interrupted stream that did not give way to other work.
+    std::optional<QueuedWork> popResume();
     std::optional<uint64_t> headCost() const;
     std::vector<QueuedWork> expire(base::Instant now);
     bool remove(base::RequestId);
--- a/src/schedule/RankSelector.cpp
+++ b/src/schedule/RankSelector.cpp
@@ -6,11 +6,12 @@
 
 static constexpr int64_t creditPerCost = 1000;
 
-std::optional<base::Rank> RankSelector::select(const HeadCosts& heads)
+std::optional<base::Rank> RankSelector::select(const HeadCosts& heads, base::Rank lowest)
 {
-    auto chosen = rankWithCredit(heads);
+    auto last = base::indexOf(lowest);
+    auto chosen = rankWithCredit(heads, last);
     bool usesCredit = chosen.has_value();
-    for (size_t rank = 0; rank < base::rankCount && !chosen; ++rank) {
+    for (size_t rank = 0; rank <= last && !chosen; ++rank) {
         if (heads[rank])
             chosen = rank;
     }
@@ -25,9 +26,9 @@
     return static_cast<base::Rank>(*chosen);
 }
 
-std::optional<size_t> RankSelector::rankWithCredit(const HeadCosts& heads) const
+std::optional<size_t> RankSelector::rankWithCredit(const HeadCosts& heads, size_t lowest) const
 {
-    for (size_t rank = 0; rank < base::rankCount; ++rank) {
+    for (size_t rank = 0; rank <= lowest; ++rank) {
         bool hasFloor = m_floors.permille[rank] > 0;
         if (hasFloor && heads[rank] && m_credit[rank] >= static_cast<int64_t>(*heads[rank]) * creditPerCost)
             return rank;
@@ -38,10 +39,13 @@
 void RankSelector::accrue(const HeadCosts& heads, uint64_t servedCost)
 {
     for (size_t rank = 0; rank < base::rankCount; ++rank) {
-        if (!heads[rank])
-            m_credit[rank] = 0;
+        m_credit[rank] += static_cast<int64_t>(servedCost) * m_floors.permille[rank];
+        if (heads[rank])
+            m_lastCost[rank] = *heads[rank];
         else
-            m_credit[rank] += static_cast<int64_t>(servedCost) * m_floors.permille[rank];
+            // A rank with nothing waiting keeps enough for one piece of work, so that its next one need
+            // not wait for the floor to build up, and no more, so that it cannot save up for a flood.
+            m_credit[rank] = std::min(m_credit[rank], static_cast<int64_t>(m_lastCost[rank]) * creditPerCost);
     }
 }
 
--- a/src/schedule/RankSelector.h
+++ b/src/schedule/RankSelector.h
@@ -9,8 +9,8 @@
 namespace redwingseam::schedule {
 
 // Chooses the rank to serve next: the highest one with work, except that a rank whose credit covers
-// its next piece of work goes first. Credit grows with all cost served while the rank waits, at the
-// rank's floor, and is forfeited when the rank has nothing waiting.
+// its next piece of work goes first. Credit grows with all cost served, at the rank's floor; a rank with
+// nothing waiting keeps no more than one piece of work needs.
 class RankSelector {
 public:
     // Cost of the next work of each rank; nothing where a rank has none waiting.
@@ -19,16 +19,19 @@
     void setFloors(const RankFloors& floors) { m_floors = floors; }
     const RankFloors& floors() const { return m_floors; }
 
-    // Chooses a rank and books its head's cost. Nothing if no rank has work.
-    std::optional<base::Rank> select(const HeadCosts&);
+    // Chooses a rank, not below `lowest`, and books its head's cost. Nothing if no such rank has work.
+    std::optional<base::Rank> select(const HeadCosts&, base::Rank lowest);
 
 private:
-    std::optional<size_t> rankWithCredit(const HeadCosts&) const;
+    std::optional<size_t> rankWithCredit(const HeadCosts&, size_t lowest) const;
     void accrue(const HeadCosts&, uint64_t servedCost);
 
     RankFloors m_floors;
+    static constexpr uint64_t usualCost = 100;
+
     // In thousandths of a cost unit.
-    std::array<int64_t, base::rankCount> m_credit {};
+    std::array<int64_t, base::rankCount> m_credit { 0, usualCost * 1000, usualCost * 1000 };
+    std::array<uint64_t, base::rankCount> m_lastCost { usualCost, usualCost, usualCost };
 };
 
 } // namespace redwingseam::schedule
--- a/src/schedule/WorkQueue.h
+++ b/src/schedule/WorkQueue.h
@@ -7,13 +7,17 @@
 
 namespace redwingseam::schedule {
 
-// Order in which queued work is given out. Not synchronised: the owner's shard lock guards it.
+// Order in which queued work is given out; `pop` gives work of a rank or a higher one. Not synchronised: the owner's shard lock guards it.
 template<typename T>
 concept WorkQueue = requires(T& queue, const T& constQueue, QueuedWork work, base::Instant now, base::RequestId request)
 {
     queue.push(std::move(work));
     {
-        queue.pop()
+        queue.pop(base::Rank::Deferrable)
+        } -> std::same_as<std::optional<QueuedWork>>;
+    // Next interrupted stream, of the highest rank that has one.
+    {
+        queue.popResume()
         } -> std::same_as<std::optional<QueuedWork>>;
     {
         queue.expire(now)
