--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -45,7 +45,7 @@
         {
             node.start();
             route::UpstreamRecord record { { "up" }, route::UpstreamKind::Engine, { "draft@1" }, { "dc" }, "http://u", 100'000, 1, route::UpstreamState::Live };
-            node.handle(platform::ObjectChanged { { "upstreams/up" }, { 1 }, record });
+            node.handle(store::ObjectChanged { { "upstreams/up" }, { 1 }, record });
             sink.take();
         }
     };
@@ -100,7 +100,7 @@
         auto start = bed.clock.now();
         for (int i = 0; i < upstreams; ++i) {
             route::UpstreamRecord record { { "upstream-" + std::to_string(i) }, route::UpstreamKind::Engine, { "model-" + std::to_string(i % 13) + "@1" }, { "dc-" + std::to_string(i % 6) }, "http://10.0.0.1:8000", 16, 1, route::UpstreamState::Live };
-            bed.node.handle(platform::ObjectChanged { { "upstreams/x" }, { 1 }, record });
+            bed.node.handle(store::ObjectChanged { { "upstreams/x" }, { 1 }, record });
         }
         figures.show("slope.upstream.us", microsOf(start) / upstreams, "us");
         bed.sink.take();
@@ -120,7 +120,7 @@
         for (int i = 0; i < branches; ++i) {
             settings::Branch branch { "/clients/client-" + std::to_string(i), { static_cast<uint64_t>(i + 1) }, false, {} };
             branch.values[settings::indexOf(settings::Field::Weight)] = 100;
-            bed.node.handle(platform::ObjectChanged { { "settings/accepted" + branch.path }, branch.version, platform::AcceptedBranch { branch, branch.version } });
+            bed.node.handle(store::ObjectChanged { { "settings/accepted" + branch.path }, branch.version, store::AcceptedBranch { branch, branch.version } });
         }
         bed.sink.take();
         figures.show("slope.branch.bytes", (bytesInUse() - before) / branches, "bytes");
@@ -128,7 +128,7 @@
         static constexpr int changes = 200;
         for (int i = 0; i < changes; ++i) {
             settings::Branch branch { "/clients/client-7", { static_cast<uint64_t>(10'000 + i) }, false, {} };
-            bed.node.handle(platform::ObjectChanged { { "settings/accepted/clients/client-7" }, branch.version, platform::AcceptedBranch { branch, branch.version } });
+            bed.node.handle(store::ObjectChanged { { "settings/accepted/clients/client-7" }, branch.version, store::AcceptedBranch { branch, branch.version } });
         }
         figures.show("slope.branch_change.us", microsOf(start) / changes, "us");
     }
--- a/examples/embed/Main.cpp
+++ b/examples/embed/Main.cpp
@@ -50,8 +50,8 @@
     KeptEffects sink;
     ManualNode node({ { "vm-1" }, { "dc" }, { "region" }, "127.0.0.1:1", 1, {} }, clock, random, sink);
     node.start();
-    node.handle(platform::ObjectChanged { { "upstreams/a" }, { 1 }, engine("a") });
-    node.handle(platform::ObjectChanged { { "upstreams/b" }, { 2 }, engine("b") });
+    node.handle(store::ObjectChanged { { "upstreams/a" }, { 1 }, engine("a") });
+    node.handle(store::ObjectChanged { { "upstreams/b" }, { 2 }, engine("b") });
 
     node::CallerRequest request;
     request.id = { 1 };
--- a/include/redwingseam/base/Ids.h
+++ b/include/redwingseam/base/Ids.h
@@ -14,6 +14,12 @@
 struct WorkTag;
 struct ObjectTag;
 struct KeyTag;
+struct ServiceTag;
+struct RouteTag;
+struct ModelTag;
+struct ApiKeyTag;
+struct ClientAttemptTag;
+struct PromptPartTag;
 struct RequestTag;
 struct AttemptTag;
 struct CallTag;
@@ -34,6 +40,17 @@
 // Idempotency key, already bound to its client.
 using IdempotencyKey = Name<KeyTag>;
 
+// Service that the manifest names; its upstreams are interchangeable.
+using ServiceName = Name<ServiceTag>;
+using RouteName = Name<RouteTag>;
+using ModelName = Name<ModelTag>;
+// Secret by which a client account proves itself.
+using ApiKey = Name<ApiKeyTag>;
+// Id that a client gave one attempt at its request; upstreams echo it.
+using ClientAttemptId = Name<ClientAttemptTag>;
+// Part of a prompt that requests may share.
+using PromptPartId = Name<PromptPartTag>;
+
 using RequestId = Number<RequestTag>;
 using AttemptNumber = Number<AttemptTag>;
 using CallId = Number<CallTag>;
--- /dev/null
+++ b/include/redwingseam/manifest/Manifest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "redwingseam/manifest/ClientAccount.h"
+#include "redwingseam/manifest/ClientLimits.h"
+#include "redwingseam/manifest/Route.h"
+#include "redwingseam/manifest/ServiceSpec.h"
+
+#include <vector>
+
+namespace redwingseam::manifest {
+
+// One version of the operator's configuration of routes, services and client accounts. A plain value.
+struct Manifest {
+    // Grows with each change, in uneven steps.
+    uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<ServiceSpec> services;
+    ClientLimits limits;
+    // Empty if no request needs a key.
+    std::vector<ClientAccount> accounts;
+};
+
+} // namespace redwingseam::manifest
--- a/include/redwingseam/node/Decisions.h
+++ b/include/redwingseam/node/Decisions.h
@@ -11,8 +11,6 @@
 #include "redwingseam/node/Tick.h"
 #include "redwingseam/node/TokensReceived.h"
 #include "redwingseam/peer/PeerMessage.h"
-#include "redwingseam/platform/ObjectChanged.h"
-#include "redwingseam/platform/PlatformReply.h"
 #include "redwingseam/report/BurnReport.h"
 #include "redwingseam/report/Counters.h"
 #include "redwingseam/report/LatencySummary.h"
@@ -20,6 +18,8 @@
 #include "redwingseam/route/CacheEvent.h"
 #include "redwingseam/route/LoadReport.h"
 #include "redwingseam/settings/Tree.h"
+#include "redwingseam/store/ObjectChanged.h"
+#include "redwingseam/store/PlatformReply.h"
 
 #include <memory>
 #include <vector>
@@ -50,8 +50,8 @@
     EffectList handle(const ProbeFailed&, base::Instant now, uint64_t random);
     EffectList handle(const route::LoadReport&, base::Instant now, uint64_t random);
     EffectList handle(const route::CacheEvent&, base::Instant now, uint64_t random);
-    EffectList handle(const platform::PlatformReply&, base::Instant now, uint64_t random);
-    EffectList handle(const platform::ObjectChanged&, base::Instant now, uint64_t random);
+    EffectList handle(const store::PlatformReply&, base::Instant now, uint64_t random);
+    EffectList handle(const store::ObjectChanged&, base::Instant now, uint64_t random);
     EffectList handle(const peer::PeerMessage&, base::Instant now, uint64_t random);
     EffectList handle(const Tick&, base::Instant now, uint64_t random);
 
--- a/include/redwingseam/node/Effect.h
+++ b/include/redwingseam/node/Effect.h
@@ -7,8 +7,8 @@
 #include "redwingseam/node/SendTokens.h"
 #include "redwingseam/node/StartGeneration.h"
 #include "redwingseam/peer/PeerSend.h"
-#include "redwingseam/platform/PlatformCall.h"
-#include "redwingseam/platform/WatchObjects.h"
+#include "redwingseam/store/PlatformCall.h"
+#include "redwingseam/store/WatchObjects.h"
 
 #include <variant>
 #include <vector>
@@ -16,7 +16,7 @@
 namespace redwingseam::node {
 
 // What a node wants done.
-using Effect = std::variant<StartGeneration, CallService, CancelAttempt, SendTokens, Finish, Refuse, platform::PlatformCall, platform::WatchObjects, peer::PeerSend>;
+using Effect = std::variant<StartGeneration, CallService, CancelAttempt, SendTokens, Finish, Refuse, store::PlatformCall, store::WatchObjects, peer::PeerSend>;
 using EffectList = std::vector<Effect>;
 
 } // namespace redwingseam::node
--- a/include/redwingseam/platform/AcceptedBranch.h
+++ b/include/redwingseam/store/AcceptedBranch.h
@@ -3,7 +3,7 @@
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/settings/Branch.h"
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // A checked branch, and the version of the edit that it was made from.
 struct AcceptedBranch {
@@ -13,4 +13,4 @@
     bool operator==(const AcceptedBranch&) const = default;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/BranchStatus.h
+++ b/include/redwingseam/store/BranchStatus.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What became of an edit: accepted, or why it was rejected.
 struct BranchStatus {
@@ -16,4 +16,4 @@
     bool operator==(const BranchStatus&) const = default;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/CallKind.h
+++ b/include/redwingseam/store/CallKind.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What a call asks of the platform's store.
 enum class CallKind : uint8_t {
@@ -18,11 +18,11 @@
     Remove,
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
 
 template<>
-struct redwingseam::base::EnumNames<redwingseam::platform::CallKind> {
-    using CallKind = redwingseam::platform::CallKind;
+struct redwingseam::base::EnumNames<redwingseam::store::CallKind> {
+    using CallKind = redwingseam::store::CallKind;
     static constexpr std::array entries {
         std::pair { CallKind::Read, std::string_view { "read" } },
         std::pair { CallKind::Create, std::string_view { "create" } },
--- a/include/redwingseam/platform/CallOutcome.h
+++ b/include/redwingseam/store/CallOutcome.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What became of a call to the platform's store.
 enum class CallOutcome : uint8_t {
@@ -17,11 +17,11 @@
     Unknown,
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
 
 template<>
-struct redwingseam::base::EnumNames<redwingseam::platform::CallOutcome> {
-    using CallOutcome = redwingseam::platform::CallOutcome;
+struct redwingseam::base::EnumNames<redwingseam::store::CallOutcome> {
+    using CallOutcome = redwingseam::store::CallOutcome;
     static constexpr std::array entries {
         std::pair { CallOutcome::Done, std::string_view { "done" } },
         std::pair { CallOutcome::Conflict, std::string_view { "conflict" } },
--- a/include/redwingseam/platform/Lease.h
+++ b/include/redwingseam/store/Lease.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Right of one VM to act for a subject. It is renewed by a conditional update; a rival that has seen
 // the same version for the whole `durationMs` may take it over, so no clocks are compared.
@@ -20,4 +20,4 @@
     bool operator==(const Lease&) const = default;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/ObjectChanged.h
+++ b/include/redwingseam/store/ObjectChanged.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "redwingseam/base/Ids.h"
-#include "redwingseam/platform/ObjectValue.h"
+#include "redwingseam/store/ObjectValue.h"
 
 #include <optional>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // A watch or a list showed an object. It may be old or come twice. No value: the object was deleted.
 struct ObjectChanged {
@@ -14,4 +14,4 @@
     std::optional<ObjectValue> value;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/PlatformCall.h
+++ b/include/redwingseam/store/PlatformCall.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "redwingseam/base/Ids.h"
-#include "redwingseam/platform/CallKind.h"
-#include "redwingseam/platform/ObjectValue.h"
-#include "redwingseam/platform/Purpose.h"
+#include "redwingseam/store/CallKind.h"
+#include "redwingseam/store/ObjectValue.h"
+#include "redwingseam/store/Purpose.h"
 
 #include <cstdint>
 #include <optional>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // A call to the platform's store, and what it is for.
 struct PlatformCall {
@@ -23,4 +23,4 @@
     uint64_t group = 0;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/PlatformReply.h
+++ b/include/redwingseam/store/PlatformReply.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "redwingseam/base/Ids.h"
-#include "redwingseam/platform/CallOutcome.h"
-#include "redwingseam/platform/ObjectValue.h"
-#include "redwingseam/platform/PlatformCall.h"
+#include "redwingseam/store/CallOutcome.h"
+#include "redwingseam/store/ObjectValue.h"
+#include "redwingseam/store/PlatformCall.h"
 
 #include <optional>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What became of a call. `version` and `value` are those of the object after the call, where known.
 struct PlatformReply {
@@ -17,4 +17,4 @@
     std::optional<ObjectValue> value;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/Purpose.h
+++ b/include/redwingseam/store/Purpose.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Part of the node that made a call, so that the reply finds its way back.
 enum class Purpose : uint8_t {
@@ -20,11 +20,11 @@
     VmWrite,
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
 
 template<>
-struct redwingseam::base::EnumNames<redwingseam::platform::Purpose> {
-    using Purpose = redwingseam::platform::Purpose;
+struct redwingseam::base::EnumNames<redwingseam::store::Purpose> {
+    using Purpose = redwingseam::store::Purpose;
     static constexpr std::array entries {
         std::pair { Purpose::ClaimCheckpointRead, std::string_view { "claim-checkpoint-read" } },
         std::pair { Purpose::ClaimCheckpointWrite, std::string_view { "claim-checkpoint-write" } },
--- a/include/redwingseam/platform/RawBranch.h
+++ b/include/redwingseam/store/RawBranch.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // An operator's edit of a branch, as written: JSON that has not been checked yet.
 struct RawBranch {
@@ -12,4 +12,4 @@
     bool operator==(const RawBranch&) const = default;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/include/redwingseam/platform/WatchObjects.h
+++ b/include/redwingseam/store/WatchObjects.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Starts or stops watching all objects whose keys begin with `prefix`.
 struct WatchObjects {
@@ -10,4 +10,4 @@
     bool isWanted = true;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/peer/Socket.h
+++ b/src/base/Socket.h
@@ -3,7 +3,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace redwingseam::peer {
+namespace redwingseam::base {
 
 // Owner of a file descriptor.
 class Socket {
@@ -35,4 +35,4 @@
     int m_descriptor = -1;
 };
 
-} // namespace redwingseam::peer
+} // namespace redwingseam::base
--- a/src/claim/ClaimDesk.cpp
+++ b/src/claim/ClaimDesk.cpp
@@ -6,7 +6,7 @@
 
 namespace redwingseam::claim {
 
-using platform::CallOutcome;
+using store::CallOutcome;
 
 static constexpr base::Duration firstBackoff = std::chrono::milliseconds(50);
 static constexpr uint32_t mostDoublings = 6;
--- a/src/claim/ClaimDesk.h
+++ b/src/claim/ClaimDesk.h
@@ -4,7 +4,7 @@
 #include "claim/ClaimNotice.h"
 #include "claim/LogCall.h"
 #include "redwingseam/base/Sharded.h"
-#include "redwingseam/platform/CallOutcome.h"
+#include "redwingseam/store/CallOutcome.h"
 
 #include <vector>
 
@@ -52,16 +52,16 @@
     // Next call of a group, if it is time for one.
     LogCall poll(size_t group, base::Instant now);
     // Takes the result of a call. `jitter` is a random word that spreads retries.
-    std::vector<ClaimNotice> onCheckpoint(size_t group, platform::CallOutcome, base::ObjectVersion, const std::optional<Checkpoint>&, base::Instant now, uint64_t jitter);
-    std::vector<ClaimNotice> onRead(size_t group, platform::CallOutcome, const std::optional<ClaimBatch>&, base::Instant now, uint64_t jitter);
-    std::vector<ClaimNotice> onCreated(size_t group, platform::CallOutcome, base::Instant now, uint64_t jitter);
+    std::vector<ClaimNotice> onCheckpoint(size_t group, store::CallOutcome, base::ObjectVersion, const std::optional<Checkpoint>&, base::Instant now, uint64_t jitter);
+    std::vector<ClaimNotice> onRead(size_t group, store::CallOutcome, const std::optional<ClaimBatch>&, base::Instant now, uint64_t jitter);
+    std::vector<ClaimNotice> onCreated(size_t group, store::CallOutcome, base::Instant now, uint64_t jitter);
 
     // Relayed records that have waited too long are appended by this node.
     void takeBackRelayed(size_t group, base::Instant now);
 
     // Checkpoint to be stored by the preferred writer, when enough has been appended since the last.
     std::optional<Checkpoint> dueCheckpoint(size_t group, base::ObjectVersion& expected);
-    void onCheckpointStored(size_t group, platform::CallOutcome, base::ObjectVersion);
+    void onCheckpointStored(size_t group, store::CallOutcome, base::ObjectVersion);
 
     // Records that are not yet known to be in the log.
     size_t pending();
--- a/src/codec/ObjectCodec.cpp
+++ b/src/codec/ObjectCodec.cpp
@@ -9,22 +9,22 @@
 
 using nlohmann::json;
 
-static json format(const platform::RawBranch& raw)
+static json format(const store::RawBranch& raw)
 {
     return { { "path", raw.path }, { "json", raw.json } };
 }
 
-static json format(const platform::AcceptedBranch& accepted)
+static json format(const store::AcceptedBranch& accepted)
 {
     return { { "branch", format(accepted.branch) }, { "raw_version", accepted.rawVersion.value } };
 }
 
-static json format(const platform::BranchStatus& status)
+static json format(const store::BranchStatus& status)
 {
     return { { "path", status.path }, { "raw_version", status.rawVersion.value }, { "accepted", status.isAccepted }, { "reason", status.reason } };
 }
 
-static json format(const platform::Lease& lease)
+static json format(const store::Lease& lease)
 {
     return {
         { "holder", lease.holder.text },
@@ -35,59 +35,59 @@
     };
 }
 
-std::string formatObject(const platform::ObjectValue& value)
+std::string formatObject(const store::ObjectValue& value)
 {
     auto document = std::visit([](const auto& alternative) { return format(alternative); }, value);
     document["type"] = base::nameOf(static_cast<ObjectType>(value.index()));
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-static std::optional<platform::RawBranch> parseRawBranch(const json& value)
+static std::optional<store::RawBranch> parseRawBranch(const json& value)
 {
     JsonReader reader(value);
-    platform::RawBranch raw { reader.text("path"), reader.text("json") };
+    store::RawBranch raw { reader.text("path"), reader.text("json") };
     if (!reader.isGood())
         return std::nullopt;
     return raw;
 }
 
-static std::optional<platform::AcceptedBranch> parseAcceptedBranch(const json& value)
+static std::optional<store::AcceptedBranch> parseAcceptedBranch(const json& value)
 {
     JsonReader reader(value);
     auto branch = parseBranchObject(reader.object("branch"));
     base::ObjectVersion rawVersion { reader.number("raw_version") };
     if (!reader.isGood() || !branch)
         return std::nullopt;
-    return platform::AcceptedBranch { std::move(*branch), rawVersion };
+    return store::AcceptedBranch { std::move(*branch), rawVersion };
 }
 
-static std::optional<platform::BranchStatus> parseBranchStatus(const json& value)
+static std::optional<store::BranchStatus> parseBranchStatus(const json& value)
 {
     JsonReader reader(value);
-    platform::BranchStatus status { reader.text("path"), { reader.number("raw_version") }, reader.flag("accepted"), reader.text("reason") };
+    store::BranchStatus status { reader.text("path"), { reader.number("raw_version") }, reader.flag("accepted"), reader.text("reason") };
     if (!reader.isGood())
         return std::nullopt;
     return status;
 }
 
-static std::optional<platform::Lease> parseLease(const json& value)
+static std::optional<store::Lease> parseLease(const json& value)
 {
     JsonReader reader(value);
-    platform::Lease lease { { reader.text("holder") }, reader.number("holder_incarnation"), reader.number("fencing"), reader.number("renewals"), reader.number("duration_ms") };
+    store::Lease lease { { reader.text("holder") }, reader.number("holder_incarnation"), reader.number("fencing"), reader.number("renewals"), reader.number("duration_ms") };
     if (!reader.isGood())
         return std::nullopt;
     return lease;
 }
 
 template<typename Value>
-static std::optional<platform::ObjectValue> widen(std::optional<Value> value)
+static std::optional<store::ObjectValue> widen(std::optional<Value> value)
 {
     if (!value)
         return std::nullopt;
-    return platform::ObjectValue(std::move(*value));
+    return store::ObjectValue(std::move(*value));
 }
 
-static std::optional<platform::ObjectValue> parseAs(ObjectType type, const json& document)
+static std::optional<store::ObjectValue> parseAs(ObjectType type, const json& document)
 {
     switch (type) {
     case ObjectType::ClaimBatch:
@@ -110,7 +110,7 @@
     return std::nullopt;
 }
 
-std::optional<platform::ObjectValue> parseObject(std::string_view text)
+std::optional<store::ObjectValue> parseObject(std::string_view text)
 {
     auto document = json::parse(text, nullptr, false);
     if (document.is_discarded())
--- a/src/codec/ObjectCodec.h
+++ b/src/codec/ObjectCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "redwingseam/platform/ObjectValue.h"
+#include "redwingseam/store/ObjectValue.h"
 
 #include <optional>
 #include <string>
@@ -10,7 +10,7 @@
 
 // JSON text of an object's value in the platform's store. Its member `type` tells the alternatives
 // apart. `parseObject` returns nothing for anything else.
-std::string formatObject(const platform::ObjectValue&);
-std::optional<platform::ObjectValue> parseObject(std::string_view json);
+std::string formatObject(const store::ObjectValue&);
+std::optional<store::ObjectValue> parseObject(std::string_view json);
 
 } // namespace redwingseam::codec
--- a/src/codec/ObjectType.h
+++ b/src/codec/ObjectType.h
@@ -6,7 +6,7 @@
 
 namespace redwingseam::codec {
 
-// Alternatives of platform::ObjectValue, in its order.
+// Alternatives of store::ObjectValue, in its order.
 enum class ObjectType : uint8_t {
     ClaimBatch,
     Checkpoint,
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,13 +1,13 @@
 #include "daemon/Daemon.h"
 
 #include "daemon/AdminHandler.h"
-#include "daemon/LogLine.h"
 #include "daemon/ProbeSchedule.h"
 #include "daemon/Ticker.h"
 #include "daemon/VmConfig.h"
 #include "daemon/VmIo.h"
 #include "daemon/VmNode.h"
 #include "http/RequestServer.h"
+#include "log/LogLine.h"
 
 #include <glog/logging.h>
 
@@ -71,7 +71,7 @@
         for (const auto& upstream : parts.probes.due(parts.node.node().upstreams(), now))
             parts.io.upstreams.probe(upstream);
     });
-    LOG(INFO) << LogLine("started").with("vm", config.node.self.text).with("callers", config.callers.text()).text();
+    LOG(INFO) << log::LogLine("started").with("vm", config.node.self.text).with("callers", config.callers.text()).text();
     return daemon;
 }
 
@@ -79,7 +79,7 @@
 {
     static constexpr base::Duration checkInterval = std::chrono::milliseconds(100);
     auto& parts = *m_parts;
-    LOG(INFO) << LogLine("draining").with("requests", parts.node.node().status().requests).text();
+    LOG(INFO) << log::LogLine("draining").with("requests", parts.node.node().status().requests).text();
     parts.node.node().beginDrain();
     base::Mutex mutex;
     base::Condition condition;
--- a/src/daemon/EffectVisitor.h
+++ b/src/daemon/EffectVisitor.h
@@ -15,8 +15,8 @@
     void operator()(const node::SendTokens& effect) const { io.callers.send(effect); }
     void operator()(const node::Finish& effect) const { io.callers.finish(effect); }
     void operator()(const node::Refuse& effect) const { io.callers.refuse(effect); }
-    void operator()(const platform::PlatformCall& effect) const { io.store.call(effect); }
-    void operator()(const platform::WatchObjects& effect) const { io.store.watch(effect); }
+    void operator()(const store::PlatformCall& effect) const { io.store.call(effect); }
+    void operator()(const store::WatchObjects& effect) const { io.store.watch(effect); }
     void operator()(const peer::PeerSend& effect) const { io.peers.send(effect); }
 };
 
--- a/src/daemon/NodeEvents.cpp
+++ b/src/daemon/NodeEvents.cpp
@@ -39,12 +39,12 @@
     m_node.node().handle(event);
 }
 
-void NodeEvents::handle(const platform::PlatformReply& event)
+void NodeEvents::handle(const store::PlatformReply& event)
 {
     m_node.node().handle(event);
 }
 
-void NodeEvents::handle(const platform::ObjectChanged& event)
+void NodeEvents::handle(const store::ObjectChanged& event)
 {
     m_node.node().handle(event);
 }
--- a/src/daemon/NodeEvents.h
+++ b/src/daemon/NodeEvents.h
@@ -7,10 +7,10 @@
 #include "redwingseam/node/Tick.h"
 #include "redwingseam/node/TokensReceived.h"
 #include "redwingseam/peer/PeerMessage.h"
-#include "redwingseam/platform/ObjectChanged.h"
-#include "redwingseam/platform/PlatformReply.h"
 #include "redwingseam/route/CacheEvent.h"
 #include "redwingseam/route/LoadReport.h"
+#include "redwingseam/store/ObjectChanged.h"
+#include "redwingseam/store/PlatformReply.h"
 
 namespace redwingseam::daemon {
 
@@ -31,8 +31,8 @@
     void handle(const node::ProbeFailed&);
     void handle(const route::LoadReport&);
     void handle(const route::CacheEvent&);
-    void handle(const platform::PlatformReply&);
-    void handle(const platform::ObjectChanged&);
+    void handle(const store::PlatformReply&);
+    void handle(const store::ObjectChanged&);
     void handle(const peer::PeerMessage&);
     void handle(const node::Tick&);
 
--- a/src/daemon/VmIo.h
+++ b/src/daemon/VmIo.h
@@ -6,7 +6,7 @@
 #include "http/UpstreamClient.h"
 #include "peer/PeerClient.h"
 #include "peer/PeerServer.h"
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 
 namespace redwingseam::daemon {
 
@@ -39,7 +39,7 @@
 
     http::CallerServer<NodeEvents> callers;
     http::UpstreamClient<NodeEvents> upstreams;
-    platform::StoreClient<NodeEvents> store;
+    store::StoreClient<NodeEvents> store;
     peer::PeerClient peers;
     peer::PeerServer<NodeEvents> peersIn;
 };
--- /dev/null
+++ b/src/fleet/Fleet.cpp
@@ -0,0 +1,78 @@
+#include "fleet/Fleet.h"
+
+namespace redwingseam::fleet {
+
+void Fleet::update(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace)
+{
+    std::unordered_map<base::ServiceName, std::vector<UpstreamInstance>> byService;
+    for (const auto& instance : listed)
+        byService[instance.service].push_back(instance);
+    // Pools whose upstreams have all left are updated as well.
+    m_pools.forEach([&](PoolMap& pools) {
+        for (auto& [service, pool] : pools)
+            pool.update(byService[service], readBegan, grace);
+    });
+    for (const auto& [service, instances] : byService)
+        withPool(service, [&](UpstreamPool& pool) { pool.update(instances, readBegan, grace); });
+    m_listedAt = readBegan;
+}
+
+std::optional<Placement> Fleet::place(const PlacementQuery& query)
+{
+    return withPool(query.service, [&](UpstreamPool& pool) { return pool.place(query, m_own); });
+}
+
+void Fleet::markRead(Placement& placement)
+{
+    withPool(placement.target.service, [&](UpstreamPool& pool) { pool.markRead(placement); });
+}
+
+void Fleet::release(const Placement& placement)
+{
+    withPool(placement.target.service, [&](UpstreamPool& pool) { pool.release(placement); });
+}
+
+void Fleet::replaceBackup(Placement& placement, const PlacementQuery& query)
+{
+    withPool(placement.target.service, [&](UpstreamPool& pool) { pool.replaceBackup(placement, query, m_own); });
+}
+
+void Fleet::suspect(const UpstreamInstance& instance, SuspicionCause cause, base::Instant now)
+{
+    withPool(instance.service, [&](UpstreamPool& pool) { pool.suspect(instance.id, cause, now); });
+}
+
+void Fleet::trust(const UpstreamInstance& instance)
+{
+    withPool(instance.service, [&](UpstreamPool& pool) { pool.trust(instance.id); });
+}
+
+bool Fleet::takesWork(const UpstreamInstance& instance, base::Instant now)
+{
+    return withPool(instance.service, [&](UpstreamPool& pool) {
+        const auto* entry = pool.find(instance.id);
+        return entry && entry->takesWork(now);
+    });
+}
+
+void Fleet::countRequest(const base::ServiceName& service, base::Instant now)
+{
+    withPool(service, [&](UpstreamPool& pool) { pool.retries().countRequest(now); });
+}
+
+bool Fleet::takeRetry(const base::ServiceName& service, const RetryLimits& limits, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.retries().takeRetry(limits, now); });
+}
+
+std::vector<PoolEntry> Fleet::entries()
+{
+    std::vector<PoolEntry> all;
+    m_pools.forEach([&](PoolMap& pools) {
+        for (const auto& [service, pool] : pools)
+            all.insert(all.end(), pool.entries().begin(), pool.entries().end());
+    });
+    return all;
+}
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/Fleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "fleet/UpstreamPool.h"
+#include "redwingseam/base/Sharded.h"
+
+#include <atomic>
+
+namespace redwingseam::fleet {
+
+// All upstreams that the node knows, by service. Thread-safe: services lie in shards with a lock each.
+class Fleet {
+public:
+    explicit Fleet(base::DataCentreName own)
+        : m_own(std::move(own))
+    {
+    }
+
+    // Takes the whole list of the store, read from `readBegan` on.
+    void update(const std::vector<UpstreamInstance>&, base::Instant readBegan, base::Duration grace);
+    // Chooses an upstream for a request; the caller must `release` what it gets.
+    std::optional<Placement> place(const PlacementQuery&);
+    void markRead(Placement&);
+    void release(const Placement&);
+    void replaceBackup(Placement&, const PlacementQuery&);
+    void suspect(const UpstreamInstance&, SuspicionCause, base::Instant now);
+    void trust(const UpstreamInstance&);
+    // Whether the upstream may still be sent work; a suspected one may not.
+    bool takesWork(const UpstreamInstance&, base::Instant now);
+
+    void countRequest(const base::ServiceName&, base::Instant now);
+    bool takeRetry(const base::ServiceName&, const RetryLimits&, base::Instant now);
+
+    // When the list was last read; the start of time until there is one.
+    base::Instant listedAt() const { return m_listedAt.load(); }
+    std::vector<PoolEntry> entries();
+
+private:
+    using PoolMap = std::unordered_map<base::ServiceName, UpstreamPool>;
+
+    template<typename Function>
+    decltype(auto) withPool(const base::ServiceName& service, Function&& function)
+    {
+        return m_pools.with(std::hash<base::ServiceName> {}(service), [&](PoolMap& pools) -> decltype(auto) { return function(pools[service]); });
+    }
+
+    base::DataCentreName m_own;
+    base::Sharded<PoolMap> m_pools;
+    std::atomic<base::Instant> m_listedAt { base::Instant {} };
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/Placement.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "redwingseam/fleet/UpstreamInstance.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace redwingseam::fleet {
+
+// Upstream that a request goes to, and the one that keeps a copy of its memory.
+struct Placement {
+    UpstreamInstance target;
+    std::optional<UpstreamInstance> backup;
+    uint64_t promptTokens = 0;
+    uint64_t memoryTokens = 0;
+    // Whether the prompt still counts as unread at `target`.
+    bool isUnread = false;
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/PlacementCost.cpp
@@ -0,0 +1,34 @@
+#include "fleet/PlacementCost.h"
+
+namespace redwingseam::fleet {
+
+double PlacementCost::memoryCost(const PoolEntry& entry) const
+{
+    if (!m_query.engine || !m_query.engine->memoryTokens)
+        return 0;
+    auto needed = entry.own.memoryTokens + entry.others.memoryTokens + m_query.promptTokens + m_query.outputTokens;
+    auto share = static_cast<double>(needed) / static_cast<double>(m_query.engine->memoryTokens);
+    return share > memoryShareToAvoid ? memoryPenalty * share : share;
+}
+
+double PlacementCost::ofTarget(const PoolEntry& entry) const
+{
+    auto requests = entry.own.requests + entry.others.requests;
+    double remote = entry.instance.dataCentre == m_own ? 0 : otherDataCentrePenalty;
+    if (!m_query.engine) {
+        // A plain upstream serves up to its slots at once without slowing down.
+        auto share = static_cast<double>(requests) / entry.instance.slots;
+        return share + remote;
+    }
+    auto unread = entry.own.unreadTokens + entry.others.unreadTokens;
+    return requests + static_cast<double>(unread) / tokensPerRequest + memoryCost(entry) + remote;
+}
+
+double PlacementCost::ofBackup(const PoolEntry& entry, const UpstreamInstance& target) const
+{
+    double sharedFate = entry.instance.dataCentre == target.dataCentre ? sharedFatePenalty : 0;
+    auto unread = entry.own.unreadTokens + entry.others.unreadTokens;
+    return memoryCost(entry) * 4 + static_cast<double>(unread) / tokensPerRequest + sharedFate;
+}
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/PlacementCost.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "fleet/PlacementQuery.h"
+#include "fleet/PoolEntry.h"
+
+namespace redwingseam::fleet {
+
+// What it costs to place a request at an upstream; the lowest is chosen. In units of one request that
+// runs beside it.
+class PlacementCost {
+public:
+    PlacementCost(const PlacementQuery& query, const base::DataCentreName& own)
+        : m_query(query)
+        , m_own(own)
+    {
+    }
+
+    double ofTarget(const PoolEntry&) const;
+    // For the upstream that keeps the copy of a run at `target`.
+    double ofBackup(const PoolEntry&, const UpstreamInstance& target) const;
+
+private:
+    // Reading a prompt of this length delays the requests beside it as much as one more of them does over its run.
+    static constexpr double tokensPerRequest = 2000;
+    // An upstream whose memory is this full preempts before long.
+    static constexpr double memoryShareToAvoid = 0.85;
+    static constexpr double memoryPenalty = 100;
+    // Bytes between data centres are billed; worth a fraction of a request's slow-down.
+    static constexpr double otherDataCentrePenalty = 0.3;
+    // A data centre may fail as a whole, and the copy is then lost with the run.
+    static constexpr double sharedFatePenalty = 1000;
+
+    double memoryCost(const PoolEntry&) const;
+
+    const PlacementQuery& m_query;
+    const base::DataCentreName& m_own;
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/PoolEntry.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "fleet/Suspicion.h"
+#include "fleet/UpstreamLoad.h"
+#include "redwingseam/fleet/UpstreamInstance.h"
+
+namespace redwingseam::fleet {
+
+// An upstream and what the node knows of it.
+struct PoolEntry {
+    UpstreamInstance instance;
+    // Booked by this node.
+    UpstreamLoad own;
+    // Booked by the other nodes, as they last told.
+    UpstreamLoad others;
+    Suspicion suspicion;
+    // Still listed, or missing for less than the grace after the store's return.
+    bool isListed = true;
+    base::Instant missingSince {};
+
+    bool takesWork(base::Instant now) const
+    {
+        return isListed && !instance.isDraining && !suspicion.isReplaced() && !suspicion.isActive(now);
+    }
+    bool isKnown() const { return isListed && !instance.isDraining && !suspicion.isReplaced(); }
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/RetryLimits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+#include <cstdint>
+
+namespace redwingseam::fleet {
+
+// How many retries a node may send to a service, from the deployment's settings.
+struct RetryLimits {
+    // Retries for each request of the same window.
+    double ratio = 0.8;
+    // Retries allowed on top in a window: this node's part of what all nodes share.
+    uint32_t slack = 4;
+    base::Duration window = std::chrono::seconds(10);
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/UpstreamPool.cpp
@@ -0,0 +1,180 @@
+#include "fleet/UpstreamPool.h"
+
+#include "fleet/PlacementCost.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace redwingseam::fleet {
+
+static bool contains(const std::vector<base::UpstreamName>& names, const base::UpstreamName& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void UpstreamPool::update(const std::vector<UpstreamInstance>& listed, base::Instant now, base::Duration grace)
+{
+    for (auto& entry : m_entries) {
+        auto found = std::find_if(listed.begin(), listed.end(), [&](const UpstreamInstance& instance) { return instance.id == entry.instance.id; });
+        if (found == listed.end()) {
+            if (entry.missingSince == base::Instant {})
+                entry.missingSince = now;
+            entry.isListed = now - entry.missingSince < grace;
+            continue;
+        }
+        entry.missingSince = {};
+        entry.isListed = true;
+        bool isRestarted = found->incarnation != entry.instance.incarnation || found->address != entry.instance.address;
+        entry.instance = *found;
+        if (isRestarted)
+            entry.suspicion = {};
+    }
+    // Load that is still booked keeps an entry until it is released.
+    std::erase_if(m_entries, [](const PoolEntry& entry) { return !entry.isListed && entry.own == UpstreamLoad {}; });
+    for (const auto& instance : listed) {
+        if (!findEntry(instance.id))
+            m_entries.push_back(PoolEntry { instance, {}, {}, {}, true, {} });
+    }
+}
+
+PoolEntry* UpstreamPool::findEntry(const base::UpstreamName& id)
+{
+    auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) { return entry.instance.id == id; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+const PoolEntry* UpstreamPool::find(const base::UpstreamName& id) const
+{
+    auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) { return entry.instance.id == id; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+template<typename Usable>
+PoolEntry* UpstreamPool::cheapest(const PlacementQuery& query, const base::DataCentreName& own, Usable&& usable)
+{
+    PlacementCost cost(query, own);
+    PoolEntry* best = nullptr;
+    auto lowest = std::numeric_limits<double>::max();
+    auto offset = m_entries.empty() ? 0 : query.random % m_entries.size();
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        auto& entry = m_entries[(i + offset) % m_entries.size()];
+        if (!usable(entry) || contains(query.excluded, entry.instance.id))
+            continue;
+        auto value = cost.ofTarget(entry);
+        if (value < lowest) {
+            lowest = value;
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+PoolEntry* UpstreamPool::chooseTarget(const PlacementQuery& query, const base::DataCentreName& own)
+{
+    if (query.preferred) {
+        auto* preferred = findEntry(*query.preferred);
+        if (preferred && preferred->takesWork(query.now))
+            return preferred;
+    }
+    auto* best = cheapest(query, own, [&](const PoolEntry& entry) { return entry.takesWork(query.now); });
+    if (best)
+        return best;
+    // A suspected upstream may have come back; finding out costs a connection attempt at most.
+    return cheapest(query, own, [](const PoolEntry& entry) { return entry.isKnown(); });
+}
+
+PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& own)
+{
+    PlacementCost cost(query, own);
+    PoolEntry* best = nullptr;
+    auto lowest = std::numeric_limits<double>::max();
+    auto offset = m_entries.empty() ? 0 : (query.random >> 20) % m_entries.size();
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        auto& entry = m_entries[(i + offset) % m_entries.size()];
+        if (!entry.takesWork(query.now) || entry.instance.id == target.id || contains(query.excluded, entry.instance.id))
+            continue;
+        auto value = cost.ofBackup(entry, target);
+        if (value < lowest) {
+            lowest = value;
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+std::optional<Placement> UpstreamPool::place(const PlacementQuery& query, const base::DataCentreName& own)
+{
+    auto* target = chooseTarget(query, own);
+    if (!target)
+        return std::nullopt;
+    Placement placement;
+    placement.target = target->instance;
+    if (query.engine) {
+        placement.promptTokens = query.promptTokens;
+        placement.memoryTokens = query.promptTokens + query.outputTokens;
+        placement.isUnread = true;
+    }
+    ++target->own.requests;
+    target->own.unreadTokens += placement.promptTokens;
+    target->own.memoryTokens += placement.memoryTokens;
+    if (!query.wantsBackup || !query.engine || !query.engine->hasBackups)
+        return placement;
+    if (auto* backup = chooseBackup(query, placement.target, own)) {
+        placement.backup = backup->instance;
+        backup->own.memoryTokens += placement.memoryTokens;
+    }
+    return placement;
+}
+
+void UpstreamPool::markRead(Placement& placement)
+{
+    if (!placement.isUnread)
+        return;
+    placement.isUnread = false;
+    if (auto* target = findEntry(placement.target.id))
+        target->own.unreadTokens -= placement.promptTokens;
+}
+
+void UpstreamPool::unbookBackup(const Placement& placement)
+{
+    if (!placement.backup)
+        return;
+    if (auto* backup = findEntry(placement.backup->id))
+        backup->own.memoryTokens -= placement.memoryTokens;
+}
+
+void UpstreamPool::release(const Placement& placement)
+{
+    unbookBackup(placement);
+    auto* target = findEntry(placement.target.id);
+    if (!target)
+        return;
+    --target->own.requests;
+    target->own.memoryTokens -= placement.memoryTokens;
+    if (placement.isUnread)
+        target->own.unreadTokens -= placement.promptTokens;
+}
+
+void UpstreamPool::replaceBackup(Placement& placement, const PlacementQuery& query, const base::DataCentreName& own)
+{
+    unbookBackup(placement);
+    placement.backup.reset();
+    if (auto* backup = chooseBackup(query, placement.target, own)) {
+        placement.backup = backup->instance;
+        backup->own.memoryTokens += placement.memoryTokens;
+    }
+}
+
+void UpstreamPool::suspect(const base::UpstreamName& id, SuspicionCause cause, base::Instant now)
+{
+    if (auto* entry = findEntry(id))
+        entry->suspicion.add(cause, now);
+}
+
+void UpstreamPool::trust(const base::UpstreamName& id)
+{
+    if (auto* entry = findEntry(id))
+        entry->suspicion.clear();
+}
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/fleet/UpstreamPool.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fleet/Placement.h"
+#include "fleet/PlacementQuery.h"
+#include "fleet/PoolEntry.h"
+#include "fleet/RetryWindow.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace redwingseam::fleet {
+
+// The upstreams of one service, and the choice among them. Not synchronised: lies in a shard of Fleet.
+class UpstreamPool {
+public:
+    // Takes the store's list. An upstream that is missing from it is dropped after `grace`.
+    void update(const std::vector<UpstreamInstance>& listed, base::Instant now, base::Duration grace);
+    // Chooses and books upstreams for a request; nothing if none takes work.
+    std::optional<Placement> place(const PlacementQuery&, const base::DataCentreName& own);
+    // The request's prompt has been read.
+    void markRead(Placement&);
+    void release(const Placement&);
+    // Exchanges the upstream that keeps the copy, after the target could not reach the one before.
+    void replaceBackup(Placement&, const PlacementQuery&, const base::DataCentreName& own);
+    void suspect(const base::UpstreamName&, SuspicionCause, base::Instant now);
+    void trust(const base::UpstreamName&);
+    const PoolEntry* find(const base::UpstreamName&) const;
+    const std::vector<PoolEntry>& entries() const { return m_entries; }
+    RetryWindow& retries() { return m_retries; }
+
+private:
+    PoolEntry* findEntry(const base::UpstreamName&);
+    template<typename Usable>
+    PoolEntry* cheapest(const PlacementQuery&, const base::DataCentreName& own, Usable&&);
+    PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& own);
+    PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& own);
+    void unbookBackup(const Placement&);
+
+    std::vector<PoolEntry> m_entries;
+    RetryWindow m_retries;
+};
+
+} // namespace redwingseam::fleet
--- /dev/null
+++ b/src/forward/EventSplitter.cpp
@@ -0,0 +1,60 @@
+#include "forward/EventSplitter.h"
+
+#include <charconv>
+
+namespace redwingseam::forward {
+
+static std::optional<uint64_t> idOf(std::string_view event)
+{
+    static constexpr std::string_view field = "id:";
+    size_t begin = 0;
+    while (begin < event.size()) {
+        auto end = std::min(event.find('\n', begin), event.size());
+        auto line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        uint64_t id = 0;
+        auto [rest, failure] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (failure == std::errc {} && rest == line.data() + line.size())
+            return id;
+    }
+    return std::nullopt;
+}
+
+// Position after the blank line that ends the first event of `text`, or npos.
+static size_t endOfEvent(std::string_view text)
+{
+    size_t begin = 0;
+    while (true) {
+        auto end = text.find('\n', begin);
+        if (end == std::string_view::npos)
+            return std::string_view::npos;
+        auto length = end - begin;
+        bool isBlank = begin > 0 && (length == 0 || (length == 1 && text[begin] == '\r'));
+        if (isBlank)
+            return end + 1;
+        begin = end + 1;
+    }
+}
+
+std::vector<StreamEvent> EventSplitter::push(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    std::vector<StreamEvent> events;
+    std::string_view rest = m_partial;
+    for (auto end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+        auto event = rest.substr(0, end);
+        events.push_back({ std::string(event), idOf(event) });
+        rest.remove_prefix(end);
+    }
+    m_partial.erase(0, m_partial.size() - rest.size());
+    return events;
+}
+
+} // namespace redwingseam::forward
--- /dev/null
+++ b/src/forward/Exchange.cpp
@@ -0,0 +1,256 @@
+#include "forward/Exchange.h"
+
+#include <algorithm>
+
+namespace redwingseam::forward {
+
+using base::ResultCode;
+
+static base::Duration share(base::Duration whole, double part)
+{
+    return std::chrono::duration_cast<base::Duration>(whole * part);
+}
+
+Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, const Timing& timing)
+    : m_request(std::move(request))
+    , m_fleet(fleet)
+    , m_timing(timing)
+    , m_lastEventId(m_request.lastEventId)
+{
+}
+
+Exchange::~Exchange()
+{
+    release();
+}
+
+void Exchange::release()
+{
+    if (m_placement)
+        m_fleet.release(*m_placement);
+    m_placement.reset();
+}
+
+base::Instant Exchange::deadline() const
+{
+    return m_request.arrivedAt + std::min(m_request.clientDeadline, m_request.route->timeout);
+}
+
+Step Exchange::begin(base::Instant now, uint64_t random)
+{
+    m_fleet.countRequest(m_request.service, now);
+    return place(now, random);
+}
+
+bool Exchange::isEngineRequest() const
+{
+    const auto* service = m_request.index->service(m_request.service);
+    return service && service->engine;
+}
+
+unsigned Exchange::urgency() const
+{
+    static constexpr unsigned mostUrgent = 1;
+    static constexpr unsigned stepBetweenPriorities = 2;
+    static constexpr unsigned leastUrgent = 9;
+    return std::min(leastUrgent, mostUrgent + stepBetweenPriorities * m_request.priority);
+}
+
+fleet::PlacementQuery Exchange::query(base::Instant now, uint64_t random) const
+{
+    fleet::PlacementQuery query;
+    query.service = m_request.service;
+    if (const auto* service = m_request.index->service(m_request.service))
+        query.engine = service->engine;
+    query.promptTokens = m_request.promptTokens;
+    query.outputTokens = m_request.outputTokens;
+    query.excluded = m_excluded;
+    query.preferred = m_copyHolder;
+    query.wantsBackup = m_request.route->isResumable;
+    query.random = random;
+    query.now = now;
+    return query;
+}
+
+Step Exchange::place(base::Instant now, uint64_t random)
+{
+    auto placement = m_fleet.place(query(now, random));
+    if (placement)
+        return send(std::move(*placement), now);
+    if (m_waitingSince == base::Instant {})
+        m_waitingSince = now;
+    if (now - m_waitingSince < share(m_request.route->latencyObjective, m_timing.holdObjectiveShare))
+        return {};
+    if (m_mayHaveRun || m_isHeadSent)
+        return { StepKind::Fail, {}, ResultCode::RetriesExhausted };
+    return refuse(ResultCode::NoUpstream);
+}
+
+Step Exchange::send(fleet::Placement placement, base::Instant now)
+{
+    SendOrder order;
+    order.usesCopy = m_copyHolder && placement.target.id == *m_copyHolder;
+    order.placement = placement;
+    order.lastEventId = m_lastEventId;
+    order.deadline = deadline() - now;
+    order.allowsKeptConnection = true;
+    m_copyHolder.reset();
+    m_placement = std::move(placement);
+    m_waitingSince = {};
+    m_lastProgress = now;
+    m_lastProbe = now;
+    m_isProbing = false;
+    m_hasEvent = false;
+    ++m_sends;
+    return { StepKind::Send, std::move(order) };
+}
+
+Step Exchange::refuse(ResultCode code) const
+{
+    return { StepKind::Refuse, {}, code, m_timing.retryAfter };
+}
+
+static std::optional<fleet::SuspicionCause> suspicionOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::NotConnected:
+        return fleet::SuspicionCause::Unreachable;
+    case AttemptOutcome::NotRun:
+        return fleet::SuspicionCause::Full;
+    case AttemptOutcome::Misdirected:
+        return fleet::SuspicionCause::Replaced;
+    case AttemptOutcome::Garbled:
+        return fleet::SuspicionCause::Garbled;
+    case AttemptOutcome::LostBeforeAnswer:
+    case AttemptOutcome::LostInAnswer:
+        return fleet::SuspicionCause::ConnectionLost;
+    case AttemptOutcome::Silent:
+        return fleet::SuspicionCause::Silent;
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::AnsweredFailure:
+    case AttemptOutcome::CopyMissing:
+        break;
+    }
+    return std::nullopt;
+}
+
+bool Exchange::maySendAgain(AttemptOutcome outcome, base::Instant now)
+{
+    if (now >= deadline() || m_sends >= m_timing.mostSends)
+        return false;
+    if (mayHaveRun(outcome) && (!m_request.route->isRepeatable() || m_runs >= m_request.route->mostAttempts))
+        return false;
+    // What never reached an upstream is no arrival there, so it draws nothing from the shared budget.
+    return outcome == AttemptOutcome::NotConnected || m_fleet.takeRetry(m_request.service, m_request.retries, now);
+}
+
+Step Exchange::attemptEnded(AttemptOutcome outcome, base::Instant now, uint64_t random)
+{
+    if (mayHaveRun(outcome)) {
+        ++m_runs;
+        m_mayHaveRun = true;
+    }
+    if (outcome == AttemptOutcome::AnsweredFailure)
+        m_hasFailureAnswer = true;
+    auto ended = std::move(m_placement);
+    m_placement.reset();
+    if (ended) {
+        m_fleet.release(*ended);
+        if (auto cause = suspicionOf(outcome))
+            m_fleet.suspect(ended->target, *cause, now);
+        else
+            m_fleet.trust(ended->target);
+        if (outcome != AttemptOutcome::CopyMissing)
+            m_excluded.push_back(ended->target.id);
+        if (mayHaveRun(outcome) && ended->backup && isStream())
+            m_copyHolder = ended->backup->id;
+    }
+    if (outcome == AttemptOutcome::Answered)
+        return { StepKind::Deliver };
+    if (!maySendAgain(outcome, now))
+        return giveUp(outcome);
+    return place(now, random);
+}
+
+Step Exchange::backupRefused(base::Instant now, uint64_t random)
+{
+    if (!m_placement)
+        return {};
+    if (m_placement->backup)
+        m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
+    if (!m_fleet.takeRetry(m_request.service, m_request.retries, now) || m_sends >= m_timing.mostSends)
+        return giveUp(AttemptOutcome::NotRun);
+    m_fleet.replaceBackup(*m_placement, query(now, random));
+    return send(*m_placement, now);
+}
+
+Step Exchange::giveUp(AttemptOutcome outcome) const
+{
+    if (m_hasFailureAnswer && !m_isHeadSent)
+        return { StepKind::Deliver };
+    if (!m_mayHaveRun && !m_isHeadSent)
+        return refuse(outcome == AttemptOutcome::NotRun ? ResultCode::QueueFull : ResultCode::NoUpstream);
+    return { StepKind::Fail, {}, m_isHeadSent ? ResultCode::StreamLost : ResultCode::OutcomeUnknown };
+}
+
+void Exchange::noteProgress(base::Instant now)
+{
+    m_lastProgress = now;
+}
+
+void Exchange::noteEvent(uint64_t eventId, base::Instant now)
+{
+    m_lastEventId = eventId;
+    m_lastProgress = now;
+    if (!m_hasEvent && m_placement) {
+        m_fleet.markRead(*m_placement);
+        m_fleet.trust(m_placement->target);
+    }
+    m_hasEvent = true;
+}
+
+Step Exchange::probeEnded(bool isReachable, base::Instant now, uint64_t random)
+{
+    m_isProbing = false;
+    m_lastProbe = now;
+    if (isReachable || !m_placement)
+        return {};
+    return attemptEnded(AttemptOutcome::Silent, now, random);
+}
+
+Step Exchange::tick(base::Instant now, uint64_t random)
+{
+    if (now >= deadline()) {
+        bool isRefusable = !m_mayHaveRun && !m_isHeadSent && !m_placement;
+        if (isRefusable)
+            return refuse(ResultCode::DeadlinePassed);
+        return { StepKind::TimeOut, {}, ResultCode::DeadlinePassed };
+    }
+    if (!m_placement)
+        return m_waitingSince == base::Instant {} ? Step {} : place(now, random);
+    return silenceStep(now, random);
+}
+
+Step Exchange::silenceStep(base::Instant now, uint64_t random)
+{
+    const auto& route = *m_request.route;
+    auto silence = now - m_lastProgress;
+    if (route.kind == manifest::RouteKind::Idempotent) {
+        bool isLate = silence > share(route.latencyObjective, m_timing.hedgeAfterObjectiveShare);
+        if (isLate && m_runs + 1 < route.mostAttempts)
+            return attemptEnded(AttemptOutcome::Silent, now, random);
+        return {};
+    }
+    if (!isStream() || !route.isResumable || m_isProbing)
+        return {};
+    if (m_hasEvent && silence > share(route.gapObjective, m_timing.abandonGapMultiple))
+        return attemptEnded(AttemptOutcome::Silent, now, random);
+    auto wait = m_hasEvent ? share(route.gapObjective, m_timing.probeAfterGapShare) : m_timing.probeInterval;
+    if (silence < wait || now - m_lastProbe < wait)
+        return {};
+    m_isProbing = true;
+    m_lastProbe = now;
+    return { StepKind::Probe };
+}
+
+} // namespace redwingseam::forward
--- /dev/null
+++ b/src/forward/Timing.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::forward {
+
+// Time limits of an exchange that don't come from the manifest.
+struct Timing {
+    // Share of a stream's gap objective after which its upstream is probed.
+    double probeAfterGapShare = 0.22;
+    // Time between probes while a stream has not begun.
+    base::Duration probeInterval = std::chrono::milliseconds(500);
+    // Share of the latency objective after which an idempotent request is sent elsewhere.
+    double hedgeAfterObjectiveShare = 0.55;
+    // Share of the latency objective for which a request waits for an upstream; holding it longer
+    // leaves the client no time to come back.
+    double holdObjectiveShare = 0.12;
+    // Multiple of the gap objective after which a silent stream is moved although its upstream
+    // accepts connections.
+    double abandonGapMultiple = 1.6;
+    // Time that the client is told to stay away after a refusal.
+    base::Duration retryAfter = std::chrono::milliseconds(300);
+    // Sends of one request, whether run or not. Bounds loops among upstreams that all refuse.
+    unsigned mostSends = 8;
+};
+
+} // namespace redwingseam::forward
--- /dev/null
+++ b/src/gateway/Acceptor.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/NamedThread.h"
+#include "gateway/EventLoop.h"
+#include "gateway/SocketCalls.h"
+
+#include <atomic>
+#include <sys/epoll.h>
+
+namespace redwingseam::gateway {
+
+// Accepts connections on a thread of its own and hands each to `Taker::adopt`.
+template<typename Taker>
+class Acceptor {
+public:
+    Acceptor(base::Socket listener, Taker& taker)
+        : m_listener(std::move(listener))
+        , m_taker(taker)
+        , m_watch { this, &Acceptor::onReadable }
+    {
+        m_loop.add(m_listener.descriptor(), m_watch, EPOLLIN);
+        m_thread = base::NamedThread("accept", [this] { run(); });
+    }
+    ~Acceptor()
+    {
+        m_isStopping = true;
+        m_loop.wake();
+        m_thread.join();
+    }
+    Acceptor(const Acceptor&) = delete;
+    Acceptor& operator=(const Acceptor&) = delete;
+
+private:
+    static constexpr base::Duration waitLimit = std::chrono::seconds(60);
+
+    static void onReadable(void* self, uint32_t)
+    {
+        auto& acceptor = *static_cast<Acceptor*>(self);
+        for (auto socket = acceptFrom(acceptor.m_listener.descriptor()); socket.isOpen(); socket = acceptFrom(acceptor.m_listener.descriptor()))
+            acceptor.m_taker.adopt(std::move(socket));
+    }
+
+    void run()
+    {
+        while (!m_isStopping)
+            m_loop.runOnce(waitLimit);
+    }
+
+    EventLoop m_loop;
+    base::Socket m_listener;
+    Taker& m_taker;
+    Watch m_watch;
+    std::atomic<bool> m_isStopping { false };
+    base::NamedThread m_thread;
+};
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/GatewayMetrics.cpp
@@ -0,0 +1,106 @@
+#include "gateway/GatewayMetrics.h"
+
+#include <cmath>
+#include <pthread.h>
+
+namespace redwingseam::gateway {
+
+template<typename Enum>
+static size_t indexOf(Enum value)
+{
+    return static_cast<size_t>(value);
+}
+
+GatewayMetrics::Histogram GatewayMetrics::makeHistogram()
+{
+    static constexpr unsigned bins = 68;
+    static constexpr double lowestMs = 0.5;
+    static constexpr double highestMs = 65536;
+    return boost::histogram::make_histogram_with(boost::histogram::dense_storage<uint64_t>(), Axis(bins, lowestMs, highestMs));
+}
+
+void GatewayMetrics::countEnd(manifest::RouteKind kind, SessionEnd end)
+{
+    ++m_ends[indexOf(kind)][indexOf(end)];
+}
+
+void GatewayMetrics::countAttempt(forward::AttemptOutcome outcome)
+{
+    ++m_attempts[indexOf(outcome)];
+}
+
+void GatewayMetrics::countProbe(bool isReachable)
+{
+    ++m_probes[isReachable];
+}
+
+void GatewayMetrics::countConnection(bool isNew)
+{
+    ++m_connections[isNew];
+}
+
+void GatewayMetrics::countStoreCall(bool isAnswered)
+{
+    ++m_storeCalls[isAnswered];
+}
+
+void GatewayMetrics::record(LatencyKind kind, base::Duration duration)
+{
+    auto millis = std::chrono::duration<double, std::milli>(duration).count();
+    auto shard = static_cast<uint64_t>(pthread_self()) / 4096;
+    m_histograms.with(shard, [&](Histograms& histograms) { histograms.byKind[indexOf(kind)](millis); });
+}
+
+static void appendSample(std::string& text, std::string_view name, std::string_view labels, uint64_t value)
+{
+    text.append(name).append("{").append(labels).append("} ").append(std::to_string(value)).append("\n");
+}
+
+template<typename Enum>
+static std::string label(std::string_view key, Enum value)
+{
+    return std::string(key).append("=\"").append(base::nameOf(value)).append("\"");
+}
+
+void GatewayMetrics::appendHistogram(std::string& text, LatencyKind kind)
+{
+    auto sum = makeHistogram();
+    m_histograms.forEach([&](Histograms& histograms) { sum += histograms.byKind[indexOf(kind)]; });
+    auto name = "redwingseam_" + std::string(base::nameOf(kind)) + "_milliseconds";
+    text += "# TYPE " + name + " histogram\n";
+    uint64_t total = 0;
+    for (auto&& cell : boost::histogram::indexed(sum, boost::histogram::coverage::all)) {
+        total += *cell;
+        bool isShown = *cell && std::isfinite(cell.bin(0).upper());
+        if (isShown)
+            appendSample(text, name + "_bucket", "le=\"" + std::to_string(cell.bin(0).upper()) + "\"", total);
+    }
+    appendSample(text, name + "_bucket", "le=\"+Inf\"", total);
+    appendSample(text, name + "_count", "", total);
+}
+
+std::string GatewayMetrics::text()
+{
+    std::string text = "# TYPE redwingseam_requests_total counter\n";
+    for (const auto& [kind, kindName] : base::EnumNames<manifest::RouteKind>::entries) {
+        for (const auto& [end, endName] : base::EnumNames<SessionEnd>::entries)
+            appendSample(text, "redwingseam_requests_total", label("kind", kind) + "," + label("end", end), m_ends[indexOf(kind)][indexOf(end)]);
+    }
+    text += "# TYPE redwingseam_attempts_total counter\n";
+    for (const auto& [outcome, name] : base::EnumNames<forward::AttemptOutcome>::entries)
+        appendSample(text, "redwingseam_attempts_total", label("outcome", outcome), m_attempts[indexOf(outcome)]);
+    text += "# TYPE redwingseam_probes_total counter\n";
+    appendSample(text, "redwingseam_probes_total", "reachable=\"no\"", m_probes[0]);
+    appendSample(text, "redwingseam_probes_total", "reachable=\"yes\"", m_probes[1]);
+    text += "# TYPE redwingseam_upstream_connections_total counter\n";
+    appendSample(text, "redwingseam_upstream_connections_total", "new=\"no\"", m_connections[0]);
+    appendSample(text, "redwingseam_upstream_connections_total", "new=\"yes\"", m_connections[1]);
+    text += "# TYPE redwingseam_store_calls_total counter\n";
+    appendSample(text, "redwingseam_store_calls_total", "answered=\"no\"", m_storeCalls[0]);
+    appendSample(text, "redwingseam_store_calls_total", "answered=\"yes\"", m_storeCalls[1]);
+    for (const auto& [kind, name] : base::EnumNames<LatencyKind>::entries)
+        appendHistogram(text, kind);
+    return text;
+}
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/GatewayMetrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "forward/AttemptOutcome.h"
+#include "gateway/LatencyKind.h"
+#include "gateway/SessionEnd.h"
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/Sharded.h"
+#include "redwingseam/manifest/RouteKind.h"
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <string>
+
+namespace redwingseam::gateway {
+
+// Counters and histograms of a gateway. Thread-safe: counters are atomic, histograms lie in shards.
+class GatewayMetrics {
+public:
+    void countEnd(manifest::RouteKind, SessionEnd);
+    void countAttempt(forward::AttemptOutcome);
+    void countProbe(bool isReachable);
+    void countConnection(bool isNew);
+    void countStoreCall(bool isAnswered);
+    void record(LatencyKind, base::Duration);
+
+    // In the text form of Prometheus.
+    std::string text();
+
+private:
+    // Quarter of an octave from 0.5 ms to about 60 s.
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<uint64_t>>;
+    static constexpr size_t shardCount = 4;
+
+    struct Histograms {
+        std::array<Histogram, latencyKindCount> byKind { makeHistogram(), makeHistogram(), makeHistogram(), makeHistogram() };
+    };
+
+    static Histogram makeHistogram();
+    void appendHistogram(std::string&, LatencyKind);
+
+    std::array<std::array<std::atomic<uint64_t>, sessionEndCount>, manifest::routeKindCount> m_ends {};
+    std::array<std::atomic<uint64_t>, forward::attemptOutcomeCount> m_attempts {};
+    std::array<std::atomic<uint64_t>, 2> m_probes {};
+    std::array<std::atomic<uint64_t>, 2> m_connections {};
+    std::array<std::atomic<uint64_t>, 2> m_storeCalls {};
+    base::Sharded<Histograms, shardCount> m_histograms;
+};
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/HeaderRules.cpp
@@ -0,0 +1,49 @@
+#include "gateway/HeaderRules.h"
+
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <vector>
+
+namespace redwingseam::gateway {
+
+namespace http = boost::beast::http;
+
+void removeConnectionHeaders(http::fields& headers)
+{
+    std::vector<std::string> named;
+    auto [begin, end] = headers.equal_range(http::field::connection);
+    for (auto line = begin; line != end; ++line) {
+        for (const auto& token : http::token_list(line->value()))
+            named.emplace_back(token);
+    }
+    for (const auto& name : named)
+        headers.erase(name);
+    static constexpr std::array standard { http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+        http::field::proxy_authenticate, http::field::proxy_authorization, http::field::te, http::field::trailer,
+        http::field::transfer_encoding, http::field::upgrade, http::field::content_length, http::field::expect };
+    for (auto field : standard)
+        headers.erase(field);
+}
+
+std::string headerText(const http::fields& headers)
+{
+    std::string text;
+    for (const auto& line : headers) {
+        text.append(line.name_string()).append(": ").append(line.value());
+        text.append("\r\n");
+    }
+    return text;
+}
+
+std::string hostOf(const http::fields& headers)
+{
+    std::string_view host = headers[http::field::host];
+    return std::string(host.substr(0, host.find(':')));
+}
+
+std::string pathOf(std::string_view target)
+{
+    return std::string(target.substr(0, target.find('?')));
+}
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/LatencyKind.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "redwingseam/base/EnumNames.h"
+
+#include <cstdint>
+
+namespace redwingseam::gateway {
+
+// Times that the gateway keeps histograms of.
+enum class LatencyKind : uint8_t {
+    // From the request to the whole answer, or a stream's first event.
+    Response,
+    // Between two events of a stream.
+    EventGap,
+    // A gap in which the stream moved to another upstream.
+    ResumeGap,
+    // A call to the platform's store.
+    StoreCall,
+};
+
+inline constexpr size_t latencyKindCount = 4;
+
+} // namespace redwingseam::gateway
+
+template<>
+struct redwingseam::base::EnumNames<redwingseam::gateway::LatencyKind> {
+    using LatencyKind = redwingseam::gateway::LatencyKind;
+    static constexpr std::array entries {
+        std::pair { LatencyKind::Response, std::string_view { "response" } },
+        std::pair { LatencyKind::EventGap, std::string_view { "event_gap" } },
+        std::pair { LatencyKind::ResumeGap, std::string_view { "resume_gap" } },
+        std::pair { LatencyKind::StoreCall, std::string_view { "store_call" } },
+    };
+};
--- /dev/null
+++ b/src/gateway/OutgoingBytes.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace redwingseam::gateway {
+
+// Bytes that wait until a non-blocking socket takes them.
+class OutgoingBytes {
+public:
+    void append(std::string_view bytes) { m_bytes.append(bytes); }
+    // Writes what the socket takes. Returns false if the connection is broken.
+    bool flush(int descriptor);
+    bool isEmpty() const { return m_offset == m_bytes.size(); }
+    size_t size() const { return m_bytes.size() - m_offset; }
+    void clear();
+
+private:
+    std::string m_bytes;
+    size_t m_offset = 0;
+};
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/OwnAnswer.cpp
@@ -0,0 +1,30 @@
+#include "gateway/OwnAnswer.h"
+
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+
+namespace redwingseam::gateway {
+
+static std::string secondsText(base::Duration duration)
+{
+    auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%lld.%03lld", static_cast<long long>(millis / 1000), static_cast<long long>(millis % 1000));
+    return text.data();
+}
+
+std::string ownAnswerText(const OwnAnswer& answer)
+{
+    std::string body = "{\"error\":\"";
+    body.append(base::nameOf(answer.code)).append("\",\"code\":").append(std::to_string(static_cast<unsigned>(answer.code))).append("}");
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    text.append(boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(answer.status)));
+    text.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size())).append("\r\n");
+    if (answer.retryAfter)
+        text.append("Retry-After: ").append(secondsText(*answer.retryAfter)).append("\r\n");
+    if (!answer.keepsAlive)
+        text.append("Connection: close\r\n");
+    return text.append("\r\n").append(body);
+}
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/OwnAnswer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/base/ResultCode.h"
+
+#include <optional>
+#include <string>
+
+namespace redwingseam::gateway {
+
+// An answer of the node itself, in place of an upstream's.
+struct OwnAnswer {
+    unsigned status = 503;
+    base::ResultCode code = base::ResultCode::Ok;
+    // When the client should come back.
+    std::optional<base::Duration> retryAfter;
+    bool keepsAlive = true;
+};
+
+// The whole answer as it is sent.
+std::string ownAnswerText(const OwnAnswer&);
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/Session.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "forward/ChooseService.h"
+#include "forward/EventSplitter.h"
+#include "forward/Exchange.h"
+#include "gateway/ClientConnection.h"
+#include "gateway/Dialect.h"
+#include "gateway/GatewayState.h"
+#include "gateway/SessionEnd.h"
+#include "gateway/StoredAnswer.h"
+#include "gateway/UpstreamConnection.h"
+
+#include <memory>
+
+namespace redwingseam::gateway {
+
+// One client request on its way: carries out the steps of its Exchange on sockets and reports back what
+// came of them. Lives on one lane's thread.
+template<Dialect Names, typename Lane>
+class Session {
+public:
+    using Client = ClientConnection<Lane>;
+    using Upstream = UpstreamConnection<Session>;
+
+    Session(Lane&, Client&, typename Client::Request, base::Instant now);
+    Session(const Session&) = delete;
+    Session& operator=(const Session&) = delete;
+
+    // Matches the request with a route and sends it on, or answers it.
+    void begin();
+    void clientGone();
+    void tick(base::Instant now);
+    bool isEnded() const { return m_isEnded; }
+    Client& client() { return m_client; }
+
+    // Notices of an upstream connection.
+    void onUpstreamConnected(Upstream&);
+    void onUpstreamHead(Upstream&, const boost::beast::http::fields&);
+    void onUpstreamBody(Upstream&, std::string_view);
+    void onUpstreamComplete(Upstream&);
+    void onUpstreamBroken(Upstream&, BreakKind);
+
+private:
+    // A connection that takes longer is given up; a lost opening packet is sent again only after a second.
+    static constexpr base::Duration connectTimeout = std::chrono::milliseconds(350);
+    // Longer than a round trip between regions.
+    static constexpr base::Duration probeTimeout = std::chrono::milliseconds(150);
+    // Bounds the age of a kept connection where the upstream does not state a limit.
+    static constexpr base::Duration defaultKeepAlive = std::chrono::milliseconds(1500);
+    // Share of the stated limit that is used, since the upstream counts from its own moment.
+    static constexpr double keepAliveShare = 0.6;
+
+    forward::ExchangeRequest exchangeRequest(const forward::Admission&, uint64_t random) const;
+    void carry(forward::Step);
+    void sendTo(const forward::SendOrder&);
+    void writeRequest();
+    std::string requestHead(const forward::SendOrder&) const;
+    void startProbe();
+    void endAttempt(forward::AttemptOutcome);
+    void finishPlain();
+    void finishStream();
+    forward::AttemptOutcome judge(const AnswerFacts&) const;
+    void passEvent(const forward::StreamEvent&);
+    void writeHead(const StoredAnswer&, std::string_view framing);
+    void deliver();
+    void answerItself(const OwnAnswer&, SessionEnd);
+    void breakOff(SessionEnd);
+    void end(SessionEnd);
+    void dropUpstream();
+    void keepUpstream(std::unique_ptr<Upstream>);
+    bool keepsClient() const;
+    void logAdmission(const forward::Admission&) const;
+    void logAttempt(forward::AttemptOutcome, const fleet::UpstreamInstance&) const;
+    base::Instant now() const { return base::BootClock {}.now(); }
+    uint64_t random() { return m_lane.random(); }
+    bool isEventStream() const { return m_isEventStream; }
+
+    Lane& m_lane;
+    GatewayState& m_state;
+    Client& m_client;
+    typename Client::Request m_message;
+    RequestFacts m_facts;
+    uint64_t m_number;
+    base::Instant m_arrivedAt;
+    std::optional<base::ClientName> m_account;
+    std::optional<unsigned> m_urgency;
+    std::unique_ptr<forward::Exchange> m_exchange;
+    forward::SendOrder m_order;
+    std::unique_ptr<Upstream> m_upstream;
+    std::unique_ptr<Upstream> m_probe;
+    AnswerFacts m_answerFacts;
+    StoredAnswer m_answer;
+    // An upstream's answer of a failure, delivered if no better one comes.
+    std::optional<StoredAnswer> m_failure;
+    forward::EventSplitter m_splitter;
+    bool m_isEventStream = false;
+    bool m_isEnded = false;
+    bool m_isResuming = false;
+    base::Instant m_lastEventAt {};
+};
+
+} // namespace redwingseam::gateway
+
+#include "gateway/SessionAnswersImpl.h"
+#include "gateway/SessionImpl.h"
--- /dev/null
+++ b/src/gateway/SessionImpl.h
@@ -0,0 +1,276 @@
+#pragma once
+
+#include "gateway/HeaderRules.h"
+#include "gateway/OwnAnswer.h"
+#include "gateway/Session.h"
+#include "gateway/StatusOfRefusal.h"
+#include "log/LogLine.h"
+
+#include <glog/logging.h>
+
+namespace redwingseam::gateway {
+
+template<Dialect Names, typename Lane>
+Session<Names, Lane>::Session(Lane& lane, Client& client, typename Client::Request message, base::Instant arrivedAt)
+    : m_lane(lane)
+    , m_state(lane.state())
+    , m_client(client)
+    , m_message(std::move(message))
+    , m_facts(Names::readRequest(m_message))
+    , m_number(m_state.nextRequest++)
+    , m_arrivedAt(arrivedAt)
+{
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::begin()
+{
+    auto known = m_state.manifest.state();
+    auto target = std::string_view(m_message.target());
+    auto admission = m_state.admission.admit(known, { hostOf(m_message), pathOf(target), m_facts.key, m_arrivedAt });
+    if (admission.code != base::ResultCode::Ok) {
+        auto status = statusOfRefusal(admission.code);
+        std::optional<base::Duration> retryAfter;
+        if (status == 503)
+            retryAfter = m_state.timing.retryAfter;
+        logAdmission(admission);
+        answerItself({ status, admission.code, retryAfter }, status == 503 ? SessionEnd::Refused : SessionEnd::Rejected);
+        return;
+    }
+    if (admission.account)
+        m_account = admission.account->name;
+    m_exchange = std::make_unique<forward::Exchange>(exchangeRequest(admission, random()), m_state.fleet, m_state.timing);
+    logAdmission(admission);
+    carry(m_exchange->begin(m_arrivedAt, random()));
+}
+
+template<Dialect Names, typename Lane>
+forward::ExchangeRequest Session<Names, Lane>::exchangeRequest(const forward::Admission& admission, uint64_t random) const
+{
+    forward::ExchangeRequest request;
+    request.index = admission.index;
+    request.route = admission.route;
+    request.service = forward::chooseService(*admission.route, random);
+    request.arrivedAt = m_arrivedAt;
+    request.clientDeadline = m_facts.deadline.value_or(admission.route->timeout);
+    request.promptTokens = m_facts.promptTokens;
+    request.outputTokens = m_facts.mostOutputTokens;
+    request.lastEventId = m_facts.lastEventId;
+    request.retries = m_state.settings.retries;
+    request.priority = admission.account && admission.account->priority ? *admission.account->priority : admission.route->priority;
+    return request;
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::carry(forward::Step step)
+{
+    switch (step.kind) {
+    case forward::StepKind::Wait:
+        return;
+    case forward::StepKind::Send:
+        sendTo(step.send);
+        return;
+    case forward::StepKind::Probe:
+        startProbe();
+        return;
+    case forward::StepKind::Deliver:
+        deliver();
+        return;
+    case forward::StepKind::Refuse:
+        answerItself({ 503, step.code, step.retryAfter }, SessionEnd::Refused);
+        return;
+    case forward::StepKind::Fail:
+        if (m_exchange->isHeadSent())
+            breakOff(SessionEnd::BrokenOff);
+        else
+            answerItself({ 502, step.code }, SessionEnd::Failed);
+        return;
+    case forward::StepKind::TimeOut:
+        if (m_exchange->isHeadSent())
+            breakOff(SessionEnd::TimedOut);
+        else if (m_failure)
+            deliver();
+        else
+            answerItself({ 504, step.code }, SessionEnd::TimedOut);
+        return;
+    }
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::sendTo(const forward::SendOrder& order)
+{
+    dropUpstream();
+    m_order = order;
+    m_splitter.clear();
+    m_answer = {};
+    m_isEventStream = false;
+    if (order.allowsKeptConnection)
+        m_upstream = m_lane.connections().take(order.placement.target, now());
+    m_state.metrics.countConnection(!m_upstream);
+    if (m_upstream) {
+        m_upstream->setOwner(this);
+        writeRequest();
+        return;
+    }
+    m_upstream = std::make_unique<Upstream>(m_lane.loop(), order.placement.target);
+    m_upstream->setOwner(this);
+    if (!m_upstream->connect(now()))
+        endAttempt(forward::AttemptOutcome::NotConnected);
+}
+
+template<Dialect Names, typename Lane>
+std::string Session<Names, Lane>::requestHead(const forward::SendOrder& order) const
+{
+    namespace http = boost::beast::http;
+    http::fields headers = m_message;
+    bool hasBody = !m_message.body().empty() || m_message.has_content_length() || m_message.chunked();
+    removeConnectionHeaders(headers);
+    UpstreamInstructions instructions;
+    instructions.attempt = m_facts.attempt;
+    instructions.deadline = order.deadline;
+    instructions.target = order.placement.target.id;
+    instructions.client = m_account;
+    if (m_exchange->isEngineRequest())
+        instructions.urgency = m_exchange->urgency();
+    instructions.lastEventId = order.lastEventId;
+    if (order.placement.backup)
+        instructions.backupAddress = order.placement.backup->address;
+    if (order.usesCopy)
+        instructions.copyAddress = order.placement.target.address;
+    Names::writeUpstreamHeaders(headers, instructions);
+    std::string text(m_message.method_string());
+    text.append(" ").append(m_message.target()).append(" HTTP/1.1\r\n").append(headerText(headers));
+    if (hasBody)
+        text.append("Content-Length: ").append(std::to_string(m_message.body().size())).append("\r\n");
+    return text.append("\r\n");
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::writeRequest()
+{
+    bool isHead = m_message.method() == boost::beast::http::verb::head;
+    m_upstream->send(requestHead(m_order), m_message.body(), isHead);
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::startProbe()
+{
+    m_probe = std::make_unique<Upstream>(m_lane.loop(), m_order.placement.target);
+    m_probe->setOwner(this);
+    if (m_probe->connect(now()))
+        return;
+    m_lane.retire(std::move(m_probe));
+    m_state.metrics.countProbe(false);
+    carry(m_exchange->probeEnded(false, now(), random()));
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::tick(base::Instant at)
+{
+    if (m_isEnded || !m_exchange)
+        return;
+    if (m_probe && at - m_probe->connectBegan() > probeTimeout) {
+        m_lane.retire(std::move(m_probe));
+        m_state.metrics.countProbe(false);
+        logAttempt(forward::AttemptOutcome::Silent, m_order.placement.target);
+        carry(m_exchange->probeEnded(false, at, random()));
+        return;
+    }
+    bool isConnecting = m_upstream && !m_upstream->isConnected();
+    if (isConnecting && at - m_upstream->connectBegan() > connectTimeout) {
+        endAttempt(forward::AttemptOutcome::NotConnected);
+        return;
+    }
+    carry(m_exchange->tick(at, random()));
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::clientGone()
+{
+    if (!m_isEnded)
+        end(SessionEnd::ClientGone);
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::dropUpstream()
+{
+    if (m_upstream) {
+        m_upstream->close();
+        m_lane.retire(std::move(m_upstream));
+    }
+    if (m_probe) {
+        m_probe->close();
+        m_lane.retire(std::move(m_probe));
+    }
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::keepUpstream(std::unique_ptr<Upstream> connection)
+{
+    if (!connection->isReusable()) {
+        connection->close();
+        m_lane.retire(std::move(connection));
+        return;
+    }
+    auto limit = m_answerFacts.keepAlive ? std::chrono::duration_cast<base::Duration>(*m_answerFacts.keepAlive * keepAliveShare) : defaultKeepAlive;
+    connection->markIdle(now(), limit);
+    m_lane.connections().keep(std::move(connection));
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::end(SessionEnd how)
+{
+    m_isEnded = true;
+    dropUpstream();
+    auto kind = m_exchange ? m_exchange->request().route->kind : manifest::RouteKind::NonIdempotent;
+    m_state.metrics.countEnd(kind, how);
+    auto tookMs = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_arrivedAt).count();
+    LOG(INFO) << log::LogLine("request_ended")
+                     .with("request", m_facts.attempt.text)
+                     .with("outcome", base::nameOf(how))
+                     .with("took_ms", static_cast<uint64_t>(tookMs))
+                     .with("sends", m_exchange ? m_exchange->sends() : 0)
+                     .with("runs", m_exchange ? m_exchange->runs() : 0)
+                     .text();
+    m_exchange.reset();
+    m_lane.sessionEnded(*this);
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logAdmission(const forward::Admission& admission) const
+{
+    log::LogLine line("request_arrived");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(admission.code));
+    if (admission.route)
+        line.with("route", admission.route->name.text);
+    if (admission.account)
+        line.with("client", admission.account->name.text);
+    auto known = m_state.manifest.state();
+    auto ageMs = [&](base::Instant since) { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now() - since).count()); };
+    if (known.index)
+        line.with("manifest_version", known.index->manifest().version).with("manifest_age_ms", ageMs(known.confirmedAt));
+    if (m_state.fleet.listedAt() != base::Instant {})
+        line.with("upstreams_age_ms", ageMs(m_state.fleet.listedAt()));
+    if (m_facts.lastEventId)
+        line.with("last_event", *m_facts.lastEventId);
+    LOG(INFO) << line.text();
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logAttempt(forward::AttemptOutcome outcome, const fleet::UpstreamInstance& upstream) const
+{
+    m_state.metrics.countAttempt(outcome);
+    log::LogLine line("attempt_ended");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text);
+    if (m_answer.status)
+        line.with("status", m_answer.status);
+    if (m_order.placement.backup)
+        line.with("backup", m_order.placement.backup->id.text);
+    if (m_order.usesCopy)
+        line.with("from_copy", 1);
+    if (m_exchange && m_exchange->lastEventId())
+        line.with("last_event", *m_exchange->lastEventId());
+    LOG(INFO) << line.text();
+}
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/src/gateway/SocketCalls.cpp
@@ -0,0 +1,86 @@
+#include "gateway/SocketCalls.h"
+
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace redwingseam::gateway {
+
+static constexpr int listenBacklog = 1024;
+static constexpr size_t readBytes = 8192;
+// A peer that acknowledges nothing for this long is taken for gone.
+static constexpr unsigned unacknowledgedMillis = 4000;
+
+static void setOptions(int descriptor)
+{
+    int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMillis, sizeof unacknowledgedMillis);
+}
+
+static base::Socket newSocket()
+{
+    return base::Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
+
+base::Socket beginConnect(const http::ListenAddress& address)
+{
+    auto result = newSocket();
+    if (!result.isOpen())
+        return result;
+    setOptions(result.descriptor());
+    auto native = address.native();
+    if (connect(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native) && errno != EINPROGRESS)
+        return {};
+    return result;
+}
+
+int connectError(int descriptor)
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length))
+        return errno;
+    return error;
+}
+
+base::Socket listenOn(const http::ListenAddress& address)
+{
+    auto result = newSocket();
+    if (!result.isOpen())
+        return result;
+    int on = 1;
+    setsockopt(result.descriptor(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    auto native = address.native();
+    if (bind(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native) || listen(result.descriptor(), listenBacklog))
+        return {};
+    return result;
+}
+
+base::Socket acceptFrom(int listener)
+{
+    base::Socket result(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (result.isOpen())
+        setOptions(result.descriptor());
+    return result;
+}
+
+ReadStatus readInto(int descriptor, boost::beast::flat_buffer& buffer, size_t most)
+{
+    while (buffer.size() < most) {
+        auto space = buffer.prepare(readBytes);
+        auto count = recv(descriptor, space.data(), space.size(), 0);
+        if (count > 0) {
+            buffer.commit(static_cast<size_t>(count));
+            continue;
+        }
+        if (!count)
+            return ReadStatus::Closed;
+        if (errno == EINTR)
+            continue;
+        return errno == EAGAIN || errno == EWOULDBLOCK ? ReadStatus::Open : ReadStatus::Reset;
+    }
+    return ReadStatus::Open;
+}
+
+} // namespace redwingseam::gateway
--- a/src/http/BlockingClient.cpp
+++ b/src/http/BlockingClient.cpp
@@ -1,7 +1,6 @@
 #include "http/BlockingClient.h"
 
 #include <chrono>
-#include <curl/curl.h>
 
 namespace redwingseam::http {
 
@@ -11,11 +10,28 @@
     return size * count;
 }
 
+BlockingClient::BlockingClient()
+    : m_easy(curl_easy_init())
+{
+}
+
+BlockingClient::~BlockingClient()
+{
+    curl_easy_cleanup(m_easy);
+}
+
 HttpResult exchange(const HttpRequest& request)
+{
+    return BlockingClient().exchange(request);
+}
+
+HttpResult BlockingClient::exchange(const HttpRequest& request)
 {
     using Millis = std::chrono::milliseconds;
     HttpResult result;
-    auto* easy = curl_easy_init();
+    auto* easy = m_easy;
+    // Drops the options of the request before, not the connections.
+    curl_easy_reset(easy);
     curl_slist* headers = nullptr;
     for (const auto& header : request.headers)
         headers = curl_slist_append(headers, header.c_str());
@@ -29,13 +45,14 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &collect);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &result.body);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.isSingleUse ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.timeout).count()));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.connectTimeout).count()));
     result.isAnswered = curl_easy_perform(easy) == CURLE_OK;
     result.isSent = result.isAnswered;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
-    curl_easy_cleanup(easy);
     curl_slist_free_all(headers);
     return result;
 }
--- a/src/daemon/JsonLogSink.h
+++ b/src/log/JsonLogSink.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "redwingseam/base/Mutex.h"
+#include "log/LineWriter.h"
 
 #include <glog/logging.h>
 
-namespace redwingseam::daemon {
+namespace redwingseam::log {
 
-// Writes glog's messages to standard error as JSON lines. Installed while it lives; glog's own
-// destinations are switched off.
+// Writes glog's messages to standard output as JSON lines, without ever waiting for the reader.
+// Installed while it lives; glog's own destinations are switched off.
 class JsonLogSink : public google::LogSink {
 public:
     explicit JsonLogSink(const char* program);
@@ -16,7 +16,7 @@
     void send(google::LogSeverity, const char* fullFilename, const char* baseFilename, int line, const google::LogMessageTime&, const char* message, size_t length) override;
 
 private:
-    base::Mutex m_mutex;
+    LineWriter m_writer;
 };
 
-} // namespace redwingseam::daemon
+} // namespace redwingseam::log
--- /dev/null
+++ b/src/log/LineWriter.cpp
@@ -0,0 +1,82 @@
+#include "log/LineWriter.h"
+
+#include <cerrno>
+#include <mutex>
+#include <unistd.h>
+
+namespace redwingseam::log {
+
+LineWriter::LineWriter(int descriptor)
+    : m_descriptor(descriptor)
+    , m_thread("log", [this] { run(); })
+{
+}
+
+LineWriter::~LineWriter()
+{
+    {
+        std::lock_guard guard(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.signal();
+    m_thread.join();
+}
+
+void LineWriter::write(std::string_view line, bool isRoutine)
+{
+    bool wasEmpty = false;
+    {
+        std::lock_guard guard(m_mutex);
+        if (m_queue.size() + line.size() > (isRoutine ? routineBytes : queueBytes)) {
+            ++m_dropped;
+            ++m_droppedUnreported;
+            return;
+        }
+        wasEmpty = m_queue.empty();
+        m_queue.append(line);
+    }
+    if (wasEmpty)
+        m_changed.signal();
+}
+
+uint64_t LineWriter::dropped()
+{
+    std::lock_guard guard(m_mutex);
+    return m_dropped;
+}
+
+void LineWriter::run()
+{
+    std::unique_lock guard(m_mutex);
+    while (!m_isStopping || !m_queue.empty()) {
+        if (m_queue.empty()) {
+            m_changed.wait(m_mutex);
+            continue;
+        }
+        if (!m_isStopping)
+            m_changed.waitFor(m_mutex, flushInterval);
+        std::string lines;
+        lines.swap(m_queue);
+        if (m_droppedUnreported)
+            lines += "{\"event\":\"log_lines_dropped\",\"count\":" + std::to_string(m_droppedUnreported) + "}\n";
+        m_droppedUnreported = 0;
+        guard.unlock();
+        writeAll(lines);
+        guard.lock();
+    }
+}
+
+void LineWriter::writeAll(std::string_view bytes) const
+{
+    while (!bytes.empty()) {
+        auto count = ::write(m_descriptor, bytes.data(), bytes.size());
+        if (count < 0 && errno == EINTR)
+            continue;
+        // Nobody reads any more, and there is no other place to report it.
+        if (count <= 0)
+            return;
+        bytes.remove_prefix(static_cast<size_t>(count));
+    }
+}
+
+} // namespace redwingseam::log
--- /dev/null
+++ b/src/manifest/ManifestHolder.cpp
@@ -0,0 +1,42 @@
+#include "manifest/ManifestHolder.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace redwingseam::manifest {
+
+bool ManifestHolder::confirm(Manifest manifest, base::Instant readBegan)
+{
+    auto version = manifest.version;
+    bool isNewer = false;
+    {
+        std::lock_guard guard(m_mutex);
+        isNewer = !m_state.index || version > m_state.index->manifest().version;
+    }
+    // The index is built outside the lock, which requests take.
+    auto index = isNewer ? std::make_shared<const ManifestIndex>(std::move(manifest)) : nullptr;
+    std::lock_guard guard(m_mutex);
+    auto held = m_state.index ? m_state.index->manifest().version : 0;
+    if (m_state.index && version < held)
+        return false;
+    bool isChanged = index && (!m_state.index || version > held);
+    if (isChanged)
+        m_state.index = std::move(index);
+    m_state.confirmedAt = std::max(m_state.confirmedAt, readBegan);
+    return isChanged;
+}
+
+void ManifestHolder::confirmUnchanged(uint64_t version, base::Instant readBegan)
+{
+    std::lock_guard guard(m_mutex);
+    if (m_state.index && m_state.index->manifest().version == version)
+        m_state.confirmedAt = std::max(m_state.confirmedAt, readBegan);
+}
+
+ManifestState ManifestHolder::state() const
+{
+    std::lock_guard guard(m_mutex);
+    return m_state;
+}
+
+} // namespace redwingseam::manifest
--- a/src/node/DecisionsImpl.h
+++ b/src/node/DecisionsImpl.h
@@ -87,13 +87,13 @@
 }
 
 template<typename Policies>
-EffectList Decisions<Policies>::handle(const platform::PlatformReply& event, base::Instant now, uint64_t random)
+EffectList Decisions<Policies>::handle(const store::PlatformReply& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
 
 template<typename Policies>
-EffectList Decisions<Policies>::handle(const platform::ObjectChanged& event, base::Instant now, uint64_t random)
+EffectList Decisions<Policies>::handle(const store::ObjectChanged& event, base::Instant now, uint64_t random)
 {
     return run(event, now, random);
 }
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -22,8 +22,8 @@
 #include "redwingseam/node/ProbeFailed.h"
 #include "redwingseam/node/Tick.h"
 #include "redwingseam/node/TokensReceived.h"
-#include "redwingseam/platform/ObjectChanged.h"
-#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/store/ObjectChanged.h"
+#include "redwingseam/store/PlatformReply.h"
 #include "report/Recorder.h"
 #include "settings/Acceptor.h"
 #include "settings/SnapshotHolder.h"
@@ -48,8 +48,8 @@
     void handle(const ProbeFailed&, Context&);
     void handle(const route::LoadReport&, Context&);
     void handle(const route::CacheEvent&, Context&);
-    void handle(const platform::PlatformReply&, Context&);
-    void handle(const platform::ObjectChanged&, Context&);
+    void handle(const store::PlatformReply&, Context&);
+    void handle(const store::ObjectChanged&, Context&);
     void handle(const peer::PeerMessage&, Context&);
     void handle(const Tick&, Context&);
 
@@ -118,7 +118,7 @@
     void settle(const std::vector<claim::ClaimNotice>&, Context&);
     void settleRequest(base::RequestId, const claim::ClaimTicket&, const claim::ClaimRecord& inForce, Context&);
     void settleForeign(base::RequestId, const claim::ClaimRecord& inForce, Context&);
-    void onClaimReply(const platform::PlatformReply&, Context&);
+    void onClaimReply(const store::PlatformReply&, Context&);
 
     // Facts and peers: NodeCorePeers.h.
     void learn(const membership::Fact&, Context&);
--- a/src/node/NodeCoreClaims.h
+++ b/src/node/NodeCoreClaims.h
@@ -2,7 +2,7 @@
 
 #include "membership/Rendezvous.h"
 #include "node/NodeCore.h"
-#include "platform/ObjectKeys.h"
+#include "store/ObjectKeys.h"
 
 // Recording of non-idempotent calls before they are dispatched.
 namespace redwingseam::node {
@@ -18,7 +18,7 @@
 {
     auto group = claim::ClaimDesk::groupOf(record.key);
     // Any VM may append; that one VM does it for all saves conflicts and fills the batches.
-    auto writer = membership::rendezvous(m_vms.live(), platform::claimGroupPrefix(group), 1);
+    auto writer = membership::rendezvous(m_vms.live(), store::claimGroupPrefix(group), 1);
     bool isOwnWriter = writer.empty() || writer.front() == m_config.self;
     if (isOwnWriter) {
         m_claims.append(std::move(record), std::move(waiter));
@@ -33,40 +33,40 @@
 void NodeCore<Policies>::pumpClaims(size_t group, Context& context)
 {
     auto call = m_claims.poll(group, context.now);
-    platform::PlatformCall effect;
+    store::PlatformCall effect;
     effect.group = group;
     switch (call.step) {
     case claim::AppendStep::None:
         return;
     case claim::AppendStep::ReadCheckpoint:
-        effect.key = platform::claimCheckpointKey(group);
-        effect.purpose = platform::Purpose::ClaimCheckpointRead;
+        effect.key = store::claimCheckpointKey(group);
+        effect.purpose = store::Purpose::ClaimCheckpointRead;
         break;
     case claim::AppendStep::Read:
-        effect.key = platform::claimBatchKey(group, call.number);
-        effect.purpose = platform::Purpose::ClaimRead;
+        effect.key = store::claimBatchKey(group, call.number);
+        effect.purpose = store::Purpose::ClaimRead;
         break;
     case claim::AppendStep::Create:
-        effect.kind = platform::CallKind::Create;
-        effect.key = platform::claimBatchKey(group, call.number);
+        effect.kind = store::CallKind::Create;
+        effect.key = store::claimBatchKey(group, call.number);
         effect.value = std::move(call.batch);
-        effect.purpose = platform::Purpose::ClaimCreate;
+        effect.purpose = store::Purpose::ClaimCreate;
         break;
     }
     context.emit(std::move(effect));
 }
 
 template<typename Policies>
-void NodeCore<Policies>::onClaimReply(const platform::PlatformReply& reply, Context& context)
+void NodeCore<Policies>::onClaimReply(const store::PlatformReply& reply, Context& context)
 {
     auto group = reply.call.group;
     auto jitter = static_cast<uint64_t>(context.random());
     const auto* checkpoint = reply.value ? std::get_if<claim::Checkpoint>(&*reply.value) : nullptr;
     const auto* batch = reply.value ? std::get_if<claim::ClaimBatch>(&*reply.value) : nullptr;
     std::vector<claim::ClaimNotice> notices;
-    if (reply.call.purpose == platform::Purpose::ClaimCheckpointRead)
+    if (reply.call.purpose == store::Purpose::ClaimCheckpointRead)
         notices = m_claims.onCheckpoint(group, reply.outcome, reply.version, checkpoint ? std::optional(*checkpoint) : std::nullopt, context.now, jitter);
-    else if (reply.call.purpose == platform::Purpose::ClaimRead)
+    else if (reply.call.purpose == store::Purpose::ClaimRead)
         notices = m_claims.onRead(group, reply.outcome, batch ? std::optional(*batch) : std::nullopt, context.now, jitter);
     else
         notices = m_claims.onCreated(group, reply.outcome, context.now, jitter);
@@ -74,8 +74,8 @@
     pumpClaims(group, context);
     base::ObjectVersion expected;
     if (auto due = m_claims.dueCheckpoint(group, expected)) {
-        auto kind = expected.value ? platform::CallKind::Update : platform::CallKind::Create;
-        context.emit(platform::PlatformCall { kind, platform::claimCheckpointKey(group), expected, std::move(*due), platform::Purpose::ClaimCheckpointWrite, group });
+        auto kind = expected.value ? store::CallKind::Update : store::CallKind::Create;
+        context.emit(store::PlatformCall { kind, store::claimCheckpointKey(group), expected, std::move(*due), store::Purpose::ClaimCheckpointWrite, group });
     }
 }
 
--- a/src/node/NodeCoreSettings.h
+++ b/src/node/NodeCoreSettings.h
@@ -3,7 +3,7 @@
 #include "base/Hash.h"
 #include "membership/Rendezvous.h"
 #include "node/NodeCore.h"
-#include "platform/ObjectKeys.h"
+#include "store/ObjectKeys.h"
 
 // The settings tree, and what the platform's store shows.
 namespace redwingseam::node {
@@ -23,8 +23,8 @@
     bool isChosen = chosen.size() < watchersPerDataCentre || std::find(chosen.begin(), chosen.end(), m_config.self) != chosen.end();
     if (m_isWatching.exchange(isChosen) == isChosen)
         return;
-    for (auto prefix : platform::watchedPrefixes)
-        context.emit(platform::WatchObjects { std::string(prefix), isChosen });
+    for (auto prefix : store::watchedPrefixes)
+        context.emit(store::WatchObjects { std::string(prefix), isChosen });
 }
 
 template<typename Policies>
@@ -48,27 +48,27 @@
         return;
     bool isPreferred = isPreferredAcceptor();
     for (auto& decision : m_acceptor.due(context.now, isPreferred)) {
-        platform::BranchStatus status { decision.path, decision.rawVersion, decision.branch.has_value(), decision.reason };
+        store::BranchStatus status { decision.path, decision.rawVersion, decision.branch.has_value(), decision.reason };
         if (decision.branch) {
-            auto kind = decision.expected.value ? platform::CallKind::Update : platform::CallKind::Create;
-            platform::AcceptedBranch accepted { std::move(*decision.branch), decision.rawVersion };
-            context.emit(platform::PlatformCall { kind, platform::acceptedBranchKey(decision.path), decision.expected, std::move(accepted), platform::Purpose::BranchAccept, 0 });
+            auto kind = decision.expected.value ? store::CallKind::Update : store::CallKind::Create;
+            store::AcceptedBranch accepted { std::move(*decision.branch), decision.rawVersion };
+            context.emit(store::PlatformCall { kind, store::acceptedBranchKey(decision.path), decision.expected, std::move(accepted), store::Purpose::BranchAccept, 0 });
         }
-        context.emit(platform::PlatformCall { platform::CallKind::Put, platform::branchStatusKey(decision.path), {}, std::move(status), platform::Purpose::BranchStatus, 0 });
+        context.emit(store::PlatformCall { store::CallKind::Put, store::branchStatusKey(decision.path), {}, std::move(status), store::Purpose::BranchStatus, 0 });
     }
 }
 
 template<typename Policies>
-void NodeCore<Policies>::handle(const platform::ObjectChanged& event, Context& context)
+void NodeCore<Policies>::handle(const store::ObjectChanged& event, Context& context)
 {
     if (!event.value) {
-        if (auto path = platform::rawBranchPath(event.key))
+        if (auto path = store::rawBranchPath(event.key))
             m_acceptor.onRawDeleted(*path, event.version, context.now);
         return;
     }
-    if (const auto* raw = std::get_if<platform::RawBranch>(&*event.value)) {
+    if (const auto* raw = std::get_if<store::RawBranch>(&*event.value)) {
         m_acceptor.onRaw(*raw, event.version, context.now);
-    } else if (const auto* accepted = std::get_if<platform::AcceptedBranch>(&*event.value)) {
+    } else if (const auto* accepted = std::get_if<store::AcceptedBranch>(&*event.value)) {
         m_acceptor.onAccepted(accepted->branch.path, event.version, accepted->rawVersion);
         auto branch = accepted->branch;
         branch.version = event.version;
@@ -79,34 +79,34 @@
 }
 
 template<typename Policies>
-void NodeCore<Policies>::handle(const platform::PlatformReply& reply, Context& context)
+void NodeCore<Policies>::handle(const store::PlatformReply& reply, Context& context)
 {
-    bool isAnswered = reply.outcome != platform::CallOutcome::Unknown;
+    bool isAnswered = reply.outcome != store::CallOutcome::Unknown;
     if (isAnswered)
         m_platformSilentSince = 0;
     else if (!m_platformSilentSince)
         m_platformSilentSince = context.now.time_since_epoch().count();
     switch (reply.call.purpose) {
-    case platform::Purpose::ClaimCheckpointRead:
-    case platform::Purpose::ClaimRead:
-    case platform::Purpose::ClaimCreate:
+    case store::Purpose::ClaimCheckpointRead:
+    case store::Purpose::ClaimRead:
+    case store::Purpose::ClaimCreate:
         onClaimReply(reply, context);
         break;
-    case platform::Purpose::ClaimCheckpointWrite:
+    case store::Purpose::ClaimCheckpointWrite:
         m_claims.onCheckpointStored(reply.call.group, reply.outcome, reply.version);
         break;
-    case platform::Purpose::BranchAccept:
+    case store::Purpose::BranchAccept:
         m_acceptor.onAcceptReply(reply, context.now);
-        if (reply.outcome == platform::CallOutcome::Done || reply.outcome == platform::CallOutcome::Conflict)
-            handle(platform::ObjectChanged { reply.call.key, reply.version, reply.outcome == platform::CallOutcome::Done ? reply.call.value : reply.value }, context);
+        if (reply.outcome == store::CallOutcome::Done || reply.outcome == store::CallOutcome::Conflict)
+            handle(store::ObjectChanged { reply.call.key, reply.version, reply.outcome == store::CallOutcome::Done ? reply.call.value : reply.value }, context);
         break;
-    case platform::Purpose::BranchStatus:
+    case store::Purpose::BranchStatus:
         m_acceptor.onStatusReply(reply, context.now);
         break;
-    case platform::Purpose::BranchRead:
-    case platform::Purpose::LeaseRead:
-    case platform::Purpose::LeaseWrite:
-    case platform::Purpose::VmWrite:
+    case store::Purpose::BranchRead:
+    case store::Purpose::LeaseRead:
+    case store::Purpose::LeaseWrite:
+    case store::Purpose::VmWrite:
         break;
     }
 }
--- a/src/node/PoolShard.h
+++ b/src/node/PoolShard.h
@@ -2,7 +2,6 @@
 
 #include "node/Pool.h"
 #include "redwingseam/base/Ids.h"
-#include "route/RetryBudget.h"
 #include "route/SubsetChooser.h"
 #include "schedule/FairQueue.h"
 
@@ -15,7 +14,6 @@
 // Pools of one shard, and the retry budget that they share.
 struct PoolShard {
     std::map<base::PoolName, FairPool> pools;
-    route::RetryBudget retries;
 
     FairPool* find(const base::PoolName& name)
     {
--- a/src/peer/PeerLink.cpp
+++ b/src/peer/PeerLink.cpp
@@ -10,9 +10,9 @@
 
 static constexpr size_t mostQueuedBytes = 8 * 1024 * 1024;
 
-static Socket connectTo(const http::ListenAddress& address)
+static base::Socket connectTo(const http::ListenAddress& address)
 {
-    Socket result(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    base::Socket result(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     int noDelay = 1;
     setsockopt(result.descriptor(), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
     auto native = address.native();
--- a/src/peer/Poller.h
+++ b/src/peer/Poller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer/Socket.h"
+#include "base/Socket.h"
 
 #include <cstdint>
 #include <sys/epoll.h>
@@ -23,8 +23,8 @@
 private:
     void control(int operation, int descriptor, uint32_t events);
 
-    Socket m_epoll;
-    Socket m_event;
+    base::Socket m_epoll;
+    base::Socket m_event;
 };
 
 } // namespace redwingseam::peer
--- a/src/settings/Acceptor.cpp
+++ b/src/settings/Acceptor.cpp
@@ -6,7 +6,7 @@
 
 namespace redwingseam::settings {
 
-void Acceptor::onRaw(const platform::RawBranch& raw, base::ObjectVersion version, base::Instant now)
+void Acceptor::onRaw(const store::RawBranch& raw, base::ObjectVersion version, base::Instant now)
 {
     note(raw.path, version, raw.json, now);
 }
@@ -33,23 +33,23 @@
         accepted = { version, rawVersion };
 }
 
-void Acceptor::onAcceptReply(const platform::PlatformReply& reply, base::Instant now)
+void Acceptor::onAcceptReply(const store::PlatformReply& reply, base::Instant now)
 {
-    const auto* written = reply.call.value ? std::get_if<platform::AcceptedBranch>(&*reply.call.value) : nullptr;
+    const auto* written = reply.call.value ? std::get_if<store::AcceptedBranch>(&*reply.call.value) : nullptr;
     if (!written)
         return;
     std::lock_guard guard(m_mutex);
     auto found = m_edits.find(written->branch.path);
     // Another VM wrote first: what it wrote is known by now, so the edit can be judged again at once.
-    bool mustRetry = found != m_edits.end() && reply.outcome == platform::CallOutcome::Conflict;
+    bool mustRetry = found != m_edits.end() && reply.outcome == store::CallOutcome::Conflict;
     if (mustRetry)
         found->second.notBefore = now;
 }
 
-void Acceptor::onStatusReply(const platform::PlatformReply& reply, base::Instant now)
+void Acceptor::onStatusReply(const store::PlatformReply& reply, base::Instant now)
 {
-    const auto* written = reply.call.value ? std::get_if<platform::BranchStatus>(&*reply.call.value) : nullptr;
-    if (!written || reply.outcome == platform::CallOutcome::Done)
+    const auto* written = reply.call.value ? std::get_if<store::BranchStatus>(&*reply.call.value) : nullptr;
+    if (!written || reply.outcome == store::CallOutcome::Done)
         return;
     std::lock_guard guard(m_mutex);
     auto found = m_edits.find(written->path);
--- a/src/settings/Acceptor.h
+++ b/src/settings/Acceptor.h
@@ -2,8 +2,8 @@
 
 #include "redwingseam/base/Instant.h"
 #include "redwingseam/base/Mutex.h"
-#include "redwingseam/platform/PlatformReply.h"
-#include "redwingseam/platform/RawBranch.h"
+#include "redwingseam/store/PlatformReply.h"
+#include "redwingseam/store/RawBranch.h"
 #include "settings/BranchDecision.h"
 
 #include <map>
@@ -22,11 +22,11 @@
     // Time after which an unanswered call is made again.
     static constexpr base::Duration retryInterval = std::chrono::seconds(2);
 
-    void onRaw(const platform::RawBranch&, base::ObjectVersion, base::Instant now);
+    void onRaw(const store::RawBranch&, base::ObjectVersion, base::Instant now);
     void onRawDeleted(const std::string& path, base::ObjectVersion, base::Instant now);
     void onAccepted(const std::string& path, base::ObjectVersion, base::ObjectVersion rawVersion);
-    void onAcceptReply(const platform::PlatformReply&, base::Instant now);
-    void onStatusReply(const platform::PlatformReply&, base::Instant now);
+    void onAcceptReply(const store::PlatformReply&, base::Instant now);
+    void onStatusReply(const store::PlatformReply&, base::Instant now);
 
     // Decisions that are to be written now.
     std::vector<BranchDecision> due(base::Instant now, bool isPreferred);
--- a/src/platform/DueWatch.h
+++ b/src/store/DueWatch.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // A list or watch that is to be asked for.
 struct DueWatch {
@@ -11,4 +11,4 @@
     uint64_t revision = 0;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/ObjectKeys.cpp
+++ b/src/store/ObjectKeys.cpp
@@ -1,8 +1,8 @@
-#include "platform/ObjectKeys.h"
+#include "store/ObjectKeys.h"
 
 #include <cstdio>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 static constexpr std::string_view rawPrefix = "settings/raw";
 static constexpr std::string_view acceptedPrefix = "settings/accepted";
@@ -58,4 +58,4 @@
     return key.text.substr(rawPrefix.size());
 }
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/ObjectKeys.h
+++ b/src/store/ObjectKeys.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Keys of the system's objects in the platform's store.
 base::ObjectKey claimBatchKey(uint64_t group, uint64_t number);
@@ -26,4 +26,4 @@
 // Prefixes that a watching VM watches.
 inline constexpr std::array<std::string_view, 3> watchedPrefixes { "settings/raw", "settings/accepted", "upstreams/" };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoreAnswers.h
+++ b/src/store/StoreAnswers.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "http/HttpResult.h"
-#include "platform/StoreReply.h"
-#include "platform/StoreTag.h"
-#include "platform/WatchTable.h"
-#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/store/PlatformReply.h"
+#include "store/StoreReply.h"
+#include "store/StoreTag.h"
+#include "store/WatchTable.h"
 
 #include <concepts>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Takes what the platform's store answers.
 template<typename T>
@@ -90,4 +90,4 @@
     WatchTable& m_watches;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoreChanges.h
+++ b/src/store/StoreChanges.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "redwingseam/platform/ObjectChanged.h"
+#include "redwingseam/store/ObjectChanged.h"
 
 #include <cstdint>
 #include <vector>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What a list or a watch brought.
 struct StoreChanges {
@@ -13,4 +13,4 @@
     std::vector<ObjectChanged> changes;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -2,12 +2,12 @@
 
 #include "codec/ObjectCodec.h"
 #include "http/CurlLoop.h"
-#include "platform/StoreAnswers.h"
-#include "redwingseam/platform/WatchObjects.h"
+#include "redwingseam/store/WatchObjects.h"
+#include "store/StoreAnswers.h"
 
 #include <atomic>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // Calls and watches the platform's store over HTTP. A watch lists its prefix, then waits for changes,
 // and starts over with a growing pause when the store fails. Thread-safe.
@@ -77,4 +77,4 @@
     http::CurlLoop<StoreAnswers<Events>> m_loop;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoreReply.cpp
+++ b/src/store/StoreReply.cpp
@@ -1,9 +1,9 @@
-#include "platform/StoreReply.h"
+#include "store/StoreReply.h"
 
 #include "codec/JsonReader.h"
 #include "codec/ObjectCodec.h"
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 std::optional<StoredObject> parseStoredObject(std::string_view json)
 {
@@ -42,4 +42,4 @@
     return result;
 }
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoreTag.h
+++ b/src/store/StoreTag.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "redwingseam/platform/PlatformCall.h"
+#include "redwingseam/store/PlatformCall.h"
 
 #include <optional>
 #include <string>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // What belongs to one request to the platform's store: a call, or a list or watch of a prefix.
 struct StoreTag {
@@ -13,4 +13,4 @@
     std::string watchedPrefix;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/StoredObject.h
+++ b/src/store/StoredObject.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "redwingseam/base/Ids.h"
-#include "redwingseam/platform/ObjectValue.h"
+#include "redwingseam/store/ObjectValue.h"
 
 #include <optional>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // An object as the store shows it.
 struct StoredObject {
@@ -13,4 +13,4 @@
     std::optional<ObjectValue> value;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/WatchState.h
+++ b/src/store/WatchState.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // How far a watch of one prefix has come.
 struct WatchState {
@@ -16,4 +16,4 @@
     base::Instant notBefore;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/WatchTable.cpp
+++ b/src/store/WatchTable.cpp
@@ -1,11 +1,11 @@
-#include "platform/WatchTable.h"
+#include "store/WatchTable.h"
 
 #include "base/Hash.h"
 
 #include <algorithm>
 #include <mutex>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 void WatchTable::want(const std::string& prefix, bool isWanted)
 {
@@ -52,4 +52,4 @@
     state.notBefore = m_now + whole / 2 + base::Duration(static_cast<int64_t>(jitter));
 }
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- a/src/platform/WatchTable.h
+++ b/src/store/WatchTable.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "platform/DueWatch.h"
-#include "platform/WatchState.h"
 #include "redwingseam/base/Mutex.h"
+#include "store/DueWatch.h"
+#include "store/WatchState.h"
 
 #include <map>
 #include <string>
 #include <vector>
 
-namespace redwingseam::platform {
+namespace redwingseam::store {
 
 // The watches of the platform's store: which are wanted, how far each has come, and when it is to be
 // asked for again. Thread-safe.
@@ -27,4 +27,4 @@
     base::Instant m_now;
 };
 
-} // namespace redwingseam::platform
+} // namespace redwingseam::store
--- /dev/null
+++ b/src/sync/ManifestRead.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "redwingseam/manifest/Manifest.h"
+
+#include <optional>
+
+namespace redwingseam::sync {
+
+// What a linearizable read of the manifest returned.
+struct ManifestRead {
+    uint64_t version = 0;
+    // Nothing if it is byte for byte what this reader returned before.
+    std::optional<manifest::Manifest> changed;
+};
+
+} // namespace redwingseam::sync
--- /dev/null
+++ b/src/sync/ManifestTask.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "log/LogLine.h"
+#include "manifest/ManifestHolder.h"
+#include "redwingseam/base/BootClock.h"
+#include "sync/OutageTracker.h"
+#include "sync/StoreReader.h"
+
+#include <glog/logging.h>
+
+namespace redwingseam::sync {
+
+// Keeps the node's manifest as new as the store's, and notes when it was last seen to be the newest.
+template<StoreReader Reader>
+class ManifestTask {
+public:
+    ManifestTask(Reader& reader, manifest::ManifestHolder& holder)
+        : m_reader(reader)
+        , m_holder(holder)
+    {
+    }
+
+    bool poll()
+    {
+        auto began = base::BootClock {}.now();
+        auto read = m_reader.readManifest();
+        bool isChanged = m_outages.note(bool(read), base::BootClock {}.now());
+        if (isChanged && read)
+            LOG(INFO) << log::LogLine("dependency_regained").with("dependency", "store.manifest").text();
+        if (isChanged && !read)
+            LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.manifest").with("detail", read.error().detail).text();
+        if (!read)
+            return false;
+        if (!read.value().changed) {
+            m_holder.confirmUnchanged(read.value().version, began);
+            return true;
+        }
+        if (m_holder.confirm(std::move(*read.value().changed), began))
+            LOG(INFO) << log::LogLine("manifest_in_force").with("version", read.value().version).text();
+        return true;
+    }
+
+private:
+    Reader& m_reader;
+    manifest::ManifestHolder& m_holder;
+    OutageTracker m_outages;
+};
+
+} // namespace redwingseam::sync
--- /dev/null
+++ b/src/sync/OutageTracker.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::sync {
+
+// Follows whether the store answers, and for how long entries that are missing after an outage are still
+// taken to be there. Not synchronised.
+class OutageTracker {
+public:
+    // Returns whether this answer or failure changed the state.
+    bool note(bool succeeded, base::Instant now);
+    bool isOut() const { return m_isOut; }
+    // How long a missing entry is kept, counted from when it was first missed.
+    base::Duration missingGrace(base::Instant now) const;
+
+private:
+    // Live upstreams enter themselves again within this time after the store is back.
+    static constexpr base::Duration returnGrace = std::chrono::milliseconds(2400);
+    // A shorter disturbance lets no entry lapse.
+    static constexpr base::Duration shortestLapse = std::chrono::milliseconds(1500);
+
+    bool m_isOut = false;
+    base::Instant m_lastSuccess {};
+    base::Instant m_returnedAt {};
+};
+
+} // namespace redwingseam::sync
--- a/tests/ClaimLogTest.cpp
+++ b/tests/ClaimLogTest.cpp
@@ -94,14 +94,14 @@
     base::Instant start { 1h };
     desk.append({ claim::RecordKind::Claimed, key, 1, {} }, {});
     desk.poll(group, start);
-    desk.onCheckpoint(group, platform::CallOutcome::Absent, {}, std::nullopt, start, 0);
+    desk.onCheckpoint(group, store::CallOutcome::Absent, {}, std::nullopt, start, 0);
     desk.poll(group, start);
-    desk.onRead(group, platform::CallOutcome::Absent, std::nullopt, start, 0);
+    desk.onRead(group, store::CallOutcome::Absent, std::nullopt, start, 0);
     desk.poll(group, start);
-    desk.onCreated(group, platform::CallOutcome::Done, start, 0);
+    desk.onCreated(group, store::CallOutcome::Done, start, 0);
     desk.append({ claim::RecordKind::Finished, key, 1, { 200, "done" } }, {});
     desk.poll(group, start + 1s);
-    desk.onCreated(group, platform::CallOutcome::Done, start + 1s, 0);
+    desk.onCreated(group, store::CallOutcome::Done, start + 1s, 0);
     for (auto time = start + 10min; time <= start + 23h; time += 10min)
         desk.poll(group, time);
     CHECK_TRUE(desk.awaitOutcome(key, { 1 }, start + 48h).has_value());
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -5,9 +5,9 @@
 #include "http/EngineEvents.h"
 #include "http/EventLines.h"
 #include "http/RequestParser.h"
-#include "platform/StoreReply.h"
 #include "redwingseam/membership/FactFactory.h"
 #include "report/ReportCodec.h"
+#include "store/StoreReply.h"
 #include "stream/ResumeTokenCodec.h"
 
 #include "PropertyCheck.h"
@@ -56,8 +56,8 @@
 
 TEST(Codec, ObjectsComeBackAsTheyWere)
 {
-    platform::ObjectValue batch = claim::ClaimBatch { { { claim::RecordKind::Finished, { "k" }, 5, { 200, "body" } } } };
-    platform::ObjectValue lease = platform::Lease { { "vm" }, 1, 2, 3, 4 };
+    store::ObjectValue batch = claim::ClaimBatch { { { claim::RecordKind::Finished, { "k" }, 5, { 200, "body" } } } };
+    store::ObjectValue lease = store::Lease { { "vm" }, 1, 2, 3, 4 };
     CHECK_TRUE(*codec::parseObject(codec::formatObject(batch)) == batch);
     CHECK_TRUE(*codec::parseObject(codec::formatObject(lease)) == lease);
 }
@@ -76,7 +76,7 @@
         (void)http::parseCompletion(damaged(request, words));
         http::parseLoad({ "u" }, damaged(load, words));
         http::parseTokens(damaged(R"({"index":1,"tokens":[{"id":1,"text":"a"}]})", words));
-        platform::parseStoreChanges(damaged(changes, words));
+        store::parseStoreChanges(damaged(changes, words));
         report::parseBurnReport(damaged(report::formatBurnReport({}, {}), words));
         (void)daemon::parseVmConfig(damaged(config, words));
         stream::ResumeTokenCodec codec("secret");
--- a/tests/LeavingTest.cpp
+++ b/tests/LeavingTest.cpp
@@ -64,7 +64,7 @@
     setLeaving(world, deployment.engines[0]);
     world.runFor(3s);
     for (size_t node = 0; node < 2; ++node)
-        world.node(node).handle(platform::ObjectChanged { platform::upstreamKey(stale.name), { 1 }, stale });
+        world.node(node).handle(store::ObjectChanged { store::upstreamKey(stale.name), { 1 }, stale });
     auto stateAt = [&](size_t node) {
         for (const auto& record : world.node(node).upstreams()) {
             if (record.name == stale.name)
--- a/tests/NodeThreadsTest.cpp
+++ b/tests/NodeThreadsTest.cpp
@@ -48,7 +48,7 @@
     node.start();
     for (int i = 0; i < 3; ++i) {
         route::UpstreamRecord record { { "up-" + std::to_string(i) }, route::UpstreamKind::Engine, { "draft@1" }, { "dc" }, "http://u", 4000, 1, route::UpstreamState::Live };
-        node.handle(platform::ObjectChanged { { "upstreams/x" }, { 1 }, record });
+        node.handle(store::ObjectChanged { { "upstreams/x" }, { 1 }, record });
     }
     std::atomic<bool> isDone { false };
     {
--- a/tests/SettingsFaultsTest.cpp
+++ b/tests/SettingsFaultsTest.cpp
@@ -46,9 +46,9 @@
     fakes::editBranch(world, "/", R"({"weight":-1})");
     world.runFor(5s);
     CHECK_TRUE(allHaveWeight(world, 3, 77));
-    const auto* object = world.store().find(platform::branchStatusKey("/"));
+    const auto* object = world.store().find(store::branchStatusKey("/"));
     CHECK_TRUE(object != nullptr);
-    const auto& status = std::get<platform::BranchStatus>(*object->value);
+    const auto& status = std::get<store::BranchStatus>(*object->value);
     CHECK_FALSE(status.isAccepted);
     STRCMP_EQUAL("/weight: expected an integer from 1 to 1000", status.reason.c_str());
 }
--- a/tests/fakes/Deployment.h
+++ b/tests/fakes/Deployment.h
@@ -12,7 +12,7 @@
 template<typename World>
 void editBranch(World& world, const std::string& path, const std::string& json)
 {
-    world.putObject(platform::rawBranchKey(path), platform::RawBranch { path, json });
+    world.putObject(store::rawBranchKey(path), store::RawBranch { path, json });
 }
 
 // A world with engines in each data centre, two services, and their settings in force.
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "redwingseam/platform/ObjectChanged.h"
-#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/store/ObjectChanged.h"
+#include "redwingseam/store/PlatformReply.h"
 
 #include <map>
 #include <optional>
@@ -14,24 +14,24 @@
 class FakeStore {
 public:
     // Carries a call out and says what became of it.
-    platform::PlatformReply apply(const platform::PlatformCall& call)
+    store::PlatformReply apply(const store::PlatformCall& call)
     {
         ++m_calls;
         auto found = m_objects.find(call.key);
         auto current = found == m_objects.end() ? base::ObjectVersion {} : found->second.version;
-        platform::PlatformReply reply { call, platform::CallOutcome::Done, current, std::nullopt };
-        if (call.kind == platform::CallKind::Read) {
+        store::PlatformReply reply { call, store::CallOutcome::Done, current, std::nullopt };
+        if (call.kind == store::CallKind::Read) {
             if (found == m_objects.end())
-                reply.outcome = platform::CallOutcome::Absent;
+                reply.outcome = store::CallOutcome::Absent;
             else
                 reply.value = found->second.value;
             return reply;
         }
         ++m_writes;
-        bool isConditional = call.kind == platform::CallKind::Create || call.kind == platform::CallKind::Update;
-        auto expected = call.kind == platform::CallKind::Create ? base::ObjectVersion {} : call.expected;
+        bool isConditional = call.kind == store::CallKind::Create || call.kind == store::CallKind::Update;
+        auto expected = call.kind == store::CallKind::Create ? base::ObjectVersion {} : call.expected;
         if (isConditional && expected != current) {
-            reply.outcome = platform::CallOutcome::Conflict;
+            reply.outcome = store::CallOutcome::Conflict;
             if (found != m_objects.end())
                 reply.value = found->second.value;
             return reply;
@@ -42,15 +42,15 @@
     }
 
     // Writes an object from outside.
-    platform::ObjectChanged put(const base::ObjectKey& key, platform::ObjectValue value)
+    store::ObjectChanged put(const base::ObjectKey& key, store::ObjectValue value)
     {
         m_objects[key] = { key, { ++m_revision }, std::move(value) };
         return m_objects[key];
     }
 
-    std::vector<platform::ObjectChanged> list(const std::string& prefix) const
+    std::vector<store::ObjectChanged> list(const std::string& prefix) const
     {
-        std::vector<platform::ObjectChanged> result;
+        std::vector<store::ObjectChanged> result;
         for (const auto& [key, object] : m_objects) {
             if (key.text.starts_with(prefix))
                 result.push_back(object);
@@ -58,7 +58,7 @@
         return result;
     }
 
-    const platform::ObjectChanged* find(const base::ObjectKey& key) const
+    const store::ObjectChanged* find(const base::ObjectKey& key) const
     {
         auto found = m_objects.find(key);
         return found == m_objects.end() ? nullptr : &found->second;
@@ -68,7 +68,7 @@
     uint64_t writes() const { return m_writes; }
 
 private:
-    std::map<base::ObjectKey, platform::ObjectChanged> m_objects;
+    std::map<base::ObjectKey, store::ObjectChanged> m_objects;
     uint64_t m_revision = 0;
     uint64_t m_calls = 0;
     uint64_t m_writes = 0;
--- a/tests/fakes/FakeWorld.h
+++ b/tests/fakes/FakeWorld.h
@@ -10,8 +10,8 @@
 #include "fakes/WorldEvent.h"
 #include "fakes/WorldOptions.h"
 #include "node/DecisionsImpl.h"
-#include "platform/ObjectKeys.h"
 #include "redwingseam/node/Node.h"
+#include "store/ObjectKeys.h"
 
 #include <memory>
 #include <queue>
@@ -63,7 +63,7 @@
         return index;
     }
 
-    void publish(size_t upstream) { putObject(platform::upstreamKey(m_upstreams[upstream].record.name), m_upstreams[upstream].record); }
+    void publish(size_t upstream) { putObject(store::upstreamKey(m_upstreams[upstream].record.name), m_upstreams[upstream].record); }
 
     void killUpstream(size_t index)
     {
@@ -146,7 +146,7 @@
             m_cut.erase(dataCentre);
     }
 
-    void putObject(const base::ObjectKey& key, platform::ObjectValue value) { announce(m_store.put(key, std::move(value))); }
+    void putObject(const base::ObjectKey& key, store::ObjectValue value) { announce(m_store.put(key, std::move(value))); }
 
     // Callers.
     size_t call(size_t node, node::CallerRequest request, bool carriesTokens = true)
@@ -263,13 +263,13 @@
     void perform(const WorldEvent& event, const StoreArrival& arrival)
     {
         bool isUnreachable = m_isStoreDown || isCutOff(event.node);
-        auto reply = isUnreachable ? platform::PlatformReply { arrival.call, platform::CallOutcome::Unknown, {}, std::nullopt } : m_store.apply(arrival.call);
-        bool hasChanged = reply.outcome == platform::CallOutcome::Done && arrival.call.kind != platform::CallKind::Read;
+        auto reply = isUnreachable ? store::PlatformReply { arrival.call, store::CallOutcome::Unknown, {}, std::nullopt } : m_store.apply(arrival.call);
+        bool hasChanged = reply.outcome == store::CallOutcome::Done && arrival.call.kind != store::CallKind::Read;
         if (hasChanged)
             announce(*m_store.find(arrival.call.key));
         if (m_random.hits(m_lostAnswersPermille))
-            reply = { arrival.call, platform::CallOutcome::Unknown, {}, std::nullopt };
-        auto wait = reply.outcome == platform::CallOutcome::Unknown ? base::Duration(std::chrono::seconds(2)) : m_options.storeDelay;
+            reply = { arrival.call, store::CallOutcome::Unknown, {}, std::nullopt };
+        auto wait = reply.outcome == store::CallOutcome::Unknown ? base::Duration(std::chrono::seconds(2)) : m_options.storeDelay;
         toNode(event.node, event.nodeStart, wait, std::move(reply));
     }
 
@@ -305,7 +305,7 @@
             schedule(m_options.linkDelay, node, 0, CallerReturn { index });
     }
 
-    void announce(const platform::ObjectChanged& changed)
+    void announce(const store::ObjectChanged& changed)
     {
         if (m_isStoreDown)
             return;
@@ -492,9 +492,9 @@
         caller->endedAt = m_clock.now();
     }
 
-    void carryOut(size_t node, const platform::PlatformCall& effect) { schedule(m_options.storeDelay, node, m_vms[node].starts, StoreArrival { effect }); }
+    void carryOut(size_t node, const store::PlatformCall& effect) { schedule(m_options.storeDelay, node, m_vms[node].starts, StoreArrival { effect }); }
 
-    void carryOut(size_t node, const platform::WatchObjects& effect)
+    void carryOut(size_t node, const store::WatchObjects& effect)
     {
         auto& vm = m_vms[node];
         if (!effect.isWanted) {
--- a/tests/fakes/WorldEvent.h
+++ b/tests/fakes/WorldEvent.h
@@ -9,16 +9,16 @@
 #include "redwingseam/node/Tick.h"
 #include "redwingseam/node/TokensReceived.h"
 #include "redwingseam/peer/PeerMessage.h"
-#include "redwingseam/platform/ObjectChanged.h"
-#include "redwingseam/platform/PlatformReply.h"
 #include "redwingseam/route/LoadReport.h"
+#include "redwingseam/store/ObjectChanged.h"
+#include "redwingseam/store/PlatformReply.h"
 
 #include <variant>
 
 namespace redwingseam::fakes {
 
 // What a node can be given.
-using NodeEvent = std::variant<node::CallerRequest, node::CallerGone, node::TokensReceived, node::AttemptEnded, node::ProbeFailed, route::LoadReport, platform::PlatformReply, platform::ObjectChanged, peer::PeerMessage, node::Tick>;
+using NodeEvent = std::variant<node::CallerRequest, node::CallerGone, node::TokensReceived, node::AttemptEnded, node::ProbeFailed, route::LoadReport, store::PlatformReply, store::ObjectChanged, peer::PeerMessage, node::Tick>;
 
 // The next token of a flight is due.
 struct EngineStep {
@@ -29,7 +29,7 @@
 
 // A call reaches the platform's store.
 struct StoreArrival {
-    platform::PlatformCall call;
+    store::PlatformCall call;
 };
 
 // A caller comes back after its VM was lost.
--- /dev/null
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gateway/Acceptor.h"
+#include "gateway/Lanes.h"
+#include "gateway/MetricsHandler.h"
+#include "gateway/ReadinessHandler.h"
+#include "http/RequestServer.h"
+#include "platform/HttpDialect.h"
+#include "platform/Paths.h"
+#include "platform/StoreApi.h"
+#include "sync/FleetTask.h"
+#include "sync/ManifestTask.h"
+#include "sync/StorePoller.h"
+
+namespace redwingseam {
+
+// All parts of a gateway on the platform, in the order in which they start.
+class GatewayProcess {
+public:
+    explicit GatewayProcess(const gateway::GatewaySettings&);
+
+    // Starts to serve clients. Error SocketFailure if an address is taken.
+    base::Error listen();
+    // Takes no new clients, lets running requests end, and returns whether all did in time.
+    bool drain();
+    gateway::GatewayState& state() { return m_state; }
+
+private:
+    using Lanes = gateway::Lanes<platform::HttpDialect>;
+
+    // Calls that take longer are given up; a slow store answers in a few hundred milliseconds.
+    static constexpr base::Duration storeTimeout = std::chrono::milliseconds(1200);
+
+    static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
+    static sync::PollSchedule fleetSchedule(const gateway::GatewaySettings&);
+
+    gateway::GatewayState m_state;
+    platform::StoreApi m_manifestReader;
+    platform::StoreApi m_fleetReader;
+    sync::ManifestTask<platform::StoreApi> m_manifestTask;
+    sync::FleetTask<platform::StoreApi> m_fleetTask;
+    sync::StorePoller<sync::ManifestTask<platform::StoreApi>> m_manifestPoller;
+    sync::StorePoller<sync::FleetTask<platform::StoreApi>> m_fleetPoller;
+    gateway::ReadinessHandler m_readiness;
+    gateway::MetricsHandler m_metrics;
+    std::unique_ptr<http::RequestServer<gateway::ReadinessHandler>> m_readinessServer;
+    std::unique_ptr<http::RequestServer<gateway::MetricsHandler>> m_metricsServer;
+    Lanes m_lanes;
+    std::unique_ptr<gateway::Acceptor<Lanes>> m_acceptor;
+};
+
+} // namespace redwingseam
--- /dev/null
+++ b/tools/redwingseam-gateway/Main.cpp
@@ -0,0 +1,95 @@
+#include "GatewayProcess.h"
+
+#include "base/ReadFile.h"
+#include "log/JsonLogSink.h"
+#include "platform/BootSettings.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <curl/curl.h>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <unistd.h>
+
+namespace {
+
+using namespace redwingseam;
+
+// Signals are taken by one thread, so that none is delivered inside a library.
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+base::Result<gateway::GatewaySettings> loadSettings(const std::string& path)
+{
+    BOOST_OUTCOME_TRY(auto text, base::readFile(path));
+    return platform::parseBootSettings(text);
+}
+
+void logReload(const std::string& path)
+{
+    auto settings = loadSettings(path);
+    if (settings)
+        LOG(INFO) << log::LogLine("settings_reloaded").with("path", path).text();
+    else
+        LOG(ERROR) << log::LogLine("settings_rejected").with("path", path).with("detail", settings.error().detail).text();
+}
+
+int serve(const std::string& path, const gateway::GatewaySettings& settings, const sigset_t& signals)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    GatewayProcess process(settings);
+    auto error = process.listen();
+    if (error.code != base::ResultCode::Ok) {
+        LOG(ERROR) << log::LogLine("start_failed").with("detail", error.detail).text();
+        return 1;
+    }
+    LOG(INFO) << log::LogLine("started").with("vm", settings.self.text).with("clients", settings.clients.text()).text();
+    int received = 0;
+    while (!sigwait(&signals, &received) && received == SIGHUP)
+        logReload(path);
+    LOG(INFO) << log::LogLine("draining").with("requests", process.state().sessions).text();
+    bool isDrained = process.drain();
+    LOG(INFO) << log::LogLine("stopped").with("answered_all", isDrained ? "yes" : "no").text();
+    return 0;
+}
+
+int run(const std::string& path)
+{
+    auto signals = blockSignals();
+    log::JsonLogSink logs("redwingseam-gateway");
+    auto settings = loadSettings(path);
+    if (!settings) {
+        LOG(ERROR) << log::LogLine("settings_rejected").with("path", path).with("detail", settings.error().detail).text();
+        return 2;
+    }
+    return serve(path, settings.value(), signals);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("redwingseam-gateway", "Serves clients on one VM of the platform. SIGTERM drains it, SIGHUP reads its settings again.");
+    options.add_options()("settings", "settings file; default: the path in REDWINGSEAM_BOOT", cxxopts::value<std::string>())("help", "Shows this help");
+    try {
+        auto parsed = options.parse(argc, argv);
+        const char* given = std::getenv(platform::settingsPathVariable);
+        if (parsed.count("help") || (!parsed.count("settings") && !given)) {
+            std::cout << options.help() << "\n";
+            return parsed.count("help") ? 0 : 2;
+        }
+        return run(parsed.count("settings") ? parsed["settings"].as<std::string>() : std::string(given));
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+}
--- a/tools/redwingseam/ApplyCommand.cpp
+++ b/tools/redwingseam/ApplyCommand.cpp
@@ -3,8 +3,8 @@
 #include "StoreAccess.h"
 #include "TreeChange.h"
 #include "TreeFiles.h"
-#include "platform/ObjectKeys.h"
 #include "redwingseam/settings/BranchCodec.h"
+#include "store/ObjectKeys.h"
 
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -21,9 +21,9 @@
 
 static ExitCode applyOne(const CommandLine& line, const TreeChange& change, const StoreAccess& store, AppliedVersions& versions)
 {
-    std::optional<platform::ObjectValue> value;
+    std::optional<store::ObjectValue> value;
     if (change.kind != ChangeKind::Removed)
-        value = platform::RawBranch { change.path, change.wanted };
+        value = store::RawBranch { change.path, change.wanted };
     // The version that the files were made from, not the latest one: a racing edit must show.
     auto expected = versions.versionOf(change.path);
     bool isOthersBranch = change.kind == ChangeKind::Removed && !expected.value;
@@ -32,12 +32,12 @@
         return ExitCode::Good;
     }
     base::ObjectVersion written;
-    auto outcome = store.write(platform::rawBranchKey(change.path), expected, value, written);
-    if (outcome == platform::CallOutcome::Conflict) {
+    auto outcome = store.write(store::rawBranchKey(change.path), expected, value, written);
+    if (outcome == store::CallOutcome::Conflict) {
         print(line, change, "conflict: the store has version " + std::to_string(written.value) + "; pull, merge and apply again");
         return ExitCode::Conflict;
     }
-    if (outcome != platform::CallOutcome::Done) {
+    if (outcome != store::CallOutcome::Done) {
         print(line, change, "unknown: the store did not answer; run diff");
         return ExitCode::Unreachable;
     }
@@ -83,7 +83,7 @@
     AppliedVersions versions(folder);
     size_t written = 0;
     for (const auto& object : listed->changes) {
-        const auto* raw = object.value ? std::get_if<platform::RawBranch>(&*object.value) : nullptr;
+        const auto* raw = object.value ? std::get_if<store::RawBranch>(&*object.value) : nullptr;
         bool isUsable = raw && settings::isBranchPath(raw->path);
         if (!isUsable || !writeBranch(folder, raw->path, raw->json))
             continue;
--- a/tools/redwingseam/StoreAccess.cpp
+++ b/tools/redwingseam/StoreAccess.cpp
@@ -7,17 +7,17 @@
 
 static constexpr base::Duration callTimeout = std::chrono::seconds(5);
 
-std::optional<platform::StoreChanges> StoreAccess::list(const std::string& prefix) const
+std::optional<store::StoreChanges> StoreAccess::list(const std::string& prefix) const
 {
     http::HttpRequest request { "GET", m_url + "/list?prefix=" + prefix };
     request.timeout = callTimeout;
     auto result = http::exchange(request);
     if (!result.isAnswered || result.status != 200)
         return std::nullopt;
-    return platform::parseStoreChanges(result.body);
+    return store::parseStoreChanges(result.body);
 }
 
-platform::CallOutcome StoreAccess::write(const base::ObjectKey& key, base::ObjectVersion expected, const std::optional<platform::ObjectValue>& value, base::ObjectVersion& written) const
+store::CallOutcome StoreAccess::write(const base::ObjectKey& key, base::ObjectVersion expected, const std::optional<store::ObjectValue>& value, base::ObjectVersion& written) const
 {
     static constexpr long statusConflict = 412;
     http::HttpRequest request { value ? "PUT" : "DELETE", m_url + "/objects/" + key.text };
@@ -26,13 +26,13 @@
         request.body = codec::formatObject(*value);
     request.headers.push_back(expected.value ? "If-Match: " + std::to_string(expected.value) : "If-None-Match: *");
     auto result = http::exchange(request);
-    if (auto object = platform::parseStoredObject(result.body))
+    if (auto object = store::parseStoredObject(result.body))
         written = object->version;
     if (!result.isAnswered)
-        return platform::CallOutcome::Unknown;
+        return store::CallOutcome::Unknown;
     if (result.status == statusConflict)
-        return platform::CallOutcome::Conflict;
-    return result.status == 200 ? platform::CallOutcome::Done : platform::CallOutcome::Unknown;
+        return store::CallOutcome::Conflict;
+    return result.status == 200 ? store::CallOutcome::Done : store::CallOutcome::Unknown;
 }
 
 } // namespace redwingseam::cli
--- a/tools/redwingseam/StoreAccess.h
+++ b/tools/redwingseam/StoreAccess.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/StoreReply.h"
-#include "redwingseam/platform/PlatformReply.h"
+#include "redwingseam/store/PlatformReply.h"
+#include "store/StoreReply.h"
 
 #include <optional>
 #include <string>
@@ -18,9 +18,9 @@
     }
 
     // All objects under a prefix; nothing if the store can't be reached.
-    std::optional<platform::StoreChanges> list(const std::string& prefix) const;
+    std::optional<store::StoreChanges> list(const std::string& prefix) const;
     // Writes, or with no value removes, an object that must have the expected version; 0 for absent.
-    platform::CallOutcome write(const base::ObjectKey&, base::ObjectVersion expected, const std::optional<platform::ObjectValue>&, base::ObjectVersion& written) const;
+    store::CallOutcome write(const base::ObjectKey&, base::ObjectVersion expected, const std::optional<store::ObjectValue>&, base::ObjectVersion& written) const;
 
 private:
     std::string m_url;
--- a/tools/redwingseam/TreeChange.cpp
+++ b/tools/redwingseam/TreeChange.cpp
@@ -7,7 +7,7 @@
 namespace redwingseam::cli {
 
 // Canonical JSON where the text is a valid branch, else the text as it is.
-static std::string canonical(const platform::RawBranch& raw)
+static std::string canonical(const store::RawBranch& raw)
 {
     auto branch = settings::parseBranch(raw.path, {}, raw.json);
     return branch ? settings::formatBranch(branch.value()) : raw.json;
@@ -20,7 +20,7 @@
         return std::nullopt;
     std::map<std::string, std::string> stored;
     for (const auto& object : listed->changes) {
-        if (const auto* raw = object.value ? std::get_if<platform::RawBranch>(&*object.value) : nullptr)
+        if (const auto* raw = object.value ? std::get_if<store::RawBranch>(&*object.value) : nullptr)
             stored[raw->path] = canonical(*raw);
     }
     std::vector<TreeChange> changes;
--- a/tools/redwingseamd/Main.cpp
+++ b/tools/redwingseamd/Main.cpp
@@ -1,7 +1,7 @@
 #include "daemon/Daemon.h"
-#include "daemon/JsonLogSink.h"
-#include "daemon/LogLine.h"
 #include "daemon/VmConfig.h"
+#include "log/JsonLogSink.h"
+#include "log/LogLine.h"
 
 #include <csignal>
 #include <curl/curl.h>
@@ -43,7 +43,7 @@
         return failWith(config.error());
     config.value().node.incarnation = wallClockMillis();
     auto signals = blockSignals();
-    daemon::JsonLogSink logs("redwingseamd");
+    log::JsonLogSink logs("redwingseamd");
     curl_global_init(CURL_GLOBAL_DEFAULT);
     auto daemon = daemon::Daemon::start(config.value());
     if (!daemon)
@@ -51,7 +51,7 @@
     int received = 0;
     sigwait(&signals, &received);
     bool isDrained = daemon.value()->drain();
-    LOG(INFO) << daemon::LogLine("stopped").with("answered_all", isDrained ? "yes" : "no").text();
+    LOG(INFO) << log::LogLine("stopped").with("answered_all", isDrained ? "yes" : "no").text();
     return isDrained ? 0 : 1;
 }
 
--- a/tools/standin/Registration.cpp
+++ b/tools/standin/Registration.cpp
@@ -2,7 +2,7 @@
 
 #include "codec/ObjectCodec.h"
 #include "http/BlockingClient.h"
-#include "platform/ObjectKeys.h"
+#include "store/ObjectKeys.h"
 
 namespace redwingseam::standin {
 
@@ -25,7 +25,7 @@
     record.url = "http://" + parsed["listen"].as<std::string>();
     record.slots = slots;
     record.incarnation = parsed["incarnation"].as<uint64_t>();
-    http::HttpRequest request { "PUT", platformUrl + "/objects/" + platform::upstreamKey(record.name).text, codec::formatObject(record) };
+    http::HttpRequest request { "PUT", platformUrl + "/objects/" + store::upstreamKey(record.name).text, codec::formatObject(record) };
     request.timeout = std::chrono::seconds(5);
     auto result = http::exchange(request);
     return result.isAnswered && result.status == 200;
