--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -19,8 +19,9 @@
     uint64_t outputTokens = 0;
     // Upstreams that this request has failed at.
     std::vector<base::UpstreamName> excluded;
-    // Upstream to take if it is usable, such as the one that holds a copy of the run's memory.
-    std::optional<base::UpstreamName> preferred;
+    // Address of the upstream to take if it is usable, such as the one that holds a copy of the run's
+    // memory. The upstream may be listed under another id by now.
+    std::optional<std::string> preferredAddress;
     // Whether a copy of the run's memory should be kept at a second upstream.
     bool wantsBackup = false;
     // Word that breaks ties.
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -17,12 +17,15 @@
     // Still listed, or missing for less than the grace after the store's return.
     bool isListed = true;
     base::Instant missingSince {};
+    // A later incarnation is listed under the same address.
+    bool isSuperseded = false;
 
     bool takesWork(base::Instant now) const
     {
-        return isListed && !instance.isDraining && !suspicion.isReplaced() && !suspicion.isActive(now);
+        return isCurrent() && !suspicion.isActive(now);
     }
-    bool isKnown() const { return isListed && !instance.isDraining && !suspicion.isReplaced(); }
+    // Listed as ready, whether or not it answers.
+    bool isCurrent() const { return isListed && !isSuperseded && !instance.isDraining && !suspicion.isReplaced(); }
 };
 
 } // namespace redwingseam::fleet
--- a/src/fleet/SuspicionCause.h
+++ b/src/fleet/SuspicionCause.h
@@ -22,6 +22,12 @@
     Replaced,
 };
 
+// Whether the upstream itself seems to be down, rather than one answer of it bad.
+constexpr bool isOutage(SuspicionCause cause)
+{
+    return cause == SuspicionCause::Unreachable || cause == SuspicionCause::ConnectionLost || cause == SuspicionCause::Silent;
+}
+
 } // namespace redwingseam::fleet
 
 template<>
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -33,8 +33,26 @@
     std::erase_if(m_entries, [](const PoolEntry& entry) { return !entry.isListed && entry.own == UpstreamLoad {}; });
     for (const auto& instance : listed) {
         if (!findEntry(instance.id))
-            m_entries.push_back(PoolEntry { instance, {}, {}, {}, true, {} });
+            m_entries.push_back(PoolEntry { instance });
     }
+    markSuperseded();
+}
+
+void UpstreamPool::markSuperseded()
+{
+    std::unordered_map<std::string, uint64_t> latest;
+    for (const auto& entry : m_entries) {
+        auto& incarnation = latest[entry.instance.address];
+        incarnation = std::max(incarnation, entry.instance.incarnation);
+    }
+    for (auto& entry : m_entries)
+        entry.isSuperseded = entry.instance.incarnation < latest[entry.instance.address];
+}
+
+bool UpstreamPool::isDoubtful(const PoolEntry& entry, base::Instant now) const
+{
+    auto found = m_dataCentres.find(entry.instance.dataCentre);
+    return found != m_dataCentres.end() && found->second.isDoubtful(now);
 }
 
 PoolEntry* UpstreamPool::findEntry(const base::UpstreamName& id)
@@ -60,7 +78,7 @@
         auto& entry = m_entries[(i + offset) % m_entries.size()];
         if (!usable(entry) || contains(query.excluded, entry.instance.id))
             continue;
-        auto value = cost.ofTarget(entry);
+        auto value = cost.ofTarget(entry) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
@@ -69,18 +87,25 @@
     return best;
 }
 
+PoolEntry* UpstreamPool::findPreferred(const PlacementQuery& query)
+{
+    if (!query.preferredAddress)
+        return nullptr;
+    auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
+        return entry.instance.address == *query.preferredAddress && entry.takesWork(query.now);
+    });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
 PoolEntry* UpstreamPool::chooseTarget(const PlacementQuery& query, const base::DataCentreName& own)
 {
-    if (query.preferred) {
-        auto* preferred = findEntry(*query.preferred);
-        if (preferred && preferred->takesWork(query.now))
-            return preferred;
-    }
+    if (auto* preferred = findPreferred(query))
+        return preferred;
     auto* best = cheapest(query, own, [&](const PoolEntry& entry) { return entry.takesWork(query.now); });
     if (best)
         return best;
     // A suspected upstream may have come back; finding out costs a connection attempt at most.
-    return cheapest(query, own, [](const PoolEntry& entry) { return entry.isKnown(); });
+    return cheapest(query, own, [](const PoolEntry& entry) { return entry.isCurrent(); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& own)
@@ -93,7 +118,7 @@
         auto& entry = m_entries[(i + offset) % m_entries.size()];
         if (!entry.takesWork(query.now) || entry.instance.id == target.id || contains(query.excluded, entry.instance.id))
             continue;
-        auto value = cost.ofBackup(entry, target);
+        auto value = cost.ofBackup(entry, target) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
@@ -167,14 +192,23 @@
 
 void UpstreamPool::suspect(const base::UpstreamName& id, SuspicionCause cause, base::Instant now)
 {
-    if (auto* entry = findEntry(id))
-        entry->suspicion.add(cause, now);
+    auto* entry = findEntry(id);
+    if (!entry)
+        return;
+    entry->suspicion.add(cause, now);
+    if (isOutage(cause))
+        m_dataCentres[entry->instance.dataCentre].noteFailure(id, now);
 }
 
 void UpstreamPool::trust(const base::UpstreamName& id)
 {
-    if (auto* entry = findEntry(id))
-        entry->suspicion.clear();
+    auto* entry = findEntry(id);
+    if (!entry)
+        return;
+    entry->suspicion.clear();
+    auto health = m_dataCentres.find(entry->instance.dataCentre);
+    if (health != m_dataCentres.end())
+        health->second.noteSuccess(id);
 }
 
 } // namespace redwingseam::fleet
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/DataCentreHealth.h"
 #include "fleet/Placement.h"
 #include "fleet/PlacementQuery.h"
 #include "fleet/PoolEntry.h"
@@ -32,11 +33,15 @@
     PoolEntry* findEntry(const base::UpstreamName&);
     template<typename Usable>
     PoolEntry* cheapest(const PlacementQuery&, const base::DataCentreName& own, Usable&&);
+    PoolEntry* findPreferred(const PlacementQuery&);
+    void markSuperseded();
+    bool isDoubtful(const PoolEntry&, base::Instant now) const;
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& own);
     PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& own);
     void unbookBackup(const Placement&);
 
     std::vector<PoolEntry> m_entries;
+    std::unordered_map<base::DataCentreName, DataCentreHealth> m_dataCentres;
     RetryWindow m_retries;
 };
 
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -65,7 +65,7 @@
     query.promptTokens = m_request.promptTokens;
     query.outputTokens = m_request.outputTokens;
     query.excluded = m_excluded;
-    query.preferred = m_copyHolder;
+    query.preferredAddress = m_copyAddress;
     query.wantsBackup = m_request.route->isResumable;
     query.random = random;
     query.now = now;
@@ -89,12 +89,12 @@
 Step Exchange::send(fleet::Placement placement, base::Instant now)
 {
     SendOrder order;
-    order.usesCopy = m_copyHolder && placement.target.id == *m_copyHolder;
+    order.usesCopy = m_copyAddress && placement.target.address == *m_copyAddress;
     order.placement = placement;
     order.lastEventId = m_lastEventId;
     order.deadline = deadline() - now;
     order.allowsKeptConnection = true;
-    m_copyHolder.reset();
+    m_copyAddress.reset();
     m_placement = std::move(placement);
     m_waitingSince = {};
     m_lastProgress = now;
@@ -136,7 +136,7 @@
 
 bool Exchange::maySendAgain(AttemptOutcome outcome, base::Instant now)
 {
-    if (now >= deadline() || m_sends >= m_timing.mostSends)
+    if (now >= deadline() || m_arrivals >= m_timing.mostArrivals)
         return false;
     if (mayHaveRun(outcome) && (!m_request.route->isRepeatable() || m_runs >= m_request.route->mostAttempts))
         return false;
@@ -152,6 +152,8 @@
     }
     if (outcome == AttemptOutcome::AnsweredFailure)
         m_hasFailureAnswer = true;
+    if (outcome != AttemptOutcome::NotConnected)
+        ++m_arrivals;
     auto ended = std::move(m_placement);
     m_placement.reset();
     if (ended) {
@@ -163,7 +165,7 @@
         if (outcome != AttemptOutcome::CopyMissing)
             m_excluded.push_back(ended->target.id);
         if (mayHaveRun(outcome) && ended->backup && isStream())
-            m_copyHolder = ended->backup->id;
+            m_copyAddress = ended->backup->address;
     }
     if (outcome == AttemptOutcome::Answered)
         return { StepKind::Deliver };
@@ -178,7 +180,8 @@
         return {};
     if (m_placement->backup)
         m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
-    if (!m_fleet.takeRetry(m_request.service, m_request.retries, now) || m_sends >= m_timing.mostSends)
+    ++m_arrivals;
+    if (!m_fleet.takeRetry(m_request.service, m_request.retries, now) || m_arrivals >= m_timing.mostArrivals)
         return giveUp(AttemptOutcome::NotRun);
     m_fleet.replaceBackup(*m_placement, query(now, random));
     return send(*m_placement, now);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -64,11 +64,13 @@
     const Timing& m_timing;
     std::optional<fleet::Placement> m_placement;
     std::vector<base::UpstreamName> m_excluded;
-    // Holds a copy of the run's memory from an attempt that ended.
-    std::optional<base::UpstreamName> m_copyHolder;
+    // Address of the upstream that holds a copy of the run's memory from an attempt that ended.
+    std::optional<std::string> m_copyAddress;
     std::optional<uint64_t> m_lastEventId;
     unsigned m_runs = 0;
     unsigned m_sends = 0;
+    // Sends that reached an upstream.
+    unsigned m_arrivals = 0;
     bool m_isHeadSent = false;
     bool m_isProbing = false;
     bool m_mayHaveRun = false;
--- a/src/forward/Timing.h
+++ b/src/forward/Timing.h
@@ -20,8 +20,11 @@
     double abandonGapMultiple = 1.6;
     // Time that the client is told to stay away after a refusal.
     base::Duration retryAfter = std::chrono::milliseconds(300);
-    // Sends of one request, whether run or not. Bounds loops among upstreams that all refuse.
-    unsigned mostSends = 8;
+    // The same where another node can serve the client at once.
+    base::Duration retryElsewhereAfter = std::chrono::milliseconds(30);
+    // Sends of one request that reach an upstream, whether run or not. Bounds loops among upstreams that
+    // all refuse.
+    unsigned mostArrivals = 8;
 };
 
 } // namespace redwingseam::forward
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -21,6 +21,8 @@
     // Where metrics are served.
     http::ListenAddress metrics;
     http::ListenAddress store;
+    // Processor cores that the VM has.
+    unsigned cores = 1;
     // A key that was revoked this long ago must not be used any more; zero if that is not required.
     base::Duration revocationBound {};
     // How long a change of the manifest may take to be in force.
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "fleet/Fleet.h"
 #include "forward/AdmissionRule.h"
+#include "forward/DrainRule.h"
 #include "forward/Timing.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
@@ -18,6 +19,7 @@
         : settings(given)
         , fleet(given.dataCentre)
         , admission(longestUnconfirmed(given.revocationBound))
+        , drain(given.terminationGrace)
     {
     }
 
@@ -31,13 +33,17 @@
         return std::max<base::Duration>(bound - revocationMargin, bound / 2);
     }
 
+    bool isDraining() const { return toldToStopAt.load() != base::Instant {}; }
+
     const GatewaySettings settings;
     fleet::Fleet fleet;
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
+    const forward::DrainRule drain;
     const forward::Timing timing;
     GatewayMetrics metrics;
-    std::atomic<bool> isDraining { false };
+    // When the node was told to stop; the start of time until then.
+    std::atomic<base::Instant> toldToStopAt { base::Instant {} };
     std::atomic<uint32_t> sessions { 0 };
     std::atomic<uint64_t> nextRequest { 1 };
 };
--- a/src/gateway/Lanes.h
+++ b/src/gateway/Lanes.h
@@ -2,28 +2,26 @@
 
 #include "gateway/Lane.h"
 
-#include <array>
-
 namespace redwingseam::gateway {
 
-// The lanes of a gateway; connections are dealt to them in turn.
+// The lanes of a gateway, one for each processor core; connections are dealt to them in turn.
 template<Dialect Names>
 class Lanes {
 public:
     explicit Lanes(GatewayState& state)
-        : m_lanes { std::make_unique<Lane<Names>>(state, 0), std::make_unique<Lane<Names>>(state, 1) }
     {
+        for (unsigned number = 0; number < std::max(1U, state.settings.cores); ++number)
+            m_lanes.push_back(std::make_unique<Lane<Names>>(state, number));
     }
 
     void adopt(base::Socket socket)
     {
-        m_lanes[m_next % m_lanes.size()]->adopt(std::move(socket));
-        ++m_next;
+        auto number = m_next++;
+        m_lanes[number % m_lanes.size()]->adopt(std::move(socket));
     }
 
 private:
-    // A small VM has one core; the second lane keeps serving while the first is in a long step.
-    std::array<std::unique_ptr<Lane<Names>>, 2> m_lanes;
+    std::vector<std::unique_ptr<Lane<Names>>> m_lanes;
     std::atomic<size_t> m_next { 0 };
 };
 
--- a/src/gateway/ReadinessHandler.cpp
+++ b/src/gateway/ReadinessHandler.cpp
@@ -8,7 +8,7 @@
         return { 404, R"({"error":"unknown path"})" };
     bool knowsUpstreams = m_state.fleet.listedAt() != base::Instant {};
     bool isCurrent = m_state.admission.acceptsKeys(m_state.manifest.state(), base::BootClock {}.now());
-    bool isReady = !m_state.isDraining && knowsUpstreams && isCurrent;
+    bool isReady = !m_state.isDraining() && knowsUpstreams && isCurrent;
     return { isReady ? 200U : 503U, isReady ? R"({"ready":true})" : R"({"ready":false})" };
 }
 
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -96,6 +96,7 @@
     bool m_isEventStream = false;
     bool m_isEnded = false;
     bool m_isResuming = false;
+    bool m_isOnKeptConnection = false;
     base::Instant m_lastEventAt {};
 };
 
--- a/src/gateway/SessionAnswersImpl.h
+++ b/src/gateway/SessionAnswersImpl.h
@@ -172,7 +172,7 @@
 template<Dialect Names, typename Lane>
 bool Session<Names, Lane>::keepsClient() const
 {
-    return m_message.keep_alive() && !m_state.isDraining;
+    return m_message.keep_alive() && !m_state.isDraining();
 }
 
 template<Dialect Names, typename Lane>
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -27,12 +27,16 @@
 {
     auto known = m_state.manifest.state();
     auto target = std::string_view(m_message.target());
+    auto told = m_state.toldToStopAt.load();
     auto admission = m_state.admission.admit(known, { hostOf(m_message), pathOf(target), m_facts.key, m_arrivedAt });
+    bool comesTooLate = admission.route && told != base::Instant {} && !m_state.drain.takes(*admission.route, m_arrivedAt - told);
+    if (comesTooLate)
+        admission.code = base::ResultCode::Draining;
     if (admission.code != base::ResultCode::Ok) {
         auto status = statusOfRefusal(admission.code);
         std::optional<base::Duration> retryAfter;
         if (status == 503)
-            retryAfter = m_state.timing.retryAfter;
+            retryAfter = comesTooLate ? m_state.timing.retryElsewhereAfter : m_state.timing.retryAfter;
         logAdmission(admission);
         answerItself({ status, admission.code, retryAfter }, status == 503 ? SessionEnd::Refused : SessionEnd::Rejected);
         return;
@@ -106,7 +110,8 @@
     m_isEventStream = false;
     if (order.allowsKeptConnection)
         m_upstream = m_lane.connections().take(order.placement.target, now());
-    m_state.metrics.countConnection(!m_upstream);
+    m_isOnKeptConnection = m_upstream != nullptr;
+    m_state.metrics.countConnection(!m_isOnKeptConnection);
     if (m_upstream) {
         m_upstream->setOwner(this);
         writeRequest();
@@ -262,6 +267,7 @@
     m_state.metrics.countAttempt(outcome);
     log::LogLine line("attempt_ended");
     line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text);
+    line.with("connection", m_isOnKeptConnection ? "kept" : "new");
     if (m_answer.status)
         line.with("status", m_answer.status);
     if (m_order.placement.backup)
--- /dev/null
+++ b/tests/fakes/FleetFixture.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+#include "forward/Exchange.h"
+
+#include "fakes/FakeClock.h"
+
+namespace redwingseam::fakes {
+
+// A service of model engines in three data centres and a plain one, with the requests that lead there.
+struct FleetFixture {
+    FakeClock clock;
+    fleet::Fleet fleet { { "dc-a" } };
+    forward::Timing timing;
+    std::vector<fleet::UpstreamInstance> listed;
+    std::shared_ptr<const manifest::ManifestIndex> index = std::make_shared<const manifest::ManifestIndex>(manifestOf());
+
+    static manifest::Manifest manifestOf()
+    {
+        using std::chrono::milliseconds;
+        manifest::Manifest manifest;
+        manifest.version = 1;
+        manifest.routes.push_back({ { "stream" }, "h", "/stream/", manifest::RouteKind::Stream, { { { "engines" }, 1 } }, milliseconds(25000), milliseconds(4000), milliseconds(700), 0, 5, false, true });
+        manifest.routes.push_back({ { "read" }, "h", "/read/", manifest::RouteKind::Idempotent, { { { "desk" }, 1 } }, milliseconds(1200), milliseconds(400), {}, 2, 2 });
+        manifest.routes.push_back({ { "book" }, "h", "/book/", manifest::RouteKind::NonIdempotent, { { { "desk" }, 1 } }, milliseconds(1200), milliseconds(400), {}, 2, 1 });
+        manifest.services.push_back({ { "engines" }, 370, manifest::EngineSpec { 64, 88000, true, std::chrono::seconds(4) } });
+        manifest.services.push_back({ { "desk" }, 110, std::nullopt });
+        manifest.accounts.push_back({ { "account" }, { { "key" } }, std::nullopt });
+        return manifest;
+    }
+
+    void list(const std::string& id, const std::string& service, const std::string& dataCentre, uint64_t incarnation = 1, const std::string& address = {})
+    {
+        auto port = std::to_string(8000 + listed.size());
+        listed.push_back({ { id }, { service }, address.empty() ? "127.0.0.1:" + port : address, { dataCentre }, incarnation, 6, false });
+    }
+
+    void update(base::Duration grace = {}) { fleet.update(listed, clock.now(), grace); }
+
+    // Three engines in each of three data centres.
+    void listEngines()
+    {
+        for (const char* dataCentre : { "dc-a", "dc-b", "dc-c" }) {
+            for (int i = 0; i < 3; ++i)
+                list(std::string(dataCentre) + "-" + std::to_string(i), "engines", dataCentre);
+        }
+        update();
+    }
+
+    forward::ExchangeRequest requestOn(const std::string& path) const
+    {
+        forward::ExchangeRequest request;
+        request.index = index;
+        request.route = index->route("h", path);
+        request.service = request.route->services.front().service;
+        request.arrivedAt = clock.now();
+        request.clientDeadline = std::chrono::seconds(25);
+        if (request.route->kind == manifest::RouteKind::Stream) {
+            request.promptTokens = 8000;
+            request.outputTokens = 650;
+        }
+        return request;
+    }
+
+    void advance(base::Duration by) { clock.moveTo(clock.now() + by); }
+
+    // Work that is booked at all upstreams together.
+    fleet::UpstreamLoad booked()
+    {
+        fleet::UpstreamLoad sum;
+        for (const auto& entry : fleet.entries())
+            sum += entry.own;
+        return sum;
+    }
+};
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/GatewayFixture.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "fakes/FleetFixture.h"
+#include "fakes/ScriptedUpstream.h"
+#include "gateway/Acceptor.h"
+#include "gateway/Lanes.h"
+#include "platform/HttpDialect.h"
+
+#include <memory>
+
+namespace redwingseam::fakes {
+
+// A gateway on a loopback port in front of scripted upstreams, without a store.
+class GatewayFixture {
+public:
+    GatewayFixture()
+        : state(settings())
+        , m_lanes(state)
+    {
+        state.manifest.confirm(FleetFixture::manifestOf(), base::BootClock {}.now());
+        base::Socket listener = gateway::listenOn({ "127.0.0.1", 0 });
+        sockaddr_in address {};
+        socklen_t length = sizeof address;
+        getsockname(listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_acceptor = std::make_unique<gateway::Acceptor<Lanes>>(std::move(listener), m_lanes);
+    }
+
+    // Lists an upstream; the first of a service is in the gateway's own data centre and taken first.
+    void list(const std::string& id, const std::string& service, ScriptedUpstream& upstream, const std::string& dataCentre = "dc-a")
+    {
+        m_listed.push_back({ { id }, { service }, upstream.address(), { dataCentre }, 1, 6, false });
+        state.fleet.update(m_listed, base::BootClock {}.now(), {});
+    }
+
+    // A client's connection, closed by the destructor.
+    base::Socket connectClient() const
+    {
+        base::Socket result(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(m_port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(result.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+        return result;
+    }
+
+    static void write(const base::Socket& client, const std::string& bytes)
+    {
+        send(client.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    // What arrives until the connection ends, `until` was seen, or nothing comes for `patienceMs`.
+    static std::string read(const base::Socket& client, const std::string& until = "\r\n0\r\n\r\n", int patienceMs = 3000)
+    {
+        std::string all;
+        char buffer[4096];
+        while (all.find(until) == std::string::npos) {
+            pollfd polled { client.descriptor(), POLLIN, 0 };
+            if (poll(&polled, 1, patienceMs) <= 0)
+                break;
+            auto count = recv(client.descriptor(), buffer, sizeof buffer, 0);
+            if (count <= 0)
+                return all + "<closed>";
+            all.append(buffer, static_cast<size_t>(count));
+        }
+        return all;
+    }
+
+    // One request on a connection of its own, and all of its answer.
+    std::string exchange(const std::string& request) const
+    {
+        auto client = connectClient();
+        write(client, request);
+        return read(client, "<never>", 1500);
+    }
+
+    static std::string get(const std::string& path, const std::string& more = {})
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a1\r\nRedwingseam-Deadline-Ms: 2500\r\nRedwingseam-Key: key\r\nConnection: close\r\n" + more + "\r\n";
+    }
+
+    static std::string post(const std::string& path, const std::string& body, const std::string& more = {})
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a1\r\nRedwingseam-Deadline-Ms: 2500\r\nRedwingseam-Key: key\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
+    }
+
+    // A signed 200 with a body of known length.
+    static std::string ok(const std::string& body, const std::string& more = {})
+    {
+        return "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nKeep-Alive: timeout=10\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
+    }
+
+    static std::string streamHead() { return "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"; }
+
+    // One event as a chunk.
+    static std::string event(unsigned id)
+    {
+        auto text = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+        return size + text + "\r\n";
+    }
+
+    gateway::GatewayState state;
+
+private:
+    using Lanes = gateway::Lanes<platform::HttpDialect>;
+
+    static gateway::GatewaySettings settings()
+    {
+        gateway::GatewaySettings settings;
+        settings.self.text = "vm";
+        settings.dataCentre.text = "dc-a";
+        settings.revocationBound = std::chrono::hours(1);
+        settings.terminationGrace = std::chrono::seconds(8);
+        settings.retries = { 0.8, 10, std::chrono::seconds(10) };
+        return settings;
+    }
+
+    std::vector<fleet::UpstreamInstance> m_listed;
+    Lanes m_lanes;
+    uint16_t m_port = 0;
+    std::unique_ptr<gateway::Acceptor<Lanes>> m_acceptor;
+};
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/ScriptedUpstream.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "base/NamedThread.h"
+#include "base/Socket.h"
+#include "redwingseam/base/Mutex.h"
+
+#include <arpa/inet.h>
+#include <mutex>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace redwingseam::fakes {
+
+// What a ScriptedUpstream does with one request.
+struct ScriptedAnswer {
+    std::string bytes;
+    // Closes the connection after the bytes.
+    bool closes = false;
+    // Resets it instead.
+    bool resets = false;
+};
+
+// An upstream on a loopback port that answers its requests with given bytes, in the order in which they
+// come on whatever connection, and keeps what it was sent. `$ID` in an answer becomes the request's
+// attempt id. Without an answer left it stays silent.
+class ScriptedUpstream {
+public:
+    explicit ScriptedUpstream(std::vector<ScriptedAnswer> answers)
+        : m_answers(std::move(answers))
+        , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+        listen(m_listener.descriptor(), 16);
+        socklen_t length = sizeof address;
+        getsockname(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = base::NamedThread("upstream", [this] { run(); });
+    }
+    ~ScriptedUpstream()
+    {
+        {
+            std::lock_guard guard(m_mutex);
+            m_isStopping = true;
+        }
+        m_thread.join();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    std::vector<std::string> requests()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_requests;
+    }
+    // Connections that were accepted.
+    size_t connections()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_connectionCount;
+    }
+    // Connections that the other side has closed.
+    size_t closed()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_closedCount;
+    }
+
+private:
+    struct Connection {
+        base::Socket socket;
+        std::string input;
+    };
+
+    bool isStopping()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_isStopping;
+    }
+
+    void run()
+    {
+        while (!isStopping()) {
+            std::vector<pollfd> polled { { m_listener.descriptor(), POLLIN, 0 } };
+            for (const auto& connection : m_connections)
+                polled.push_back({ connection.socket.descriptor(), POLLIN, 0 });
+            poll(polled.data(), polled.size(), 5);
+            for (size_t i = m_connections.size(); i > 0; --i) {
+                if (polled[i].revents)
+                    readFrom(i - 1);
+            }
+            if (polled[0].revents)
+                acceptOne();
+        }
+    }
+
+    void acceptOne()
+    {
+        m_connections.push_back({ base::Socket(accept(m_listener.descriptor(), nullptr, nullptr)), {} });
+        std::lock_guard guard(m_mutex);
+        ++m_connectionCount;
+    }
+
+    void readFrom(size_t index)
+    {
+        char buffer[65536];
+        auto count = recv(m_connections[index].socket.descriptor(), buffer, sizeof buffer, 0);
+        if (count <= 0) {
+            m_connections.erase(m_connections.begin() + static_cast<long>(index));
+            std::lock_guard guard(m_mutex);
+            ++m_closedCount;
+            return;
+        }
+        m_connections[index].input.append(buffer, static_cast<size_t>(count));
+        answerWhole(index);
+    }
+
+    void answerWhole(size_t index)
+    {
+        auto& input = m_connections[index].input;
+        auto headEnd = input.find("\r\n\r\n");
+        if (headEnd == std::string::npos)
+            return;
+        auto total = headEnd + 4 + contentLength(input.substr(0, headEnd));
+        if (input.size() < total)
+            return;
+        auto request = input.substr(0, total);
+        input.erase(0, total);
+        ScriptedAnswer answer;
+        {
+            std::lock_guard guard(m_mutex);
+            if (m_requests.size() < m_answers.size())
+                answer = m_answers[m_requests.size()];
+            m_requests.push_back(request);
+        }
+        auto id = headerOf(request, "Redwingseam-Attempt-Id: ");
+        for (auto at = answer.bytes.find("$ID"); at != std::string::npos; at = answer.bytes.find("$ID"))
+            answer.bytes.replace(at, 3, id);
+        auto descriptor = m_connections[index].socket.descriptor();
+        send(descriptor, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+        if (answer.resets) {
+            linger now { 1, 0 };
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        }
+        if (answer.closes || answer.resets)
+            m_connections.erase(m_connections.begin() + static_cast<long>(index));
+    }
+
+    static std::string headerOf(const std::string& head, const std::string& name)
+    {
+        auto at = head.find(name);
+        if (at == std::string::npos)
+            return {};
+        auto begin = at + name.size();
+        return head.substr(begin, head.find("\r\n", begin) - begin);
+    }
+
+    static size_t contentLength(const std::string& head)
+    {
+        auto value = headerOf(head + "\r\n", "Content-Length: ");
+        return value.empty() ? 0 : std::stoul(value);
+    }
+
+    std::vector<ScriptedAnswer> m_answers;
+    base::Socket m_listener;
+    uint16_t m_port = 0;
+    base::Mutex m_mutex;
+    bool m_isStopping = false;
+    std::vector<std::string> m_requests;
+    size_t m_connectionCount = 0;
+    size_t m_closedCount = 0;
+    std::vector<Connection> m_connections;
+    base::NamedThread m_thread;
+};
+
+} // namespace redwingseam::fakes
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -61,8 +61,8 @@
     static constexpr base::Duration shortestDrain = std::chrono::milliseconds(2800);
     static constexpr base::Duration reserve = std::chrono::milliseconds(300);
     static constexpr base::Duration checkInterval = std::chrono::milliseconds(50);
-    m_state.isDraining = true;
     auto began = base::BootClock {}.now();
+    m_state.toldToStopAt = began;
     base::Mutex mutex;
     base::Condition condition;
     std::lock_guard guard(mutex);
