Upstreams by watch, a start that holds clients back, fewer probes

Change: clients wait in the listener's queue until manifest and upstreams are known, 700 ms at most; a stream counts its upstream as heard of if any request was; the list of upstreams is watched; the process ends without waiting for calls.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -47,6 +47,19 @@
     withPool(instance.service, [&](UpstreamPool& pool) { pool.trust(instance.id); });
 }
 
+void Fleet::noteHeard(const UpstreamInstance& instance, base::Instant now)
+{
+    withPool(instance.service, [&](UpstreamPool& pool) { pool.noteHeard(instance.id, now); });
+}
+
+base::Instant Fleet::heardAt(const UpstreamInstance& instance)
+{
+    return withPool(instance.service, [&](UpstreamPool& pool) {
+        const auto* entry = pool.find(instance.id);
+        return entry ? entry->heardAt : base::Instant {};
+    });
+}
+
 bool Fleet::takesWork(const UpstreamInstance& instance, base::Instant now)
 {
     return withPool(instance.service, [&](UpstreamPool& pool) {
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -24,6 +24,9 @@
     void replaceBackup(Placement&, const PlacementQuery&);
     void suspect(const UpstreamInstance&, SuspicionCause, base::Instant now);
     void trust(const UpstreamInstance&);
+    void noteHeard(const UpstreamInstance&, base::Instant now);
+    // When any request last got bytes of the upstream; the start of time if none did.
+    base::Instant heardAt(const UpstreamInstance&);
     // Whether the upstream may still be sent work; a suspected one may not.
     bool takesWork(const UpstreamInstance&, base::Instant now);
 
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -14,6 +14,8 @@
     // Booked by the other nodes, as they last told.
     UpstreamLoad others;
     Suspicion suspicion;
+    // When any request last got bytes of it.
+    base::Instant heardAt {};
     // Still listed, or missing for less than the grace after the store's return.
     bool isListed = true;
     base::Instant missingSince {};
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -200,6 +200,12 @@
         m_dataCentres[entry->instance.dataCentre].noteFailure(id, now);
 }
 
+void UpstreamPool::noteHeard(const base::UpstreamName& id, base::Instant now)
+{
+    if (auto* entry = findEntry(id))
+        entry->heardAt = std::max(entry->heardAt, now);
+}
+
 void UpstreamPool::trust(const base::UpstreamName& id)
 {
     auto* entry = findEntry(id);
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -25,6 +25,7 @@
     void replaceBackup(Placement&, const PlacementQuery&, const base::DataCentreName& own);
     void suspect(const base::UpstreamName&, SuspicionCause, base::Instant now);
     void trust(const base::UpstreamName&);
+    void noteHeard(const base::UpstreamName&, base::Instant now);
     const PoolEntry* find(const base::UpstreamName&) const;
     const std::vector<PoolEntry>& entries() const { return m_entries; }
     RetryWindow& retries() { return m_retries; }
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -199,6 +199,8 @@
 void Exchange::noteProgress(base::Instant now)
 {
     m_lastProgress = now;
+    if (m_placement)
+        m_fleet.noteHeard(m_placement->target, now);
 }
 
 void Exchange::noteEvent(uint64_t eventId, base::Instant now)
@@ -216,8 +218,12 @@
 {
     m_isProbing = false;
     m_lastProbe = now;
-    if (isReachable || !m_placement)
+    if (!m_placement)
         return {};
+    if (isReachable) {
+        m_fleet.noteHeard(m_placement->target, now);
+        return {};
+    }
     return attemptEnded(AttemptOutcome::Silent, now, random);
 }
 
@@ -249,7 +255,9 @@
     if (m_hasEvent && silence > share(route.gapObjective, m_timing.abandonGapMultiple))
         return attemptEnded(AttemptOutcome::Silent, now, random);
     auto wait = m_hasEvent ? share(route.gapObjective, m_timing.probeAfterGapShare) : m_timing.probeInterval;
-    if (silence < wait || now - m_lastProbe < wait)
+    // Another stream of the same upstream proves as much as a probe does.
+    auto heardAt = std::max(m_lastProgress, m_fleet.heardAt(m_placement->target));
+    if (now - heardAt < wait || now - m_lastProbe < wait)
         return {};
     m_isProbing = true;
     m_lastProbe = now;
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -70,6 +70,7 @@
     void keepUpstream(std::unique_ptr<Upstream>);
     bool keepsClient() const;
     void logAdmission(const forward::Admission&) const;
+    void logEnd(SessionEnd) const;
     void logAttempt(forward::AttemptOutcome, const fleet::UpstreamInstance&) const;
     base::Instant now() const { return base::BootClock {}.now(); }
     uint64_t random() { return m_lane.random(); }
@@ -97,7 +98,9 @@
     bool m_isEnded = false;
     bool m_isResuming = false;
     bool m_isOnKeptConnection = false;
+    base::Instant m_firstEventAt {};
     base::Instant m_lastEventAt {};
+    base::Duration m_longestGap {};
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/SessionAnswersImpl.h
+++ b/src/gateway/SessionAnswersImpl.h
@@ -72,6 +72,10 @@
     } else {
         m_state.metrics.record(m_isResuming ? LatencyKind::ResumeGap : LatencyKind::EventGap, at - m_lastEventAt);
     }
+    if (m_firstEventAt == base::Instant {})
+        m_firstEventAt = at;
+    else
+        m_longestGap = std::max(m_longestGap, at - m_lastEventAt);
     m_isResuming = false;
     m_lastEventAt = at;
     std::array<char, 24> size {};
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -229,18 +229,28 @@
     dropUpstream();
     auto kind = m_exchange ? m_exchange->request().route->kind : manifest::RouteKind::NonIdempotent;
     m_state.metrics.countEnd(kind, how);
-    auto tookMs = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_arrivedAt).count();
-    LOG(INFO) << log::LogLine("request_ended")
-                     .with("request", m_facts.attempt.text)
-                     .with("outcome", base::nameOf(how))
-                     .with("took_ms", static_cast<uint64_t>(tookMs))
-                     .with("sends", m_exchange ? m_exchange->sends() : 0)
-                     .with("runs", m_exchange ? m_exchange->runs() : 0)
-                     .text();
+    logEnd(how);
     m_exchange.reset();
     m_lane.sessionEnded(*this);
 }
 
+inline uint64_t millisOf(base::Duration duration)
+{
+    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logEnd(SessionEnd how) const
+{
+    log::LogLine line("request_ended");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(how)).with("took_ms", millisOf(now() - m_arrivedAt));
+    if (m_exchange)
+        line.with("route", m_exchange->request().route->name.text).with("sends", m_exchange->sends()).with("runs", m_exchange->runs());
+    if (m_firstEventAt != base::Instant {})
+        line.with("first_event_ms", millisOf(m_firstEventAt - m_arrivedAt)).with("longest_gap_ms", millisOf(m_longestGap));
+    LOG(INFO) << line.text();
+}
+
 template<Dialect Names, typename Lane>
 void Session<Names, Lane>::logAdmission(const forward::Admission& admission) const
 {
@@ -251,7 +261,7 @@
     if (admission.account)
         line.with("client", admission.account->name.text);
     auto known = m_state.manifest.state();
-    auto ageMs = [&](base::Instant since) { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now() - since).count()); };
+    auto ageMs = [&](base::Instant since) { return millisOf(now() - since); };
     if (known.index)
         line.with("manifest_version", known.index->manifest().version).with("manifest_age_ms", ageMs(known.confirmedAt));
     if (m_state.fleet.listedAt() != base::Instant {})
--- a/src/sync/OutageTracker.cpp
+++ b/src/sync/OutageTracker.cpp
@@ -8,7 +8,7 @@
     m_isOut = !succeeded;
     if (!succeeded)
         return !wasOut;
-    bool mayHaveLapsed = m_lastSuccess != base::Instant {} && now - m_lastSuccess > shortestLapse;
+    bool mayHaveLapsed = wasOut && m_lastSuccess != base::Instant {} && now - m_lastSuccess > shortestLapse;
     if (mayHaveLapsed)
         m_returnedAt = now;
     m_lastSuccess = now;
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -6,18 +6,18 @@
 
 sync::PollSchedule GatewayProcess::manifestSchedule(const gateway::GatewaySettings& settings)
 {
-    // Two lost calls in a row still leave the manifest confirmed.
-    static constexpr int pollsInBound = 4;
+    // A lost call and its repetition still leave the manifest confirmed.
+    static constexpr int pollsInBound = 3;
     auto bound = settings.manifestBound;
     if (settings.revocationBound != base::Duration {})
         bound = std::min(bound, settings.revocationBound);
     return { bound / pollsInBound, bound / (2 * pollsInBound) };
 }
 
-sync::PollSchedule GatewayProcess::fleetSchedule(const gateway::GatewaySettings& settings)
+sync::PollSchedule GatewayProcess::fleetSchedule()
 {
-    static constexpr int pollsInBound = 5;
-    return { settings.drainBound / pollsInBound, settings.drainBound / (2 * pollsInBound) };
+    // Changes that come together are taken in one call.
+    return { std::chrono::milliseconds(100), std::chrono::milliseconds(300) };
 }
 
 GatewayProcess::GatewayProcess(const gateway::GatewaySettings& settings)
@@ -25,9 +25,9 @@
     , m_manifestReader(settings.store, storeTimeout)
     , m_fleetReader(settings.store, storeTimeout)
     , m_manifestTask(m_manifestReader, m_state.manifest)
-    , m_fleetTask(m_fleetReader, m_state.fleet)
+    , m_fleetTask(m_fleetReader, m_state.fleet, settings.drainBound)
     , m_manifestPoller("manifest", m_manifestTask, manifestSchedule(settings))
-    , m_fleetPoller("fleet", m_fleetTask, fleetSchedule(settings))
+    , m_fleetPoller("fleet", m_fleetTask, fleetSchedule())
     , m_readiness(m_state, std::string(platform::path::ready))
     , m_metrics(m_state)
     , m_lanes(m_state)
@@ -48,13 +48,31 @@
     m_metricsServer = std::make_unique<http::RequestServer<gateway::MetricsHandler>>(m_metrics, settings.metrics);
     if (!m_metricsServer->isListening())
         return cannotListen(settings.metrics);
+    // Clients that connect early wait in the listener's queue until the node knows where to send them.
     auto listener = gateway::listenOn(settings.clients);
     if (!listener.isOpen())
         return cannotListen(settings.clients);
+    awaitKnowledge();
     m_acceptor = std::make_unique<gateway::Acceptor<Lanes>>(std::move(listener), m_lanes);
     return {};
 }
 
+void GatewayProcess::awaitKnowledge()
+{
+    // Clients give a connection a second.
+    static constexpr base::Duration longestWait = std::chrono::milliseconds(700);
+    static constexpr base::Duration checkInterval = std::chrono::milliseconds(10);
+    base::Mutex mutex;
+    base::Condition condition;
+    std::lock_guard guard(mutex);
+    auto began = base::BootClock {}.now();
+    while (base::BootClock {}.now() - began < longestWait) {
+        if (m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {})
+            return;
+        condition.waitFor(mutex, checkInterval);
+    }
+}
+
 bool GatewayProcess::drain()
 {
     // The balancer takes a node out after two missed checks, a second apart.
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -32,7 +32,9 @@
     static constexpr base::Duration storeTimeout = std::chrono::milliseconds(1200);
 
     static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
-    static sync::PollSchedule fleetSchedule(const gateway::GatewaySettings&);
+    static sync::PollSchedule fleetSchedule();
+    // Waits until the manifest and the upstreams are known, or no longer makes sense.
+    void awaitKnowledge();
 
     gateway::GatewayState m_state;
     platform::StoreApi m_manifestReader;
--- a/tools/redwingseam-gateway/Main.cpp
+++ b/tools/redwingseam-gateway/Main.cpp
@@ -46,7 +46,8 @@
 int serve(const std::string& path, const gateway::GatewaySettings& settings, const sigset_t& signals)
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    GatewayProcess process(settings);
+    // Not deleted: its threads may wait for the store for longer than the process may still live.
+    auto& process = *new GatewayProcess(settings);
     auto error = process.listen();
     if (error.code != base::ResultCode::Ok) {
         LOG(ERROR) << log::LogLine("start_failed").with("detail", error.detail).text();
@@ -62,7 +63,7 @@
     return 0;
 }
 
-int run(const std::string& path)
+int runLogged(const std::string& path)
 {
     auto signals = blockSignals();
     log::JsonLogSink logs("redwingseam-gateway");
@@ -74,6 +75,13 @@
     return serve(path, settings.value(), signals);
 }
 
+int run(const std::string& path)
+{
+    auto status = runLogged(path);
+    // The log is written by now; nothing else needs an orderly end.
+    _exit(status);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
