--- a/src/daemon/Ticker.h
+++ b/src/base/Ticker.h
@@ -8,15 +8,15 @@
 #include <mutex>
 #include <string>
 
-namespace redwingseam::daemon {
+namespace redwingseam::base {
 
 // Calls a function at a fixed interval on a thread of its own until it is destroyed.
 class Ticker {
 public:
     template<typename Function>
-    Ticker(const std::string& name, base::Duration interval, Function function)
+    Ticker(const std::string& name, Duration interval, Function function)
     {
-        m_thread = base::NamedThread(name, [this, interval, function] {
+        m_thread = NamedThread(name, [this, interval, function] {
             while (waitFor(interval))
                 function();
         });
@@ -37,7 +37,7 @@
 
 private:
     // Returns false once the ticker is to stop.
-    bool waitFor(base::Duration interval)
+    bool waitFor(Duration interval)
     {
         std::lock_guard guard(m_mutex);
         while (!m_isStopping) {
@@ -47,10 +47,10 @@
         return !m_isStopping;
     }
 
-    base::Mutex m_mutex;
-    base::Condition m_condition;
+    Mutex m_mutex;
+    Condition m_condition;
     bool m_isStopping = false;
-    base::NamedThread m_thread;
+    NamedThread m_thread;
 };
 
-} // namespace redwingseam::daemon
+} // namespace redwingseam::base
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,8 +1,8 @@
 #include "daemon/Daemon.h"
 
+#include "base/Ticker.h"
 #include "daemon/AdminHandler.h"
 #include "daemon/ProbeSchedule.h"
-#include "daemon/Ticker.h"
 #include "daemon/VmConfig.h"
 #include "daemon/VmIo.h"
 #include "daemon/VmNode.h"
@@ -32,7 +32,7 @@
     AdminHandler admin;
     ProbeSchedule probes;
     std::unique_ptr<http::RequestServer<AdminHandler>> adminServer;
-    std::unique_ptr<Ticker> ticker;
+    std::unique_ptr<base::Ticker> ticker;
 };
 
 Daemon::Daemon(std::unique_ptr<Parts> parts)
@@ -64,7 +64,7 @@
         return cannotListen(config.admin);
     if (!parts.io.callers.start(config.callers))
         return cannotListen(config.callers);
-    parts.ticker = std::make_unique<Ticker>("ticker", node::tickInterval, [&parts] {
+    parts.ticker = std::make_unique<base::Ticker>("ticker", node::tickInterval, [&parts] {
         auto now = base::SystemClock {}.now();
         parts.events.handle(node::Tick {});
         parts.io.store.tick(now);
--- a/src/daemon/NodeEvents.cpp
+++ b/src/daemon/NodeEvents.cpp
@@ -1,5 +1,6 @@
 #include "daemon/NodeEvents.h"
 
+#include "codec/PeerCodec.h"
 #include "daemon/VmNode.h"
 
 namespace redwingseam::daemon {
@@ -49,9 +50,10 @@
     m_node.node().handle(event);
 }
 
-void NodeEvents::handle(const peer::PeerMessage& event)
+void NodeEvents::onPeerMessage(const std::string& bytes)
 {
-    m_node.node().handle(event);
+    if (auto message = codec::parseMessage(bytes))
+        m_node.node().handle(*message);
 }
 
 void NodeEvents::handle(const node::Tick& event)
--- a/src/daemon/NodeEvents.h
+++ b/src/daemon/NodeEvents.h
@@ -6,12 +6,13 @@
 #include "redwingseam/node/ProbeFailed.h"
 #include "redwingseam/node/Tick.h"
 #include "redwingseam/node/TokensReceived.h"
-#include "redwingseam/peer/PeerMessage.h"
 #include "redwingseam/route/CacheEvent.h"
 #include "redwingseam/route/LoadReport.h"
 #include "redwingseam/store/ObjectChanged.h"
 #include "redwingseam/store/PlatformReply.h"
 
+#include <string>
+
 namespace redwingseam::daemon {
 
 class VmNode;
@@ -33,7 +34,8 @@
     void handle(const route::CacheEvent&);
     void handle(const store::PlatformReply&);
     void handle(const store::ObjectChanged&);
-    void handle(const peer::PeerMessage&);
+    // A message of another VM in its encoded form; what cannot be read is dropped.
+    void onPeerMessage(const std::string&);
     void handle(const node::Tick&);
 
 private:
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -1,5 +1,8 @@
 #include "fleet/Fleet.h"
 
+#include <mutex>
+#include <utility>
+
 namespace redwingseam::fleet {
 
 void Fleet::update(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace)
@@ -40,6 +43,12 @@
 void Fleet::suspect(const UpstreamInstance& instance, SuspicionCause cause, base::Instant now)
 {
     withPool(instance.service, [&](UpstreamPool& pool) { pool.suspect(instance.id, cause, now); });
+    if (!isOutage(cause))
+        return;
+    static constexpr size_t mostNews = 256;
+    std::lock_guard guard(m_newsMutex);
+    if (m_news.size() < mostNews)
+        m_news.push_back({ instance.id, instance.service, cause, now });
 }
 
 void Fleet::trust(const UpstreamInstance& instance)
@@ -68,6 +77,39 @@
     });
 }
 
+void Fleet::setOthers(const LoadMap& loads)
+{
+    m_pools.forEach([&](PoolMap& pools) {
+        for (auto& [service, pool] : pools)
+            pool.setOthers(loads);
+    });
+}
+
+LoadMap Fleet::ownLoads()
+{
+    LoadMap loads;
+    m_pools.forEach([&](PoolMap& pools) {
+        for (const auto& [service, pool] : pools) {
+            for (const auto& entry : pool.entries()) {
+                if (!(entry.own == UpstreamLoad {}))
+                    loads.emplace(entry.instance.id, entry.own);
+            }
+        }
+    });
+    return loads;
+}
+
+void Fleet::applyNews(const SuspicionNews& news)
+{
+    withPool(news.service, [&](UpstreamPool& pool) { pool.applyNews(news); });
+}
+
+std::vector<SuspicionNews> Fleet::takeNews()
+{
+    std::lock_guard guard(m_newsMutex);
+    return std::exchange(m_news, {});
+}
+
 void Fleet::countRequest(const base::ServiceName& service, base::Instant now)
 {
     withPool(service, [&](UpstreamPool& pool) { pool.retries().countRequest(now); });
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/LoadMap.h"
+#include "fleet/SuspicionNews.h"
 #include "fleet/UpstreamPool.h"
 #include "redwingseam/base/Sharded.h"
 
@@ -30,6 +32,15 @@
     // Whether the upstream may still be sent work; a suspected one may not.
     bool takesWork(const UpstreamInstance&, base::Instant now);
 
+    // Replaces what other nodes have booked; an upstream that is not named has nothing booked there.
+    void setOthers(const LoadMap&);
+    // What this node has booked, without what is zero.
+    LoadMap ownLoads();
+    // Another node took the upstream for down at `at`. Counts only if nothing was heard of it since.
+    void applyNews(const SuspicionNews&);
+    // Suspicions of this node since the last call.
+    std::vector<SuspicionNews> takeNews();
+
     void countRequest(const base::ServiceName&, base::Instant now);
     bool takeRetry(const base::ServiceName&, const RetryLimits&, base::Instant now);
 
@@ -48,6 +59,8 @@
 
     base::DataCentreName m_own;
     base::Sharded<PoolMap> m_pools;
+    base::Mutex m_newsMutex;
+    std::vector<SuspicionNews> m_news;
     std::atomic<base::Instant> m_listedAt { base::Instant {} };
 };
 
--- /dev/null
+++ b/src/fleet/LoadMap.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "fleet/UpstreamLoad.h"
+#include "redwingseam/base/Ids.h"
+
+#include <unordered_map>
+
+namespace redwingseam::fleet {
+
+// Booked work by upstream.
+using LoadMap = std::unordered_map<base::UpstreamName, UpstreamLoad>;
+
+} // namespace redwingseam::fleet
--- a/src/fleet/PlacementCost.cpp
+++ b/src/fleet/PlacementCost.cpp
@@ -11,6 +11,13 @@
     return share > memoryShareToAvoid ? memoryPenalty * share : share;
 }
 
+double PlacementCost::jitter(size_t index) const
+{
+    static constexpr uint64_t steps = 1024;
+    auto word = (m_query.random ^ (index + 1)) * 0x9E3779B97F4A7C15ULL;
+    return static_cast<double>((word >> 32) % steps) / static_cast<double>(steps);
+}
+
 double PlacementCost::ofTarget(const PoolEntry& entry) const
 {
     auto requests = entry.own.requests + entry.others.requests;
--- a/src/fleet/PlacementCost.h
+++ b/src/fleet/PlacementCost.h
@@ -18,6 +18,8 @@
     // An upstream whose data centre seems to fail as a whole is taken only if all others are far busier.
     static constexpr double doubtPenalty = 40;
 
+    // Nodes that know the same loads must not all choose the same upstream.
+    double jitter(size_t index) const;
     double ofTarget(const PoolEntry&) const;
     // For the upstream that keeps the copy of a run at `target`.
     double ofBackup(const PoolEntry&, const UpstreamInstance& target) const;
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -78,7 +78,7 @@
         auto& entry = m_entries[(i + offset) % m_entries.size()];
         if (!usable(entry) || contains(query.excluded, entry.instance.id))
             continue;
-        auto value = cost.ofTarget(entry) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
+        auto value = cost.ofTarget(entry) + (query.engine ? cost.jitter(i) : 0) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
@@ -118,7 +118,7 @@
         auto& entry = m_entries[(i + offset) % m_entries.size()];
         if (!entry.takesWork(query.now) || entry.instance.id == target.id || contains(query.excluded, entry.instance.id))
             continue;
-        auto value = cost.ofBackup(entry, target) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
+        auto value = cost.ofBackup(entry, target) + cost.jitter(i) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
@@ -200,6 +200,23 @@
         m_dataCentres[entry->instance.dataCentre].noteFailure(id, now);
 }
 
+void UpstreamPool::setOthers(const LoadMap& loads)
+{
+    for (auto& entry : m_entries) {
+        auto found = loads.find(entry.instance.id);
+        entry.others = found == loads.end() ? UpstreamLoad {} : found->second;
+    }
+}
+
+void UpstreamPool::applyNews(const SuspicionNews& news)
+{
+    auto* entry = findEntry(news.upstream);
+    if (!entry || entry->heardAt >= news.at)
+        return;
+    entry->suspicion.add(news.cause, news.at);
+    m_dataCentres[entry->instance.dataCentre].noteFailure(news.upstream, news.at);
+}
+
 void UpstreamPool::noteHeard(const base::UpstreamName& id, base::Instant now)
 {
     if (auto* entry = findEntry(id))
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fleet/DataCentreHealth.h"
+#include "fleet/LoadMap.h"
 #include "fleet/Placement.h"
 #include "fleet/PlacementQuery.h"
 #include "fleet/PoolEntry.h"
 #include "fleet/RetryWindow.h"
+#include "fleet/SuspicionNews.h"
 
 #include <unordered_map>
 #include <vector>
@@ -25,6 +27,8 @@
     void replaceBackup(Placement&, const PlacementQuery&, const base::DataCentreName& own);
     void suspect(const base::UpstreamName&, SuspicionCause, base::Instant now);
     void trust(const base::UpstreamName&);
+    void setOthers(const LoadMap&);
+    void applyNews(const SuspicionNews&);
     void noteHeard(const base::UpstreamName&, base::Instant now);
     const PoolEntry* find(const base::UpstreamName&) const;
     const std::vector<PoolEntry>& entries() const { return m_entries; }
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -18,6 +18,8 @@
     http::ListenAddress clients;
     // Where readiness is asked for.
     http::ListenAddress readiness;
+    // Where other nodes connect.
+    http::ListenAddress peers;
     // Where metrics are served.
     http::ListenAddress metrics;
     http::ListenAddress store;
--- a/src/manifest/ManifestHolder.cpp
+++ b/src/manifest/ManifestHolder.cpp
@@ -5,7 +5,7 @@
 
 namespace redwingseam::manifest {
 
-bool ManifestHolder::confirm(Manifest manifest, base::Instant readBegan)
+bool ManifestHolder::confirm(Manifest manifest, std::string text, base::Instant readBegan)
 {
     auto version = manifest.version;
     bool isNewer = false;
@@ -20,8 +20,10 @@
     if (m_state.index && version < held)
         return false;
     bool isChanged = index && (!m_state.index || version > held);
-    if (isChanged)
+    if (isChanged) {
         m_state.index = std::move(index);
+        m_state.text = std::make_shared<const std::string>(std::move(text));
+    }
     m_state.confirmedAt = std::max(m_state.confirmedAt, readBegan);
     return isChanged;
 }
--- a/src/manifest/ManifestHolder.h
+++ b/src/manifest/ManifestHolder.h
@@ -10,7 +10,7 @@
 public:
     // Takes the version that a linearizable read, begun at `readBegan`, returned. An older version than
     // the held one is dropped and confirms nothing. Returns whether the held version changed.
-    bool confirm(Manifest, base::Instant readBegan);
+    bool confirm(Manifest, std::string text, base::Instant readBegan);
     // The store still holds `version`, as read from `readBegan` on.
     void confirmUnchanged(uint64_t version, base::Instant readBegan);
     ManifestState state() const;
--- a/src/manifest/ManifestState.h
+++ b/src/manifest/ManifestState.h
@@ -4,6 +4,7 @@
 #include "redwingseam/base/Instant.h"
 
 #include <memory>
+#include <string>
 
 namespace redwingseam::manifest {
 
@@ -11,6 +12,8 @@
 struct ManifestState {
     // Null until a manifest is known.
     std::shared_ptr<const ManifestIndex> index;
+    // The store's text of it, for the other nodes.
+    std::shared_ptr<const std::string> text;
     // Latest moment at which `index` is known to have been the newest version.
     base::Instant confirmedAt {};
 };
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -1,7 +1,5 @@
 #include "peer/PeerClient.h"
 
-#include "codec/PeerCodec.h"
-
 #include <mutex>
 #include <set>
 
@@ -19,14 +17,13 @@
     m_thread.join();
 }
 
-void PeerClient::send(const PeerSend& effect)
+void PeerClient::send(const std::string& address, std::string message)
 {
-    auto bytes = codec::formatMessage(effect.message);
-    m_bytes += bytes.size();
+    m_bytes += message.size();
     ++m_messages;
     {
         std::lock_guard guard(m_mutex);
-        m_queued.push_back({ effect.address, std::move(bytes) });
+        m_queued.push_back({ address, std::move(message) });
     }
     m_poller.wake();
 }
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -4,7 +4,6 @@
 #include "peer/PeerLink.h"
 #include "peer/Poller.h"
 #include "redwingseam/base/Mutex.h"
-#include "redwingseam/peer/PeerSend.h"
 
 #include <atomic>
 #include <map>
@@ -24,7 +23,8 @@
     PeerClient(const PeerClient&) = delete;
     PeerClient& operator=(const PeerClient&) = delete;
 
-    void send(const PeerSend&);
+    // `address` is the `ip:port` of the peer's listener.
+    void send(const std::string& address, std::string message);
     void stop();
     uint64_t bytesSent() const { return m_bytes; }
     uint64_t messagesSent() const { return m_messages; }
--- a/src/peer/PeerLink.cpp
+++ b/src/peer/PeerLink.cpp
@@ -9,12 +9,15 @@
 namespace redwingseam::peer {
 
 static constexpr size_t mostQueuedBytes = 8 * 1024 * 1024;
+// A connection on which nothing is acknowledged for this long is replaced.
+static constexpr unsigned unacknowledgedMillis = 2000;
 
 static base::Socket connectTo(const http::ListenAddress& address)
 {
     base::Socket result(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     int noDelay = 1;
     setsockopt(result.descriptor(), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+    setsockopt(result.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMillis, sizeof unacknowledgedMillis);
     auto native = address.native();
     // The outcome shows when the socket becomes ready.
     (void)connect(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native);
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/NamedThread.h"
-#include "codec/PeerCodec.h"
 #include "http/ListenAddress.h"
 #include "peer/PeerSession.h"
 #include "peer/Poller.h"
@@ -16,9 +15,9 @@
 
 // Takes what other VMs send.
 template<typename T>
-concept PeerEvents = requires(T& events, const PeerMessage& message)
+concept PeerEvents = requires(T& events, const std::string& message)
 {
-    events.handle(message);
+    events.onPeerMessage(message);
 };
 
 // Listens for other VMs. One thread waits on epoll for all connections.
@@ -77,10 +76,8 @@
             return;
         auto& session = *found->second;
         bool isOpen = session.advance();
-        for (const auto& bytes : session.takeMessages()) {
-            if (auto message = codec::parseMessage(bytes))
-                m_events.handle(*message);
-        }
+        for (const auto& message : session.takeMessages())
+            m_events.onPeerMessage(message);
         if (!isOpen)
             m_sessions.erase(found);
         else
--- /dev/null
+++ b/src/peering/Directory.cpp
@@ -0,0 +1,105 @@
+#include "peering/Directory.h"
+
+#include <set>
+
+namespace redwingseam::peering {
+
+void Directory::setNodes(const std::vector<sync::NodeRecord>& nodes)
+{
+    std::map<base::VmName, Entry> entries;
+    for (const auto& node : nodes) {
+        if (node.name == m_self.name)
+            continue;
+        auto before = m_entries.find(node.name);
+        auto heardAt = before == m_entries.end() ? base::Instant {} : before->second.heardAt;
+        entries.emplace(node.name, Entry { node, heardAt });
+    }
+    m_entries = std::move(entries);
+}
+
+void Directory::add(const sync::NodeRecord& node)
+{
+    if (node.name != m_self.name)
+        m_entries[node.name].record = node;
+}
+
+void Directory::noteHeard(const sync::NodeRecord& node, base::Instant now)
+{
+    if (node.name == m_self.name)
+        return;
+    auto& entry = m_entries[node.name];
+    entry.record = node;
+    entry.heardAt = now;
+}
+
+std::vector<sync::NodeRecord> Directory::nodes() const
+{
+    std::vector<sync::NodeRecord> all { m_self };
+    for (const auto& [name, entry] : m_entries)
+        all.push_back(entry.record);
+    return all;
+}
+
+bool Directory::isLive(const Entry& entry, base::Instant now) const
+{
+    return entry.heardAt != base::Instant {} && now - entry.heardAt < liveFor;
+}
+
+std::optional<sync::NodeRecord> Directory::hubOf(const base::DataCentreName& dataCentre, base::Instant now) const
+{
+    std::optional<sync::NodeRecord> firstKnown;
+    for (const auto& [name, entry] : m_entries) {
+        bool isAfterSelf = dataCentre == m_self.dataCentre && m_self.name < name;
+        if (isAfterSelf)
+            return m_self;
+        if (entry.record.dataCentre != dataCentre)
+            continue;
+        if (isLive(entry, now))
+            return entry.record;
+        if (!firstKnown)
+            firstKnown = entry.record;
+    }
+    if (dataCentre == m_self.dataCentre)
+        return m_self;
+    return firstKnown;
+}
+
+std::vector<base::DataCentreName> Directory::otherDataCentres() const
+{
+    std::set<base::DataCentreName> names;
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.record.dataCentre != m_self.dataCentre)
+            names.insert(entry.record.dataCentre);
+    }
+    return { names.begin(), names.end() };
+}
+
+std::vector<sync::NodeRecord> Directory::liveNeighbours(base::Instant now) const
+{
+    std::vector<sync::NodeRecord> neighbours;
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.record.dataCentre == m_self.dataCentre && isLive(entry, now))
+            neighbours.push_back(entry.record);
+    }
+    return neighbours;
+}
+
+std::vector<sync::NodeRecord> Directory::silentBetterNodes(base::Instant now) const
+{
+    std::vector<sync::NodeRecord> silent;
+    std::set<base::DataCentreName> settled;
+    for (const auto& [name, entry] : m_entries) {
+        const auto& dataCentre = entry.record.dataCentre;
+        if (dataCentre == m_self.dataCentre && m_self.name < name)
+            settled.insert(dataCentre);
+        if (settled.count(dataCentre))
+            continue;
+        if (isLive(entry, now))
+            settled.insert(dataCentre);
+        else
+            silent.push_back(entry.record);
+    }
+    return silent;
+}
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/Directory.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "sync/NodeRecord.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace redwingseam::peering {
+
+// The system's nodes and when each was last heard of. In each data centre the first of those that live, by
+// name, is the hub. Not synchronised.
+class Directory {
+public:
+    explicit Directory(sync::NodeRecord self)
+        : m_self(std::move(self))
+    {
+    }
+
+    const sync::NodeRecord& self() const { return m_self; }
+    void setNodes(const std::vector<sync::NodeRecord>&);
+    // Another node told of `node`.
+    void add(const sync::NodeRecord& node);
+    // A message of `node` arrived.
+    void noteHeard(const sync::NodeRecord& node, base::Instant now);
+    std::vector<sync::NodeRecord> nodes() const;
+
+    // The hub of a data centre; nothing if none of its nodes is known.
+    std::optional<sync::NodeRecord> hubOf(const base::DataCentreName&, base::Instant now) const;
+    bool isHub(base::Instant now) const { return hubOf(m_self.dataCentre, now)->name == m_self.name; }
+    // Other data centres with a known node.
+    std::vector<base::DataCentreName> otherDataCentres() const;
+    // Nodes of the own data centre that are heard of, without this one.
+    std::vector<sync::NodeRecord> liveNeighbours(base::Instant now) const;
+    // Nodes that would be hubs if they lived, and are worth a question now and then.
+    std::vector<sync::NodeRecord> silentBetterNodes(base::Instant now) const;
+
+private:
+    struct Entry {
+        sync::NodeRecord record;
+        base::Instant heardAt {};
+    };
+
+    // More than three queries that got no answer.
+    static constexpr base::Duration liveFor = std::chrono::milliseconds(900);
+
+    bool isLive(const Entry&, base::Instant now) const;
+
+    sync::NodeRecord m_self;
+    std::map<base::VmName, Entry> m_entries;
+};
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/MessageCodec.cpp
@@ -0,0 +1,177 @@
+#include "peering/MessageCodec.h"
+
+#include "peering/FieldReader.h"
+#include "peering/MessageKind.h"
+
+namespace redwingseam::peering {
+
+using Json = nlohmann::json;
+
+// Messages are arrays of fields in a fixed order, which keeps the bytes between data centres few.
+
+static Json format(const sync::NodeRecord& node)
+{
+    return Json::array({ node.name.text, node.dataCentre.text, node.peerAddress });
+}
+
+static Json format(const fleet::LoadMap& loads)
+{
+    auto list = Json::array();
+    for (const auto& [upstream, load] : loads)
+        list.push_back(Json::array({ upstream.text, load.requests, load.unreadTokens, load.memoryTokens }));
+    return list;
+}
+
+static Json format(const fleet::UpstreamInstance& upstream)
+{
+    return Json::array({ upstream.id.text, upstream.service.text, upstream.address, upstream.dataCentre.text, upstream.incarnation, upstream.slots, upstream.isDraining });
+}
+
+template<typename List>
+static Json formatList(const List& items)
+{
+    auto list = Json::array();
+    for (const auto& item : items)
+        list.push_back(format(item));
+    return list;
+}
+
+static Json format(const StateQuery& query, base::Instant)
+{
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads) });
+}
+
+static Json format(const StateReply& reply, base::Instant)
+{
+    auto list = reply.list ? formatList(reply.list->upstreams) : Json();
+    return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, reply.manifestAge.count(),
+        reply.manifestText, reply.listRevision, reply.listAge.count(), reply.missingGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes) });
+}
+
+static Json format(const NewsMessage& message, base::Instant now)
+{
+    auto list = Json::array();
+    for (const auto& news : message.news)
+        list.push_back(Json::array({ news.upstream.text, news.service.text, static_cast<int>(news.cause), (now - news.at).count() }));
+    return Json::array({ static_cast<int>(MessageKind::News), format(message.from), std::move(list) });
+}
+
+std::string formatMessage(const Message& message, base::Instant now)
+{
+    auto body = std::visit([&](const auto& alternative) { return format(alternative, now); }, message);
+    std::string bytes;
+    Json::to_cbor(body, bytes);
+    return bytes;
+}
+
+static void parse(FieldReader& reader, sync::NodeRecord& node)
+{
+    node.name.text = reader.text();
+    node.dataCentre.text = reader.text();
+    node.peerAddress = reader.text();
+}
+
+static fleet::LoadMap parseLoads(FieldReader& reader)
+{
+    fleet::LoadMap loads;
+    reader.forEach([&](FieldReader& item) {
+        base::UpstreamName upstream { item.text() };
+        auto& load = loads[upstream];
+        load.requests = static_cast<uint32_t>(item.number());
+        load.unreadTokens = item.number();
+        load.memoryTokens = item.number();
+    });
+    return loads;
+}
+
+static fleet::UpstreamInstance parseUpstream(FieldReader& item)
+{
+    fleet::UpstreamInstance upstream;
+    upstream.id.text = item.text();
+    upstream.service.text = item.text();
+    upstream.address = item.text();
+    upstream.dataCentre.text = item.text();
+    upstream.incarnation = item.number();
+    upstream.slots = static_cast<uint32_t>(item.number());
+    upstream.isDraining = item.flag();
+    return upstream;
+}
+
+static StateQuery parseQuery(FieldReader& reader)
+{
+    StateQuery query;
+    query.sequence = reader.number();
+    reader.nested([&](FieldReader& item) { parse(item, query.from); });
+    query.manifestVersion = reader.number();
+    query.listRevision = reader.number();
+    query.loads = parseLoads(reader);
+    return query;
+}
+
+static base::Duration parseAge(FieldReader& reader)
+{
+    return base::Duration(static_cast<int64_t>(reader.number()));
+}
+
+static StateReply parseReply(FieldReader& reader)
+{
+    StateReply reply;
+    reply.sequence = reader.number();
+    reader.nested([&](FieldReader& item) { parse(item, reply.from); });
+    reply.manifestVersion = reader.number();
+    reply.manifestAge = parseAge(reader);
+    reply.manifestText = reader.text();
+    reply.listRevision = reader.number();
+    reply.listAge = parseAge(reader);
+    reply.missingGrace = parseAge(reader);
+    if (reader.isNull()) {
+        reader.skip();
+    } else {
+        reply.list.emplace();
+        reply.list->revision = reply.listRevision;
+        reader.forEach([&](FieldReader& item) { reply.list->upstreams.push_back(parseUpstream(item)); });
+    }
+    reply.loads = parseLoads(reader);
+    reader.forEach([&](FieldReader& item) { parse(item, reply.nodes.emplace_back()); });
+    return reply;
+}
+
+static NewsMessage parseNews(FieldReader& reader, base::Instant now)
+{
+    NewsMessage message;
+    reader.nested([&](FieldReader& item) { parse(item, message.from); });
+    reader.forEach([&](FieldReader& item) {
+        fleet::SuspicionNews news;
+        news.upstream.text = item.text();
+        news.service.text = item.text();
+        news.cause = static_cast<fleet::SuspicionCause>(item.number(static_cast<uint64_t>(fleet::SuspicionCause::Replaced)));
+        news.at = now - parseAge(item);
+        message.news.push_back(std::move(news));
+    });
+    return message;
+}
+
+std::optional<Message> parseMessage(std::string_view bytes, base::Instant now)
+{
+    auto json = Json::from_cbor(bytes, true, false);
+    if (!json.is_array())
+        return std::nullopt;
+    FieldReader reader(json);
+    std::optional<Message> message;
+    switch (static_cast<MessageKind>(reader.number(static_cast<uint64_t>(MessageKind::News)))) {
+    case MessageKind::Query:
+        message = parseQuery(reader);
+        break;
+    case MessageKind::Reply:
+        message = parseReply(reader);
+        break;
+    case MessageKind::News:
+        message = parseNews(reader, now);
+        break;
+    }
+    if (!reader.isGood())
+        return std::nullopt;
+    return message;
+}
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/MessageKind.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "redwingseam/base/EnumNames.h"
+
+#include <cstdint>
+
+namespace redwingseam::peering {
+
+// First field of a message; the numbers are part of the protocol between nodes.
+enum class MessageKind : uint8_t {
+    Query = 0,
+    Reply = 1,
+    News = 2,
+};
+
+} // namespace redwingseam::peering
+
+template<>
+struct redwingseam::base::EnumNames<redwingseam::peering::MessageKind> {
+    using MessageKind = redwingseam::peering::MessageKind;
+    static constexpr std::array entries {
+        std::pair { MessageKind::Query, std::string_view { "query" } },
+        std::pair { MessageKind::Reply, std::string_view { "reply" } },
+        std::pair { MessageKind::News, std::string_view { "news" } },
+    };
+};
--- /dev/null
+++ b/src/peering/Outgoing.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "peering/Message.h"
+
+#include <string>
+#include <vector>
+
+namespace redwingseam::peering {
+
+// A message to be sent; it may be lost.
+struct Outgoing {
+    std::string address;
+    Message message;
+};
+
+using OutgoingList = std::vector<Outgoing>;
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/PeerIntake.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "log/LogLine.h"
+#include "peering/PeerSender.h"
+
+#include <glog/logging.h>
+
+namespace redwingseam::peering {
+
+// Gives what other nodes send to a PeerSync, and sends its answers.
+template<typename Sync>
+class PeerIntake {
+public:
+    PeerIntake(Sync& sync, PeerSender& sender)
+        : m_sync(sync)
+        , m_sender(sender)
+    {
+    }
+
+    void onPeerMessage(const std::string& bytes)
+    {
+        auto now = base::BootClock {}.now();
+        if (auto message = parseMessage(bytes, now))
+            m_sender.sendAll(m_sync.handle(*message, now));
+        else
+            LOG(WARNING) << log::LogLine("peer_message_unreadable").with("bytes", bytes.size()).text();
+    }
+
+private:
+    Sync& m_sync;
+    PeerSender& m_sender;
+};
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/PeerSync.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+#include "manifest/ManifestHolder.h"
+#include "peering/Directory.h"
+#include "peering/LoadBoard.h"
+#include "peering/Outgoing.h"
+#include "sync/FollowRule.h"
+#include "sync/UpstreamBoard.h"
+
+#include <concepts>
+#include <map>
+
+namespace redwingseam::peering {
+
+// Reads the store's text of a manifest.
+template<typename T>
+concept ManifestParser = requires(const std::string& text)
+{
+    {
+        T::parse(text)
+        } -> std::same_as<base::Result<manifest::Manifest>>;
+};
+
+// What nodes tell each other: the manifest and the list of upstreams with their ages, booked work, and
+// upstreams that seem down. Nodes of a data centre ask its hub; hubs ask each other. Without I/O: returns
+// the messages to be sent. Thread-safe.
+//
+// An age counts from the moment at which the asking node sent its query, so a reply that was delayed makes
+// what it tells older, never younger.
+template<ManifestParser Parser>
+class PeerSync {
+public:
+    PeerSync(sync::NodeRecord self, fleet::Fleet&, manifest::ManifestHolder&, sync::UpstreamBoard&, sync::FollowRule&);
+
+    void setNodes(const std::vector<sync::NodeRecord>&);
+    // Called every `tickInterval`.
+    OutgoingList tick(base::Instant now);
+    OutgoingList handle(const Message&, base::Instant now);
+
+    static constexpr base::Duration tickInterval = std::chrono::milliseconds(50);
+
+private:
+    static constexpr base::Duration neighbourInterval = std::chrono::milliseconds(250);
+    // Bytes between data centres are billed.
+    static constexpr base::Duration remoteInterval = std::chrono::milliseconds(500);
+    static constexpr base::Duration silentInterval = std::chrono::milliseconds(2000);
+    // A reply that comes later tells nothing that the next one does not.
+    static constexpr base::Duration replyTimeout = std::chrono::milliseconds(2000);
+    static constexpr base::Duration newsLifetime = std::chrono::milliseconds(1000);
+
+    OutgoingList take(const StateQuery&, base::Instant now);
+    OutgoingList take(const StateReply&, base::Instant now);
+    OutgoingList take(const NewsMessage&, base::Instant now);
+    void takeManifest(const StateReply&, base::Instant asked);
+    void takeList(const StateReply&, base::Instant asked);
+    void queryNeighbours(OutgoingList&, base::Instant now);
+    void queryRemote(OutgoingList&, base::Instant now);
+    void querySilent(OutgoingList&, base::Instant now);
+    void sendNews(OutgoingList&, std::vector<fleet::SuspicionNews>, const sync::NodeRecord& from, base::Instant now);
+    Outgoing queryTo(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
+    bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
+    void updateRole(base::Instant now);
+
+    fleet::Fleet& m_fleet;
+    manifest::ManifestHolder& m_manifest;
+    sync::UpstreamBoard& m_board;
+    sync::FollowRule& m_follow;
+    base::Mutex m_mutex;
+    Directory m_directory;
+    LoadBoard m_loads;
+    uint64_t m_sequence = 0;
+    std::map<uint64_t, base::Instant> m_asked;
+    base::Instant m_neighboursAsked {};
+    base::Instant m_remoteAsked {};
+    base::Instant m_silentAsked {};
+};
+
+} // namespace redwingseam::peering
+
+#include "peering/PeerSyncImpl.h"
--- /dev/null
+++ b/src/peering/PeerSyncImpl.h
@@ -0,0 +1,246 @@
+#pragma once
+
+#include "log/LogLine.h"
+#include "peering/PeerSync.h"
+
+#include <glog/logging.h>
+#include <mutex>
+
+namespace redwingseam::peering {
+
+template<ManifestParser Parser>
+PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, manifest::ManifestHolder& manifest, sync::UpstreamBoard& board, sync::FollowRule& follow)
+    : m_fleet(fleet)
+    , m_manifest(manifest)
+    , m_board(board)
+    , m_follow(follow)
+    , m_directory(std::move(self))
+{
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::setNodes(const std::vector<sync::NodeRecord>& nodes)
+{
+    std::lock_guard guard(m_mutex);
+    m_directory.setNodes(nodes);
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::updateRole(base::Instant now)
+{
+    bool isHub = m_directory.isHub(now);
+    if (isHub == m_follow.isHub())
+        return;
+    m_follow.setHub(isHub);
+    auto hub = m_directory.hubOf(m_directory.self().dataCentre, now);
+    LOG(INFO) << log::LogLine("hub_changed").with("hub", hub ? hub->name.text : std::string()).with("is_self", isHub ? "yes" : "no").text();
+}
+
+template<ManifestParser Parser>
+OutgoingList PeerSync<Parser>::tick(base::Instant now)
+{
+    auto news = m_fleet.takeNews();
+    std::lock_guard guard(m_mutex);
+    OutgoingList outgoing;
+    updateRole(now);
+    std::erase_if(m_asked, [&](const auto& item) { return now - item.second > replyTimeout; });
+    m_loads.dropOld(now);
+    if (!news.empty())
+        sendNews(outgoing, std::move(news), m_directory.self(), now);
+    if (now - m_neighboursAsked >= neighbourInterval)
+        queryNeighbours(outgoing, now);
+    if (now - m_remoteAsked >= remoteInterval)
+        queryRemote(outgoing, now);
+    if (now - m_silentAsked >= silentInterval)
+        querySilent(outgoing, now);
+    return outgoing;
+}
+
+template<ManifestParser Parser>
+Outgoing PeerSync<Parser>::queryTo(const sync::NodeRecord& node, fleet::LoadMap loads, base::Instant now)
+{
+    StateQuery query;
+    query.sequence = ++m_sequence;
+    query.from = m_directory.self();
+    auto manifest = m_manifest.state();
+    query.manifestVersion = manifest.index ? manifest.index->manifest().version : 0;
+    auto listing = m_board.listing();
+    query.listRevision = listing ? listing->list->revision : 0;
+    query.loads = std::move(loads);
+    m_asked[query.sequence] = now;
+    return { node.peerAddress, std::move(query) };
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::queryNeighbours(OutgoingList& outgoing, base::Instant now)
+{
+    m_neighboursAsked = now;
+    if (m_follow.isHub()) {
+        m_fleet.setOthers(m_loads.sum(now));
+        return;
+    }
+    if (auto hub = m_directory.hubOf(m_directory.self().dataCentre, now))
+        outgoing.push_back(queryTo(*hub, m_fleet.ownLoads(), now));
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::queryRemote(OutgoingList& outgoing, base::Instant now)
+{
+    m_remoteAsked = now;
+    if (!m_follow.isHub())
+        return;
+    // What this data centre has booked: the hub itself and its neighbours.
+    LoadBoard inside;
+    inside.set("self", m_fleet.ownLoads(), now);
+    for (const auto& node : m_directory.liveNeighbours(now))
+        inside.set(node.name.text, m_loads.of(node.name.text), now);
+    auto loads = inside.sum(now);
+    for (const auto& dataCentre : m_directory.otherDataCentres()) {
+        if (auto hub = m_directory.hubOf(dataCentre, now))
+            outgoing.push_back(queryTo(*hub, loads, now));
+    }
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::querySilent(OutgoingList& outgoing, base::Instant now)
+{
+    m_silentAsked = now;
+    for (const auto& node : m_directory.silentBetterNodes(now)) {
+        if (isNeighbour(node) || m_follow.isHub())
+            outgoing.push_back(queryTo(node, {}, now));
+    }
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::sendNews(OutgoingList& outgoing, std::vector<fleet::SuspicionNews> news, const sync::NodeRecord& from, base::Instant now)
+{
+    const auto& self = m_directory.self();
+    std::vector<sync::NodeRecord> receivers;
+    bool isHub = m_follow.isHub();
+    if (!isHub) {
+        if (auto hub = m_directory.hubOf(self.dataCentre, now); hub && from.name == self.name)
+            receivers.push_back(*hub);
+    } else {
+        receivers = m_directory.liveNeighbours(now);
+        // What another data centre's hub told is not passed to further data centres; it tells them itself.
+        if (isNeighbour(from)) {
+            for (const auto& dataCentre : m_directory.otherDataCentres()) {
+                if (auto hub = m_directory.hubOf(dataCentre, now))
+                    receivers.push_back(*hub);
+            }
+        }
+    }
+    for (const auto& node : receivers) {
+        if (node.name != from.name)
+            outgoing.push_back({ node.peerAddress, NewsMessage { self, news } });
+    }
+}
+
+template<ManifestParser Parser>
+OutgoingList PeerSync<Parser>::handle(const Message& message, base::Instant now)
+{
+    std::lock_guard guard(m_mutex);
+    return std::visit([&](const auto& body) { return take(body, now); }, message);
+}
+
+template<ManifestParser Parser>
+OutgoingList PeerSync<Parser>::take(const StateQuery& query, base::Instant now)
+{
+    m_directory.noteHeard(query.from, now);
+    bool isInside = isNeighbour(query.from);
+    m_loads.set(isInside ? query.from.name.text : query.from.dataCentre.text, query.loads, now);
+    StateReply reply;
+    reply.sequence = query.sequence;
+    reply.from = m_directory.self();
+    auto manifest = m_manifest.state();
+    if (manifest.index) {
+        reply.manifestVersion = manifest.index->manifest().version;
+        reply.manifestAge = now - manifest.confirmedAt;
+        if (reply.manifestVersion > query.manifestVersion && manifest.text)
+            reply.manifestText = *manifest.text;
+    }
+    if (auto listing = m_board.listing()) {
+        reply.listRevision = listing->list->revision;
+        reply.listAge = now - listing->readAt;
+        reply.missingGrace = listing->missingGrace;
+        if (reply.listRevision > query.listRevision)
+            reply.list = *listing->list;
+    }
+    if (isInside) {
+        reply.loads = m_loads.sum(now, query.from.name.text);
+        for (const auto& [upstream, load] : m_fleet.ownLoads())
+            reply.loads[upstream] += load;
+        reply.nodes = m_directory.nodes();
+    }
+    return { { query.from.peerAddress, std::move(reply) } };
+}
+
+template<ManifestParser Parser>
+OutgoingList PeerSync<Parser>::take(const StateReply& reply, base::Instant now)
+{
+    m_directory.noteHeard(reply.from, now);
+    auto asked = m_asked.extract(reply.sequence);
+    if (asked.empty())
+        return {};
+    takeManifest(reply, asked.mapped());
+    takeList(reply, asked.mapped());
+    if (!isNeighbour(reply.from))
+        return {};
+    if (!m_follow.isHub())
+        m_fleet.setOthers(reply.loads);
+    for (const auto& node : reply.nodes)
+        m_directory.add(node);
+    return {};
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::takeManifest(const StateReply& reply, base::Instant asked)
+{
+    if (!reply.manifestVersion)
+        return;
+    auto confirmedAt = asked - reply.manifestAge;
+    if (reply.manifestText.empty()) {
+        m_manifest.confirmUnchanged(reply.manifestVersion, confirmedAt);
+        return;
+    }
+    auto manifest = Parser::parse(reply.manifestText);
+    if (!manifest) {
+        LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", manifest.error().detail).text();
+        return;
+    }
+    if (m_manifest.confirm(std::move(manifest.value()), reply.manifestText, confirmedAt))
+        LOG(INFO) << log::LogLine("manifest_in_force").with("version", reply.manifestVersion).with("from", reply.from.name.text).text();
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::takeList(const StateReply& reply, base::Instant asked)
+{
+    auto readAt = asked - reply.listAge;
+    auto held = m_board.listing();
+    std::shared_ptr<const sync::UpstreamList> list;
+    if (reply.list)
+        list = std::make_shared<const sync::UpstreamList>(*reply.list);
+    else if (held && held->list->revision == reply.listRevision)
+        list = held->list;
+    if (list && m_board.post({ list, readAt, reply.missingGrace }))
+        m_fleet.update(list->upstreams, readAt, reply.missingGrace);
+}
+
+template<ManifestParser Parser>
+OutgoingList PeerSync<Parser>::take(const NewsMessage& message, base::Instant now)
+{
+    m_directory.noteHeard(message.from, now);
+    std::vector<fleet::SuspicionNews> fresh;
+    for (const auto& news : message.news) {
+        if (now - news.at < newsLifetime)
+            fresh.push_back(news);
+    }
+    for (const auto& news : fresh)
+        m_fleet.applyNews(news);
+    OutgoingList outgoing;
+    if (m_follow.isHub() && !fresh.empty())
+        sendNews(outgoing, std::move(fresh), message.from, now);
+    return outgoing;
+}
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/StateQuery.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fleet/LoadMap.h"
+#include "sync/NodeRecord.h"
+
+#include <cstdint>
+
+namespace redwingseam::peering {
+
+// A node asks another what it knows, and tells what it has booked itself (a hub asking the hub of another
+// data centre: what its data centre has booked).
+struct StateQuery {
+    // Chosen by the sender, returned in the reply.
+    uint64_t sequence = 0;
+    sync::NodeRecord from;
+    // What the sender holds.
+    uint64_t manifestVersion = 0;
+    uint64_t listRevision = 0;
+    fleet::LoadMap loads;
+};
+
+} // namespace redwingseam::peering
--- /dev/null
+++ b/src/peering/StateReply.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "fleet/LoadMap.h"
+#include "redwingseam/base/Instant.h"
+#include "sync/NodeRecord.h"
+#include "sync/UpstreamList.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace redwingseam::peering {
+
+// Answer to a StateQuery. Ages are as of the moment of the answer.
+struct StateReply {
+    uint64_t sequence = 0;
+    sync::NodeRecord from;
+    uint64_t manifestVersion = 0;
+    base::Duration manifestAge {};
+    // Only if it is newer than what the asking node holds.
+    std::string manifestText;
+    uint64_t listRevision = 0;
+    base::Duration listAge {};
+    base::Duration missingGrace {};
+    // Only if it is newer than what the asking node holds.
+    std::optional<sync::UpstreamList> list;
+    // What all others have booked; only within a data centre.
+    fleet::LoadMap loads;
+    // Only within a data centre.
+    std::vector<sync::NodeRecord> nodes;
+};
+
+} // namespace redwingseam::peering
--- a/src/sync/FleetTask.h
+++ b/src/sync/FleetTask.h
@@ -3,8 +3,10 @@
 #include "fleet/Fleet.h"
 #include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
+#include "sync/FollowRule.h"
 #include "sync/OutageTracker.h"
 #include "sync/StoreReader.h"
+#include "sync/UpstreamBoard.h"
 
 #include <glog/logging.h>
 #include <map>
@@ -17,9 +19,12 @@
 class FleetTask {
 public:
     // `bound`: how long a change may take to be known.
-    FleetTask(Reader& reader, fleet::Fleet& fleet, base::Duration bound)
+    FleetTask(Reader& reader, fleet::Fleet& fleet, UpstreamBoard& board, const FollowRule& follow, base::Duration bound)
         : m_reader(reader)
         , m_fleet(fleet)
+        , m_board(board)
+        , m_follow(follow)
+        , m_bound(bound)
         , m_watchTime(bound / 2)
         , m_listInterval(bound * 2)
     {
@@ -28,6 +33,11 @@
     bool poll()
     {
         auto began = base::BootClock {}.now();
+        if (!m_follow.asksStore(began - m_fleet.listedAt(), m_bound)) {
+            // Changes that others told of are unknown here, so a watch could not go on from the last one.
+            m_isListed = false;
+            return true;
+        }
         bool mustList = !m_isListed || began - m_listedAt > m_listInterval;
         auto error = mustList ? list(began) : watch();
         auto now = base::BootClock {}.now();
@@ -97,7 +107,10 @@
         all.reserve(m_known.size());
         for (const auto& [id, instance] : m_known)
             all.push_back(instance);
-        m_fleet.update(all, began, m_outages.missingGrace(now));
+        auto grace = m_outages.missingGrace(now);
+        auto list = std::make_shared<const UpstreamList>(UpstreamList { m_revision, std::move(all) });
+        if (m_board.post({ list, began, grace }))
+            m_fleet.update(list->upstreams, began, grace);
     }
 
     void noteDependency(bool succeeded, const base::Error& error, base::Instant now)
@@ -117,6 +130,9 @@
 
     Reader& m_reader;
     fleet::Fleet& m_fleet;
+    UpstreamBoard& m_board;
+    const FollowRule& m_follow;
+    base::Duration m_bound;
     base::Duration m_watchTime;
     base::Duration m_listInterval;
     OutageTracker m_outages;
--- a/src/sync/ManifestRead.h
+++ b/src/sync/ManifestRead.h
@@ -3,6 +3,7 @@
 #include "redwingseam/manifest/Manifest.h"
 
 #include <optional>
+#include <string>
 
 namespace redwingseam::sync {
 
@@ -11,6 +12,8 @@
     uint64_t version = 0;
     // Nothing if it is byte for byte what this reader returned before.
     std::optional<manifest::Manifest> changed;
+    // Only with `changed`.
+    std::string text {};
 };
 
 } // namespace redwingseam::sync
--- a/src/sync/ManifestTask.h
+++ b/src/sync/ManifestTask.h
@@ -3,6 +3,7 @@
 #include "log/LogLine.h"
 #include "manifest/ManifestHolder.h"
 #include "redwingseam/base/BootClock.h"
+#include "sync/FollowRule.h"
 #include "sync/OutageTracker.h"
 #include "sync/StoreReader.h"
 
@@ -14,15 +15,20 @@
 template<StoreReader Reader>
 class ManifestTask {
 public:
-    ManifestTask(Reader& reader, manifest::ManifestHolder& holder)
+    // `bound`: by when a change of the manifest must be known.
+    ManifestTask(Reader& reader, manifest::ManifestHolder& holder, const FollowRule& follow, base::Duration bound)
         : m_reader(reader)
         , m_holder(holder)
+        , m_follow(follow)
+        , m_bound(bound)
     {
     }
 
     bool poll()
     {
         auto began = base::BootClock {}.now();
+        if (!m_follow.asksStore(began - m_holder.state().confirmedAt, m_bound))
+            return true;
         auto read = m_reader.readManifest();
         bool isChanged = m_outages.note(bool(read), base::BootClock {}.now());
         if (isChanged && read)
@@ -35,7 +41,7 @@
             m_holder.confirmUnchanged(read.value().version, began);
             return true;
         }
-        if (m_holder.confirm(std::move(*read.value().changed), began))
+        if (m_holder.confirm(std::move(*read.value().changed), std::move(read.value().text), began))
             LOG(INFO) << log::LogLine("manifest_in_force").with("version", read.value().version).text();
         return true;
     }
@@ -43,6 +49,8 @@
 private:
     Reader& m_reader;
     manifest::ManifestHolder& m_holder;
+    const FollowRule& m_follow;
+    base::Duration m_bound;
     OutageTracker m_outages;
 };
 
--- a/src/sync/StoreReader.h
+++ b/src/sync/StoreReader.h
@@ -2,16 +2,18 @@
 
 #include "redwingseam/base/Result.h"
 #include "sync/ManifestRead.h"
+#include "sync/NodeRecord.h"
 #include "sync/UpstreamChanges.h"
 #include "sync/UpstreamList.h"
 
 #include <concepts>
+#include <vector>
 
 namespace redwingseam::sync {
 
-// Reads the platform's store. Calls wait for the answer and are made from one thread for each reader.
+// Calls of the platform's store. Calls wait for the answer and are made from one thread for each reader.
 template<typename T>
-concept StoreReader = requires(T& reader, uint64_t revision, base::Duration wait)
+concept StoreReader = requires(T& reader, uint64_t revision, base::Duration wait, const NodeRecord& node)
 {
     {
         reader.readManifest()
@@ -24,6 +26,13 @@
     {
         reader.watchUpstreams(revision, wait)
         } -> std::same_as<base::Result<UpstreamChanges>>;
+    // Enters this node, in place of what stands under its name.
+    {
+        reader.announceNode(node)
+        } -> std::same_as<base::Error>;
+    {
+        reader.listNodes()
+        } -> std::same_as<base::Result<std::vector<NodeRecord>>>;
 };
 
 } // namespace redwingseam::sync
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -4,14 +4,29 @@
 
 namespace redwingseam {
 
+base::Duration GatewayProcess::manifestBound(const gateway::GatewaySettings& settings)
+{
+    if (settings.revocationBound == base::Duration {})
+        return settings.manifestBound;
+    return std::min(settings.manifestBound, settings.revocationBound);
+}
+
 sync::PollSchedule GatewayProcess::manifestSchedule(const gateway::GatewaySettings& settings)
 {
     // A lost call and its repetition still leave the manifest confirmed.
     static constexpr int pollsInBound = 3;
-    auto bound = settings.manifestBound;
-    if (settings.revocationBound != base::Duration {})
-        bound = std::min(bound, settings.revocationBound);
-    return { bound / pollsInBound, bound / (2 * pollsInBound) };
+    return { manifestBound(settings) / pollsInBound, manifestBound(settings) / (2 * pollsInBound) };
+}
+
+sync::NodeRecord GatewayProcess::recordOf(const gateway::GatewaySettings& settings)
+{
+    return { settings.self, settings.dataCentre, settings.peers.text() };
+}
+
+sync::PollSchedule GatewayProcess::nodesSchedule()
+{
+    // Nodes come and go over minutes; one that is new makes itself known by its own questions.
+    return { std::chrono::seconds(5), std::chrono::milliseconds(700) };
 }
 
 sync::PollSchedule GatewayProcess::fleetSchedule()
@@ -22,10 +37,14 @@
 
 GatewayProcess::GatewayProcess(const gateway::GatewaySettings& settings)
     : m_state(settings)
+    , m_peerSync(recordOf(settings), m_state.fleet, m_state.manifest, m_board, m_follow)
+    , m_peers(m_peerSync)
     , m_manifestReader(settings.store, storeTimeout)
     , m_fleetReader(settings.store, storeTimeout)
-    , m_manifestTask(m_manifestReader, m_state.manifest)
-    , m_fleetTask(m_fleetReader, m_state.fleet, settings.drainBound)
+    , m_nodesReader(settings.store, storeTimeout)
+    , m_manifestTask(m_manifestReader, m_state.manifest, m_follow, manifestBound(settings))
+    , m_fleetTask(m_fleetReader, m_state.fleet, m_board, m_follow, settings.drainBound)
+    , m_nodesTask(m_nodesReader, m_peerSync, m_follow, recordOf(settings))
     , m_manifestPoller("manifest", m_manifestTask, manifestSchedule(settings))
     , m_fleetPoller("fleet", m_fleetTask, fleetSchedule())
     , m_readiness(m_state, std::string(platform::path::ready))
@@ -42,6 +61,9 @@
 base::Error GatewayProcess::listen()
 {
     const auto& settings = m_state.settings;
+    if (!m_peers.start(settings.peers))
+        return cannotListen(settings.peers);
+    m_nodesPoller = std::make_unique<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>>("nodes", m_nodesTask, nodesSchedule());
     m_readinessServer = std::make_unique<http::RequestServer<gateway::ReadinessHandler>>(m_readiness, settings.readiness);
     if (!m_readinessServer->isListening())
         return cannotListen(settings.readiness);
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -5,11 +5,15 @@
 #include "gateway/MetricsHandler.h"
 #include "gateway/ReadinessHandler.h"
 #include "http/RequestServer.h"
+#include "peering/PeerLoop.h"
+#include "peering/PeerSync.h"
 #include "platform/HttpDialect.h"
+#include "platform/ManifestCodec.h"
 #include "platform/Paths.h"
 #include "platform/StoreApi.h"
 #include "sync/FleetTask.h"
 #include "sync/ManifestTask.h"
+#include "sync/NodesTask.h"
 #include "sync/StorePoller.h"
 
 namespace redwingseam {
@@ -26,23 +30,34 @@
     gateway::GatewayState& state() { return m_state; }
 
 private:
+    using PeerSync = peering::PeerSync<platform::ManifestCodec>;
     using Lanes = gateway::Lanes<platform::HttpDialect>;
 
     // Calls that take longer are given up; a slow store answers in a few hundred milliseconds.
     static constexpr base::Duration storeTimeout = std::chrono::milliseconds(1200);
 
+    static base::Duration manifestBound(const gateway::GatewaySettings&);
+    static sync::NodeRecord recordOf(const gateway::GatewaySettings&);
+    static sync::PollSchedule nodesSchedule();
     static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
     static sync::PollSchedule fleetSchedule();
     // Waits until the manifest and the upstreams are known, or no longer makes sense.
     void awaitKnowledge();
 
     gateway::GatewayState m_state;
+    sync::FollowRule m_follow;
+    sync::UpstreamBoard m_board;
+    PeerSync m_peerSync;
+    peering::PeerLoop<PeerSync> m_peers;
     platform::StoreApi m_manifestReader;
     platform::StoreApi m_fleetReader;
+    platform::StoreApi m_nodesReader;
     sync::ManifestTask<platform::StoreApi> m_manifestTask;
     sync::FleetTask<platform::StoreApi> m_fleetTask;
+    sync::NodesTask<platform::StoreApi, PeerSync> m_nodesTask;
     sync::StorePoller<sync::ManifestTask<platform::StoreApi>> m_manifestPoller;
     sync::StorePoller<sync::FleetTask<platform::StoreApi>> m_fleetPoller;
+    std::unique_ptr<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>> m_nodesPoller;
     gateway::ReadinessHandler m_readiness;
     gateway::MetricsHandler m_metrics;
     std::unique_ptr<http::RequestServer<gateway::ReadinessHandler>> m_readinessServer;
