Tests of manifest, fleet, exchange between nodes and the platform's formats

Cause: the gateway's decisions had tests for the mended faults only. Change: properties over versions, revocation, retry windows, event splitting and damaged input; a virtual-time world of nodes for hubs, ages, booked work and news.

--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -5,6 +5,7 @@
 #include "peering/Directory.h"
 #include "peering/LoadBoard.h"
 #include "peering/Outgoing.h"
+#include "redwingseam/base/Result.h"
 #include "sync/FollowRule.h"
 #include "sync/UpstreamBoard.h"
 
--- /dev/null
+++ b/tests/FleetTest.cpp
@@ -0,0 +1,193 @@
+#include "fleet/Fleet.h"
+#include "forward/DrainRule.h"
+#include "forward/EventSplitter.h"
+#include "sync/OutageTracker.h"
+
+#include "PropertyCheck.h"
+#include "fakes/FleetFixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+
+using namespace redwingseam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Fleet)
+{
+    fakes::FleetFixture world;
+
+    fleet::PlacementQuery query(uint64_t random = 1)
+    {
+        fleet::PlacementQuery query;
+        query.service.text = "engines";
+        query.engine = manifest::EngineSpec { 64, 88000, true, seconds(4) };
+        query.promptTokens = 8000;
+        query.outputTokens = 650;
+        query.wantsBackup = true;
+        query.random = random * 0x9E3779B97F4A7C15ULL;
+        query.now = world.clock.now();
+        return query;
+    }
+};
+
+TEST(Fleet, CopyIsKeptInAnotherDataCentre)
+{
+    world.listEngines();
+    for (uint64_t random = 0; random < 50; ++random) {
+        auto placement = world.fleet.place(query(random));
+        CHECK_TRUE(placement->backup.has_value());
+        CHECK_TRUE(placement->backup->dataCentre != placement->target.dataCentre);
+    }
+}
+
+TEST(Fleet, PromptsAreSpreadOverUpstreams)
+{
+    world.listEngines();
+    std::set<base::UpstreamName> targets;
+    for (uint64_t random = 0; random < 9; ++random)
+        targets.insert(world.fleet.place(query(random))->target.id);
+    LONGS_EQUAL(9, targets.size());
+}
+
+TEST(Fleet, WorkOfOtherNodesCounts)
+{
+    world.list("e1", "engines", "dc-a");
+    world.list("e2", "engines", "dc-a");
+    world.update();
+    world.fleet.setOthers({ { { "e1" }, { 1, 8000, 8650 } } });
+    for (uint64_t random = 0; random < 20; ++random) {
+        auto placement = world.fleet.place(query(random));
+        STRCMP_EQUAL("e2", placement->target.id.text.c_str());
+        world.fleet.release(*placement);
+    }
+}
+
+TEST(Fleet, LeavingAndGoneUpstreamsGetNoNewWork)
+{
+    world.list("e1", "engines", "dc-a");
+    world.list("e2", "engines", "dc-a");
+    world.update();
+    world.listed[0].isDraining = true;
+    world.update();
+    STRCMP_EQUAL("e2", world.fleet.place(query())->target.id.text.c_str());
+    world.listed.erase(world.listed.begin() + 1);
+    world.update();
+    CHECK_FALSE(world.fleet.place(query()).has_value());
+}
+
+TEST(Fleet, EntryThatLapsedDuringAnOutageIsKeptForTheGrace)
+{
+    world.list("e1", "engines", "dc-a");
+    world.update();
+    world.listed.clear();
+    world.update(milliseconds(2400));
+    CHECK_TRUE(world.fleet.place(query()).has_value());
+    world.advance(milliseconds(2400));
+    world.update(milliseconds(2400));
+    CHECK_FALSE(world.fleet.place(query()).has_value());
+}
+
+TEST(Fleet, GraceForMissingEntriesFollowsOnlyALongOutage)
+{
+    sync::OutageTracker outages;
+    auto now = world.clock.now();
+    outages.note(true, now);
+    CHECK_TRUE(outages.note(false, now + seconds(1)));
+    CHECK_TRUE(outages.note(true, now + milliseconds(1200)));
+    CHECK_TRUE(outages.missingGrace(now + milliseconds(1200)) == base::Duration {});
+    outages.note(false, now + seconds(2));
+    outages.note(true, now + seconds(6));
+    CHECK_TRUE(outages.missingGrace(now + seconds(7)) > base::Duration {});
+    CHECK_TRUE(outages.missingGrace(now + seconds(9)) == base::Duration {});
+}
+
+TEST(Fleet, SuspectedUpstreamIsTakenOnlyIfThereIsNoOther)
+{
+    world.list("e1", "engines", "dc-a");
+    world.list("e2", "engines", "dc-b");
+    world.update();
+    world.fleet.suspect(world.listed[0], fleet::SuspicionCause::Silent, world.clock.now());
+    STRCMP_EQUAL("e2", world.fleet.place(query())->target.id.text.c_str());
+    world.fleet.suspect(world.listed[1], fleet::SuspicionCause::Silent, world.clock.now());
+    CHECK_TRUE(world.fleet.place(query()).has_value());
+}
+
+TEST(Fleet, SuspicionGrowsWithRepeatedFailuresAndEnds)
+{
+    fleet::Suspicion suspicion;
+    auto now = world.clock.now();
+    suspicion.add(fleet::SuspicionCause::Unreachable, now);
+    CHECK_TRUE(suspicion.isActive(now + milliseconds(599)));
+    CHECK_FALSE(suspicion.isActive(now + milliseconds(600)));
+    suspicion.add(fleet::SuspicionCause::Unreachable, now + seconds(1));
+    CHECK_TRUE(suspicion.isActive(now + milliseconds(2199)));
+    for (int i = 2; i < 40; ++i)
+        suspicion.add(fleet::SuspicionCause::Unreachable, now + seconds(10 * i));
+    CHECK_FALSE(suspicion.isActive(now + seconds(390) + milliseconds(3000)));
+}
+
+TEST(Fleet, RetriesStayWithinTheWindowsLimit)
+{
+    CHECK_PROPERTY("in any window retries are at most ratio times requests plus slack", [](const std::vector<std::pair<uint16_t, bool>>& steps) {
+        fleet::RetryWindow window;
+        fleet::RetryLimits limits { 0.8, 5, seconds(10) };
+        base::Instant now { seconds(1000) };
+        std::vector<base::Instant> requests;
+        std::vector<base::Instant> retries;
+        for (auto [gap, isRequest] : steps) {
+            now += milliseconds(gap % 700);
+            if (isRequest) {
+                window.countRequest(now);
+                requests.push_back(now);
+            } else if (window.takeRetry(limits, now)) {
+                retries.push_back(now);
+            }
+            auto recent = [&](const std::vector<base::Instant>& moments, base::Duration span) {
+                return static_cast<double>(std::count_if(moments.begin(), moments.end(), [&](base::Instant moment) { return now - moment < span; }));
+            };
+            // Requests of up to one slot before the window may count, as the platform's rule allows.
+            RC_ASSERT(recent(retries, seconds(10)) <= 0.8 * recent(requests, seconds(12)) + 5);
+        }
+    });
+}
+
+TEST(Fleet, StoppingNodeTakesOnlyWhatEndsInTime)
+{
+    forward::DrainRule rule(seconds(8));
+    manifest::Route stream;
+    stream.kind = manifest::RouteKind::Stream;
+    stream.timeout = seconds(25);
+    manifest::Route plain;
+    plain.timeout = milliseconds(1200);
+    CHECK_TRUE(rule.takes(stream, seconds(2)));
+    CHECK_FALSE(rule.takes(stream, seconds(3)));
+    CHECK_TRUE(rule.takes(plain, seconds(6)));
+    CHECK_FALSE(rule.takes(plain, milliseconds(7500)));
+}
+
+TEST(Fleet, EventsAreSplitAlikeHoweverTheirBytesArrive)
+{
+    CHECK_PROPERTY("pieces of any size give the same events", [](const std::vector<uint8_t>& sizes) {
+        const std::string whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\ndata: c\n\nredwingseam: 3\nid: 7\n\nid: 8\nda";
+        forward::EventSplitter splitter;
+        std::vector<forward::StreamEvent> events;
+        size_t at = 0;
+        for (size_t i = 0; at < whole.size(); ++i) {
+            auto size = sizes.empty() ? whole.size() : 1 + sizes[i % sizes.size()] % 9;
+            for (auto& event : splitter.push(std::string_view(whole).substr(at, size)))
+                events.push_back(std::move(event));
+            at += size;
+        }
+        RC_ASSERT(events.size() == 4U);
+        RC_ASSERT(events[0].id == std::optional<uint64_t>(1));
+        RC_ASSERT(events[1].id == std::optional<uint64_t>(2));
+        RC_ASSERT(!events[2].id.has_value());
+        RC_ASSERT(events[3].id == std::optional<uint64_t>(7));
+        RC_ASSERT(splitter.hasPartial());
+        std::string joined;
+        for (const auto& event : events)
+            joined += event.bytes;
+        RC_ASSERT(whole.starts_with(joined));
+    });
+}
