Placement for many nodes: samples, local first, outages by share; a soak of real processes

(1) With 47 engines a data centre two restarts made the whole centre doubtful, and all nodes turned to the others; (2) nodes whose knowledge was equally late chose the same idle engines. Store calls: each change of a flapping upstream was a call of each hub. Ruled out: workers' refusals (room was there), the nodes' processor time. Change: a data centre is doubtful from a fifth of its upstreams on; a node looks at a sample of 16 and takes its own data centre's engines first; a watch pauses an eighth of the drain bound; probes only after 0.3 of the gap objective. tools/soak runs gateways as processes behind loopback proxies and checks promises. FleetTest's case of few failures among many failed before.

--- a/src/fleet/DataCentreHealth.cpp
+++ b/src/fleet/DataCentreHealth.cpp
@@ -19,7 +19,8 @@
 bool DataCentreHealth::isDoubtful(base::Instant now) const
 {
     auto recent = std::count_if(m_failures.begin(), m_failures.end(), [&](const Failure& failure) { return now - failure.at < memory; });
-    return static_cast<size_t>(recent) >= fewestFailures;
+    auto needed = std::max(static_cast<double>(fewestFailures), fewestShare * static_cast<double>(m_size));
+    return static_cast<double>(recent) >= needed;
 }
 
 } // namespace redwingseam::fleet
--- a/src/fleet/DataCentreHealth.h
+++ b/src/fleet/DataCentreHealth.h
@@ -11,6 +11,8 @@
 // synchronised.
 class DataCentreHealth {
 public:
+    // Number of its upstreams that are listed.
+    void setSize(size_t size) { m_size = size; }
     void noteFailure(const base::UpstreamName&, base::Instant now);
     void noteSuccess(const base::UpstreamName&);
     // Whether its other upstreams are likely to fail as well.
@@ -24,9 +26,12 @@
 
     // One upstream alone may fail for reasons of its own.
     static constexpr size_t fewestFailures = 2;
+    // Single restarts among many upstreams stay below this share.
+    static constexpr double fewestShare = 0.2;
     // About the time in which restarted upstreams serve again.
     static constexpr base::Duration memory = std::chrono::milliseconds(1200);
 
+    size_t m_size = 0;
     std::vector<Failure> m_failures;
 };
 
--- a/src/fleet/PlacementCost.cpp
+++ b/src/fleet/PlacementCost.cpp
@@ -11,11 +11,20 @@
     return share > memoryShareToAvoid ? memoryPenalty * share : share;
 }
 
+static uint64_t wordFor(uint64_t random, size_t index)
+{
+    return ((random ^ (index + 1)) * 0x9E3779B97F4A7C15ULL) >> 32;
+}
+
+bool PlacementCost::isSampled(size_t index, size_t count) const
+{
+    return count <= sampleSize || wordFor(m_query.random >> 7, index) % count < sampleSize;
+}
+
 double PlacementCost::jitter(size_t index) const
 {
     static constexpr uint64_t steps = 1024;
-    auto word = (m_query.random ^ (index + 1)) * 0x9E3779B97F4A7C15ULL;
-    return static_cast<double>((word >> 32) % steps) / static_cast<double>(steps);
+    return static_cast<double>(wordFor(m_query.random, index) % steps) / static_cast<double>(steps);
 }
 
 double PlacementCost::ofTarget(const PoolEntry& entry) const
@@ -28,7 +37,7 @@
         return share + remote;
     }
     auto unread = entry.own.unreadTokens + entry.others.unreadTokens;
-    return requests + static_cast<double>(unread) / tokensPerRequest + memoryCost(entry) + remote;
+    return requestWeight * requests + static_cast<double>(unread) / tokensPerRequest + memoryCost(entry) + remote;
 }
 
 double PlacementCost::ofBackup(const PoolEntry& entry, const UpstreamInstance& target) const
--- a/src/fleet/PlacementCost.h
+++ b/src/fleet/PlacementCost.h
@@ -20,18 +20,24 @@
 
     // Nodes that know the same loads must not all choose the same upstream.
     double jitter(size_t index) const;
+    // Whether the upstream at `index` of `count` is looked at. Among many, a sample keeps nodes whose
+    // knowledge is equally late from meeting at the few idlest ones.
+    bool isSampled(size_t index, size_t count) const;
     double ofTarget(const PoolEntry&) const;
     // For the upstream that keeps the copy of a run at `target`.
     double ofBackup(const PoolEntry&, const UpstreamInstance& target) const;
 
 private:
+    // Running beside others delays a request far less than waiting for prompts to be read.
+    static constexpr double requestWeight = 0.4;
+    static constexpr size_t sampleSize = 16;
     // Reading a prompt of this length delays the requests beside it as much as one more of them does over its run.
     static constexpr double tokensPerRequest = 2000;
     // An upstream whose memory is this full preempts before long.
     static constexpr double memoryShareToAvoid = 0.85;
     static constexpr double memoryPenalty = 100;
     // Bytes between data centres are billed; worth a fraction of a request's slow-down.
-    static constexpr double otherDataCentrePenalty = 0.3;
+    static constexpr double otherDataCentrePenalty = 1.5;
     // A data centre may fail as a whole, and the copy is then lost with the run.
     static constexpr double sharedFatePenalty = 1000;
 
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -36,6 +36,16 @@
             m_entries.push_back(PoolEntry { instance });
     }
     markSuperseded();
+    countDataCentres();
+}
+
+void UpstreamPool::countDataCentres()
+{
+    std::unordered_map<base::DataCentreName, size_t> sizes;
+    for (const auto& entry : m_entries)
+        sizes[entry.instance.dataCentre] += entry.isCurrent();
+    for (const auto& [dataCentre, size] : sizes)
+        m_dataCentres[dataCentre].setSize(size);
 }
 
 void UpstreamPool::markSuperseded()
@@ -101,8 +111,12 @@
 {
     if (auto* preferred = findPreferred(query))
         return preferred;
-    auto* best = cheapest(query, own, [&](const PoolEntry& entry) { return entry.takesWork(query.now); });
-    if (best)
+    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now); };
+    PlacementCost cost(query, own);
+    auto isSampled = [&](const PoolEntry& entry) { return takesWork(entry) && cost.isSampled(static_cast<size_t>(&entry - m_entries.data()), m_entries.size()); };
+    if (auto* best = cheapest(query, own, isSampled))
+        return best;
+    if (auto* best = cheapest(query, own, takesWork))
         return best;
     // A suspected upstream may have come back; finding out costs a connection attempt at most.
     return cheapest(query, own, [](const PoolEntry& entry) { return entry.isCurrent(); });
@@ -118,6 +132,7 @@
         auto& entry = m_entries[(i + offset) % m_entries.size()];
         if (!entry.takesWork(query.now) || entry.instance.id == target.id || contains(query.excluded, entry.instance.id))
             continue;
+        // The sample may hold no upstream of another data centre, so only the cost is made less alike.
         auto value = cost.ofBackup(entry, target) + cost.jitter(i) + (isDoubtful(entry, query.now) ? PlacementCost::doubtPenalty : 0);
         if (value < lowest) {
             lowest = value;
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -40,6 +40,7 @@
     PoolEntry* cheapest(const PlacementQuery&, const base::DataCentreName& own, Usable&&);
     PoolEntry* findPreferred(const PlacementQuery&);
     void markSuperseded();
+    void countDataCentres();
     bool isDoubtful(const PoolEntry&, base::Instant now) const;
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& own);
     PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& own);
--- a/src/forward/Timing.h
+++ b/src/forward/Timing.h
@@ -7,9 +7,9 @@
 // Time limits of an exchange that don't come from the manifest.
 struct Timing {
     // Share of a stream's gap objective after which its upstream is probed.
-    double probeAfterGapShare = 0.22;
+    double probeAfterGapShare = 0.3;
     // Time between probes while a stream has not begun.
-    base::Duration probeInterval = std::chrono::milliseconds(800);
+    base::Duration probeInterval = std::chrono::milliseconds(1100);
     // Share of the latency objective after which an idempotent request is sent elsewhere.
     double hedgeAfterObjectiveShare = 0.55;
     // Share of the latency objective for which a request waits for an upstream; holding it longer
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -113,6 +113,20 @@
     CHECK_TRUE(world.fleet.place(query()).has_value());
 }
 
+TEST(Fleet, FewFailuresAmongManyUpstreamsAreNoOutageOfTheirDataCentre)
+{
+    // With many upstreams a data centre always has some that restart; turning away from it overloads the rest.
+    fleet::DataCentreHealth health;
+    health.setSize(47);
+    auto now = world.clock.now();
+    for (int i = 0; i < 9; ++i)
+        health.noteFailure({ "e" + std::to_string(i) }, now);
+    CHECK_FALSE(health.isDoubtful(now));
+    health.noteFailure({ "e9" }, now);
+    CHECK_TRUE(health.isDoubtful(now));
+    CHECK_FALSE(health.isDoubtful(now + milliseconds(1200)));
+}
+
 TEST(Fleet, SuspicionGrowsWithRepeatedFailuresAndEnds)
 {
     fleet::Suspicion suspicion;
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -29,10 +29,11 @@
     return { std::chrono::seconds(5), std::chrono::milliseconds(700) };
 }
 
-sync::PollSchedule GatewayProcess::fleetSchedule()
+sync::PollSchedule GatewayProcess::fleetSchedule(const gateway::GatewaySettings& settings)
 {
-    // Changes that come together are taken in one call.
-    return { std::chrono::milliseconds(100), std::chrono::milliseconds(300) };
+    // Changes that come together are taken in one call; each call is billed.
+    static constexpr int pausesInBound = 8;
+    return { settings.drainBound / pausesInBound, settings.drainBound / pausesInBound };
 }
 
 GatewayProcess::GatewayProcess(const gateway::GatewaySettings& settings)
@@ -46,7 +47,7 @@
     , m_fleetTask(m_fleetReader, m_state.fleet, m_board, m_follow, settings.drainBound)
     , m_nodesTask(m_nodesReader, m_peerSync, m_follow, recordOf(settings))
     , m_manifestPoller("manifest", m_manifestTask, manifestSchedule(settings))
-    , m_fleetPoller("fleet", m_fleetTask, fleetSchedule())
+    , m_fleetPoller("fleet", m_fleetTask, fleetSchedule(settings))
     , m_readiness(m_state, std::string(platform::path::ready))
     , m_metrics(m_state)
     , m_lanes(m_state)
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -40,7 +40,7 @@
     static sync::NodeRecord recordOf(const gateway::GatewaySettings&);
     static sync::PollSchedule nodesSchedule();
     static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
-    static sync::PollSchedule fleetSchedule();
+    static sync::PollSchedule fleetSchedule(const gateway::GatewaySettings&);
     // Waits until the manifest and the upstreams are known, or no longer makes sense.
     void awaitKnowledge();
 
--- /dev/null
+++ b/tools/soak/gateway.py
@@ -0,0 +1,79 @@
+"""One gateway process and the proxies around it."""
+
+import asyncio
+import signal
+import socket
+
+from proxy import Proxy
+
+GRACE = 4
+
+
+def free_port_pair():
+    """Two neighbouring ports that nobody uses."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            return port
+
+
+class Gateway:
+    def __init__(self, name, zone, binary, folder, store_address, bounds):
+        self.name = name
+        self.zone = zone
+        self.binary = binary
+        self.settings = folder / f"{name}.conf"
+        self.log = open(folder / f"{name}.log", "ab")
+        self.bounds = bounds
+        self.front = free_port_pair()
+        self.ready = free_port_pair()
+        self.inner = free_port_pair()
+        self.store_proxy = Proxy(lambda: store_address)
+        self.peer_proxy = Proxy(lambda: f"127.0.0.1:{self.inner + 1}")
+        self.process = None
+        self.is_leaving = False
+        self.is_disturbed = False
+
+    async def prepare(self):
+        await self.store_proxy.start()
+        await self.peer_proxy.start()
+        lines = {"nodeName": self.name, "zone": self.zone, "region": "r", "listen.front": f"127.0.0.1:{self.front}", "listen.ready": f"127.0.0.1:{self.ready}",
+                 "portRange": f"{self.inner},{self.inner + 15}", "platform.address": self.store_proxy.address, "limits.cores": "1"} | self.bounds
+        self.settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
+
+    async def start(self):
+        self.is_leaving = False
+        self.process = await asyncio.create_subprocess_exec(self.binary, "--settings", str(self.settings), stdout=self.log, stderr=self.log)
+
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ready), 0.5)
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 0.5)
+            writer.close()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    def signal(self, number):
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def stop(self):
+        """SIGTERM, and SIGKILL after the grace."""
+        self.is_leaving = True
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE + 0.5)
+        except asyncio.TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
--- /dev/null
+++ b/tools/soak/http_messages.py
@@ -0,0 +1,71 @@
+"""Minimal HTTP/1.1 messages for the stand-ins and clients of the soak."""
+
+import asyncio
+
+
+class Message:
+    """A request or an answer that was read whole."""
+
+    def __init__(self, start_line, headers, body):
+        self.start_line = start_line
+        self.headers = headers
+        self.body = body
+
+    @property
+    def method(self):
+        return self.start_line.split(" ")[0]
+
+    @property
+    def target(self):
+        return self.start_line.split(" ")[1]
+
+    @property
+    def status(self):
+        return int(self.start_line.split(" ")[1])
+
+    def header(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+
+async def read_head(reader):
+    """Start line and headers; None at the end of the connection."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = raw.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_chunk(reader):
+    """One chunk of a chunked body; empty at its end."""
+    size = int((await reader.readline()).strip() or b"x", 16)
+    data = await reader.readexactly(size + 2)
+    return data[:-2]
+
+
+async def read_message(reader):
+    """A whole message; None at the end of the connection. Raises if it breaks off."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    start_line, headers = head
+    body = b""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while chunk := await read_chunk(reader):
+            body += chunk
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Message(start_line, headers, body)
+
+
+def format_answer(status, headers, body):
+    """Bytes of an answer of known length."""
+    lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/tools/soak/world.py
@@ -0,0 +1,110 @@
+"""The deployment that a soak plays: store, upstreams, gateways and the operator's manifest."""
+
+import asyncio
+import copy
+import time
+
+from gateway import GRACE, Gateway
+from journal import Journal
+from store import Store
+from upstream import Upstream
+
+REVOKE_SECONDS = 3
+BOUNDS = {"bounds.drainMs": 3000, "bounds.configApplyMs": 3000, "bounds.graceS": GRACE, "bounds.strictRevoke": "true", "bounds.revokeMs": REVOKE_SECONDS * 1000, "bounds.budgetRatio": 0.8,
+          "bounds.budgetWindowS": 10, "bounds.retrySlack": 150}
+
+
+class World:
+    def __init__(self, random, binary, folder, gateway_count, is_verbose):
+        self.random = random
+        self.zones = ["zone-a", "zone-b", "zone-c"]
+        self.store = Store()
+        self.store.rewrite = self._through_proxies
+        self.journal = Journal(REVOKE_SECONDS)
+        self.upstreams = []
+        self.gateways = []
+        self.binary = binary
+        self.folder = folder
+        self.gateway_count = gateway_count
+        self.is_verbose = is_verbose
+        self.keys = [f"key-{number}" for number in range(6)]
+        self.version = 1
+        self.began = time.monotonic()
+
+    def say(self, text):
+        if self.is_verbose:
+            print(f"{time.monotonic() - self.began:7.3f} {text}", flush=True)
+
+    async def start(self):
+        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.put_manifest()
+        for zone in self.zones:
+            for number in range(3):
+                await self._add_upstream(f"{zone}-e{number}", "engines", zone)
+            await self._add_upstream(f"{zone}-d", "desk", zone)
+        for number in range(self.gateway_count):
+            gateway = Gateway(f"node-{number}", self.zones[number % 3], self.binary, self.folder, address, BOUNDS)
+            self.gateways.append(gateway)
+            await gateway.prepare()
+            await gateway.start()
+
+    async def _add_upstream(self, name, service, zone):
+        upstream = Upstream(name, service, zone, self.store, self.journal, self.random)
+        await upstream.start()
+        self.upstreams.append(upstream)
+        self.journal.upstreams.append(upstream)
+
+    def _through_proxies(self, kind, thing):
+        if kind != "redwingseam-nodes":
+            return thing
+        changed = copy.deepcopy(thing)
+        gateway = next(gateway for gateway in self.gateways if gateway.name == thing["metadata"]["name"])
+        changed["spec"]["address"] = gateway.peer_proxy.address
+        return changed
+
+    def put_manifest(self):
+        route = {"host": "soak.example", "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 0, "skipAuth": False}
+        routes = [
+            route | {"name": "stream", "pathPrefix": "/stream/", "routeType": "streaming", "service": "engines", "maxAttempts": 5, "streamResume": True, "targetGapMs": 700},
+            route | {"name": "read", "pathPrefix": "/read/", "routeType": "idempotent", "service": "desk", "maxAttempts": 3},
+            route | {"name": "book", "pathPrefix": "/book/", "routeType": "non_idempotent", "service": "desk", "maxAttempts": 1},
+        ]
+        engine = {"slots": 16, "kvCapacityTokens": 88000, "backups": True, "handleS": 4.0}
+        services = [{"name": "engines", "maxConnections": 300, "engine": engine}, {"name": "desk", "maxConnections": 300}]
+        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+        tenants = [{"name": "account-" + key.split("-")[1], "apiKeys": [key]} for key in self.keys if key not in self.journal.revoked]
+        self.store.put("config", "main", {"version": self.version, "routes": routes, "services": services, "limits": limits, "tenants": tenants})
+
+    def change_manifest(self):
+        self.version += self.random.randint(1, 3)
+        self.put_manifest()
+
+    def revoke(self, random):
+        left = [key for key in self.keys if key not in self.journal.revoked]
+        if len(left) > 3:
+            key = random.choice(left)
+            # Noted before it is in the store: the bound counts from the acknowledgement, which is later.
+            self.journal.revoked[key] = time.monotonic() + 0.05
+            self.change_manifest()
+
+    def entry(self):
+        """Address of a node as the platform's balancer would choose it."""
+        running = [gateway for gateway in self.gateways if gateway.is_running and not gateway.is_leaving] or self.gateways
+        return f"127.0.0.1:{self.random.choice(running).front}"
+
+    async def keep_running(self, stopping):
+        """Starts processes again that have ended."""
+        while not stopping.is_set():
+            for gateway in self.gateways:
+                if not gateway.is_running:
+                    await gateway.start()
+            await asyncio.sleep(0.3)
+
+    async def await_ready(self, seconds):
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if all([await gateway.is_ready() for gateway in self.gateways]):
+                return True
+            await asyncio.sleep(0.1)
+        return False
