--- a/src/forward/DrainRule.h
+++ b/src/forward/DrainRule.h
@@ -22,7 +22,7 @@
 
 private:
     // Most generations of the two users end within this time.
-    static constexpr base::Duration usualStream = std::chrono::milliseconds(5500);
+    static constexpr base::Duration usualStream = std::chrono::milliseconds(6000);
     static constexpr base::Duration usualAnswer = std::chrono::milliseconds(1000);
 
     base::Duration m_grace;
--- a/tools/redwingseam-gateway/Main.cpp
+++ b/tools/redwingseam-gateway/Main.cpp
@@ -59,7 +59,7 @@
         logReload(path);
     LOG(INFO) << log::LogLine("draining").with("requests", process.state().sessions).text();
     bool isDrained = process.drain();
-    LOG(INFO) << log::LogLine("stopped").with("answered_all", isDrained ? "yes" : "no").text();
+    LOG(INFO) << log::LogLine("stopped").with("answered_all", isDrained ? "yes" : "no").with("cut", process.state().sessions).text();
     return 0;
 }
 
