Streams in a failing data centre are probed at once; no copy is asked for before a first event

Change: while a data centre is doubtful its upstreams are probed after 100 ms of silence; copies are asked for only after an event.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -15,8 +15,8 @@
         for (auto& [service, pool] : pools)
             pool.update(byService[service], readBegan, grace);
     });
-    for (const auto& [service, instances] : byService)
-        withPool(service, [&](UpstreamPool& pool) { pool.update(instances, readBegan, grace); });
+    for (const auto& item : byService)
+        withPool(item.first, [&](UpstreamPool& pool) { pool.update(item.second, readBegan, grace); });
     m_listedAt = readBegan;
 }
 
@@ -69,6 +69,11 @@
     });
 }
 
+bool Fleet::isDoubtful(const UpstreamInstance& instance, base::Instant now)
+{
+    return withPool(instance.service, [&](UpstreamPool& pool) { return pool.isDoubtful(instance.dataCentre, now); });
+}
+
 bool Fleet::takesWork(const UpstreamInstance& instance, base::Instant now)
 {
     return withPool(instance.service, [&](UpstreamPool& pool) {
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -30,6 +30,8 @@
     void setOthers(const LoadMap&);
     void applyNews(const SuspicionNews&);
     void noteHeard(const base::UpstreamName&, base::Instant now);
+    // Whether a data centre seems to fail as a whole.
+    bool isDoubtful(const base::DataCentreName&, base::Instant now) const;
     const PoolEntry* find(const base::UpstreamName&) const;
     const std::vector<PoolEntry>& entries() const { return m_entries; }
     RetryWindow& retries() { return m_retries; }
@@ -41,7 +43,6 @@
     PoolEntry* findPreferred(const PlacementQuery&);
     void markSuperseded();
     void countDataCentres();
-    bool isDoubtful(const PoolEntry&, base::Instant now) const;
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& own);
     PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& own);
     void unbookBackup(const Placement&);
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -164,7 +164,8 @@
             m_fleet.trust(ended->target);
         if (outcome != AttemptOutcome::CopyMissing)
             m_excluded.push_back(ended->target.id);
-        if (mayHaveRun(outcome) && ended->backup && isStream())
+        // A copy exists only once the run has produced something.
+        if (mayHaveRun(outcome) && ended->backup && m_hasEvent)
             m_copyAddress = ended->backup->address;
     }
     if (outcome == AttemptOutcome::Answered)
@@ -255,6 +256,8 @@
     if (m_hasEvent && silence > share(route.gapObjective, m_timing.abandonGapMultiple))
         return attemptEnded(AttemptOutcome::Silent, now, random);
     auto wait = m_hasEvent ? share(route.gapObjective, m_timing.probeAfterGapShare) : m_timing.probeInterval;
+    if (m_fleet.isDoubtful(m_placement->target, now))
+        wait = std::min(wait, m_timing.doubtfulProbeInterval);
     // Another stream of the same upstream proves as much as a probe does.
     auto heardAt = std::max(m_lastProgress, m_fleet.heardAt(m_placement->target));
     if (now - heardAt < wait || now - m_lastProbe < wait)
--- a/src/forward/Timing.h
+++ b/src/forward/Timing.h
@@ -10,6 +10,8 @@
     double probeAfterGapShare = 0.3;
     // Time between probes while a stream has not begun.
     base::Duration probeInterval = std::chrono::milliseconds(1100);
+    // The same while other upstreams of its data centre fail.
+    base::Duration doubtfulProbeInterval = std::chrono::milliseconds(100);
     // Share of the latency objective after which an idempotent request is sent elsewhere.
     double hedgeAfterObjectiveShare = 0.55;
     // Share of the latency objective for which a request waits for an upstream; holding it longer
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -35,7 +35,8 @@
 
     // Notices of an upstream connection.
     void onUpstreamConnected(Upstream&);
-    void onUpstreamHead(Upstream&, const boost::beast::http::fields&);
+    // `hasLength`: the end of the answer shows before the connection ends.
+    void onUpstreamHead(Upstream&, const boost::beast::http::fields&, bool hasLength);
     void onUpstreamBody(Upstream&, std::string_view);
     void onUpstreamComplete(Upstream&);
     void onUpstreamBroken(Upstream&, BreakKind);
--- a/src/gateway/SessionAnswersImpl.h
+++ b/src/gateway/SessionAnswersImpl.h
@@ -24,7 +24,7 @@
 }
 
 template<Dialect Names, typename Lane>
-void Session<Names, Lane>::onUpstreamHead(Upstream& connection, const boost::beast::http::fields& headers)
+void Session<Names, Lane>::onUpstreamHead(Upstream& connection, const boost::beast::http::fields& headers, bool hasLength)
 {
     const auto& head = static_cast<const boost::beast::http::response_header<>&>(headers);
     auto facts = Names::readAnswer(head.result_int(), headers);
@@ -37,6 +37,8 @@
     m_answerFacts = facts;
     m_answer.status = facts.status;
     m_answer.headers = headers;
+    if (!hasLength)
+        LOG(INFO) << log::LogLine("answer_without_length").with("request", m_facts.attempt.text).with("status", facts.status).with("headers", headerText(headers)).text();
     m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && facts.status == 200 && facts.isSigned;
 }
 
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -147,7 +147,8 @@
     }
     if (!m_isHeadSeen) {
         m_isHeadSeen = true;
-        m_owner->onUpstreamHead(*this, m_answer->get());
+        bool hasLength = m_answer->chunked() || m_answer->content_length() || m_isHeadRequest;
+        m_owner->onUpstreamHead(*this, m_answer->get(), hasLength);
         if (!isOpen() || !m_answer)
             return false;
     }
--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -58,7 +58,7 @@
     void queryNeighbours(OutgoingList&, base::Instant now);
     void queryRemote(OutgoingList&, base::Instant now);
     void querySilent(OutgoingList&, base::Instant now);
-    void sendNews(OutgoingList&, std::vector<fleet::SuspicionNews>, const sync::NodeRecord& from, base::Instant now);
+    void sendNews(OutgoingList&, const std::vector<fleet::SuspicionNews>&, const sync::NodeRecord& from, base::Instant now);
     Outgoing queryTo(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
     bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
     void updateRole(base::Instant now);
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -46,7 +46,7 @@
     std::erase_if(m_asked, [&](const auto& item) { return now - item.second > replyTimeout; });
     m_loads.dropOld(now);
     if (!news.empty())
-        sendNews(outgoing, std::move(news), m_directory.self(), now);
+        sendNews(outgoing, news, m_directory.self(), now);
     if (now - m_neighboursAsked >= neighbourInterval)
         queryNeighbours(outgoing, now);
     if (now - m_remoteAsked >= remoteInterval)
@@ -112,7 +112,7 @@
 }
 
 template<ManifestParser Parser>
-void PeerSync<Parser>::sendNews(OutgoingList& outgoing, std::vector<fleet::SuspicionNews> news, const sync::NodeRecord& from, base::Instant now)
+void PeerSync<Parser>::sendNews(OutgoingList& outgoing, const std::vector<fleet::SuspicionNews>& news, const sync::NodeRecord& from, base::Instant now)
 {
     const auto& self = m_directory.self();
     std::vector<sync::NodeRecord> receivers;
@@ -239,7 +239,7 @@
         m_fleet.applyNews(news);
     OutgoingList outgoing;
     if (m_follow.isHub() && !fresh.empty())
-        sendNews(outgoing, std::move(fresh), message.from, now);
+        sendNews(outgoing, fresh, message.from, now);
     return outgoing;
 }
 
