A broken-off answer is never delivered in place of a failure that was kept back

Change: a session forgets what an attempt left unless it is whole and the client's; a request without an upstream to go to gives up like any other.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -81,9 +81,7 @@
         m_waitingSince = now;
     if (now - m_waitingSince < share(m_request.route->latencyObjective, m_timing.holdObjectiveShare))
         return {};
-    if (m_mayHaveRun || m_isHeadSent)
-        return { StepKind::Fail, {}, ResultCode::RetriesExhausted };
-    return refuse(ResultCode::NoUpstream);
+    return giveUp(AttemptOutcome::NotConnected);
 }
 
 Step Exchange::send(fleet::Placement placement, base::Instant now)
--- a/src/gateway/SessionAnswersImpl.h
+++ b/src/gateway/SessionAnswersImpl.h
@@ -132,12 +132,16 @@
     logAttempt(outcome, m_order.placement.target);
     if (outcome == forward::AttemptOutcome::NotRun)
         LOG(INFO) << log::LogLine("attempt_refused").with("request", m_facts.attempt.text).with("body", m_answer.body).with("headers", headerText(m_answer.headers)).text();
-    if (outcome == forward::AttemptOutcome::NotRun && m_answer.status == 503 && m_order.placement.backup) {
+    bool mayLackBackup = outcome == forward::AttemptOutcome::NotRun && m_answer.status == 503 && m_order.placement.backup;
+    // Only a whole answer that is the client's may be delivered later.
+    if (outcome == forward::AttemptOutcome::AnsweredFailure)
+        m_failure = std::move(m_answer);
+    if (outcome != forward::AttemptOutcome::Answered)
+        m_answer = {};
+    if (mayLackBackup) {
         carry(m_exchange->backupRefused(now(), random()));
         return;
     }
-    if (outcome == forward::AttemptOutcome::AnsweredFailure)
-        m_failure = m_answer;
     carry(m_exchange->attemptEnded(outcome, now(), random()));
 }
 
@@ -171,6 +175,7 @@
 {
     logAttempt(outcome, m_order.placement.target);
     dropUpstream();
+    m_answer = {};
     m_isResuming = m_exchange->isHeadSent();
     carry(m_exchange->attemptEnded(outcome, now(), random()));
 }
@@ -199,14 +204,15 @@
 void Session<Names, Lane>::deliver()
 {
     bool keeps = keepsClient();
+    auto status = m_answer.status;
     if (isEventStream()) {
         if (!m_exchange->isHeadSent())
             writeHead(m_answer, "Transfer-Encoding: chunked\r\n");
         m_client.write("0\r\n\r\n");
     } else {
-        // A failure that was kept back is the upstream's answer too.
-        const auto& answer = m_failure ? *m_failure : m_answer;
-        const auto& chosen = m_answer.status && m_answer.status < 500 ? m_answer : answer;
+        // A failure that was kept back is delivered if nothing better came.
+        const auto& chosen = m_answer.status || !m_failure ? m_answer : *m_failure;
+        status = chosen.status;
         bool isHead = m_message.method() == boost::beast::http::verb::head;
         std::string length(chosen.headers[boost::beast::http::field::content_length]);
         if (!isHead || length.empty())
@@ -218,7 +224,6 @@
     if (m_isEnded)
         return;
     auto& client = m_client;
-    auto status = m_answer.status;
     end(status < 500 ? SessionEnd::Answered : SessionEnd::AnsweredFailure);
     client.finishAnswer(keeps, now());
 }
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -118,6 +118,27 @@
     }
 }
 
+TEST(Gateway, FailureThatWasKeptBackIsDeliveredWholeAfterAnotherAttemptIsLost)
+{
+    // The broken-off answer of the second attempt was once delivered as if it were whole.
+    const std::string failure = "HTTP/1.1 500 X\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: f\r\nContent-Length: 6\r\n\r\nfailed";
+    const std::vector<fakes::ScriptedAnswer> seconds {
+        { "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nContent-Length: 9\r\n\r\nabc", true },
+        { "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n" },
+        { "HTTP/1.1 503 X\r\nRedwingseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" },
+    };
+    for (const auto& second : seconds) {
+        GatewayFixture fresh;
+        ScriptedUpstream failing({ { failure } });
+        ScriptedUpstream other({ second });
+        fresh.list("d1", "desk", failing);
+        fresh.list("d2", "desk", other, "dc-b");
+        auto answer = fresh.exchange(GatewayFixture::get("/read/x"));
+        CHECK_TRUE_TEXT(has(answer, "HTTP/1.1 500 "), answer.c_str());
+        CHECK_TRUE(has(answer, "Upstream-Seal: f\r\n") && has(answer, "\r\n\r\nfailed"));
+    }
+}
+
 TEST(Gateway, NonIdempotentRequestIsNeverSentTwiceNorRefusedAfterADamagedAnswer)
 {
     const std::vector<fakes::ScriptedAnswer> damages { { "", true }, { "", false, true }, { "garbage\r\n\r\n", true }, { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true } };
