One node of all asks the store; the others ask along the hubs

Change: the hub of the first live data centre leads; other hubs ask the store only when what they know is older than 0.75 of its bound, which leaves time for a call. PeerSyncTest has the case.

--- a/src/peering/Directory.cpp
+++ b/src/peering/Directory.cpp
@@ -1,5 +1,6 @@
 #include "peering/Directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace redwingseam::peering {
@@ -64,6 +65,15 @@
     return firstKnown;
 }
 
+bool Directory::isLeader(base::Instant now) const
+{
+    if (!isHub(now))
+        return false;
+    return std::none_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        return item.second.record.dataCentre < m_self.dataCentre && isLive(item.second, now);
+    });
+}
+
 std::vector<base::DataCentreName> Directory::otherDataCentres() const
 {
     std::set<base::DataCentreName> names;
--- a/src/peering/Directory.h
+++ b/src/peering/Directory.h
@@ -29,6 +29,8 @@
     // The hub of a data centre; nothing if none of its nodes is known.
     std::optional<sync::NodeRecord> hubOf(const base::DataCentreName&, base::Instant now) const;
     bool isHub(base::Instant now) const { return hubOf(m_self.dataCentre, now)->name == m_self.name; }
+    // Whether this node is the hub of the first data centre, by name, in which a node is heard of.
+    bool isLeader(base::Instant now) const;
     // Other data centres with a known node.
     std::vector<base::DataCentreName> otherDataCentres() const;
     // Nodes of the own data centre that are heard of, without this one.
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -29,11 +29,13 @@
 void PeerSync<Parser>::updateRole(base::Instant now)
 {
     bool isHub = m_directory.isHub(now);
-    if (isHub == m_follow.isHub())
+    bool isLeader = m_directory.isLeader(now);
+    if (isHub == m_follow.isHub() && isLeader == m_follow.isLeader())
         return;
     m_follow.setHub(isHub);
+    m_follow.setLeader(isLeader);
     auto hub = m_directory.hubOf(m_directory.self().dataCentre, now);
-    LOG(INFO) << log::LogLine("hub_changed").with("hub", hub ? hub->name.text : std::string()).with("is_self", isHub ? "yes" : "no").text();
+    LOG(INFO) << log::LogLine("hub_changed").with("hub", hub ? hub->name.text : std::string()).with("is_self", isHub ? "yes" : "no").with("is_leader", isLeader ? "yes" : "no").text();
 }
 
 template<ManifestParser Parser>
--- a/src/sync/FleetTask.h
+++ b/src/sync/FleetTask.h
@@ -25,7 +25,7 @@
         , m_board(board)
         , m_follow(follow)
         , m_bound(bound)
-        , m_watchTime(bound / 2)
+        , m_watchTime(bound / 3)
         , m_listInterval(bound * 2)
     {
     }
@@ -47,7 +47,8 @@
             m_isListed = false;
             return false;
         }
-        apply(began, now);
+        // A watch that ends in order has told all that changed before it ended.
+        apply(mustList ? began : now, now);
         return true;
     }
 
@@ -101,7 +102,7 @@
         }
     }
 
-    void apply(base::Instant began, base::Instant now)
+    void apply(base::Instant readAt, base::Instant now)
     {
         std::vector<fleet::UpstreamInstance> all;
         all.reserve(m_known.size());
@@ -109,8 +110,8 @@
             all.push_back(instance);
         auto grace = m_outages.missingGrace(now);
         auto list = std::make_shared<const UpstreamList>(UpstreamList { m_revision, std::move(all) });
-        if (m_board.post({ list, began, grace }))
-            m_fleet.update(list->upstreams, began, grace);
+        if (m_board.post({ list, readAt, grace }))
+            m_fleet.update(list->upstreams, readAt, grace);
     }
 
     void noteDependency(bool succeeded, const base::Error& error, base::Instant now)
--- a/src/sync/FollowRule.h
+++ b/src/sync/FollowRule.h
@@ -6,25 +6,29 @@
 
 namespace redwingseam::sync {
 
-// Whether this node asks the store by itself. One node of a data centre does, its hub; the others ask the
-// hub, and the store only when what they know has grown too old. Thread-safe.
+// Whether this node asks the store by itself. One node does, the leader; hubs ask it, their neighbours ask
+// the hubs, and each asks the store when what it knows has grown too old. Two leaders for a while do no
+// harm. Thread-safe.
 class FollowRule {
 public:
     void setHub(bool isHub) { m_isHub = isHub; }
     bool isHub() const { return m_isHub; }
+    void setLeader(bool isLeader) { m_isLeader = isLeader; }
+    bool isLeader() const { return m_isLeader; }
 
     // `age`: of what the node knows; `bound`: by when a change must be known.
     bool asksStore(base::Duration age, base::Duration bound) const
     {
-        return m_isHub || age > std::chrono::duration_cast<base::Duration>(bound * oldestShare);
+        return m_isLeader || age > std::chrono::duration_cast<base::Duration>(bound * oldestShare);
     }
 
 private:
     // Leaves time for a call and its repetition within the bound.
-    static constexpr double oldestShare = 0.6;
+    static constexpr double oldestShare = 0.75;
 
-    // A node that knows no other is its own hub.
+    // A node that knows no other is its own hub, and the leader.
     std::atomic<bool> m_isHub { true };
+    std::atomic<bool> m_isLeader { true };
 };
 
 } // namespace redwingseam::sync
--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -30,7 +30,7 @@
                 return false;
             }
         }
-        if (m_hasListed && !m_follow.isHub())
+        if (m_hasListed && !m_follow.isLeader())
             return true;
         auto nodes = m_reader.listNodes();
         if (!nodes)
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -137,6 +137,23 @@
     CHECK_TRUE(a1.follow.isHub() && !a2.follow.isHub() && !a3.follow.isHub());
 }
 
+TEST(PeerSync, OneNodeOfAllAsksTheStoreUntilItsWordGrowsOld)
+{
+    auto& a1 = world.add("a1", "dc-a");
+    auto& a2 = world.add("a2", "dc-a");
+    auto& b1 = world.add("b1", "dc-b");
+    auto& b2 = world.add("b2", "dc-b");
+    world.introduce();
+    world.run(milliseconds(1500));
+    CHECK_TRUE(a1.follow.isLeader() && !a2.follow.isLeader() && !b1.follow.isLeader() && !b2.follow.isLeader());
+    CHECK_TRUE(b1.follow.isHub());
+    CHECK_FALSE(b1.follow.asksStore(milliseconds(2000), milliseconds(3000)));
+    CHECK_TRUE(b1.follow.asksStore(milliseconds(2300), milliseconds(3000)));
+    world.silent = { "a1", "a2" };
+    world.run(milliseconds(2500));
+    CHECK_TRUE(b1.follow.isLeader() && !b2.follow.isLeader());
+}
+
 TEST(PeerSync, ManifestReachesNeighboursAndOtherDataCentresWithItsAge)
 {
     auto& a1 = world.add("a1", "dc-a");
