--- a/include/redwingseam/manifest/Route.h
+++ b/include/redwingseam/manifest/Route.h
@@ -16,7 +16,7 @@
     base::RouteName name;
     std::string host;
     // Begins and ends with a slash.
-    std::string pathPrefix;
+    std::string prefix;
     RouteKind kind = RouteKind::NonIdempotent;
     std::vector<WeightedService> services;
     // Longest time until the final answer.
--- a/src/manifest/ManifestIndex.cpp
+++ b/src/manifest/ManifestIndex.cpp
@@ -11,7 +11,7 @@
         m_routesByHost[route.host].push_back(&route);
     for (auto& [host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
-            return left->pathPrefix.size() > right->pathPrefix.size();
+            return left->prefix.size() > right->prefix.size();
         });
     }
     for (const auto& account : m_manifest.accounts) {
@@ -26,7 +26,7 @@
     if (found == m_routesByHost.end())
         return nullptr;
     for (const auto* route : found->second) {
-        if (path.starts_with(route->pathPrefix))
+        if (path.starts_with(route->prefix))
             return route;
     }
     return nullptr;
