--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/Fleet.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -122,7 +123,9 @@
 
 bool Fleet::takeRetry(const base::ServiceName& service, const RetryLimits& limits, base::Instant now)
 {
-    return withPool(service, [&](UpstreamPool& pool) { return pool.retries().takeRetry(limits, now); });
+    auto part = limits;
+    part.slack /= std::max(1U, m_nodeCount.load());
+    return withPool(service, [&](UpstreamPool& pool) { return pool.retries().takeRetry(part, now); });
 }
 
 std::vector<PoolEntry> Fleet::entries()
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -44,6 +44,9 @@
     std::vector<SuspicionNews> takeNews();
 
     void countRequest(const base::ServiceName&, base::Instant now);
+    // Nodes that share the retry limits.
+    void setNodeCount(uint32_t count) { m_nodeCount = count; }
+    // Whether one more retry is within this node's part of the limits; books it if so.
     bool takeRetry(const base::ServiceName&, const RetryLimits&, base::Instant now);
 
     // When the list was last read; the start of time until there is one.
@@ -63,6 +66,8 @@
     base::Sharded<PoolMap> m_pools;
     base::Mutex m_newsMutex;
     std::vector<SuspicionNews> m_news;
+    // Cautious until the nodes are known.
+    std::atomic<uint32_t> m_nodeCount { 32 };
     std::atomic<base::Instant> m_listedAt { base::Instant {} };
 };
 
--- a/src/fleet/RetryLimits.h
+++ b/src/fleet/RetryLimits.h
@@ -6,11 +6,11 @@
 
 namespace redwingseam::fleet {
 
-// How many retries a node may send to a service, from the deployment's settings.
+// How many retries all nodes may send to a service, from the deployment's settings.
 struct RetryLimits {
     // Retries for each request of the same window.
     double ratio = 0.8;
-    // Retries allowed on top in a window: this node's part of what all nodes share.
+    // Retries allowed on top in a window, for all nodes together.
     uint32_t slack = 4;
     base::Duration window = std::chrono::seconds(10);
 };
--- a/src/peering/Directory.h
+++ b/src/peering/Directory.h
@@ -25,6 +25,8 @@
     // A message of `node` arrived.
     void noteHeard(const sync::NodeRecord& node, base::Instant now);
     std::vector<sync::NodeRecord> nodes() const;
+    // All known nodes, with this one.
+    size_t size() const { return m_entries.size() + 1; }
 
     // The hub of a data centre; nothing if none of its nodes is known.
     std::optional<sync::NodeRecord> hubOf(const base::DataCentreName&, base::Instant now) const;
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -28,6 +28,7 @@
 template<ManifestParser Parser>
 void PeerSync<Parser>::updateRole(base::Instant now)
 {
+    m_fleet.setNodeCount(static_cast<uint32_t>(m_directory.size()));
     bool isHub = m_directory.isHub(now);
     bool isLeader = m_directory.isLeader(now);
     if (isHub == m_follow.isHub() && isLeader == m_follow.isLeader())
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -166,6 +166,21 @@
     });
 }
 
+TEST(Fleet, NodesShareTheSlackOfTheRetryLimits)
+{
+    // Each node once took the whole slack, so nine of them could send nine times as many retries.
+    fleet::RetryLimits limits { 0.0, 150, seconds(10) };
+    unsigned retries = 0;
+    for (int node = 0; node < 9; ++node) {
+        fleet::Fleet fleet({ "dc" });
+        fleet.setNodeCount(9);
+        while (fleet.takeRetry({ "s" }, limits, world.clock.now()))
+            ++retries;
+    }
+    CHECK_TRUE(retries <= 150);
+    CHECK_TRUE(retries > 100);
+}
+
 TEST(Fleet, StoppingNodeTakesOnlyWhatEndsInTime)
 {
     forward::DrainRule rule(seconds(8));
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -53,6 +53,7 @@
         request.index = index;
         request.route = index->route("h", path);
         request.service = request.route->services.front().service;
+        request.retries.slack = 1000;
         request.arrivedAt = clock.now();
         request.clientDeadline = std::chrono::seconds(25);
         if (request.route->kind == manifest::RouteKind::Stream) {
