A lapsed entry's grace ends by itself, counted from the store's return

The grace for entries that lapsed began anew when the entry was first missed and ended only with a later list, which followers got up to 1.4 s after. Ruled out: a late watch (the leader logged the removal 0.1 s after the store). Change: the grace shrinks from the store's return on, travels as what is left of it, and is checked when an upstream is chosen. Fleet.GraceEndsWithoutAnotherListAndShrinksAfterTheReturn failed before.

--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -16,18 +16,18 @@
     Suspicion suspicion;
     // When any request last got bytes of it.
     base::Instant heardAt {};
-    // Still listed, or missing for less than the grace after the store's return.
     bool isListed = true;
-    base::Instant missingSince {};
+    // While it is missing from the list: until when it is used nevertheless.
+    base::Instant missingUntil {};
     // A later incarnation is listed under the same address.
     bool isSuperseded = false;
 
     bool takesWork(base::Instant now) const
     {
-        return isCurrent() && !suspicion.isActive(now);
+        return isCurrent(now) && !suspicion.isActive(now);
     }
     // Listed as ready, whether or not it answers.
-    bool isCurrent() const { return isListed && !isSuperseded && !instance.isDraining && !suspicion.isReplaced(); }
+    bool isCurrent(base::Instant now) const { return (isListed || now < missingUntil) && !isSuperseded && !instance.isDraining && !suspicion.isReplaced(); }
 };
 
 } // namespace redwingseam::fleet
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -17,12 +17,10 @@
     for (auto& entry : m_entries) {
         auto found = std::find_if(listed.begin(), listed.end(), [&](const UpstreamInstance& instance) { return instance.id == entry.instance.id; });
         if (found == listed.end()) {
-            if (entry.missingSince == base::Instant {})
-                entry.missingSince = now;
-            entry.isListed = now - entry.missingSince < grace;
+            entry.missingUntil = entry.isListed ? now + grace : std::min(entry.missingUntil, now + grace);
+            entry.isListed = false;
             continue;
         }
-        entry.missingSince = {};
         entry.isListed = true;
         bool isRestarted = found->incarnation != entry.instance.incarnation || found->address != entry.instance.address;
         entry.instance = *found;
@@ -30,20 +28,20 @@
             entry.suspicion = {};
     }
     // Load that is still booked keeps an entry until it is released.
-    std::erase_if(m_entries, [](const PoolEntry& entry) { return !entry.isListed && entry.own == UpstreamLoad {}; });
+    std::erase_if(m_entries, [&](const PoolEntry& entry) { return !entry.isListed && now >= entry.missingUntil && entry.own == UpstreamLoad {}; });
     for (const auto& instance : listed) {
         if (!findEntry(instance.id))
             m_entries.push_back(PoolEntry { instance });
     }
     markSuperseded();
-    countDataCentres();
+    countDataCentres(now);
 }
 
-void UpstreamPool::countDataCentres()
+void UpstreamPool::countDataCentres(base::Instant now)
 {
     std::unordered_map<base::DataCentreName, size_t> sizes;
     for (const auto& entry : m_entries)
-        sizes[entry.instance.dataCentre] += entry.isCurrent();
+        sizes[entry.instance.dataCentre] += entry.isCurrent(now);
     for (const auto& [dataCentre, size] : sizes)
         m_dataCentres[dataCentre].setSize(size);
 }
@@ -119,7 +117,7 @@
     if (auto* best = cheapest(query, own, takesWork))
         return best;
     // A suspected upstream may have come back; finding out costs a connection attempt at most.
-    return cheapest(query, own, [](const PoolEntry& entry) { return entry.isCurrent(); });
+    return cheapest(query, own, [&](const PoolEntry& entry) { return entry.isCurrent(query.now); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& own)
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -16,7 +16,7 @@
 // The upstreams of one service, and the choice among them. Not synchronised: lies in a shard of Fleet.
 class UpstreamPool {
 public:
-    // Takes the store's list. An upstream that is missing from it is dropped after `grace`.
+    // Takes the store's list. An upstream that is missing from it is used for `grace` more.
     void update(const std::vector<UpstreamInstance>& listed, base::Instant now, base::Duration grace);
     // Chooses and books upstreams for a request; nothing if none takes work.
     std::optional<Placement> place(const PlacementQuery&, const base::DataCentreName& own);
@@ -42,7 +42,7 @@
     PoolEntry* cheapest(const PlacementQuery&, const base::DataCentreName& own, Usable&&);
     PoolEntry* findPreferred(const PlacementQuery&);
     void markSuperseded();
-    void countDataCentres();
+    void countDataCentres(base::Instant now);
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& own);
     PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& own);
     void unbookBackup(const Placement&);
--- a/src/sync/OutageTracker.cpp
+++ b/src/sync/OutageTracker.cpp
@@ -19,7 +19,7 @@
 {
     if (m_returnedAt == base::Instant {} || now - m_returnedAt >= returnGrace)
         return {};
-    return returnGrace;
+    return returnGrace - (now - m_returnedAt);
 }
 
 } // namespace redwingseam::sync
--- a/src/sync/OutageTracker.h
+++ b/src/sync/OutageTracker.h
@@ -11,7 +11,7 @@
     // Returns whether this answer or failure changed the state.
     bool note(bool succeeded, base::Instant now);
     bool isOut() const { return m_isOut; }
-    // How long a missing entry is kept, counted from when it was first missed.
+    // How much longer a missing entry is kept.
     base::Duration missingGrace(base::Instant now) const;
 
 private:
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -88,6 +88,27 @@
     CHECK_FALSE(world.fleet.place(query()).has_value());
 }
 
+TEST(Fleet, GraceEndsWithoutAnotherListAndShrinksAfterTheReturn)
+{
+    // The grace once began anew at each node and ended only with a further list, 3.3 s after the removal.
+    world.list("e1", "engines", "dc-a");
+    world.update();
+    world.listed.clear();
+    world.update(milliseconds(2400));
+    world.advance(milliseconds(1000));
+    world.update(milliseconds(300));
+    world.advance(milliseconds(299));
+    CHECK_TRUE(world.fleet.place(query()).has_value());
+    world.advance(milliseconds(1));
+    CHECK_FALSE(world.fleet.place(query()).has_value());
+    sync::OutageTracker outages;
+    auto now = world.clock.now();
+    outages.note(true, now);
+    outages.note(false, now + seconds(1));
+    outages.note(true, now + seconds(6));
+    CHECK_TRUE(outages.missingGrace(now + seconds(7)) == milliseconds(1400));
+}
+
 TEST(Fleet, GraceForMissingEntriesFollowsOnlyALongOutage)
 {
     sync::OutageTracker outages;
