A request that takes its upstreams down is held back at every node

Cause: attempts at one request were bounded at each node alone. A client that repeats a request under which upstreams crash reaches another node each time, and each node sent it anew; nothing told the others. Also found by the new test between nodes: news of a moment later than the reading of the clock that its message was made with was written as a negative age, and the receivers dropped the whole message. Ruled out: redwingseamd's trials of suspects one by one, which need the list of all that ran at a dead upstream; counting silence, since a slow or cut-off upstream is silent too; counting losses on kept connections up to the verdict, since upstreams drop idle ones (a suspect goes on new connections). Change: forward::CrashRegister counts connections that break before the request brought anything, by a hash of account, target and body; three in a row, each sent after the one before, hold the request back (503 HarmfulRequest). Crashes travel with the news of suspicions, what is harmful with the replies. Ages in messages are never negative.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -11,9 +11,10 @@
     return std::chrono::duration_cast<base::Duration>(whole * part);
 }
 
-Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, const Timing& timing)
+Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, CrashRegister& crashes, const Timing& timing)
     : m_request(std::move(request))
     , m_fleet(fleet)
+    , m_crashes(crashes)
     , m_timing(timing)
     , m_lastEventId(m_request.lastEventId)
 {
@@ -39,6 +40,8 @@
 Step Exchange::begin(base::Instant now, uint64_t random)
 {
     m_fleet.countRequest(m_request.service, now);
+    if (m_crashes.isHarmful(m_request.fingerprint, now))
+        return refuse(ResultCode::HarmfulRequest);
     return place(now, random);
 }
 
@@ -91,10 +94,12 @@
     order.placement = placement;
     order.lastEventId = m_lastEventId;
     order.deadline = deadline() - now;
-    order.allowsKeptConnection = true;
+    // A kept connection may break for reasons of its own, which would look like one more crash.
+    order.allowsKeptConnection = !m_crashes.isSuspect(m_request.fingerprint, now);
     m_copyAddress.reset();
     m_placement = std::move(placement);
     m_waitingSince = {};
+    m_sentAt = now;
     m_lastProgress = now;
     m_lastProbe = now;
     m_isProbing = false;
@@ -134,7 +139,7 @@
 
 bool Exchange::maySendAgain(AttemptOutcome outcome, base::Instant now)
 {
-    if (now >= deadline() || m_arrivals >= m_timing.mostArrivals)
+    if (now >= deadline() || m_arrivals >= m_timing.mostArrivals || m_crashes.isHarmful(m_request.fingerprint, now))
         return false;
     if (mayHaveRun(outcome) && (!m_request.route->isRepeatable() || m_runs >= m_request.route->mostAttempts))
         return false;
@@ -156,6 +161,7 @@
     m_placement.reset();
     if (ended) {
         m_fleet.release(*ended);
+        noteCrash(outcome, ended->target, now);
         if (auto cause = suspicionOf(outcome))
             m_fleet.suspect(ended->target, *cause, now);
         else
@@ -173,6 +179,16 @@
     return place(now, random);
 }
 
+void Exchange::noteCrash(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
+{
+    if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::AnsweredFailure)
+        m_crashes.noteServed(m_request.fingerprint);
+    bool isLost = outcome == AttemptOutcome::LostBeforeAnswer || outcome == AttemptOutcome::LostInAnswer;
+    // Where many upstreams fail together, the request is not the cause.
+    if (isLost && !m_hasEvent && !m_fleet.isDoubtful(upstream, now))
+        m_crashes.note({ m_request.fingerprint, m_sentAt, now });
+}
+
 Step Exchange::backupRefused(base::Instant now, uint64_t random)
 {
     if (!m_placement)
@@ -207,6 +223,7 @@
     m_lastEventId = eventId;
     m_lastProgress = now;
     if (!m_hasEvent && m_placement) {
+        m_crashes.noteServed(m_request.fingerprint);
         m_fleet.markRead(*m_placement);
         m_fleet.trust(m_placement->target);
     }
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -2,6 +2,7 @@
 
 #include "fleet/Fleet.h"
 #include "forward/AttemptOutcome.h"
+#include "forward/CrashRegister.h"
 #include "forward/ExchangeRequest.h"
 #include "forward/Step.h"
 #include "forward/Timing.h"
@@ -10,10 +11,10 @@
 
 // The decisions about one client request, from its arrival to its answer: which upstream, when to send
 // it again, when to give up. Without I/O; the caller carries out each Step and reports what came of
-// it. A stream that broke goes on after its last event. Not synchronised; `fleet` must outlive it.
+// it. A stream that broke goes on after its last event. Not synchronised; the references must outlive it.
 class Exchange {
 public:
-    Exchange(ExchangeRequest, fleet::Fleet&, const Timing&);
+    Exchange(ExchangeRequest, fleet::Fleet&, CrashRegister&, const Timing&);
     ~Exchange();
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
@@ -52,6 +53,7 @@
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
+    void noteCrash(AttemptOutcome, const fleet::UpstreamInstance&, base::Instant now);
     Step silenceStep(base::Instant now, uint64_t random);
     bool maySendAgain(AttemptOutcome, base::Instant now);
     void release();
@@ -61,6 +63,7 @@
 
     ExchangeRequest m_request;
     fleet::Fleet& m_fleet;
+    CrashRegister& m_crashes;
     const Timing& m_timing;
     std::optional<fleet::Placement> m_placement;
     std::vector<base::UpstreamName> m_excluded;
@@ -78,6 +81,7 @@
     bool m_hasFailureAnswer = false;
     // The current attempt has delivered an event.
     bool m_hasEvent = false;
+    base::Instant m_sentAt {};
     base::Instant m_waitingSince {};
     base::Instant m_lastProgress {};
     base::Instant m_lastProbe {};
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -15,6 +15,8 @@
     std::shared_ptr<const manifest::ManifestIndex> index;
     const manifest::Route* route = nullptr;
     base::ServiceName service;
+    // Equal for each repetition of the same work by the same account.
+    base::Fingerprint fingerprint;
     base::Instant arrivedAt {};
     // How long the client waits, from `arrivedAt` on.
     base::Duration clientDeadline {};
--- /dev/null
+++ b/src/forward/HarmfulRequest.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::forward {
+
+// A request that is not sent to upstreams any more.
+struct HarmfulRequest {
+    base::Fingerprint fingerprint;
+    // Of the last crash that counted.
+    base::Instant endedAt {};
+};
+
+} // namespace redwingseam::forward
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "fleet/Fleet.h"
 #include "forward/AdmissionRule.h"
+#include "forward/CrashRegister.h"
 #include "forward/DrainRule.h"
 #include "forward/Timing.h"
 #include "gateway/GatewayMetrics.h"
@@ -37,6 +38,7 @@
 
     const GatewaySettings settings;
     fleet::Fleet fleet;
+    forward::CrashRegister crashes;
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
     const forward::DrainRule drain;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Hash.h"
 #include "gateway/HeaderRules.h"
 #include "gateway/OwnAnswer.h"
 #include "gateway/Session.h"
@@ -43,7 +44,7 @@
     }
     if (admission.account)
         m_account = admission.account->name;
-    m_exchange = std::make_unique<forward::Exchange>(exchangeRequest(admission, random()), m_state.fleet, m_state.timing);
+    m_exchange = std::make_unique<forward::Exchange>(exchangeRequest(admission, random()), m_state.fleet, m_state.crashes, m_state.timing);
     logAdmission(admission);
     carry(m_exchange->begin(m_arrivedAt, random()));
 }
@@ -55,6 +56,8 @@
     request.index = admission.index;
     request.route = admission.route;
     request.service = forward::chooseService(*admission.route, random);
+    auto caller = admission.account ? std::string_view(admission.account->name.text) : std::string_view();
+    request.fingerprint.value = base::hashBytes(m_message.body(), base::hashBytes(m_message.target(), base::hashBytes(caller)));
     request.arrivedAt = m_arrivedAt;
     request.clientDeadline = m_facts.deadline.value_or(admission.route->timeout);
     request.promptTokens = m_facts.promptTokens;
@@ -284,6 +287,8 @@
         line.with("backup", m_order.placement.backup->id.text);
     if (m_order.usesCopy)
         line.with("from_copy", 1);
+    if (m_exchange && outcome != forward::AttemptOutcome::Answered)
+        line.with("fingerprint", m_exchange->request().fingerprint.value);
     if (m_exchange && m_exchange->lastEventId())
         line.with("last_event", *m_exchange->lastEventId());
     LOG(INFO) << line.text();
--- a/src/peering/FieldReader.h
+++ b/src/peering/FieldReader.h
@@ -49,6 +49,7 @@
         return field->get<bool>();
     }
 
+    bool hasMore() const { return m_isGood && m_index < m_array.size(); }
     bool isNull() const { return m_isGood && m_index < m_array.size() && m_array[m_index].is_null(); }
     void skip() { (void)next(); }
 
--- a/src/peering/MessageCodec.cpp
+++ b/src/peering/MessageCodec.cpp
@@ -3,11 +3,20 @@
 #include "peering/FieldReader.h"
 #include "peering/MessageKind.h"
 
+#include <algorithm>
+
 namespace redwingseam::peering {
 
 using Json = nlohmann::json;
 
-// Messages are arrays of fields in a fixed order, which keeps the bytes between data centres few.
+// Messages are arrays of fields in a fixed order, which keeps the bytes between data centres few. New fields go
+// last, and a reader takes a message without them, as nodes of two releases talk during a roll-out.
+
+// A message may be made from a clock reading that is older than what it tells.
+static int64_t ageOf(base::Instant at, base::Instant now)
+{
+    return std::max(base::Duration {}, now - at).count();
+}
 
 static Json format(const sync::NodeRecord& node)
 {
@@ -41,19 +50,35 @@
     return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads) });
 }
 
-static Json format(const StateReply& reply, base::Instant)
+static Json format(const std::vector<forward::HarmfulRequest>& requests, base::Instant now)
+{
+    auto list = Json::array();
+    for (const auto& request : requests)
+        list.push_back(Json::array({ request.fingerprint.value, ageOf(request.endedAt, now) }));
+    return list;
+}
+
+static Json format(const std::vector<forward::CrashEvent>& crashes, base::Instant now)
+{
+    auto list = Json::array();
+    for (const auto& crash : crashes)
+        list.push_back(Json::array({ crash.fingerprint.value, ageOf(crash.sentAt, now), ageOf(crash.endedAt, now) }));
+    return list;
+}
+
+static Json format(const StateReply& reply, base::Instant now)
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
-    return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, reply.manifestAge.count(),
-        reply.manifestText, reply.listRevision, reply.listAge.count(), reply.missingGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes) });
+    return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
+        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.harmful, now) });
 }
 
 static Json format(const NewsMessage& message, base::Instant now)
 {
     auto list = Json::array();
     for (const auto& news : message.news)
-        list.push_back(Json::array({ news.upstream.text, news.service.text, static_cast<int>(news.cause), (now - news.at).count() }));
-    return Json::array({ static_cast<int>(MessageKind::News), format(message.from), std::move(list) });
+        list.push_back(Json::array({ news.upstream.text, news.service.text, static_cast<int>(news.cause), ageOf(news.at, now) }));
+    return Json::array({ static_cast<int>(MessageKind::News), format(message.from), std::move(list), format(message.crashes, now) });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -113,7 +138,7 @@
     return base::Duration(static_cast<int64_t>(reader.number()));
 }
 
-static StateReply parseReply(FieldReader& reader)
+static StateReply parseReply(FieldReader& reader, base::Instant now)
 {
     StateReply reply;
     reply.sequence = reader.number();
@@ -133,6 +158,13 @@
     }
     reply.loads = parseLoads(reader);
     reader.forEach([&](FieldReader& item) { parse(item, reply.nodes.emplace_back()); });
+    if (reader.hasMore()) {
+        reader.forEach([&](FieldReader& item) {
+            auto& request = reply.harmful.emplace_back();
+            request.fingerprint.value = item.number(UINT64_MAX);
+            request.endedAt = now - parseAge(item);
+        });
+    }
     return reply;
 }
 
@@ -148,6 +180,14 @@
         news.at = now - parseAge(item);
         message.news.push_back(std::move(news));
     });
+    if (reader.hasMore()) {
+        reader.forEach([&](FieldReader& item) {
+            auto& crash = message.crashes.emplace_back();
+            crash.fingerprint.value = item.number(UINT64_MAX);
+            crash.sentAt = now - parseAge(item);
+            crash.endedAt = now - parseAge(item);
+        });
+    }
     return message;
 }
 
@@ -163,7 +203,7 @@
         message = parseQuery(reader);
         break;
     case MessageKind::Reply:
-        message = parseReply(reader);
+        message = parseReply(reader, now);
         break;
     case MessageKind::News:
         message = parseNews(reader, now);
--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Fleet.h"
+#include "forward/CrashRegister.h"
 #include "manifest/ManifestHolder.h"
 #include "peering/Directory.h"
 #include "peering/LoadBoard.h"
@@ -24,7 +25,7 @@
 };
 
 // What nodes tell each other: the manifest and the list of upstreams with their ages, booked work, and
-// upstreams that seem down. Nodes of a data centre ask its hub; hubs ask each other. Without I/O: returns
+// upstreams that seem down, requests that upstreams broke under. Nodes of a data centre ask its hub; hubs ask each other. Without I/O: returns
 // the messages to be sent. Thread-safe.
 //
 // An age counts from the moment at which the asking node sent its query, so a reply that was delayed makes
@@ -32,7 +33,7 @@
 template<ManifestParser Parser>
 class PeerSync {
 public:
-    PeerSync(sync::NodeRecord self, fleet::Fleet&, manifest::ManifestHolder&, sync::UpstreamBoard&, sync::FollowRule&);
+    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashRegister&, manifest::ManifestHolder&, sync::UpstreamBoard&, sync::FollowRule&);
 
     void setNodes(const std::vector<sync::NodeRecord>&);
     // Called every `tickInterval`.
@@ -58,12 +59,14 @@
     void queryNeighbours(OutgoingList&, base::Instant now);
     void queryRemote(OutgoingList&, base::Instant now);
     void querySilent(OutgoingList&, base::Instant now);
-    void sendNews(OutgoingList&, const std::vector<fleet::SuspicionNews>&, const sync::NodeRecord& from, base::Instant now);
+    // Passes on the news of `message.from`.
+    void sendNews(OutgoingList&, const NewsMessage&, base::Instant now);
     Outgoing queryTo(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
     bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
     void updateRole(base::Instant now);
 
     fleet::Fleet& m_fleet;
+    forward::CrashRegister& m_crashes;
     manifest::ManifestHolder& m_manifest;
     sync::UpstreamBoard& m_board;
     sync::FollowRule& m_follow;
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -9,8 +9,9 @@
 namespace redwingseam::peering {
 
 template<ManifestParser Parser>
-PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, manifest::ManifestHolder& manifest, sync::UpstreamBoard& board, sync::FollowRule& follow)
+PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, forward::CrashRegister& crashes, manifest::ManifestHolder& manifest, sync::UpstreamBoard& board, sync::FollowRule& follow)
     : m_fleet(fleet)
+    , m_crashes(crashes)
     , m_manifest(manifest)
     , m_board(board)
     , m_follow(follow)
@@ -42,14 +43,14 @@
 template<ManifestParser Parser>
 OutgoingList PeerSync<Parser>::tick(base::Instant now)
 {
-    auto news = m_fleet.takeNews();
     std::lock_guard guard(m_mutex);
+    NewsMessage news { m_directory.self(), m_fleet.takeNews(), m_crashes.takeNews() };
     OutgoingList outgoing;
     updateRole(now);
     std::erase_if(m_asked, [&](const auto& item) { return now - item.second > replyTimeout; });
     m_loads.dropOld(now);
-    if (!news.empty())
-        sendNews(outgoing, news, m_directory.self(), now);
+    if (!news.isEmpty())
+        sendNews(outgoing, news, now);
     if (now - m_neighboursAsked >= neighbourInterval)
         queryNeighbours(outgoing, now);
     if (now - m_remoteAsked >= remoteInterval)
@@ -115,8 +116,9 @@
 }
 
 template<ManifestParser Parser>
-void PeerSync<Parser>::sendNews(OutgoingList& outgoing, const std::vector<fleet::SuspicionNews>& news, const sync::NodeRecord& from, base::Instant now)
+void PeerSync<Parser>::sendNews(OutgoingList& outgoing, const NewsMessage& message, base::Instant now)
 {
+    const auto& from = message.from;
     const auto& self = m_directory.self();
     std::vector<sync::NodeRecord> receivers;
     bool isHub = m_follow.isHub();
@@ -135,7 +137,7 @@
     }
     for (const auto& node : receivers) {
         if (node.name != from.name)
-            outgoing.push_back({ node.peerAddress, NewsMessage { self, news } });
+            outgoing.push_back({ node.peerAddress, NewsMessage { self, message.news, message.crashes } });
     }
 }
 
@@ -175,6 +177,7 @@
             reply.loads[upstream] += load;
         reply.nodes = m_directory.nodes();
     }
+    reply.harmful = m_crashes.harmful(now);
     return { { query.from.peerAddress, std::move(reply) } };
 }
 
@@ -187,6 +190,8 @@
         return {};
     takeManifest(reply, asked.mapped());
     takeList(reply, asked.mapped());
+    for (const auto& request : reply.harmful)
+        m_crashes.learn(request);
     if (!isNeighbour(reply.from))
         return {};
     if (!m_follow.isHub())
@@ -233,16 +238,22 @@
 OutgoingList PeerSync<Parser>::take(const NewsMessage& message, base::Instant now)
 {
     m_directory.noteHeard(message.from, now);
-    std::vector<fleet::SuspicionNews> fresh;
+    NewsMessage fresh { message.from };
     for (const auto& news : message.news) {
         if (now - news.at < newsLifetime)
-            fresh.push_back(news);
+            fresh.news.push_back(news);
     }
-    for (const auto& news : fresh)
+    for (const auto& crash : message.crashes) {
+        if (now - crash.endedAt < newsLifetime)
+            fresh.crashes.push_back(crash);
+    }
+    for (const auto& news : fresh.news)
         m_fleet.applyNews(news);
+    for (const auto& crash : fresh.crashes)
+        m_crashes.learn(crash);
     OutgoingList outgoing;
-    if (m_follow.isHub() && !fresh.empty())
-        sendNews(outgoing, fresh, message.from, now);
+    if (m_follow.isHub() && !fresh.isEmpty())
+        sendNews(outgoing, fresh, now);
     return outgoing;
 }
 
--- a/src/peering/StateReply.h
+++ b/src/peering/StateReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/LoadMap.h"
+#include "forward/HarmfulRequest.h"
 #include "redwingseam/base/Instant.h"
 #include "sync/NodeRecord.h"
 #include "sync/UpstreamList.h"
@@ -29,6 +30,8 @@
     fleet::LoadMap loads;
     // Only within a data centre.
     std::vector<sync::NodeRecord> nodes;
+    // For nodes that missed the news of their crashes.
+    std::vector<forward::HarmfulRequest> harmful;
 };
 
 } // namespace redwingseam::peering
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -155,6 +155,25 @@
     }
 }
 
+TEST(Gateway, RequestThatUpstreamsBreakUnderIsRefusedAfterThreeOfThem)
+{
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    for (int i = 0; i < 8; ++i) {
+        upstreams.push_back(std::make_unique<ScriptedUpstream>(std::vector<fakes::ScriptedAnswer>(5, { "", true })));
+        gateway.list("d" + std::to_string(i), "desk", *upstreams.back(), "dc-" + std::to_string(i));
+    }
+    std::string last;
+    for (int i = 0; i < 8; ++i)
+        last = gateway.exchange(GatewayFixture::post("/book/x", "the same"));
+    size_t arrivals = 0;
+    for (const auto& upstream : upstreams)
+        arrivals += upstream->requests().size();
+    LONGS_EQUAL(3, arrivals);
+    CHECK_TRUE_TEXT(has(last, "HTTP/1.1 503 ") && has(last, "HarmfulRequest"), last.c_str());
+    // Another body is other work.
+    CHECK_TRUE(has(gateway.exchange(GatewayFixture::post("/book/x", "another")), "HTTP/1.1 502 "));
+}
+
 TEST(Gateway, AnswerWithoutALengthEndsWithItsConnection)
 {
     ScriptedUpstream upstream({ { "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\n\r\nwhole", true } });
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -28,7 +28,7 @@
 struct PeerNode {
     explicit PeerNode(const std::string& name, const std::string& dataCentre)
         : record { { name }, { dataCentre }, name }
-        , sync(record, fleet, manifest, board, follow)
+        , sync(record, fleet, crashes, manifest, board, follow)
     {
         fleet.update(fleetList(), base::Instant(std::chrono::seconds(1)), {});
     }
@@ -45,6 +45,7 @@
 
     sync::NodeRecord record;
     fleet::Fleet fleet { { "dc-a" } };
+    forward::CrashRegister crashes;
     manifest::ManifestHolder manifest;
     sync::UpstreamBoard board;
     sync::FollowRule follow;
@@ -234,6 +235,28 @@
     CHECK_TRUE(b2.fleet.takesWork(upstream, world.now));
 }
 
+TEST(PeerSync, RequestThatBreaksUpstreamsAtSeveralNodesIsHarmfulAtAllOfThem)
+{
+    for (const char* name : { "a1", "a2", "b1", "b2", "c1" })
+        world.add(name, std::string("dc-") + name[0]);
+    world.introduce();
+    world.run(milliseconds(1000));
+    base::Fingerprint fingerprint { UINT64_MAX - 1 };
+    for (size_t i : { 1, 3, 4 }) {
+        world.nodes[i]->crashes.note({ fingerprint, world.now, world.now + milliseconds(5) });
+        world.run(milliseconds(300));
+    }
+    for (const auto& node : world.nodes) {
+        CHECK_TRUE(node->crashes.isHarmful(fingerprint, world.now));
+        CHECK_FALSE(node->crashes.isSuspect({ 7 }, world.now));
+    }
+    // A node that was not there yet learns it with its first answers.
+    auto& late = world.add("b3", "dc-b");
+    world.introduce();
+    world.run(milliseconds(1000));
+    CHECK_TRUE(late.crashes.isHarmful(fingerprint, world.now));
+}
+
 TEST(PeerSync, ListOfUpstreamsReachesNeighboursOnceAndOnlyIfNewer)
 {
     auto& a1 = world.add("a1", "dc-a");
@@ -248,6 +271,16 @@
     CHECK_FALSE(a2.board.post({ older, world.now, {} }));
 }
 
+TEST(PeerSync, NewsOfALaterMomentThanItsMessageIsRead)
+{
+    auto now = base::Instant(std::chrono::seconds(5));
+    auto later = now + milliseconds(3);
+    peering::NewsMessage news { { { "n" }, { "dc" }, "127.0.0.1:1" }, { { { "e1" }, { "engines" }, fleet::SuspicionCause::ConnectionLost, later } }, { { { 5 }, later, later } } };
+    auto read = peering::parseMessage(peering::formatMessage(news, now), now);
+    CHECK_TRUE(read.has_value());
+    CHECK_TRUE(std::get<peering::NewsMessage>(*read).news.front().at == now);
+}
+
 TEST(PeerSync, DamagedMessagesAreRefused)
 {
     CHECK_PROPERTY("any damage is read or refused", [](uint16_t position, uint8_t byte) {
@@ -257,6 +290,7 @@
         reply.list = sync::UpstreamList { 4, PeerNode::fleetList() };
         reply.loads[{ "e1" }] = { 1, 2, 3 };
         reply.nodes = { reply.from };
+        reply.harmful = { { { 5 }, now } };
         auto bytes = peering::formatMessage(reply, now);
         RC_ASSERT(peering::parseMessage(bytes, now).has_value());
         auto cut = bytes.substr(0, position % bytes.size());
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -11,8 +11,10 @@
 struct FleetFixture {
     FakeClock clock;
     fleet::Fleet fleet { { "dc-a" } };
+    forward::CrashRegister crashes;
     forward::Timing timing;
     std::vector<fleet::UpstreamInstance> listed;
+    mutable uint64_t requestsMade = 0;
     std::shared_ptr<const manifest::ManifestIndex> index = std::make_shared<const manifest::ManifestIndex>(manifestOf());
 
     static manifest::Manifest manifestOf()
@@ -53,6 +55,7 @@
         request.index = index;
         request.route = index->route("h", path);
         request.service = request.route->services.front().service;
+        request.fingerprint.value = ++requestsMade;
         request.retries.slack = 1000;
         request.arrivedAt = clock.now();
         request.clientDeadline = std::chrono::seconds(25);
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -38,7 +38,7 @@
 
 GatewayProcess::GatewayProcess(const gateway::GatewaySettings& settings)
     : m_state(settings)
-    , m_peerSync(recordOf(settings), m_state.fleet, m_state.manifest, m_board, m_follow)
+    , m_peerSync(recordOf(settings), m_state.fleet, m_state.crashes, m_state.manifest, m_board, m_follow)
     , m_peers(m_peerSync)
     , m_manifestReader(settings.store, storeTimeout)
     , m_fleetReader(settings.store, storeTimeout)
