A node that starts asks the other nodes before the store

Change: the list of nodes is read first, then the hub is asked; the store after 300 ms, or at once by the node that goes before all others. A node writes its entry only if it is not there. Tests: NodesTask (4, new), PeerSync.NodeThatStartsIsToldAtOnce and NodesThatStartTogetherAreEachSentTheListAboutOnce; the second fails without the limit.

--- a/src/peering/Directory.cpp
+++ b/src/peering/Directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace redwingseam::peering {
 
@@ -74,6 +75,30 @@
     });
 }
 
+bool Directory::isFirst() const
+{
+    auto placeOf = [](const sync::NodeRecord& node) { return std::tie(node.dataCentre, node.name); };
+    return std::none_of(m_entries.begin(), m_entries.end(), [&](const auto& item) { return placeOf(item.second.record) < placeOf(m_self); });
+}
+
+bool Directory::isFirstOfDataCentre() const
+{
+    return std::none_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        return item.second.record.dataCentre == m_self.dataCentre && item.first < m_self.name;
+    });
+}
+
+bool Directory::isHeard(const base::VmName& name, base::Instant now) const
+{
+    auto found = m_entries.find(name);
+    return found != m_entries.end() && isLive(found->second, now);
+}
+
+bool Directory::isAnyHeard(base::Instant now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) { return isLive(item.second, now); });
+}
+
 std::vector<base::DataCentreName> Directory::otherDataCentres() const
 {
     std::set<base::DataCentreName> names;
--- a/src/peering/Directory.h
+++ b/src/peering/Directory.h
@@ -33,6 +33,11 @@
     bool isHub(base::Instant now) const { return hubOf(m_self.dataCentre, now)->name == m_self.name; }
     // Whether this node is the hub of the first data centre, by name, in which a node is heard of.
     bool isLeader(base::Instant now) const;
+    // Whether no known node, heard of or not, goes before this one.
+    bool isFirst() const;
+    bool isFirstOfDataCentre() const;
+    bool isHeard(const base::VmName&, base::Instant now) const;
+    bool isAnyHeard(base::Instant now) const;
     // Other data centres with a known node.
     std::vector<base::DataCentreName> otherDataCentres() const;
     // Nodes of the own data centre that are heard of, without this one.
--- a/src/peering/MessageCodec.cpp
+++ b/src/peering/MessageCodec.cpp
@@ -47,7 +47,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads) });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState });
 }
 
 static Json format(const std::vector<forward::HarmfulRequest>& requests, base::Instant now)
@@ -130,6 +130,8 @@
     query.manifestVersion = reader.number();
     query.listRevision = reader.number();
     query.loads = parseLoads(reader);
+    if (reader.hasMore())
+        query.wantsState = reader.flag();
     return query;
 }
 
--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -35,7 +35,10 @@
 public:
     PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashRegister&, manifest::ManifestHolder&, sync::UpstreamBoard&, sync::FollowRule&);
 
+    // The first list makes the node ask the others at its next tick.
     void setNodes(const std::vector<sync::NodeRecord>&);
+    // Whether no known node goes before this one, so that none need be asked before the store is.
+    bool isFirst();
     // Called every `tickInterval`.
     OutgoingList tick(base::Instant now);
     OutgoingList handle(const Message&, base::Instant now);
@@ -46,6 +49,8 @@
     static constexpr base::Duration neighbourInterval = std::chrono::milliseconds(250);
     // Bytes between data centres are billed.
     static constexpr base::Duration remoteInterval = std::chrono::milliseconds(500);
+    // Until the node is informed; a reply of the hub takes some milliseconds.
+    static constexpr base::Duration firstInterval = std::chrono::milliseconds(100);
     static constexpr base::Duration silentInterval = std::chrono::milliseconds(2000);
     // A reply that comes later tells nothing that the next one does not.
     static constexpr base::Duration replyTimeout = std::chrono::milliseconds(2000);
@@ -62,6 +67,9 @@
     // Passes on the news of `message.from`.
     void sendNews(OutgoingList&, const NewsMessage&, base::Instant now);
     Outgoing queryTo(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
+    // Whether this node knows both a manifest and a list.
+    bool isInformed() const { return m_manifest.state().index && m_board.listing(); }
+    bool asksForState(const sync::NodeRecord&, base::Instant now);
     bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
     void updateRole(base::Instant now);
 
@@ -78,6 +86,8 @@
     base::Instant m_neighboursAsked {};
     base::Instant m_remoteAsked {};
     base::Instant m_silentAsked {};
+    base::Instant m_stateAsked {};
+    bool m_hasNodes = false;
 };
 
 } // namespace redwingseam::peering
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -5,6 +5,7 @@
 
 #include <glog/logging.h>
 #include <mutex>
+#include <utility>
 
 namespace redwingseam::peering {
 
@@ -24,6 +25,18 @@
 {
     std::lock_guard guard(m_mutex);
     m_directory.setNodes(nodes);
+    if (std::exchange(m_hasNodes, true))
+        return;
+    m_neighboursAsked = {};
+    m_remoteAsked = {};
+    m_silentAsked = {};
+}
+
+template<ManifestParser Parser>
+bool PeerSync<Parser>::isFirst()
+{
+    std::lock_guard guard(m_mutex);
+    return m_directory.isFirst();
 }
 
 template<ManifestParser Parser>
@@ -51,7 +64,7 @@
     m_loads.dropOld(now);
     if (!news.isEmpty())
         sendNews(outgoing, news, now);
-    if (now - m_neighboursAsked >= neighbourInterval)
+    if (now - m_neighboursAsked >= (isInformed() ? neighbourInterval : firstInterval))
         queryNeighbours(outgoing, now);
     if (now - m_remoteAsked >= remoteInterval)
         queryRemote(outgoing, now);
@@ -71,10 +84,24 @@
     auto listing = m_board.listing();
     query.listRevision = listing ? listing->list->revision : 0;
     query.loads = std::move(loads);
+    query.wantsState = asksForState(node, now);
     m_asked[query.sequence] = now;
     return { node.peerAddress, std::move(query) };
 }
 
+template<ManifestParser Parser>
+bool PeerSync<Parser>::asksForState(const sync::NodeRecord& node, base::Instant now)
+{
+    if (isInformed())
+        return true;
+    // A node that knows nothing would get all of it from each that it asks.
+    bool isWaiting = now - m_stateAsked < firstInterval;
+    if (isWaiting || (m_directory.isAnyHeard(now) && !m_directory.isHeard(node.name, now)))
+        return false;
+    m_stateAsked = now;
+    return true;
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::queryNeighbours(OutgoingList& outgoing, base::Instant now)
 {
@@ -93,6 +120,9 @@
     m_remoteAsked = now;
     if (!m_follow.isHub())
         return;
+    // All nodes take themselves for hubs until they have heard of others.
+    if (!isInformed() && !m_directory.isFirstOfDataCentre())
+        return;
     // What this data centre has booked: the hub itself and its neighbours.
     LoadBoard inside;
     inside.set("self", m_fleet.ownLoads(), now);
@@ -110,7 +140,7 @@
 {
     m_silentAsked = now;
     for (const auto& node : m_directory.silentBetterNodes(now)) {
-        if (isNeighbour(node) || m_follow.isHub())
+        if (isNeighbour(node) || (m_follow.isHub() && isInformed()))
             outgoing.push_back(queryTo(node, {}, now));
     }
 }
@@ -161,14 +191,14 @@
     if (manifest.index) {
         reply.manifestVersion = manifest.index->manifest().version;
         reply.manifestAge = now - manifest.confirmedAt;
-        if (reply.manifestVersion > query.manifestVersion && manifest.text)
+        if (query.wantsState && reply.manifestVersion > query.manifestVersion && manifest.text)
             reply.manifestText = *manifest.text;
     }
     if (auto listing = m_board.listing()) {
         reply.listRevision = listing->list->revision;
         reply.listAge = now - listing->readAt;
         reply.missingGrace = listing->missingGrace;
-        if (reply.listRevision > query.listRevision)
+        if (query.wantsState && reply.listRevision > query.listRevision)
             reply.list = *listing->list;
     }
     if (isInside) {
--- a/src/peering/StateQuery.h
+++ b/src/peering/StateQuery.h
@@ -17,6 +17,8 @@
     uint64_t manifestVersion = 0;
     uint64_t listRevision = 0;
     fleet::LoadMap loads;
+    // Whether the reply is to hold the manifest and the list where they are newer.
+    bool wantsState = true;
 };
 
 } // namespace redwingseam::peering
--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -4,6 +4,8 @@
 #include "sync/FollowRule.h"
 #include "sync/StoreReader.h"
 
+#include <algorithm>
+#include <atomic>
 #include <glog/logging.h>
 
 namespace redwingseam::sync {
@@ -22,31 +24,51 @@
 
     bool poll()
     {
-        if (!m_isAnnounced) {
-            auto error = m_reader.announceNode(m_self);
-            m_isAnnounced = error.code == base::ResultCode::Ok;
-            if (!m_isAnnounced) {
-                LOG(WARNING) << log::LogLine("announce_failed").with("detail", error.detail).text();
+        if (m_isAnnounced && !m_follow.isLeader())
+            return true;
+        // The entry outlives the process, so most starts find it. Nodes that start for the first time, all at
+        // once, see each other only in a list that is read after they entered themselves.
+        while (list()) {
+            if (m_isAnnounced)
+                return true;
+            if (!announce())
                 return false;
-            }
+            m_isAnnounced = true;
         }
-        if (m_hasListed && !m_follow.isLeader())
-            return true;
+        return false;
+    }
+
+    // Whether the list was read since the start.
+    bool hasListed() const { return m_hasListed; }
+
+private:
+    bool list()
+    {
         auto nodes = m_reader.listNodes();
         if (!nodes)
             return false;
-        m_hasListed = true;
+        if (std::find(nodes.value().begin(), nodes.value().end(), m_self) != nodes.value().end())
+            m_isAnnounced = true;
         m_taker.setNodes(std::move(nodes.value()));
+        m_hasListed = true;
         return true;
     }
 
-private:
+    bool announce()
+    {
+        auto error = m_reader.announceNode(m_self);
+        if (error.code == base::ResultCode::Ok)
+            return true;
+        LOG(WARNING) << log::LogLine("announce_failed").with("detail", error.detail).text();
+        return false;
+    }
+
     Reader& m_reader;
     Taker& m_taker;
     const FollowRule& m_follow;
     NodeRecord m_self;
     bool m_isAnnounced = false;
-    bool m_hasListed = false;
+    std::atomic<bool> m_hasListed { false };
 };
 
 } // namespace redwingseam::sync
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -65,6 +65,7 @@
     std::set<std::string> silent;
     base::Instant now { std::chrono::seconds(100) };
     base::Duration delay = milliseconds(1);
+    size_t bytesSent = 0;
 
     PeerNode& add(const std::string& name, const std::string& dataCentre)
     {
@@ -83,8 +84,10 @@
 
     void post(const peering::OutgoingList& outgoing)
     {
-        for (const auto& item : outgoing)
+        for (const auto& item : outgoing) {
             flights.push_back({ now + delay, item.address, peering::formatMessage(item.message, now) });
+            bytesSent += flights.back().bytes.size();
+        }
     }
 
     void run(base::Duration length)
@@ -155,6 +158,60 @@
     CHECK_TRUE(b1.follow.isLeader() && !b2.follow.isLeader());
 }
 
+TEST(PeerSync, NodeThatStartsIsToldAtOnce)
+{
+    auto& a1 = world.add("a1", "dc-a");
+    world.add("a2", "dc-a");
+    auto& b1 = world.add("b1", "dc-b");
+    world.introduce();
+    a1.confirm(7, world.now);
+    a1.board.post({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), world.now, {} });
+    world.run(milliseconds(1500));
+    CHECK_TRUE(b1.manifest.state().index != nullptr);
+    // Its entry is in the store, the others' directories may not have it yet.
+    for (const auto& [name, dataCentre] : std::map<std::string, std::string> { { "a3", "dc-a" }, { "b2", "dc-b" }, { "c1", "dc-c" } }) {
+        auto& late = world.add(name, dataCentre);
+        world.run(milliseconds(75));
+        std::vector<sync::NodeRecord> all;
+        for (const auto& node : world.nodes)
+            all.push_back(node->record);
+        late.sync.setNodes(all);
+        CHECK_FALSE(late.sync.isFirst());
+        world.run(milliseconds(120));
+        CHECK_TRUE(late.manifest.state().index != nullptr);
+        CHECK_TRUE(late.board.listing().has_value());
+        CHECK_FALSE(late.follow.isLeader());
+    }
+    CHECK_TRUE(a1.sync.isFirst());
+}
+
+TEST(PeerSync, NodesThatStartTogetherAreEachSentTheListAboutOnce)
+{
+    for (const char* dataCentre : { "dc-a", "dc-b", "dc-c" }) {
+        for (int i = 1; i <= 6; ++i)
+            world.add(dataCentre + std::to_string(i), dataCentre);
+    }
+    auto& leader = *world.nodes.front();
+    leader.confirm(7, world.now);
+    auto list = PeerNode::fleetList();
+    for (int i = 0; i < 300; ++i)
+        list.push_back({ { "upstream-" + std::to_string(i) }, { "engines" }, "127.0.0.1:1", { "dc-a" }, 1, 6, false });
+    leader.board.post({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, list }), world.now, {} });
+    world.introduce();
+    world.run(milliseconds(1000));
+    world.bytesSent = 0;
+    for (const char* dataCentre : { "dc-a", "dc-b", "dc-c" }) {
+        for (int i = 7; i <= 9; ++i)
+            world.add(dataCentre + std::to_string(i), dataCentre);
+    }
+    world.introduce();
+    world.run(milliseconds(300));
+    auto whole = peering::formatMessage(peering::StateReply { .list = sync::UpstreamList { 3, list } }, world.now).size();
+    for (const auto& node : world.nodes)
+        CHECK_TRUE_TEXT(node->board.listing().has_value(), node->record.name.text.c_str());
+    CHECK_TRUE_TEXT(world.bytesSent < 2 * whole * 9, std::to_string(world.bytesSent / whole).c_str());
+}
+
 TEST(PeerSync, ManifestReachesNeighboursAndOtherDataCentresWithItsAge)
 {
     auto& a1 = world.add("a1", "dc-a");
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -46,8 +46,6 @@
     , m_manifestTask(m_manifestReader, m_state.manifest, m_follow, manifestBound(settings))
     , m_fleetTask(m_fleetReader, m_state.fleet, m_board, m_follow, settings.drainBound)
     , m_nodesTask(m_nodesReader, m_peerSync, m_follow, recordOf(settings))
-    , m_manifestPoller("manifest", m_manifestTask, manifestSchedule(settings))
-    , m_fleetPoller("fleet", m_fleetTask, fleetSchedule(settings))
     , m_readiness(m_state, std::string(platform::path::ready))
     , m_metrics(m_state)
     , m_lanes(m_state)
@@ -64,7 +62,10 @@
     const auto& settings = m_state.settings;
     if (!m_peers.start(settings.peers))
         return cannotListen(settings.peers);
-    m_nodesPoller = std::make_unique<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>>("nodes", m_nodesTask, nodesSchedule());
+    using NodesPoller = sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>;
+    using ManifestPoller = sync::StorePoller<sync::ManifestTask<platform::StoreApi>>;
+    using FleetPoller = sync::StorePoller<sync::FleetTask<platform::StoreApi>>;
+    m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesSchedule());
     m_readinessServer = std::make_unique<http::RequestServer<gateway::ReadinessHandler>>(m_readiness, settings.readiness);
     if (!m_readinessServer->isListening())
         return cannotListen(settings.readiness);
@@ -75,25 +76,41 @@
     auto listener = gateway::listenOn(settings.clients);
     if (!listener.isOpen())
         return cannotListen(settings.clients);
+    awaitIntroduction();
+    m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestSchedule(settings));
+    m_fleetPoller = std::make_unique<FleetPoller>("fleet", m_fleetTask, fleetSchedule(settings));
     awaitKnowledge();
     m_acceptor = std::make_unique<gateway::Acceptor<Lanes>>(std::move(listener), m_lanes);
     return {};
 }
 
-void GatewayProcess::awaitKnowledge()
+template<typename Predicate>
+static void awaitAtMost(base::Duration longest, Predicate&& predicate)
 {
-    // Clients give a connection a second.
-    static constexpr base::Duration longestWait = std::chrono::milliseconds(700);
     static constexpr base::Duration checkInterval = std::chrono::milliseconds(10);
     base::Mutex mutex;
     base::Condition condition;
     std::lock_guard guard(mutex);
     auto began = base::BootClock {}.now();
-    while (base::BootClock {}.now() - began < longestWait) {
-        if (m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {})
-            return;
+    while (!predicate() && base::BootClock {}.now() - began < longest)
         condition.waitFor(mutex, checkInterval);
-    }
+}
+
+void GatewayProcess::awaitIntroduction()
+{
+    // The list of nodes, a question to the hub and its answer, with room for one that is lost.
+    static constexpr base::Duration longestWait = std::chrono::milliseconds(300);
+    awaitAtMost(longestWait, [&] {
+        bool isTurn = m_nodesTask.hasListed() && m_peerSync.isFirst();
+        return isTurn || (isInformed() && !m_follow.isLeader());
+    });
+}
+
+void GatewayProcess::awaitKnowledge()
+{
+    // Clients give a connection a second, of which a part is gone by now.
+    static constexpr base::Duration longestWait = std::chrono::milliseconds(500);
+    awaitAtMost(longestWait, [&] { return isInformed(); });
 }
 
 bool GatewayProcess::drain()
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -41,6 +41,9 @@
     static sync::PollSchedule nodesSchedule();
     static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
     static sync::PollSchedule fleetSchedule(const gateway::GatewaySettings&);
+    bool isInformed() const { return m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {}; }
+    // Waits until other nodes told the manifest and the upstreams, or it is this node's turn to ask the store.
+    void awaitIntroduction();
     // Waits until the manifest and the upstreams are known, or no longer makes sense.
     void awaitKnowledge();
 
@@ -55,9 +58,9 @@
     sync::ManifestTask<platform::StoreApi> m_manifestTask;
     sync::FleetTask<platform::StoreApi> m_fleetTask;
     sync::NodesTask<platform::StoreApi, PeerSync> m_nodesTask;
-    sync::StorePoller<sync::ManifestTask<platform::StoreApi>> m_manifestPoller;
-    sync::StorePoller<sync::FleetTask<platform::StoreApi>> m_fleetPoller;
     std::unique_ptr<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>> m_nodesPoller;
+    std::unique_ptr<sync::StorePoller<sync::ManifestTask<platform::StoreApi>>> m_manifestPoller;
+    std::unique_ptr<sync::StorePoller<sync::FleetTask<platform::StoreApi>>> m_fleetPoller;
     gateway::ReadinessHandler m_readiness;
     gateway::MetricsHandler m_metrics;
     std::unique_ptr<http::RequestServer<gateway::ReadinessHandler>> m_readinessServer;
