Nodes read the list of nodes as the store last knew it

Ruled out: no list at all (a node would know no hub). Change: lists may be some seconds old but for the one after a node entered itself; a node that is heard of stays known although such a list lacks it. Tests: NodesTask.* count cheap and full reads; PeerSync.OldListOfNodesDropsNoneThatIsHeardOf.

--- a/src/peering/Directory.cpp
+++ b/src/peering/Directory.cpp
@@ -6,15 +6,19 @@
 
 namespace redwingseam::peering {
 
-void Directory::setNodes(const std::vector<sync::NodeRecord>& nodes)
+void Directory::setNodes(const std::vector<sync::NodeRecord>& nodes, base::Instant now)
 {
     std::map<base::VmName, Entry> entries;
+    for (const auto& [name, entry] : m_entries) {
+        if (isLive(entry, now))
+            entries.emplace(name, entry);
+    }
     for (const auto& node : nodes) {
         if (node.name == m_self.name)
             continue;
         auto before = m_entries.find(node.name);
         auto heardAt = before == m_entries.end() ? base::Instant {} : before->second.heardAt;
-        entries.emplace(node.name, Entry { node, heardAt });
+        entries.insert_or_assign(node.name, Entry { node, heardAt });
     }
     m_entries = std::move(entries);
 }
--- a/src/peering/Directory.h
+++ b/src/peering/Directory.h
@@ -19,7 +19,8 @@
     }
 
     const sync::NodeRecord& self() const { return m_self; }
-    void setNodes(const std::vector<sync::NodeRecord>&);
+    // The store's list, which may be some seconds old; nodes that are heard of stay.
+    void setNodes(const std::vector<sync::NodeRecord>&, base::Instant now);
     // Another node told of `node`.
     void add(const sync::NodeRecord& node);
     // A message of `node` arrived.
--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -83,6 +83,7 @@
     LoadBoard m_loads;
     uint64_t m_sequence = 0;
     std::map<uint64_t, base::Instant> m_asked;
+    base::Instant m_lastTick {};
     base::Instant m_neighboursAsked {};
     base::Instant m_remoteAsked {};
     base::Instant m_silentAsked {};
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -24,7 +24,7 @@
 void PeerSync<Parser>::setNodes(const std::vector<sync::NodeRecord>& nodes)
 {
     std::lock_guard guard(m_mutex);
-    m_directory.setNodes(nodes);
+    m_directory.setNodes(nodes, m_lastTick);
     if (std::exchange(m_hasNodes, true))
         return;
     m_neighboursAsked = {};
@@ -59,6 +59,7 @@
     std::lock_guard guard(m_mutex);
     NewsMessage news { m_directory.self(), m_fleet.takeNews(), m_crashes.takeNews() };
     OutgoingList outgoing;
+    m_lastTick = now;
     updateRole(now);
     std::erase_if(m_asked, [&](const auto& item) { return now - item.second > replyTimeout; });
     m_loads.dropOld(now);
--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -26,25 +26,25 @@
     {
         if (m_isAnnounced && !m_follow.isLeader())
             return true;
-        // The entry outlives the process, so most starts find it. Nodes that start for the first time, all at
-        // once, see each other only in a list that is read after they entered themselves.
-        while (list()) {
-            if (m_isAnnounced)
-                return true;
-            if (!announce())
-                return false;
-            m_isAnnounced = true;
-        }
-        return false;
+        // The entry outlives the process, so most starts find it, and nodes come and go over minutes.
+        if (!list(Freshness::Recent))
+            return false;
+        if (m_isAnnounced)
+            return true;
+        if (!announce())
+            return false;
+        m_isAnnounced = true;
+        // Nodes that start for the first time, all at once, see each other only now.
+        return list(Freshness::Latest);
     }
 
     // Whether the list was read since the start.
     bool hasListed() const { return m_hasListed; }
 
 private:
-    bool list()
+    bool list(Freshness freshness)
     {
-        auto nodes = m_reader.listNodes();
+        auto nodes = m_reader.listNodes(freshness);
         if (!nodes)
             return false;
         if (std::find(nodes.value().begin(), nodes.value().end(), m_self) != nodes.value().end())
--- a/src/sync/StoreReader.h
+++ b/src/sync/StoreReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "redwingseam/base/Result.h"
+#include "sync/Freshness.h"
 #include "sync/ManifestRead.h"
 #include "sync/NodeRecord.h"
 #include "sync/UpstreamChanges.h"
@@ -13,7 +14,7 @@
 
 // Calls of the platform's store. Calls wait for the answer and are made from one thread for each reader.
 template<typename T>
-concept StoreReader = requires(T& reader, uint64_t revision, base::Duration wait, const NodeRecord& node)
+concept StoreReader = requires(T& reader, uint64_t revision, base::Duration wait, const NodeRecord& node, Freshness freshness)
 {
     {
         reader.readManifest()
@@ -31,7 +32,7 @@
         reader.announceNode(node)
         } -> std::same_as<base::Error>;
     {
-        reader.listNodes()
+        reader.listNodes(freshness)
         } -> std::same_as<base::Result<std::vector<NodeRecord>>>;
 };
 
--- a/tests/NodesTaskTest.cpp
+++ b/tests/NodesTaskTest.cpp
@@ -10,6 +10,7 @@
 struct NodeStore {
     std::vector<sync::NodeRecord> entries;
     unsigned reads = 0;
+    unsigned cheapReads = 0;
     unsigned writes = 0;
     bool isDown = false;
 
@@ -25,11 +26,11 @@
         entries.push_back(node);
         return {};
     }
-    base::Result<std::vector<sync::NodeRecord>> listNodes()
+    base::Result<std::vector<sync::NodeRecord>> listNodes(sync::Freshness freshness)
     {
         if (isDown)
             return down();
-        ++reads;
+        ++(freshness == sync::Freshness::Latest ? reads : cheapReads);
         return entries;
     }
 
@@ -59,7 +60,8 @@
     follow.setLeader(false);
     CHECK_TRUE(task.poll());
     LONGS_EQUAL(1, store.writes);
-    LONGS_EQUAL(2, store.reads);
+    LONGS_EQUAL(1, store.reads);
+    LONGS_EQUAL(1, store.cheapReads);
 }
 
 TEST(NodesTask, RestartedNodeFindsItsEntryAndWritesNothing)
@@ -67,7 +69,8 @@
     store.entries = { self, { { "a2" }, { "dc-a" }, "10.0.0.2:1" } };
     CHECK_TRUE(task.poll());
     LONGS_EQUAL(0, store.writes);
-    LONGS_EQUAL(1, store.reads);
+    LONGS_EQUAL(0, store.reads);
+    LONGS_EQUAL(1, store.cheapReads);
     LONGS_EQUAL(2, taker.nodes.size());
 }
 
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -212,6 +212,19 @@
     CHECK_TRUE_TEXT(world.bytesSent < 2 * whole * 9, std::to_string(world.bytesSent / whole).c_str());
 }
 
+TEST(PeerSync, OldListOfNodesDropsNoneThatIsHeardOf)
+{
+    auto& a1 = world.add("a1", "dc-a");
+    auto& a2 = world.add("a2", "dc-a");
+    world.introduce();
+    world.run(milliseconds(1000));
+    CHECK_FALSE(a2.follow.isLeader());
+    a2.sync.setNodes({ a2.record });
+    world.run(milliseconds(60));
+    CHECK_FALSE(a2.follow.isLeader());
+    CHECK_TRUE(a1.follow.isLeader());
+}
+
 TEST(PeerSync, ManifestReachesNeighboursAndOtherDataCentresWithItsAge)
 {
     auto& a1 = world.add("a1", "dc-a");
