Gateway: burn report, status and the story of a request; all nodes count the same nodes

Cause (counts): a node listed the nodes once, at its start, and hubs told only their neighbours, so after a first start nodes knew from 4 to 6 of 6 (seen in redwingseam status), and the slack of the retry limits, which they share by that count, was used more than once. Ruled out: reading the list more often; each call is billed. Change: a reply holds the nodes where the asking node knows fewer, between data centres too.

--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -46,6 +46,7 @@
     void countRequest(const base::ServiceName&, base::Instant now);
     // Nodes that share the retry limits.
     void setNodeCount(uint32_t count) { m_nodeCount = count; }
+    uint32_t nodeCount() const { return m_nodeCount; }
     // Whether one more retry is within this node's part of the limits; books it if so.
     bool takeRetry(const base::ServiceName&, const RetryLimits&, base::Instant now);
 
--- /dev/null
+++ b/src/gateway/AdminHandler.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "gateway/GatewayState.h"
+#include "gateway/ReadinessHandler.h"
+
+namespace redwingseam::gateway {
+
+// Serves what operators ask a gateway: `/metrics` in the text form of Prometheus, `/status` and `/report` as JSON.
+class AdminHandler {
+public:
+    using Stream = ReadinessHandler::Stream;
+    using Response = http::ServerResponse<Stream>;
+
+    explicit AdminHandler(GatewayState& state)
+        : m_state(state)
+    {
+    }
+
+    Response handle(const http::ServerRequest&);
+
+private:
+    std::string status() const;
+
+    GatewayState& m_state;
+};
+
+} // namespace redwingseam::gateway
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -9,6 +9,7 @@
 #include "gateway/GatewaySettings.h"
 #include "manifest/ManifestHolder.h"
 #include "redwingseam/base/BootClock.h"
+#include "report/Recorder.h"
 
 #include <atomic>
 
@@ -44,6 +45,7 @@
     const forward::DrainRule drain;
     const forward::Timing timing;
     GatewayMetrics metrics;
+    report::Recorder levels;
     // When the node was told to stop; the start of time until then.
     std::atomic<base::Instant> toldToStopAt { base::Instant {} };
     std::atomic<uint32_t> sessions { 0 };
--- /dev/null
+++ b/src/gateway/PolicyOf.cpp
@@ -0,0 +1,30 @@
+#include "gateway/PolicyOf.h"
+
+namespace redwingseam::gateway {
+
+// The stated target: after a loss output goes on within 5 s.
+static constexpr base::Duration resumeTarget = std::chrono::seconds(5);
+// The stated target: 95 in 100.
+static constexpr int64_t objectivePermille = 950;
+
+static base::Rank rankOf(uint32_t priority)
+{
+    if (priority == 0)
+        return base::Rank::Urgent;
+    return priority == 1 ? base::Rank::Standard : base::Rank::Deferrable;
+}
+
+settings::Policy policyOf(const manifest::Route& route, uint32_t priority)
+{
+    settings::Policy policy;
+    policy.rank = rankOf(priority);
+    policy.firstTokenTarget = route.latencyObjective;
+    policy.betweenTokensTarget = route.gapObjective;
+    policy.suspicionFloor = route.gapObjective;
+    policy.resumeTarget = resumeTarget;
+    policy.objectivePermille = objectivePermille;
+    policy.isIdempotent = route.isRepeatable();
+    return policy;
+}
+
+} // namespace redwingseam::gateway
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -6,6 +6,7 @@
 #include "gateway/ClientConnection.h"
 #include "gateway/Dialect.h"
 #include "gateway/GatewayState.h"
+#include "gateway/PolicyOf.h"
 #include "gateway/SessionEnd.h"
 #include "gateway/StoredAnswer.h"
 #include "gateway/UpstreamConnection.h"
@@ -65,8 +66,9 @@
     void writeHead(const StoredAnswer&, std::string_view framing);
     void deliver();
     void answerItself(const OwnAnswer&, SessionEnd);
-    void breakOff(SessionEnd);
+    void breakOff(SessionEnd, base::ResultCode);
     void end(SessionEnd);
+    void recordEnd(SessionEnd);
     void dropUpstream();
     void keepUpstream(std::unique_ptr<Upstream>);
     bool keepsClient() const;
@@ -85,7 +87,9 @@
     uint64_t m_number;
     base::Instant m_arrivedAt;
     std::optional<base::ClientName> m_account;
-    std::optional<unsigned> m_urgency;
+    settings::Policy m_policy;
+    // Why the node answered by itself or broke off.
+    base::ResultCode m_code = base::ResultCode::Ok;
     std::unique_ptr<forward::Exchange> m_exchange;
     forward::SendOrder m_order;
     std::unique_ptr<Upstream> m_upstream;
--- a/src/gateway/SessionAnswersImpl.h
+++ b/src/gateway/SessionAnswersImpl.h
@@ -71,7 +71,9 @@
         if (m_isEnded)
             return;
         m_state.metrics.record(LatencyKind::Response, at - m_arrivedAt);
+        m_state.levels.recordFirstToken(m_policy, at - m_arrivedAt, m_exchange->runs() > 0, at);
     } else {
+        m_state.levels.recordGap(m_policy, at - m_lastEventAt, m_isResuming, at);
         m_state.metrics.record(m_isResuming ? LatencyKind::ResumeGap : LatencyKind::EventGap, at - m_lastEventAt);
     }
     if (m_firstEventAt == base::Instant {})
@@ -220,6 +222,7 @@
         writeHead(chosen, "Content-Length: " + length + "\r\n");
         m_client.write(chosen.body);
         m_state.metrics.record(LatencyKind::Response, now() - m_arrivedAt);
+        m_state.levels.recordFirstToken(m_policy, now() - m_arrivedAt, m_exchange->runs() > 1, now());
     }
     if (m_isEnded)
         return;
@@ -231,6 +234,7 @@
 template<Dialect Names, typename Lane>
 void Session<Names, Lane>::answerItself(const OwnAnswer& answer, SessionEnd how)
 {
+    m_code = answer.code;
     auto complete = answer;
     complete.keepsAlive = keepsClient();
     m_client.write(ownAnswerText(complete));
@@ -243,8 +247,9 @@
 }
 
 template<Dialect Names, typename Lane>
-void Session<Names, Lane>::breakOff(SessionEnd how)
+void Session<Names, Lane>::breakOff(SessionEnd how, base::ResultCode code)
 {
+    m_code = code;
     auto& client = m_client;
     end(how);
     client.close();
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -23,6 +23,12 @@
 {
 }
 
+// An account's priority goes before its route's.
+inline uint32_t priorityOf(const forward::Admission& admission)
+{
+    return admission.account && admission.account->priority ? *admission.account->priority : admission.route->priority;
+}
+
 template<Dialect Names, typename Lane>
 void Session<Names, Lane>::begin()
 {
@@ -33,6 +39,8 @@
     bool comesTooLate = admission.route && told != base::Instant {} && !m_state.drain.takes(*admission.route, m_arrivedAt - told);
     if (comesTooLate)
         admission.code = base::ResultCode::Draining;
+    if (admission.route)
+        m_policy = policyOf(*admission.route, priorityOf(admission));
     if (admission.code != base::ResultCode::Ok) {
         auto status = statusOfRefusal(admission.code);
         std::optional<base::Duration> retryAfter;
@@ -46,6 +54,7 @@
         m_account = admission.account->name;
     m_exchange = std::make_unique<forward::Exchange>(exchangeRequest(admission, random()), m_state.fleet, m_state.crashes, m_state.timing);
     logAdmission(admission);
+    m_state.levels.countRequest(m_policy.rank);
     carry(m_exchange->begin(m_arrivedAt, random()));
 }
 
@@ -64,7 +73,7 @@
     request.outputTokens = m_facts.mostOutputTokens;
     request.lastEventId = m_facts.lastEventId;
     request.retries = m_state.settings.retries;
-    request.priority = admission.account && admission.account->priority ? *admission.account->priority : admission.route->priority;
+    request.priority = priorityOf(admission);
     return request;
 }
 
@@ -88,13 +97,13 @@
         return;
     case forward::StepKind::Fail:
         if (m_exchange->isHeadSent())
-            breakOff(SessionEnd::BrokenOff);
+            breakOff(SessionEnd::BrokenOff, step.code);
         else
             answerItself({ 502, step.code }, SessionEnd::Failed);
         return;
     case forward::StepKind::TimeOut:
         if (m_exchange->isHeadSent())
-            breakOff(SessionEnd::TimedOut);
+            breakOff(SessionEnd::TimedOut, step.code);
         else if (m_failure)
             deliver();
         else
@@ -232,11 +241,24 @@
     dropUpstream();
     auto kind = m_exchange ? m_exchange->request().route->kind : manifest::RouteKind::NonIdempotent;
     m_state.metrics.countEnd(kind, how);
+    recordEnd(how);
     logEnd(how);
     m_exchange.reset();
     m_lane.sessionEnded(*this);
 }
 
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::recordEnd(SessionEnd how)
+{
+    bool hasRoute = m_policy.objectivePermille > 0;
+    if (!hasRoute || how == SessionEnd::ClientGone || how == SessionEnd::Rejected)
+        return;
+    if (how == SessionEnd::Answered)
+        m_state.levels.recordFinish(m_policy, now());
+    else
+        m_state.levels.countRefusal(m_policy, how == SessionEnd::AnsweredFailure ? base::ResultCode::RetriesExhausted : m_code, now());
+}
+
 inline uint64_t millisOf(base::Duration duration)
 {
     return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
--- a/src/peering/MessageCodec.cpp
+++ b/src/peering/MessageCodec.cpp
@@ -47,7 +47,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount });
 }
 
 static Json format(const std::vector<forward::HarmfulRequest>& requests, base::Instant now)
@@ -132,6 +132,8 @@
     query.loads = parseLoads(reader);
     if (reader.hasMore())
         query.wantsState = reader.flag();
+    if (reader.hasMore())
+        query.nodeCount = reader.number();
     return query;
 }
 
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -86,6 +86,7 @@
     query.listRevision = listing ? listing->list->revision : 0;
     query.loads = std::move(loads);
     query.wantsState = asksForState(node, now);
+    query.nodeCount = m_directory.size();
     m_asked[query.sequence] = now;
     return { node.peerAddress, std::move(query) };
 }
@@ -206,8 +207,10 @@
         reply.loads = m_loads.sum(now, query.from.name.text);
         for (const auto& [upstream, load] : m_fleet.ownLoads())
             reply.loads[upstream] += load;
-        reply.nodes = m_directory.nodes();
     }
+    // The nodes share the retry limits, so each must know how many there are.
+    if (query.nodeCount < m_directory.size())
+        reply.nodes = m_directory.nodes();
     reply.harmful = m_crashes.harmful(now);
     return { { query.from.peerAddress, std::move(reply) } };
 }
@@ -223,12 +226,10 @@
     takeList(reply, asked.mapped());
     for (const auto& request : reply.harmful)
         m_crashes.learn(request);
-    if (!isNeighbour(reply.from))
-        return {};
-    if (!m_follow.isHub())
-        m_fleet.setOthers(reply.loads);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
+    if (isNeighbour(reply.from) && !m_follow.isHub())
+        m_fleet.setOthers(reply.loads);
     return {};
 }
 
--- a/src/peering/StateQuery.h
+++ b/src/peering/StateQuery.h
@@ -19,6 +19,8 @@
     fleet::LoadMap loads;
     // Whether the reply is to hold the manifest and the list where they are newer.
     bool wantsState = true;
+    // Nodes that the sender knows.
+    uint64_t nodeCount = 0;
 };
 
 } // namespace redwingseam::peering
--- a/src/peering/StateReply.h
+++ b/src/peering/StateReply.h
@@ -28,7 +28,7 @@
     std::optional<sync::UpstreamList> list;
     // What all others have booked; only within a data centre.
     fleet::LoadMap loads;
-    // Only within a data centre.
+    // Only if the asking node knows fewer.
     std::vector<sync::NodeRecord> nodes;
     // For nodes that missed the news of their crashes.
     std::vector<forward::HarmfulRequest> harmful;
--- a/src/report/Recorder.cpp
+++ b/src/report/Recorder.cpp
@@ -43,9 +43,12 @@
     case base::ResultCode::DeadlinePassed:
         return Cause::Flood;
     case base::ResultCode::ClaimStoreUnavailable:
+    case base::ResultCode::ManifestUnknown:
+    case base::ResultCode::ManifestStale:
         return Cause::Platform;
     case base::ResultCode::OutcomeUnknown:
     case base::ResultCode::RetriesExhausted:
+    case base::ResultCode::NoUpstream:
         return Cause::EngineLoss;
     case base::ResultCode::StreamLost:
         return Cause::VmLoss;
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -225,6 +225,21 @@
     CHECK_TRUE(a1.follow.isLeader());
 }
 
+TEST(PeerSync, AllNodesCountTheSameNodesThoughEachListedOnlySome)
+{
+    std::vector<sync::NodeRecord> entered;
+    for (const char* dataCentre : { "dc-c", "dc-a", "dc-b" }) {
+        for (int i = 1; i <= 4; ++i) {
+            auto& node = world.add(dataCentre + std::to_string(i), dataCentre);
+            entered.push_back(node.record);
+            node.sync.setNodes(entered);
+        }
+    }
+    world.run(milliseconds(3000));
+    for (const auto& node : world.nodes)
+        LONGS_EQUAL_TEXT(12, node->fleet.nodeCount(), node->record.name.text.c_str());
+}
+
 TEST(PeerSync, ManifestReachesNeighboursAndOtherDataCentresWithItsAge)
 {
     auto& a1 = world.add("a1", "dc-a");
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -47,7 +47,7 @@
     , m_fleetTask(m_fleetReader, m_state.fleet, m_board, m_follow, settings.drainBound)
     , m_nodesTask(m_nodesReader, m_peerSync, m_follow, recordOf(settings))
     , m_readiness(m_state, std::string(platform::path::ready))
-    , m_metrics(m_state)
+    , m_admin(m_state)
     , m_lanes(m_state)
 {
 }
@@ -69,8 +69,8 @@
     m_readinessServer = std::make_unique<http::RequestServer<gateway::ReadinessHandler>>(m_readiness, settings.readiness);
     if (!m_readinessServer->isListening())
         return cannotListen(settings.readiness);
-    m_metricsServer = std::make_unique<http::RequestServer<gateway::MetricsHandler>>(m_metrics, settings.metrics);
-    if (!m_metricsServer->isListening())
+    m_adminServer = std::make_unique<http::RequestServer<gateway::AdminHandler>>(m_admin, settings.metrics);
+    if (!m_adminServer->isListening())
         return cannotListen(settings.metrics);
     // Clients that connect early wait in the listener's queue until the node knows where to send them.
     auto listener = gateway::listenOn(settings.clients);
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/Acceptor.h"
+#include "gateway/AdminHandler.h"
 #include "gateway/Lanes.h"
-#include "gateway/MetricsHandler.h"
 #include "gateway/ReadinessHandler.h"
 #include "http/RequestServer.h"
 #include "peering/PeerLoop.h"
@@ -62,9 +62,9 @@
     std::unique_ptr<sync::StorePoller<sync::ManifestTask<platform::StoreApi>>> m_manifestPoller;
     std::unique_ptr<sync::StorePoller<sync::FleetTask<platform::StoreApi>>> m_fleetPoller;
     gateway::ReadinessHandler m_readiness;
-    gateway::MetricsHandler m_metrics;
+    gateway::AdminHandler m_admin;
     std::unique_ptr<http::RequestServer<gateway::ReadinessHandler>> m_readinessServer;
-    std::unique_ptr<http::RequestServer<gateway::MetricsHandler>> m_metricsServer;
+    std::unique_ptr<http::RequestServer<gateway::AdminHandler>> m_adminServer;
     Lanes m_lanes;
     std::unique_ptr<gateway::Acceptor<Lanes>> m_acceptor;
 };
--- a/tools/redwingseam/Commands.h
+++ b/tools/redwingseam/Commands.h
@@ -15,5 +15,6 @@
 ExitCode report(const CommandLine&);
 ExitCode mintKey(const CommandLine&);
 ExitCode reference(const CommandLine&);
+ExitCode logs(const CommandLine&);
 
 } // namespace redwingseam::cli
--- a/tools/redwingseam/Main.cpp
+++ b/tools/redwingseam/Main.cpp
@@ -54,6 +54,8 @@
         return mintKey(line);
     case Verb::Reference:
         return reference(line);
+    case Verb::Logs:
+        return logs(line);
     }
     return ExitCode::BadUsage;
 }
@@ -69,7 +71,8 @@
                  "  status    shows what each VM runs\n"
                  "  report    shows service levels and how fast their budgets burn\n"
                  "  mint-key  makes a client's key\n"
-                 "  reference prints the settings reference\n";
+                 "  reference prints the settings reference\n"
+                 "  logs      explain ID FILE...: tells what became of a request from the nodes' logs\n";
     return static_cast<int>(ExitCode::BadUsage);
 }
 
--- a/tools/redwingseam/Verb.h
+++ b/tools/redwingseam/Verb.h
@@ -17,6 +17,7 @@
     Report,
     MintKey,
     Reference,
+    Logs,
 };
 
 } // namespace redwingseam::cli
@@ -34,5 +35,6 @@
         std::pair { Verb::Report, std::string_view { "report" } },
         std::pair { Verb::MintKey, std::string_view { "mint-key" } },
         std::pair { Verb::Reference, std::string_view { "reference" } },
+        std::pair { Verb::Logs, std::string_view { "logs" } },
     };
 };
