--- /dev/null
+++ b/src/base/Cbor.cpp
@@ -0,0 +1,94 @@
+#include "base/Cbor.h"
+
+namespace redwingseam::base {
+
+using nlohmann::json;
+
+namespace {
+
+    // Builds a document and stops the reader at what would exhaust memory or the stack; the library's own builder throws
+    // at the one and recurses into the other.
+    class BoundedBuilder : public nlohmann::json_sax<json> {
+    public:
+        explicit BoundedBuilder(size_t mostMembers)
+            : m_mostMembers(mostMembers)
+        {
+        }
+
+        json take() { return std::move(m_root); }
+
+        bool null() override { return add(nullptr); }
+        bool boolean(bool value) override { return add(value); }
+        bool number_integer(number_integer_t value) override { return add(value); }
+        bool number_unsigned(number_unsigned_t value) override { return add(value); }
+        bool number_float(number_float_t value, const string_t&) override { return add(value); }
+        bool string(string_t& value) override { return add(std::move(value)); }
+        bool binary(binary_t& value) override { return add(json::binary(std::move(value))); }
+        bool start_object(size_t members) override { return open(json::object(), members); }
+        bool start_array(size_t members) override { return open(json::array(), members); }
+        bool end_object() override { return close(); }
+        bool end_array() override { return close(); }
+        bool key(string_t& value) override
+        {
+            m_key = std::move(value);
+            return true;
+        }
+        bool parse_error(size_t, const std::string&, const json::exception&) override { return false; }
+
+    private:
+        // Deeper than any message.
+        static constexpr size_t mostDepth = 16;
+        // The reader's word for a length that is not known before the end.
+        static constexpr size_t unknownLength = static_cast<size_t>(-1);
+
+        json* place(json value)
+        {
+            if (m_open.empty()) {
+                m_root = std::move(value);
+                return &m_root;
+            }
+            auto& parent = *m_open.back();
+            if (parent.is_object())
+                return &(parent[m_key] = std::move(value));
+            parent.push_back(std::move(value));
+            return &parent.back();
+        }
+
+        bool add(json value)
+        {
+            place(std::move(value));
+            return true;
+        }
+
+        bool open(json container, size_t members)
+        {
+            if (m_open.size() >= mostDepth || (members != unknownLength && members > m_mostMembers))
+                return false;
+            m_open.push_back(place(std::move(container)));
+            return true;
+        }
+
+        bool close()
+        {
+            m_open.pop_back();
+            return true;
+        }
+
+        size_t m_mostMembers;
+        json m_root;
+        // A container's members are only added while it is the last one here, so the pointers stay good.
+        std::vector<json*> m_open;
+        std::string m_key;
+    };
+
+} // namespace
+
+std::optional<json> parseCbor(std::string_view bytes)
+{
+    BoundedBuilder builder(bytes.size());
+    if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor, true))
+        return std::nullopt;
+    return builder.take();
+}
+
+} // namespace redwingseam::base
--- a/src/codec/PeerCodec.cpp
+++ b/src/codec/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "codec/PeerCodec.h"
 
+#include "base/Cbor.h"
 #include "codec/ClaimCodec.h"
 #include "codec/FactCodec.h"
 #include "codec/JsonReader.h"
@@ -111,10 +112,10 @@
 
 std::optional<peer::PeerMessage> parseMessage(std::string_view bytes)
 {
-    auto document = json::from_cbor(bytes, true, false);
-    if (document.is_discarded())
+    auto document = base::parseCbor(bytes);
+    if (!document)
         return std::nullopt;
-    JsonReader reader(document);
+    JsonReader reader(*document);
     auto type = reader.number("type");
     bool isKnown = reader.isGood() && type < base::EnumNames<MessageType>::entries.size();
     if (!isKnown)
--- a/src/peering/MessageCodec.cpp
+++ b/src/peering/MessageCodec.cpp
@@ -1,5 +1,6 @@
 #include "peering/MessageCodec.h"
 
+#include "base/Cbor.h"
 #include "peering/FieldReader.h"
 #include "peering/MessageKind.h"
 
@@ -197,10 +198,10 @@
 
 std::optional<Message> parseMessage(std::string_view bytes, base::Instant now)
 {
-    auto json = Json::from_cbor(bytes, true, false);
-    if (!json.is_array())
+    auto json = base::parseCbor(bytes);
+    if (!json || !json->is_array())
         return std::nullopt;
-    FieldReader reader(json);
+    FieldReader reader(*json);
     std::optional<Message> message;
     switch (static_cast<MessageKind>(reader.number(static_cast<uint64_t>(MessageKind::News)))) {
     case MessageKind::Query:
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -366,6 +366,16 @@
     CHECK_TRUE(std::get<peering::NewsMessage>(*read).news.front().at == now);
 }
 
+TEST(PeerSync, MessagesThatWouldExhaustANodeAreRefused)
+{
+    auto now = base::Instant(std::chrono::seconds(5));
+    std::string announcesTooMany = "\x88\x9b\x9b\x9b\x9b\x9b\x9b\x9b\x9b\x9b";
+    CHECK_FALSE(peering::parseMessage(announcesTooMany, now).has_value());
+    std::string nestsTooDeeply(2'000'000, '\x81');
+    CHECK_FALSE(peering::parseMessage(nestsTooDeeply, now).has_value());
+    CHECK_FALSE(peering::parseMessage({}, now).has_value());
+}
+
 TEST(PeerSync, DamagedMessagesAreRefused)
 {
     CHECK_PROPERTY("any damage is read or refused", [](uint16_t position, uint8_t byte) {
