Soak: gateways' ports lie below the range that connections take theirs from

Cause: of three soaks side by side two ended with nodes that never became ready; their logs say start_failed, cannot listen: a connection of another soak held the port that had been free a moment before. Also traced: peer_message_unreadable in these runs came from a sanitizer build in which one object was compiled while a header changed; none after a clean build.

--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -1,6 +1,7 @@
 """One gateway process and the proxies around it."""
 
 import asyncio
+import random
 import signal
 import socket
 
@@ -9,13 +10,17 @@
 GRACE = 4
 
 
+# Below the range that connections take their ports from, so that none of them holds a gateway's port.
+FIRST_PORT, LAST_PORT = 12000, 32000
+
+
 def free_port_pair():
     """Two neighbouring ports that nobody uses."""
     while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
         with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
             try:
+                first.bind(("127.0.0.1", port))
                 second.bind(("127.0.0.1", port + 1))
             except OSError:
                 continue
