--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -1,7 +1,7 @@
 """One gateway process and the proxies around it."""
 
 import asyncio
-import random
+import os
 import signal
 import socket
 
@@ -10,14 +10,18 @@
 GRACE = 4
 
 
-# Below the range that connections take their ports from, so that none of them holds a gateway's port.
-FIRST_PORT, LAST_PORT = 12000, 32000
+# Below the range that connections take their ports from, so that none of them holds a gateway's port. Soaks side by
+# side each have a slice of it.
+FIRST_PORT = 12000
+PORTS_IN_SLICE = 500
+SLICES = 40
+
+untried_ports = iter(range(FIRST_PORT + os.getpid() % SLICES * PORTS_IN_SLICE, FIRST_PORT + (os.getpid() % SLICES + 1) * PORTS_IN_SLICE, 2))
 
 
 def free_port_pair():
-    """Two neighbouring ports that nobody uses."""
-    while True:
-        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+    """Two neighbouring ports that nobody uses and that were not handed out before."""
+    for port in untried_ports:
         with socket.socket() as first, socket.socket() as second:
             try:
                 first.bind(("127.0.0.1", port))
@@ -25,6 +29,7 @@
             except OSError:
                 continue
             return port
+    raise RuntimeError("no free port is left")
 
 
 class Gateway:
