--- a/bench/Benches.h
+++ b/bench/Benches.h
@@ -19,5 +19,6 @@
 void benchSettings330(FigureList&);
 void benchLeaving(FigureList&);
 void benchSlopes(FigureList&);
+void benchForward(FigureList&);
 
 } // namespace redwingseam::bench
--- /dev/null
+++ b/bench/ForwardBench.cpp
@@ -0,0 +1,174 @@
+#include "Benches.h"
+#include "FigureList.h"
+#include "LaneClock.h"
+
+#include "fakes/GatewayFixture.h"
+#include "http/BlockingClient.h"
+#include "http/RequestServer.h"
+
+#include <ctime>
+#include <fstream>
+#include <glog/logging.h>
+#include <unistd.h>
+
+namespace redwingseam::bench {
+
+using fakes::GatewayFixture;
+using fakes::ScriptedUpstream;
+
+namespace {
+
+    constexpr int plainRequests = 4000;
+    constexpr int openStreams = 200;
+    constexpr int eventsOfEach = 150;
+    constexpr double nanosPerMicro = 1000;
+
+    // Answers with a body of 800 bytes, as the plain services do.
+    struct EchoHandler {
+        struct Stream {
+            std::optional<std::string> next() { return std::nullopt; }
+        };
+
+        http::ServerResponse<Stream> handle(const http::ServerRequest&) { return { 200, std::string(800, 'x') }; }
+    };
+
+    // Sends the events of open streams one by one, as engines do.
+    class EventSource {
+    public:
+        EventSource()
+            : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        {
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            bind(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+            listen(m_listener.descriptor(), openStreams);
+            socklen_t length = sizeof address;
+            getsockname(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
+            m_port = ntohs(address.sin_port);
+        }
+
+        std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+        // Takes the next request and begins its answer.
+        void acceptOne()
+        {
+            base::Socket stream(accept(m_listener.descriptor(), nullptr, nullptr));
+            auto request = GatewayFixture::read(stream, "\r\n\r\n");
+            static constexpr std::string_view name = "Redwingseam-Attempt-Id: ";
+            auto at = request.find(name) + name.size();
+            auto head = GatewayFixture::streamHead();
+            head.replace(head.find("$ID"), 3, request.substr(at, request.find('\r', at) - at));
+            GatewayFixture::write(stream, head + GatewayFixture::event(1));
+            m_streams.push_back(std::move(stream));
+        }
+
+        void sendAll(unsigned id)
+        {
+            for (const auto& stream : m_streams)
+                GatewayFixture::write(stream, GatewayFixture::event(id));
+        }
+
+    private:
+        base::Socket m_listener;
+        uint16_t m_port = 0;
+        std::vector<base::Socket> m_streams;
+    };
+
+    uint16_t freePort()
+    {
+        auto listener = gateway::listenOn({ "127.0.0.1", 0 });
+        sockaddr_in address {};
+        socklen_t length = sizeof address;
+        getsockname(listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
+        return ntohs(address.sin_port);
+    }
+
+    double residentBytes()
+    {
+        std::ifstream file("/proc/self/statm");
+        double whole = 0;
+        double resident = 0;
+        file >> whole >> resident;
+        return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+    }
+
+    double processMicros()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / nanosPerMicro;
+    }
+
+    // Both ends of a request between the project's HTTP libraries, without a gateway.
+    double microsOfEcho()
+    {
+        EchoHandler handler;
+        auto port = freePort();
+        http::RequestServer<EchoHandler> server(handler, { "127.0.0.1", port });
+        auto url = "http://127.0.0.1:" + std::to_string(port) + "/x";
+        http::BlockingClient client;
+        auto before = processMicros();
+        for (int i = 0; i < plainRequests; ++i) {
+            http::HttpRequest request { "GET", url };
+            request.timeout = std::chrono::seconds(2);
+            client.exchange(request);
+        }
+        return (processMicros() - before) / plainRequests;
+    }
+
+    double microsOfPlainRequest()
+    {
+        GatewayFixture gateway;
+        ScriptedUpstream upstream(std::vector<fakes::ScriptedAnswer>(plainRequests, { GatewayFixture::ok(std::string(800, 'x')) }));
+        gateway.list("d1", "desk", upstream);
+        auto client = gateway.connectClient();
+        auto request = GatewayFixture::get("/read/x");
+        request.erase(request.find("Connection: close\r\n"), std::string("Connection: close\r\n").size());
+        auto before = laneNanos();
+        for (int i = 0; i < plainRequests; ++i) {
+            GatewayFixture::write(client, request);
+            GatewayFixture::read(client, "xxxx");
+        }
+        return (laneNanos() - before) / nanosPerMicro / plainRequests;
+    }
+
+    void measureStreams(FigureList& figures)
+    {
+        GatewayFixture gateway;
+        EventSource source;
+        gateway.list("e1", "engines", source.address());
+        std::vector<base::Socket> clients;
+        auto residentBefore = residentBytes();
+        for (int i = 0; i < openStreams; ++i) {
+            clients.push_back(gateway.connectClient());
+            GatewayFixture::write(clients.back(), GatewayFixture::get("/stream/x"));
+            source.acceptOne();
+            GatewayFixture::read(clients.back(), "data: e1\n\n");
+        }
+        auto bytes = (residentBytes() - residentBefore) / openStreams;
+        auto before = laneNanos();
+        for (unsigned id = 2; id < 2 + eventsOfEach; ++id) {
+            source.sendAll(id);
+            for (const auto& client : clients)
+                GatewayFixture::read(client, "data: e" + std::to_string(id) + "\n\n");
+        }
+        auto micros = (laneNanos() - before) / nanosPerMicro / openStreams / eventsOfEach;
+        figures.add("forward.micros_per_event", micros, "us", 15, Direction::AtMost);
+        figures.add("forward.bytes_per_open_stream", bytes, "B", 20'000, Direction::AtMost);
+    }
+
+} // namespace
+
+// Processor time of the gateway's own threads on loopback, and memory of streams that wait.
+void benchForward(FigureList& figures)
+{
+    // Log lines would go to standard error here, unlike in the process.
+    FLAGS_minloglevel = google::GLOG_ERROR;
+    auto plain = microsOfPlainRequest();
+    figures.add("forward.micros_per_plain_request", plain, "us", 100, Direction::AtMost);
+    figures.show("forward.plain_request_over_echo", plain / microsOfEcho(), "ratio");
+    measureStreams(figures);
+}
+
+} // namespace redwingseam::bench
--- /dev/null
+++ b/bench/LaneClock.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace redwingseam::bench {
+
+// Processor time, in nanoseconds, that the gateway's lane threads of this process have used.
+double laneNanos();
+
+} // namespace redwingseam::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -29,6 +29,7 @@
     Bench { "settings330", benchSettings330 },
     Bench { "leaving", benchLeaving },
     Bench { "slopes", benchSlopes },
+    Bench { "forward", benchForward },
 };
 
 } // namespace
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -27,9 +27,13 @@
     }
 
     // Lists an upstream; the first of a service is in the gateway's own data centre and taken first.
-    void list(const std::string& id, const std::string& service, ScriptedUpstream& upstream, const std::string& dataCentre = "dc-a")
+    void list(const std::string& id, const std::string& service, const ScriptedUpstream& upstream, const std::string& dataCentre = "dc-a")
     {
-        m_listed.push_back({ { id }, { service }, upstream.address(), { dataCentre }, 1, 6, false });
+        list(id, service, upstream.address(), dataCentre);
+    }
+    void list(const std::string& id, const std::string& service, const std::string& address, const std::string& dataCentre = "dc-a")
+    {
+        m_listed.push_back({ { id }, { service }, address, { dataCentre }, 1, 6, false });
         state.fleet.update(m_listed, base::BootClock {}.now(), {});
     }
 
