A stopping node turns streams away by how long streams take at present

Change: forward::StreamDurations keeps the last 64; the rule counts the time of four in five, six seconds at least. request_arrived says how long the node has been stopping. Test: Fleet.StoppingNodeTakesOnlyWhatEndsInTime, extended.

--- a/src/forward/DrainRule.h
+++ b/src/forward/DrainRule.h
@@ -14,15 +14,14 @@
     {
     }
 
-    bool takes(const manifest::Route& route, base::Duration sinceTold) const
+    // `usualStream`: how long streams take at present.
+    bool takes(const manifest::Route& route, base::Duration sinceTold, base::Duration usualStream) const
     {
         auto usual = route.kind == manifest::RouteKind::Stream ? usualStream : usualAnswer;
         return sinceTold + std::min(usual, route.timeout) < m_grace;
     }
 
 private:
-    // Most generations of the two users end within this time.
-    static constexpr base::Duration usualStream = std::chrono::milliseconds(6000);
     static constexpr base::Duration usualAnswer = std::chrono::milliseconds(1000);
 
     base::Duration m_grace;
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -4,6 +4,7 @@
 #include "forward/AdmissionRule.h"
 #include "forward/CrashRegister.h"
 #include "forward/DrainRule.h"
+#include "forward/StreamDurations.h"
 #include "forward/Timing.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
@@ -43,6 +44,7 @@
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
     const forward::DrainRule drain;
+    forward::StreamDurations streamDurations;
     const forward::Timing timing;
     GatewayMetrics metrics;
     report::Recorder levels;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -36,7 +36,7 @@
     auto target = std::string_view(m_message.target());
     auto told = m_state.toldToStopAt.load();
     auto admission = m_state.admission.admit(known, { hostOf(m_message), pathOf(target), m_facts.key, m_arrivedAt });
-    bool comesTooLate = admission.route && told != base::Instant {} && !m_state.drain.takes(*admission.route, m_arrivedAt - told);
+    bool comesTooLate = admission.route && told != base::Instant {} && !m_state.drain.takes(*admission.route, m_arrivedAt - told, m_state.streamDurations.usual());
     if (comesTooLate)
         admission.code = base::ResultCode::Draining;
     if (admission.route)
@@ -253,10 +253,13 @@
     bool hasRoute = m_policy.objectivePermille > 0;
     if (!hasRoute || how == SessionEnd::ClientGone || how == SessionEnd::Rejected)
         return;
-    if (how == SessionEnd::Answered)
-        m_state.levels.recordFinish(m_policy, now());
-    else
+    if (how != SessionEnd::Answered) {
         m_state.levels.countRefusal(m_policy, how == SessionEnd::AnsweredFailure ? base::ResultCode::RetriesExhausted : m_code, now());
+        return;
+    }
+    m_state.levels.recordFinish(m_policy, now());
+    if (m_firstEventAt != base::Instant {})
+        m_state.streamDurations.note(now() - m_arrivedAt);
 }
 
 inline uint64_t millisOf(base::Duration duration)
@@ -293,6 +296,8 @@
         line.with("upstreams_age_ms", ageMs(m_state.fleet.listedAt()));
     if (m_facts.lastEventId)
         line.with("last_event", *m_facts.lastEventId);
+    if (auto told = m_state.toldToStopAt.load(); told != base::Instant {})
+        line.with("stopping_ms", ageMs(told));
     LOG(INFO) << line.text();
 }
 
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/Fleet.h"
 #include "forward/DrainRule.h"
 #include "forward/EventSplitter.h"
+#include "forward/StreamDurations.h"
 #include "sync/OutageTracker.h"
 
 #include "PropertyCheck.h"
@@ -210,10 +211,21 @@
     stream.timeout = seconds(25);
     manifest::Route plain;
     plain.timeout = milliseconds(1200);
-    CHECK_TRUE(rule.takes(stream, milliseconds(1700)));
-    CHECK_FALSE(rule.takes(stream, milliseconds(2000)));
-    CHECK_TRUE(rule.takes(plain, seconds(6)));
-    CHECK_FALSE(rule.takes(plain, milliseconds(7500)));
+    forward::StreamDurations durations;
+    CHECK_TRUE(rule.takes(stream, milliseconds(1700), durations.usual()));
+    CHECK_FALSE(rule.takes(stream, milliseconds(2000), durations.usual()));
+    CHECK_TRUE(rule.takes(plain, seconds(6), durations.usual()));
+    CHECK_FALSE(rule.takes(plain, milliseconds(7500), durations.usual()));
+    // Under load streams take longer, so that a stopping node must turn them away sooner.
+    for (int i = 0; i < 10; ++i)
+        durations.note(milliseconds(5000 + 500 * i));
+    CHECK_TRUE(durations.usual() == milliseconds(9000));
+    CHECK_FALSE(rule.takes(stream, {}, durations.usual()));
+    CHECK_TRUE(rule.takes(plain, {}, durations.usual()));
+    for (int i = 0; i < 64; ++i)
+        durations.note(milliseconds(3000));
+    CHECK_TRUE(rule.takes(stream, milliseconds(1700), durations.usual()));
+    CHECK_FALSE(rule.takes(stream, milliseconds(2000), durations.usual()));
 }
 
 TEST(Fleet, EventsAreSplitAlikeHoweverTheirBytesArrive)
