Session records, nodes' fakes and tests split; lint of the fuzzer

No behaviour changes: logs and reports of a session are in SessionRecordsImpl.h, the tests between nodes in three groups with their fakes in tests/fakes, the bench's stand-ins in files of their own.

--- /dev/null
+++ b/bench/EchoHandler.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "http/RequestServer.h"
+
+#include <optional>
+#include <string>
+
+namespace redwingseam::bench {
+
+// Answers with a body of 800 bytes, as the plain services do.
+struct EchoHandler {
+    struct Stream {
+        std::optional<std::string> next() { return std::nullopt; }
+    };
+
+    http::ServerResponse<Stream> handle(const http::ServerRequest&) { return { 200, std::string(800, 'x') }; }
+};
+
+} // namespace redwingseam::bench
--- a/bench/ForwardBench.cpp
+++ b/bench/ForwardBench.cpp
@@ -1,4 +1,6 @@
 #include "Benches.h"
+#include "EchoHandler.h"
+#include "EventSource.h"
 #include "FigureList.h"
 #include "LaneClock.h"
 
@@ -23,58 +25,6 @@
     constexpr int eventsOfEach = 150;
     constexpr double nanosPerMicro = 1000;
 
-    // Answers with a body of 800 bytes, as the plain services do.
-    struct EchoHandler {
-        struct Stream {
-            std::optional<std::string> next() { return std::nullopt; }
-        };
-
-        http::ServerResponse<Stream> handle(const http::ServerRequest&) { return { 200, std::string(800, 'x') }; }
-    };
-
-    // Sends the events of open streams one by one, as engines do.
-    class EventSource {
-    public:
-        EventSource()
-            : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-        {
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            bind(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
-            listen(m_listener.descriptor(), openStreams);
-            socklen_t length = sizeof address;
-            getsockname(m_listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &length);
-            m_port = ntohs(address.sin_port);
-        }
-
-        std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
-
-        // Takes the next request and begins its answer.
-        void acceptOne()
-        {
-            base::Socket stream(accept(m_listener.descriptor(), nullptr, nullptr));
-            auto request = GatewayFixture::read(stream, "\r\n\r\n");
-            static constexpr std::string_view name = "Redwingseam-Attempt-Id: ";
-            auto at = request.find(name) + name.size();
-            auto head = GatewayFixture::streamHead();
-            head.replace(head.find("$ID"), 3, request.substr(at, request.find('\r', at) - at));
-            GatewayFixture::write(stream, head + GatewayFixture::event(1));
-            m_streams.push_back(std::move(stream));
-        }
-
-        void sendAll(unsigned id)
-        {
-            for (const auto& stream : m_streams)
-                GatewayFixture::write(stream, GatewayFixture::event(id));
-        }
-
-    private:
-        base::Socket m_listener;
-        uint16_t m_port = 0;
-        std::vector<base::Socket> m_streams;
-    };
-
     uint16_t freePort()
     {
         auto listener = gateway::listenOn({ "127.0.0.1", 0 });
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -112,3 +112,4 @@
 
 #include "gateway/SessionAnswersImpl.h"
 #include "gateway/SessionImpl.h"
+#include "gateway/SessionRecordsImpl.h"
--- /dev/null
+++ b/src/gateway/SessionRecordsImpl.h
@@ -0,0 +1,86 @@
+#pragma once
+
+// What a session leaves in logs and reports.
+
+#include "gateway/Session.h"
+#include "log/LogLine.h"
+
+#include <glog/logging.h>
+
+namespace redwingseam::gateway {
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::recordEnd(SessionEnd how)
+{
+    bool hasRoute = m_policy.objectivePermille > 0;
+    if (!hasRoute || how == SessionEnd::ClientGone || how == SessionEnd::Rejected)
+        return;
+    if (how != SessionEnd::Answered) {
+        m_state.levels.countRefusal(m_policy, how == SessionEnd::AnsweredFailure ? base::ResultCode::RetriesExhausted : m_code, now());
+        return;
+    }
+    m_state.levels.recordFinish(m_policy, now());
+    if (m_firstEventAt != base::Instant {})
+        m_state.streamDurations.note(now() - m_arrivedAt);
+}
+
+inline uint64_t millisOf(base::Duration duration)
+{
+    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logEnd(SessionEnd how) const
+{
+    log::LogLine line("request_ended");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(how)).with("took_ms", millisOf(now() - m_arrivedAt));
+    if (m_exchange)
+        line.with("route", m_exchange->request().route->name.text).with("sends", m_exchange->sends()).with("runs", m_exchange->runs());
+    if (m_firstEventAt != base::Instant {})
+        line.with("first_event_ms", millisOf(m_firstEventAt - m_arrivedAt)).with("longest_gap_ms", millisOf(m_longestGap));
+    LOG(INFO) << line.text();
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logAdmission(const forward::Admission& admission) const
+{
+    log::LogLine line("request_arrived");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(admission.code));
+    if (admission.route)
+        line.with("route", admission.route->name.text);
+    if (admission.account)
+        line.with("client", admission.account->name.text);
+    auto known = m_state.manifest.state();
+    auto ageMs = [&](base::Instant since) { return millisOf(now() - since); };
+    if (known.index)
+        line.with("manifest_version", known.index->manifest().version).with("manifest_age_ms", ageMs(known.confirmedAt));
+    if (m_state.fleet.listedAt() != base::Instant {})
+        line.with("upstreams_age_ms", ageMs(m_state.fleet.listedAt()));
+    if (m_facts.lastEventId)
+        line.with("last_event", *m_facts.lastEventId);
+    if (auto told = m_state.toldToStopAt.load(); told != base::Instant {})
+        line.with("stopping_ms", ageMs(told));
+    LOG(INFO) << line.text();
+}
+
+template<Dialect Names, typename Lane>
+void Session<Names, Lane>::logAttempt(forward::AttemptOutcome outcome, const fleet::UpstreamInstance& upstream) const
+{
+    m_state.metrics.countAttempt(outcome);
+    log::LogLine line("attempt_ended");
+    line.with("request", m_facts.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text);
+    line.with("connection", m_isOnKeptConnection ? "kept" : "new");
+    if (m_answer.status)
+        line.with("status", m_answer.status);
+    if (m_order.placement.backup)
+        line.with("backup", m_order.placement.backup->id.text);
+    if (m_order.usesCopy)
+        line.with("from_copy", 1);
+    if (m_exchange && outcome != forward::AttemptOutcome::Answered)
+        line.with("fingerprint", m_exchange->request().fingerprint.value);
+    if (m_exchange && m_exchange->lastEventId())
+        line.with("last_event", *m_exchange->lastEventId());
+    LOG(INFO) << line.text();
+}
+
+} // namespace redwingseam::gateway
--- /dev/null
+++ b/tests/fakes/PeerNode.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "fakes/VersionParser.h"
+#include "peering/PeerSync.h"
+
+namespace redwingseam::fakes {
+
+// A node's side of the exchange between nodes.
+struct PeerNode {
+    explicit PeerNode(const std::string& name, const std::string& dataCentre)
+        : record { { name }, { dataCentre }, name }
+        , sync(record, fleet, crashes, manifest, board, follow)
+    {
+        fleet.update(fleetList(), base::Instant(std::chrono::seconds(1)), {});
+    }
+
+    static std::vector<fleet::UpstreamInstance> fleetList()
+    {
+        return { { { "e1" }, { "engines" }, "127.0.0.1:1", { "dc-a" }, 1, 6, false }, { { "e2" }, { "engines" }, "127.0.0.1:2", { "dc-b" }, 1, 6, false } };
+    }
+
+    void confirm(uint64_t version, base::Instant readBegan)
+    {
+        manifest.confirm(VersionParser::parse(std::to_string(version)).value(), std::to_string(version), readBegan);
+    }
+
+    sync::NodeRecord record;
+    fleet::Fleet fleet { { "dc-a" } };
+    forward::CrashRegister crashes;
+    manifest::ManifestHolder manifest;
+    sync::UpstreamBoard board;
+    sync::FollowRule follow;
+    peering::PeerSync<VersionParser> sync;
+};
+
+} // namespace redwingseam::fakes
--- /dev/null
+++ b/tests/fakes/VersionParser.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "fakes/FleetFixture.h"
+#include "redwingseam/base/Result.h"
+
+namespace redwingseam::fakes {
+
+// Reads a manifest from a text that is its version.
+struct VersionParser {
+    static base::Result<manifest::Manifest> parse(const std::string& text)
+    {
+        auto manifest = FleetFixture::manifestOf();
+        manifest.version = std::stoull(text);
+        return manifest;
+    }
+};
+
+} // namespace redwingseam::fakes
--- a/tools/fuzz/Main.cpp
+++ b/tools/fuzz/Main.cpp
@@ -103,6 +103,8 @@
 
 } // namespace
 
+// The name is the fuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
     if (!size)
