A node's own outage gives other nodes no grace for entries that lapsed

Change: a node that read a list less than 2.4 s before the reply keeps its own grace. Test: PeerSync.GraceOfANodeThatWasCutOffIsNotTakenOverByOneThatWasNot (fails without the change).

--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -57,6 +57,8 @@
     static constexpr base::Duration silentInterval = std::chrono::milliseconds(2000);
     // A reply that comes later tells nothing that the next one does not.
     static constexpr base::Duration replyTimeout = std::chrono::milliseconds(2000);
+    // Entries lapse after some heartbeats only, so none did since a list that was read later than this.
+    static constexpr base::Duration shortestLapse = std::chrono::milliseconds(2400);
     static constexpr base::Duration newsLifetime = std::chrono::milliseconds(1000);
 
     OutgoingList take(const StateQuery&, base::Instant now);
@@ -64,6 +66,7 @@
     OutgoingList take(const NewsMessage&, base::Instant now);
     void takeManifest(const StateReply&, base::Instant asked);
     void takeList(const StateReply&, base::Instant asked);
+    static base::Duration graceOf(const StateReply&, const std::optional<sync::UpstreamListing>& held, base::Instant asked);
     void tellList(const StateQuery&, StateReply&);
     fleet::LoadMap scoped(const fleet::LoadMap&, const base::DataCentreName& receiver);
     void queryNeighbours(OutgoingList&, base::Instant now);
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -278,6 +278,14 @@
         LOG(INFO) << log::LogLine("manifest_in_force").with("version", reply.manifestVersion).with("from", reply.from.name.text).text();
 }
 
+// A node that was cut off by itself takes its own outage for the store's, and tells a grace for entries that lapsed.
+template<ManifestParser Parser>
+base::Duration PeerSync<Parser>::graceOf(const StateReply& reply, const std::optional<sync::UpstreamListing>& held, base::Instant asked)
+{
+    bool sawNoOutage = held && asked - held->readAt < shortestLapse;
+    return sawNoOutage ? std::min(reply.missingGrace, held->missingGrace) : reply.missingGrace;
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::takeList(const StateReply& reply, base::Instant asked)
 {
@@ -290,8 +298,9 @@
         list = std::make_shared<const sync::UpstreamList>(applyDelta(*held->list, *reply.changes));
     else if (held && held->list->revision == reply.listRevision)
         list = held->list;
-    if (list && m_board.post({ list, readAt, reply.missingGrace }))
-        m_fleet.update(list->upstreams, readAt, reply.missingGrace);
+    auto grace = graceOf(reply, held, asked);
+    if (list && m_board.post({ list, readAt, grace }))
+        m_fleet.update(list->upstreams, readAt, grace);
 }
 
 template<ManifestParser Parser>
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -187,3 +187,27 @@
     }
     CHECK_TRUE(told > 0);
 }
+
+TEST(PeerSync, GraceOfANodeThatWasCutOffIsNotTakenOverByOneThatWasNot)
+{
+    auto& a1 = world.add("a1", "dc-a");
+    auto& a2 = world.add("a2", "dc-a");
+    auto& a3 = world.add("a3", "dc-a");
+    world.introduce();
+    world.run(milliseconds(500));
+    auto all = PeerNode::fleetList();
+    auto gone = all.back();
+    auto post = [&](PeerNode& node, uint64_t revision, const std::vector<fleet::UpstreamInstance>& upstreams, base::Duration grace) {
+        node.board.post({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { revision, upstreams }), world.now, grace });
+        node.fleet.update(upstreams, world.now, grace);
+    };
+    post(a3, 5, all, {});
+    world.run(milliseconds(2600));
+    post(a2, 5, all, {});
+    world.run(milliseconds(1));
+    post(a1, 6, { all.front() }, milliseconds(2400));
+    world.run(milliseconds(400));
+    CHECK_FALSE(a2.fleet.takesWork(gone, world.now));
+    // Its own list is older than the outage may have been.
+    CHECK_TRUE(a3.fleet.takesWork(gone, world.now));
+}
