--- a/src/peering/PeerSync.h
+++ b/src/peering/PeerSync.h
@@ -52,8 +52,6 @@
     static constexpr base::Duration remoteInterval = std::chrono::milliseconds(500);
     // Until the node is informed; a reply of the hub takes some milliseconds.
     static constexpr base::Duration firstInterval = std::chrono::milliseconds(100);
-    // A hub sends a list of thousands to all its neighbours at once, perhaps over a narrow link.
-    static constexpr base::Duration stateTimeout = std::chrono::milliseconds(800);
     static constexpr base::Duration silentInterval = std::chrono::milliseconds(2000);
     // A reply that comes later tells nothing that the next one does not.
     static constexpr base::Duration replyTimeout = std::chrono::milliseconds(2000);
@@ -97,8 +95,6 @@
     base::Instant m_remoteAsked {};
     base::Instant m_silentAsked {};
     base::Instant m_stateAsked {};
-    // Query that asked for it.
-    uint64_t m_stateSequence = 0;
     bool m_hasNodes = false;
 };
 
--- a/src/peering/PeerSyncImpl.h
+++ b/src/peering/PeerSyncImpl.h
@@ -67,7 +67,7 @@
         sendNews(outgoing, news, now);
     if (now - m_neighboursAsked >= (isInformed() ? neighbourInterval : firstInterval))
         queryNeighbours(outgoing, now);
-    if (now - m_remoteAsked >= (isInformed() ? remoteInterval : firstInterval))
+    if (now - m_remoteAsked >= remoteInterval)
         queryRemote(outgoing, now);
     if (now - m_silentAsked >= silentInterval)
         querySilent(outgoing, now);
@@ -96,12 +96,11 @@
 {
     if (isInformed())
         return true;
-    // A node that knows nothing would get all of it from each that it asks, and again while an answer is on its way.
-    bool isWaiting = now - m_stateAsked < (m_directory.isAnyHeard(now) ? stateTimeout : firstInterval);
+    // A node that knows nothing would get all of it from each that it asks.
+    bool isWaiting = now - m_stateAsked < firstInterval;
     if (isWaiting || (m_directory.isAnyHeard(now) && !m_directory.isHeard(node.name, now)))
         return false;
     m_stateAsked = now;
-    m_stateSequence = m_sequence;
     return true;
 }
 
@@ -245,9 +244,6 @@
     auto asked = m_asked.extract(reply.sequence);
     if (asked.empty())
         return {};
-    // The node that was asked may not know it yet.
-    if (reply.sequence == m_stateSequence)
-        m_stateAsked = {};
     takeManifest(reply, asked.mapped());
     takeList(reply, asked.mapped());
     for (const auto& request : reply.harmful)
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -62,6 +62,9 @@
     const auto& settings = m_state.settings;
     if (!m_peers.start(settings.peers))
         return cannotListen(settings.peers);
+    using NodesPoller = sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>;
+    using ManifestPoller = sync::StorePoller<sync::ManifestTask<platform::StoreApi>>;
+    using FleetPoller = sync::StorePoller<sync::FleetTask<platform::StoreApi>>;
     m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesSchedule());
     m_readinessServer = std::make_unique<http::RequestServer<gateway::ReadinessHandler>>(m_readiness, settings.readiness);
     if (!m_readinessServer->isListening())
@@ -73,7 +76,9 @@
     auto listener = gateway::listenOn(settings.clients);
     if (!listener.isOpen())
         return cannotListen(settings.clients);
-    m_starter = base::NamedThread("starter", [this] { followStore(); });
+    awaitIntroduction();
+    m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestSchedule(settings));
+    m_fleetPoller = std::make_unique<FleetPoller>("fleet", m_fleetTask, fleetSchedule(settings));
     awaitKnowledge();
     m_acceptor = std::make_unique<gateway::Acceptor<Lanes>>(std::move(listener), m_lanes);
     return {};
@@ -91,23 +96,20 @@
         condition.waitFor(mutex, checkInterval);
 }
 
-void GatewayProcess::followStore()
+void GatewayProcess::awaitIntroduction()
 {
-    static constexpr base::Duration longestWait = std::chrono::seconds(10);
-    sync::StartRule rule(std::generate_canonical<double, 32>(m_random));
-    auto began = base::BootClock {}.now();
+    // The list of nodes, a question to the hub and its answer, with room for one that is lost.
+    static constexpr base::Duration longestWait = std::chrono::milliseconds(300);
     awaitAtMost(longestWait, [&] {
-        bool isFirst = m_nodesTask.hasListed() && m_peerSync.isFirst();
-        return rule.begins({ base::BootClock {}.now() - began, isFirst, m_follow.isLeader(), isInformed() });
+        bool isTurn = m_nodesTask.hasListed() && m_peerSync.isFirst();
+        return isTurn || (isInformed() && !m_follow.isLeader());
     });
-    m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestSchedule(m_state.settings));
-    m_fleetPoller = std::make_unique<FleetPoller>("fleet", m_fleetTask, fleetSchedule(m_state.settings));
 }
 
 void GatewayProcess::awaitKnowledge()
 {
-    // Clients give a connection a second.
-    static constexpr base::Duration longestWait = std::chrono::milliseconds(700);
+    // Clients give a connection a second, of which a part is gone by now.
+    static constexpr base::Duration longestWait = std::chrono::milliseconds(500);
     awaitAtMost(longestWait, [&] { return isInformed(); });
 }
 
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -14,11 +14,8 @@
 #include "sync/FleetTask.h"
 #include "sync/ManifestTask.h"
 #include "sync/NodesTask.h"
-#include "sync/StartRule.h"
 #include "sync/StorePoller.h"
 
-#include <random>
-
 namespace redwingseam {
 
 // All parts of a gateway on the platform, in the order in which they start.
@@ -35,9 +32,6 @@
 private:
     using PeerSync = peering::PeerSync<platform::ManifestCodec>;
     using Lanes = gateway::Lanes<platform::HttpDialect>;
-    using NodesPoller = sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>;
-    using ManifestPoller = sync::StorePoller<sync::ManifestTask<platform::StoreApi>>;
-    using FleetPoller = sync::StorePoller<sync::FleetTask<platform::StoreApi>>;
 
     // Calls that take longer are given up; a slow store answers in a few hundred milliseconds.
     static constexpr base::Duration storeTimeout = std::chrono::milliseconds(1200);
@@ -48,9 +42,8 @@
     static sync::PollSchedule manifestSchedule(const gateway::GatewaySettings&);
     static sync::PollSchedule fleetSchedule(const gateway::GatewaySettings&);
     bool isInformed() const { return m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {}; }
-    // Waits until other nodes told the manifest and the upstreams, or it is this node's turn to ask the store, and
-    // follows the store from then on.
-    void followStore();
+    // Waits until other nodes told the manifest and the upstreams, or it is this node's turn to ask the store.
+    void awaitIntroduction();
     // Waits until the manifest and the upstreams are known, or no longer makes sense.
     void awaitKnowledge();
 
@@ -65,11 +58,9 @@
     sync::ManifestTask<platform::StoreApi> m_manifestTask;
     sync::FleetTask<platform::StoreApi> m_fleetTask;
     sync::NodesTask<platform::StoreApi, PeerSync> m_nodesTask;
-    std::unique_ptr<NodesPoller> m_nodesPoller;
-    std::unique_ptr<ManifestPoller> m_manifestPoller;
-    std::unique_ptr<FleetPoller> m_fleetPoller;
-    std::random_device m_random;
-    base::NamedThread m_starter;
+    std::unique_ptr<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>> m_nodesPoller;
+    std::unique_ptr<sync::StorePoller<sync::ManifestTask<platform::StoreApi>>> m_manifestPoller;
+    std::unique_ptr<sync::StorePoller<sync::FleetTask<platform::StoreApi>>> m_fleetPoller;
     gateway::ReadinessHandler m_readiness;
     gateway::AdminHandler m_admin;
     std::unique_ptr<http::RequestServer<gateway::ReadinessHandler>> m_readinessServer;
