Bound what peers send, judge streams by events, and close connections before a stop ends

Cause: - Any byte of a response counted as progress, so a stream that trickled bytes, comments or half an event lived until its deadline, and so did an idempotent response. - Bodies, events without an end, interim (1xx) responses and late responses to skip were not bounded, and an element longer than the read buffer (a chunk's size, trailers) made the worker spin until the deadline. The same from clients. - A refusal with a backup makes the gateway send the request to the same upstream again, on the connection just released: a late copy of the refusal bears the same attempt id and would call a running request not run. - 408, 421, 429 and 503 without the upstream's statement were forwarded or taken as not run, though they promise that to clients. - A kept connection was reused with bytes waiting unread in its socket, or after it had brought a late response. - A node ended its process with idle connections open: a request read in that moment was cut off, and what waited in the listen queue was dropped. - After a freeze, silence was counted for time in which the node itself did not run.

Ruled out: keys and upstreams that return after a restart (ages count from the moment of asking, no state is kept across a start; existing tests Manifest.RevokedKey..., PeerSync.MessageDelay...).

Change: progress is events; named limits for each element and a budget of 24 MiB for all bodies; a client that reads slowly pauses the upstream; a request goes to the same upstream again only on a new connection; GracefulStop closes the listener after its queue is taken over, and each connection only when it has nothing unread; a pause of the process is taken off silence.

--- a/include/redwingseam/base/ResultCode.h
+++ b/include/redwingseam/base/ResultCode.h
@@ -26,6 +26,7 @@
     ManifestUnknown = 206, // The gateway has no manifest yet.
     ManifestStale = 207, // The manifest was last confirmed too long ago to rely on its routes and API keys.
     RequestTimeout = 208,
+    BuffersExhausted = 209, // The node buffers too much already to read another body.
     OutcomeUnknown = 301, // The request was sent and may have been executed.
     StreamLost = 302, // The response has begun and cannot be continued.
     RetriesExhausted = 303,
@@ -63,6 +64,7 @@
         std::pair { ResultCode::ManifestUnknown, std::string_view { "ManifestUnknown" } },
         std::pair { ResultCode::ManifestStale, std::string_view { "ManifestStale" } },
         std::pair { ResultCode::RequestTimeout, std::string_view { "RequestTimeout" } },
+        std::pair { ResultCode::BuffersExhausted, std::string_view { "BuffersExhausted" } },
         std::pair { ResultCode::OutcomeUnknown, std::string_view { "OutcomeUnknown" } },
         std::pair { ResultCode::StreamLost, std::string_view { "StreamLost" } },
         std::pair { ResultCode::RetriesExhausted, std::string_view { "RetriesExhausted" } },
--- a/src/forward/EventSplitter.cpp
+++ b/src/forward/EventSplitter.cpp
@@ -27,6 +27,14 @@
     return std::nullopt;
 }
 
+static bool hasContent(std::string_view event)
+{
+    auto hasField = [&](std::string_view field) {
+        return event.starts_with(field) || event.find(std::string("\n").append(field)) != std::string_view::npos;
+    };
+    return hasField("data") || hasField("id");
+}
+
 // Returns the position after the blank line that ends the first event of `text`, or npos.
 static size_t findEventEnd(std::string_view text)
 {
@@ -51,7 +59,7 @@
     std::string_view rest = m_partial;
     for (auto end = findEventEnd(rest); end != std::string_view::npos; end = findEventEnd(rest)) {
         auto event = rest.substr(0, end);
-        events.push_back({ std::string(event), parseEventId(event) });
+        events.push_back({ std::string(event), parseEventId(event), hasContent(event) });
         rest.remove_prefix(end);
     }
     m_partial.erase(0, m_partial.size() - rest.size());
--- a/src/forward/EventSplitter.h
+++ b/src/forward/EventSplitter.h
@@ -15,6 +15,9 @@
     std::vector<StreamEvent> push(std::string_view bytes);
     // Returns whether an incomplete event is buffered.
     bool hasPartial() const { return !m_partial.empty(); }
+    // Returns whether the incomplete event is something other than a comment.
+    bool hasPartialContent() const { return hasPartial() && m_partial.front() != ':'; }
+    size_t partialBytes() const { return m_partial.size(); }
     void clear() { m_partial.clear(); }
 
 private:
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -96,12 +96,16 @@
     parameters.lastEventId = m_lastEventId;
     parameters.timeout = deadline() - now;
     // A reused connection may break for unrelated reasons, which would count as another crash of the request.
-    parameters.allowsReusedConnection = !m_crashes.isSuspect(m_request.fingerprint, now);
+    bool wasContacted = std::find(m_contacted.begin(), m_contacted.end(), placement.target.id) != m_contacted.end();
+    parameters.allowsReusedConnection = !wasContacted && !m_crashes.isSuspect(m_request.fingerprint, now);
+    if (!wasContacted)
+        m_contacted.push_back(placement.target.id);
     m_backupAddress.reset();
     m_placement = std::move(placement);
     m_waitingSince = {};
     m_sentAt = now;
     m_lastActivity = now;
+    m_lastProgress = {};
     m_lastProbe = now;
     m_isProbing = false;
     m_isProbedDuringOutage = false;
@@ -220,10 +224,12 @@
         m_fleet.recordContact(m_placement->target, now);
 }
 
-void Exchange::recordEvent(uint64_t eventId, base::Instant now)
+void Exchange::recordEvent(std::optional<uint64_t> eventId, base::Instant now)
 {
-    m_lastEventId = eventId;
+    if (eventId)
+        m_lastEventId = eventId;
     m_lastActivity = now;
+    m_lastProgress = now;
     if (!m_hasEvent && m_placement) {
         m_crashes.recordProgress(m_request.fingerprint);
         m_fleet.markPrefilled(*m_placement);
@@ -232,6 +238,20 @@
     m_hasEvent = true;
 }
 
+void Exchange::recordPartialEvent(base::Instant now)
+{
+    if (m_lastProgress == base::Instant {})
+        m_lastProgress = now;
+}
+
+void Exchange::discountPause(base::Duration pause, base::Instant now)
+{
+    for (auto* instant : { &m_sentAt, &m_lastActivity, &m_lastProgress, &m_lastProbe }) {
+        if (*instant != base::Instant {})
+            *instant = std::min(*instant + pause, now);
+    }
+}
+
 Step Exchange::probeEnded(bool isReachable, base::Instant now, uint64_t random)
 {
     m_isProbing = false;
@@ -259,20 +279,31 @@
     return handleSilence(now, random);
 }
 
+// The last attempt may take until the deadline. An earlier one must bring its whole response within the objective,
+// however steadily its bytes arrive.
+bool Exchange::isIdempotentAttemptLate(base::Instant now) const
+{
+    const auto& route = *m_request.route;
+    if (m_possibleRuns + 1 >= route.maxAttempts)
+        return false;
+    bool isSilent = now - m_lastActivity > scaled(route.latencyObjective, m_policy.attemptTimeoutShare);
+    return isSilent || now - m_sentAt > route.latencyObjective;
+}
+
+// Before its first event begins, a stream may wait for its prefill.
+bool Exchange::isStreamStalled(base::Instant now) const
+{
+    return m_lastProgress != base::Instant {} && now - m_lastProgress > scaled(m_request.route->gapObjective, m_policy.abandonGapMultiple);
+}
+
 Step Exchange::handleSilence(base::Instant now, uint64_t random)
 {
     const auto& route = *m_request.route;
-    auto silence = now - m_lastActivity;
-    if (route.kind == manifest::RouteKind::Idempotent) {
-        bool isLate = silence > scaled(route.latencyObjective, m_policy.attemptTimeoutShare);
-        // The last attempt may take until the deadline.
-        if (isLate && m_possibleRuns + 1 < route.maxAttempts)
-            return attemptEnded(AttemptOutcome::Silent, now, random);
-        return {};
-    }
+    if (route.kind == manifest::RouteKind::Idempotent)
+        return isIdempotentAttemptLate(now) ? attemptEnded(AttemptOutcome::Silent, now, random) : Step {};
     if (!isStream() || !route.isResumable || m_isProbing)
         return {};
-    if (m_hasEvent && silence > scaled(route.gapObjective, m_policy.abandonGapMultiple))
+    if (isStreamStalled(now))
         return attemptEnded(AttemptOutcome::Silent, now, random);
     auto wait = m_hasEvent ? scaled(route.gapObjective, m_policy.probeAfterGapShare) : m_policy.probeInterval;
     // Upstreams fail together during an outage of their data centre, so one additional probe is enough.
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -32,11 +32,15 @@
     // Handles timeouts. Must be called at least every few tens of milliseconds.
     Step tick(base::Instant now, uint64_t random);
 
-    // Records that the current upstream accepted the connection or that bytes of its response arrived.
+    // Records that the current upstream accepted the connection or that bytes of its response arrived. Bytes show that
+    // the upstream lives, but only events are progress.
     void recordActivity(base::Instant now);
-    // Records an event that is about to be forwarded to the client. For an event without an id, the
-    // caller passes the id of the event before it, or 0.
-    void recordEvent(uint64_t eventId, base::Instant now);
+    // Records an event that is about to be forwarded to the client; `eventId` is nullopt for an event without an id.
+    void recordEvent(std::optional<uint64_t> eventId, base::Instant now);
+    // Records that an event has begun and is incomplete.
+    void recordPartialEvent(base::Instant now);
+    // Excludes a time in which this process did not run, so that it does not count as silence of the upstream.
+    void discountPause(base::Duration, base::Instant now);
     // Records that the response headers were forwarded. From then on the client can get only the rest of this
     // response.
     void recordHeadersSent() { m_areHeadersSent = true; }
@@ -61,6 +65,8 @@
     Step refuse(base::ResultCode) const;
     void updateCrashRegister(AttemptOutcome, const fleet::UpstreamInstance&, base::Instant now);
     Step handleSilence(base::Instant now, uint64_t random);
+    bool isIdempotentAttemptLate(base::Instant now) const;
+    bool isStreamStalled(base::Instant now) const;
     bool mayRetry(AttemptOutcome, base::Instant now);
     void release();
     fleet::PlacementQuery query(base::Instant now, uint64_t random) const;
@@ -74,6 +80,9 @@
     std::optional<fleet::Placement> m_placement;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
+    // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
+    // so the request is not sent again on a connection that may carry one.
+    std::vector<base::UpstreamName> m_contacted;
     // Address of the upstream with a backup of the run's KV cache from an earlier attempt.
     std::optional<std::string> m_backupAddress;
     std::optional<uint64_t> m_lastEventId;
@@ -96,6 +105,8 @@
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
     base::Instant m_lastActivity {};
+    // When the last event of the current attempt arrived, or when its first event began; zero before that.
+    base::Instant m_lastProgress {};
     base::Instant m_lastProbe {};
 };
 
--- a/src/forward/StreamEvent.h
+++ b/src/forward/StreamEvent.h
@@ -12,6 +12,8 @@
     std::string bytes;
     // Value of the `id` line; nullopt if it is missing or not a number.
     std::optional<uint64_t> id;
+    // Whether the event has an `id` or a `data` line. Comments and empty events are no progress of the stream.
+    bool hasContent = false;
 };
 
 } // namespace redwingseam::forward
--- a/src/gateway/Acceptor.h
+++ b/src/gateway/Acceptor.h
@@ -21,23 +21,31 @@
         m_loop.add(m_listener.descriptor(), m_eventHandler, EPOLLIN);
         m_thread = base::NamedThread("accept", [this] { run(); });
     }
-    ~Acceptor()
+    ~Acceptor() { close(); }
+    Acceptor(const Acceptor&) = delete;
+    Acceptor& operator=(const Acceptor&) = delete;
+
+    // Hands over the connections that wait in the listen queue, and closes the listener.
+    void close()
     {
         m_isStopping = true;
         m_loop.wake();
         m_thread.join();
+        if (!m_listener.isOpen())
+            return;
+        acceptPending();
+        base::FileDescriptor closed = std::move(m_listener);
     }
-    Acceptor(const Acceptor&) = delete;
-    Acceptor& operator=(const Acceptor&) = delete;
 
 private:
     static constexpr base::Duration pollTimeout = std::chrono::seconds(60);
 
-    static void onReadable(void* self, uint32_t)
+    static void onReadable(void* self, uint32_t) { static_cast<Acceptor*>(self)->acceptPending(); }
+
+    void acceptPending()
     {
-        auto& acceptor = *static_cast<Acceptor*>(self);
-        for (auto socket = acceptFrom(acceptor.m_listener.descriptor()); socket.isOpen(); socket = acceptFrom(acceptor.m_listener.descriptor()))
-            acceptor.m_handler.addConnection(std::move(socket));
+        for (auto socket = acceptFrom(m_listener.descriptor()); socket.isOpen(); socket = acceptFrom(m_listener.descriptor()))
+            m_handler.addConnection(std::move(socket));
     }
 
     void run()
--- /dev/null
+++ b/src/gateway/BufferReservation.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gateway/BufferBudget.h"
+
+namespace redwingseam::gateway {
+
+// The part of a BufferBudget that one body uses; released by the destructor. The budget must outlive it. Not
+// synchronised.
+class BufferReservation {
+public:
+    explicit BufferReservation(BufferBudget& budget)
+        : m_budget(budget)
+    {
+    }
+    ~BufferReservation() { reset(); }
+    BufferReservation(const BufferReservation&) = delete;
+    BufferReservation& operator=(const BufferReservation&) = delete;
+
+    // Raises the reservation to `bytes`; a smaller value changes nothing. Returns false if the budget is exhausted.
+    bool growTo(size_t bytes)
+    {
+        if (bytes <= m_bytes)
+            return true;
+        if (!m_budget.tryReserve(bytes - m_bytes))
+            return false;
+        m_bytes = bytes;
+        return true;
+    }
+    void reset()
+    {
+        m_budget.release(m_bytes);
+        m_bytes = 0;
+    }
+
+private:
+    BufferBudget& m_budget;
+    size_t m_bytes = 0;
+};
+
+} // namespace redwingseam::gateway
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/BufferReservation.h"
 #include "gateway/EventLoop.h"
 #include "gateway/SocketCalls.h"
 #include "gateway/WriteBuffer.h"
@@ -34,10 +35,14 @@
     void close();
 
     bool isOpen() const { return m_socket.isOpen(); }
+    // Returns the size of the response bytes that the client has not accepted yet.
+    size_t pendingBytes() const { return m_writeBuffer.size(); }
     // Whether a request has been read whose response is not complete.
     bool isServing() const { return m_isServing; }
     // Whether the last response has been written and no byte of another request has arrived.
     bool isIdle() const { return !m_isServing && !m_hasRequestBytes && m_writeBuffer.isEmpty(); }
+    // Whether bytes of the client, or the end of its input, wait to be read.
+    bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
     // Closes the connection if the client takes too long to send a request, after a response with status 408 if the
     // headers are incomplete.
     void tick(base::Instant now);
@@ -58,6 +63,7 @@
     void parse();
     void beginRequest();
     void reject(unsigned status, base::ResultCode);
+    bool reserveBody();
     void updateInterest(uint32_t events);
 
     EventLoop& m_loop;
@@ -69,6 +75,7 @@
     WriteBuffer m_writeBuffer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    BufferReservation m_bodyReservation;
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
     bool m_isContinueSent = false;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -13,6 +13,7 @@
     , m_socket(std::move(socket))
     , m_limits(limits)
     , m_eventHandler { this, &ClientConnection::onEvents }
+    , m_bodyReservation(server.bufferedBodies())
     , m_phaseStartedAt(now)
 {
     beginRequest();
@@ -23,6 +24,7 @@
 void ClientConnection<Server>::beginRequest()
 {
     m_parser.emplace();
+    m_bodyReservation.reset();
     m_parser->header_limit(m_limits.maxHeaderBytes);
     m_parser->body_limit(m_limits.maxBodyBytes);
     m_parser->eager(true);
@@ -120,8 +122,17 @@
                 reject(400, base::ResultCode::MalformedRequest);
             return;
         }
+        if (!reserveBody()) {
+            reject(503, base::ResultCode::BuffersExhausted);
+            return;
+        }
         if (m_parser->is_done())
             break;
+        // The parser wants an element, such as the size of a chunk, that is longer than the whole buffer.
+        if (!count && m_buffer.size() >= maxBufferedBytes) {
+            reject(400, base::ResultCode::MalformedRequest);
+            return;
+        }
         if (!count)
             return;
     }
@@ -138,6 +149,12 @@
     }
 }
 
+template<typename Server>
+bool ClientConnection<Server>::reserveBody()
+{
+    return !m_parser->is_header_done() || m_bodyReservation.growTo(m_parser->get().body().size());
+}
+
 template<typename Server>
 void ClientConnection<Server>::reject(unsigned status, base::ResultCode code)
 {
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -21,7 +21,7 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            if (isReusable(*connection, instance, now))
+            if (isReusable(*connection, instance, now) && !connection->hasUnreadInput())
                 return connection;
         }
         return nullptr;
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include "forward/DrainRule.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/StreamDurations.h"
+#include "gateway/BufferBudget.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
 #include "manifest/ManifestHolder.h"
@@ -30,6 +31,9 @@
     // slightly later.
     static constexpr base::Duration revocationMargin = std::chrono::milliseconds(400);
 
+    // Leaves most of the memory of the smallest VMs to connections, lists and the manifest.
+    static constexpr size_t maxBufferedBodyBytes = 24 * 1024 * 1024;
+
     // Returns how long after its last confirmation a manifest still authorises keys; zero means no limit. It is at least
     // half of the bound, because the margin may exceed a short bound, and zero would disable the limit.
     static base::Duration maxConfirmationAge(base::Duration bound)
@@ -50,9 +54,15 @@
     forward::StreamDurations streamDurations;
     const forward::ExchangePolicy exchangePolicy;
     GatewayMetrics metrics;
+    // Shared by the request and response bodies of all connections.
+    BufferBudget bufferedBodies { maxBufferedBodyBytes };
     report::SloRecorder recorder;
     // When the node began to drain; a default Instant before that.
     std::atomic<base::Instant> drainStartedAt { base::Instant {} };
+    // Set when the node closes idle client connections on its own, at the end of a stop.
+    std::atomic<bool> isClosingConnections { false };
+    // Accepted client connections that are not closed.
+    std::atomic<uint32_t> openClients { 0 };
     std::atomic<uint32_t> activeSessions { 0 };
     std::atomic<uint64_t> nextRequest { 1 };
 };
--- /dev/null
+++ b/src/gateway/GracefulStop.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/Condition.h"
+#include "gateway/GatewayState.h"
+#include "gateway/StopTimes.h"
+#include "redwingseam/base/Mutex.h"
+
+#include <mutex>
+
+namespace redwingseam::gateway {
+
+// Stops serving clients without cutting off a request that was read. First the node only stops to be ready and closes
+// each connection after its current response. Once it is idle, it takes over the connections that still wait in the
+// listen queue, closes the listener, and closes each connection that has no unread byte. `Listener::close` must return
+// only after all waiting connections have been handed over.
+template<typename Listener>
+class GracefulStop {
+public:
+    GracefulStop(GatewayState& state, Listener& listener, StopTimes times)
+        : m_state(state)
+        , m_listener(listener)
+        , m_times(times)
+    {
+    }
+
+    // Blocks until all connections are closed or the grace is nearly over. Returns whether all are closed.
+    bool run()
+    {
+        m_startedAt = base::BootClock {}.now();
+        m_state.drainStartedAt = m_startedAt;
+        bool isIdle = waitUntil([&] { return elapsed() > m_times.minimum && !m_state.activeSessions; });
+        m_listener.close();
+        m_state.isClosingConnections = true;
+        return waitUntil([&] { return !m_state.openClients && !m_state.activeSessions; }) && isIdle;
+    }
+
+private:
+    static constexpr base::Duration checkInterval = std::chrono::milliseconds(20);
+
+    base::Duration elapsed() const { return base::BootClock {}.now() - m_startedAt; }
+
+    template<typename Predicate>
+    bool waitUntil(Predicate&& predicate)
+    {
+        base::Mutex mutex;
+        base::Condition condition;
+        std::lock_guard guard(mutex);
+        while (!predicate()) {
+            if (elapsed() >= m_times.grace - m_times.exitReserve)
+                return false;
+            condition.waitFor(mutex, checkInterval);
+        }
+        return true;
+    }
+
+    GatewayState& m_state;
+    Listener& m_listener;
+    StopTimes m_times;
+    base::Instant m_startedAt {};
+};
+
+} // namespace redwingseam::gateway
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -3,6 +3,7 @@
 #include "forward/ChooseService.h"
 #include "forward/EventSplitter.h"
 #include "forward/Exchange.h"
+#include "gateway/BufferReservation.h"
 #include "gateway/BufferedResponse.h"
 #include "gateway/ClientConnection.h"
 #include "gateway/GatewayState.h"
@@ -30,7 +31,8 @@
     // Matches the request to a route and forwards it, or sends a local response.
     void begin();
     void clientDisconnected();
-    void tick(base::Instant now);
+    // `pause` is the time before `now` in which the process did not run, or zero.
+    void tick(base::Instant now, base::Duration pause);
     bool isEnded() const { return m_isEnded; }
     Client& client() { return m_client; }
 
@@ -51,6 +53,10 @@
     static constexpr base::Duration defaultKeepAlive = std::chrono::milliseconds(1500);
     // Fraction of the stated idle timeout that is used, because the upstream's timer starts at a different time.
     static constexpr double keepAliveFraction = 0.6;
+    static constexpr size_t maxResponseBodyBytes = 8 * 1024 * 1024;
+    static constexpr size_t maxEventBytes = 256 * 1024;
+    // The upstream is not read while the client has more than this to read, until half of it is left.
+    static constexpr size_t maxPendingClientBytes = 64 * 1024;
 
     forward::ExchangeRequest makeExchangeRequest(const forward::Admission&, uint64_t random) const;
     void execute(forward::Step);
@@ -64,6 +70,10 @@
     void finishStream();
     forward::AttemptOutcome classifyResponse(const ResponseMetadata&) const;
     void forwardEvent(const forward::StreamEvent&);
+    void writeEvent(const forward::StreamEvent&);
+    void recordEventTimes(base::Instant now);
+    // Stops or continues to read the upstream as the client reads its response.
+    void matchReadingToClient(base::Instant now);
     void writeResponseHeaders(const BufferedResponse&, std::string_view framing);
     void deliverResponse();
     void sendLocalResponse(const LocalResponse&, SessionOutcome);
@@ -97,6 +107,9 @@
     forward::SendParameters m_sendParameters;
     std::unique_ptr<Upstream> m_upstream;
     std::unique_ptr<Upstream> m_probe;
+    bool m_isUpstreamPaused = false;
+    base::Instant m_lastTickAt {};
+    BufferReservation m_responseReservation;
     ResponseMetadata m_responseMetadata;
     BufferedResponse m_response;
     // Failure response of an upstream, delivered if no later attempt returns a better one.
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -20,6 +20,8 @@
     , m_requestMetadata(Codec::readRequest(m_clientRequest))
     , m_number(m_state.nextRequest++)
     , m_arrivedAt(arrivedAt)
+    , m_lastTickAt(arrivedAt)
+    , m_responseReservation(m_state.bufferedBodies)
 {
 }
 
@@ -119,6 +121,8 @@
     m_sendParameters = parameters;
     m_splitter.clear();
     m_response = {};
+    m_responseReservation.reset();
+    m_isUpstreamPaused = false;
     m_isEventStream = false;
     if (parameters.allowsReusedConnection)
         m_upstream = m_worker.connectionPool().acquire(parameters.placement.target, now());
@@ -182,10 +186,17 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::tick(base::Instant at)
+void Session<Codec, Worker>::tick(base::Instant at, base::Duration pause)
 {
     if (m_isEnded || !m_exchange)
         return;
+    if (pause != base::Duration {}) {
+        // What arrived meanwhile is read before the next tick judges the upstream.
+        m_exchange->discountPause(pause, at);
+        m_lastTickAt = at;
+        return;
+    }
+    matchReadingToClient(at);
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
         m_worker.retire(std::move(m_probe));
         m_state.metrics.countProbe(false);
@@ -201,6 +212,19 @@
     execute(m_exchange->tick(at, random()));
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::matchReadingToClient(base::Instant at)
+{
+    auto sinceLastTick = at - std::exchange(m_lastTickAt, at);
+    if (!m_isUpstreamPaused || !m_upstream)
+        return;
+    m_exchange->discountPause(sinceLastTick, at);
+    if (m_client.pendingBytes() > maxPendingClientBytes / 2)
+        return;
+    m_isUpstreamPaused = false;
+    m_upstream->setReadingPaused(false);
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::clientDisconnected()
 {
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -46,6 +46,12 @@
 void Session<Codec, Worker>::onUpstreamBody(Upstream&, std::string_view bytes)
 {
     if (!isEventStream()) {
+        auto size = m_response.body.size() + bytes.size();
+        if (size > maxResponseBodyBytes || !m_responseReservation.growTo(size)) {
+            LOG(WARNING) << log::LogLine("answer_too_large").with("request", m_requestMetadata.attempt.text).with("bytes", size).with("buffered", m_state.bufferedBodies.usedBytes()).text();
+            endAttempt(forward::AttemptOutcome::Malformed);
+            return;
+        }
         m_response.body.append(bytes);
         return;
     }
@@ -55,6 +61,10 @@
         if (m_isEnded)
             return;
     }
+    if (m_splitter.partialBytes() > maxEventBytes)
+        endAttempt(forward::AttemptOutcome::Malformed);
+    else if (m_splitter.hasPartialContent())
+        m_exchange->recordPartialEvent(now());
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -66,28 +76,43 @@
         return;
     }
     auto at = now();
-    if (!m_exchange->areHeadersSent()) {
+    if (event.hasContent) {
+        recordEventTimes(at);
+        m_exchange->recordEvent(event.id, at);
+    }
+    if (!m_exchange->areHeadersSent())
         writeResponseHeaders(m_response, "Transfer-Encoding: chunked\r\n");
-        if (m_isEnded)
-            return;
+    if (!m_isEnded)
+        writeEvent(event);
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::recordEventTimes(base::Instant at)
+{
+    if (m_firstEventAt == base::Instant {}) {
+        m_firstEventAt = at;
         m_state.metrics.record(LatencyKind::Response, at - m_arrivedAt);
         m_state.recorder.recordFirstToken(m_requestSettings, at - m_arrivedAt, m_exchange->possibleRuns() > 0, at);
     } else {
         m_state.recorder.recordGap(m_requestSettings, at - m_lastEventAt, m_isResuming, at);
         m_state.metrics.record(m_isResuming ? LatencyKind::ResumeGap : LatencyKind::EventGap, at - m_lastEventAt);
-    }
-    if (m_firstEventAt == base::Instant {})
-        m_firstEventAt = at;
-    else
         m_longestEventGap = std::max(m_longestEventGap, at - m_lastEventAt);
+    }
     m_isResuming = false;
     m_lastEventAt = at;
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::writeEvent(const forward::StreamEvent& event)
+{
     std::array<char, 24> size {};
     std::snprintf(size.data(), size.size(), "%zx\r\n", event.bytes.size());
     std::string chunk(size.data());
-    chunk.append(event.bytes).append("\r\n");
-    m_exchange->recordEvent(event.id.value_or(last.value_or(0)), at);
-    m_client.write(chunk);
+    m_client.write(chunk.append(event.bytes).append("\r\n"));
+    if (m_isEnded || !m_upstream || m_client.pendingBytes() <= maxPendingClientBytes)
+        return;
+    m_isUpstreamPaused = true;
+    m_upstream->setReadingPaused(true);
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -111,14 +136,27 @@
     execute(m_exchange->attemptEnded(forward::AttemptOutcome::Completed, now(), random()));
 }
 
+// To a client, these statuses promise that the request was not run. Only the upstream's own statement proves it, so they
+// are not forwarded without one.
+inline bool promisesNotRun(unsigned status)
+{
+    static constexpr std::array statuses { 408U, 421U, 429U, 503U };
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 template<HeaderCodec Codec, typename Worker>
 forward::AttemptOutcome Session<Codec, Worker>::classifyResponse(const ResponseMetadata& metadata) const
 {
     using forward::AttemptOutcome;
-    if (metadata.isMisdirected)
+    // On a reused connection, a response that does not name its request may be a late one to an earlier request.
+    bool isUnidentified = metadata.attempt.empty() && m_isPooledConnection;
+    bool isRefusal = metadata.isNotExecuted && !isUnidentified;
+    if (metadata.isMisdirected && isRefusal)
         return AttemptOutcome::Misdirected;
-    if (metadata.isNotExecuted)
+    if (isRefusal)
         return m_sendParameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
+    if (isUnidentified || promisesNotRun(metadata.status))
+        return AttemptOutcome::Malformed;
     if (metadata.status >= 500)
         return AttemptOutcome::UpstreamError;
     if (metadata.status / 100 == 2 && !metadata.isSigned)
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -65,6 +65,13 @@
     return result;
 }
 
+bool hasPendingInput(int descriptor)
+{
+    char byte = 0;
+    auto count = recv(descriptor, &byte, sizeof byte, MSG_PEEK);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 ReadStatus readInto(int descriptor, boost::beast::flat_buffer& buffer, size_t maxBytes)
 {
     while (buffer.size() < maxBytes) {
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -16,6 +16,8 @@
 base::FileDescriptor listenOn(const http::SocketAddress&);
 // Accepts the next pending connection. Returns a closed socket if there is none.
 base::FileDescriptor acceptFrom(int listener);
+// Returns whether unread bytes, the end of the input or an error are pending. Consumes nothing.
+bool hasPendingInput(int descriptor);
 // Appends the available bytes to `buffer` until it holds `maxBytes`, or up to one read block more.
 ReadStatus readInto(int descriptor, boost::beast::flat_buffer& buffer, size_t maxBytes);
 
--- /dev/null
+++ b/src/gateway/StopTimes.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::gateway {
+
+// Times of a graceful stop.
+struct StopTimes {
+    // Time from the start of the stop until the process is killed.
+    base::Duration grace {};
+    // Time for which connections are accepted at least: the load balancer removes a node after two failed health checks,
+    // which are one second apart.
+    base::Duration minimum = std::chrono::milliseconds(2800);
+    // Part of the grace that is left for the exit itself.
+    base::Duration exitReserve = std::chrono::milliseconds(300);
+};
+
+} // namespace redwingseam::gateway
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -45,6 +45,11 @@
     base::Instant connectStartedAt() const { return m_connectStartedAt; }
     // Whether another request may be sent on this connection.
     bool isReusable() const { return isOpen() && m_isConnected && m_canReuse; }
+    // Whether the idle connection has received bytes, or its end, that have not been read yet. Such bytes belong to no
+    // request that is still to be sent.
+    bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
+    // Stops or continues to read the response, so that a client that reads slowly limits what is buffered for it.
+    void setReadingPaused(bool);
     base::Instant idleSince() const { return m_idleSince; }
     base::Duration idleTimeout() const { return m_idleTimeout; }
     void markIdle(base::Instant now, base::Duration timeout)
@@ -58,6 +63,11 @@
 private:
     static constexpr uint32_t maxResponseHeaderBytes = 64 * 1024;
     static constexpr size_t maxBufferedBytes = 256 * 1024;
+    // Interim (1xx) responses before one response.
+    static constexpr unsigned maxInterimResponses = 8;
+    // Late responses to earlier requests that are skipped before one response, and the size of their bodies.
+    static constexpr unsigned maxSkippedResponses = 2;
+    static constexpr size_t maxSkippedBytes = 256 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<UpstreamConnection*>(self)->handle(events); }
     void handle(uint32_t events);
@@ -72,6 +82,9 @@
     void handleEof(ReadStatus);
     void fail(ConnectionFailure);
     void beginResponse();
+    void updateInterest();
+    // Counts a response that is not the awaited one. Returns false if there are too many, which fails the connection.
+    bool countUnawaitedResponse(unsigned& count, unsigned limit);
 
     EventLoop& m_loop;
     fleet::UpstreamInstance m_instance;
@@ -91,6 +104,10 @@
     bool m_isSkipping = false;
     bool m_hasResponseBytes = false;
     bool m_isEofReceived = false;
+    bool m_isReadingPaused = false;
+    unsigned m_interimResponses = 0;
+    unsigned m_skippedResponses = 0;
+    size_t m_skippedBytes = 0;
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -26,6 +26,9 @@
     m_canReuse = false;
     m_writeBuffer.append(headers);
     m_writeBuffer.append(body);
+    m_interimResponses = 0;
+    m_skippedResponses = 0;
+    m_skippedBytes = 0;
     beginResponse();
     if (m_isConnected)
         flush();
@@ -84,7 +87,7 @@
         return false;
     }
     m_isConnected = true;
-    m_loop.change(m_socket.descriptor(), m_eventHandler, EPOLLIN);
+    updateInterest();
     if (m_owner)
         m_owner->onUpstreamConnected(*this);
     return isOpen();
@@ -96,7 +99,36 @@
     // The next read reports a write error again.
     if (!m_writeBuffer.flush(m_socket.descriptor()))
         m_writeBuffer.clear();
-    m_loop.change(m_socket.descriptor(), m_eventHandler, m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    updateInterest();
+}
+
+template<typename Owner>
+void UpstreamConnection<Owner>::updateInterest()
+{
+    uint32_t events = 0;
+    if (!m_isReadingPaused)
+        events |= EPOLLIN;
+    if (!m_writeBuffer.isEmpty())
+        events |= EPOLLOUT;
+    m_loop.change(m_socket.descriptor(), m_eventHandler, events);
+}
+
+template<typename Owner>
+void UpstreamConnection<Owner>::setReadingPaused(bool isPaused)
+{
+    if (m_isReadingPaused == isPaused || !isOpen())
+        return;
+    m_isReadingPaused = isPaused;
+    updateInterest();
+}
+
+template<typename Owner>
+bool UpstreamConnection<Owner>::countUnawaitedResponse(unsigned& count, unsigned limit)
+{
+    if (++count <= limit)
+        return true;
+    fail(ConnectionFailure::Malformed);
+    return false;
 }
 
 template<typename Owner>
@@ -123,7 +155,12 @@
         if (m_parser && m_buffer.size() == before)
             break;
     }
-    if (status != ReadStatus::Open && isOpen() && m_parser)
+    if (!isOpen() || !m_parser)
+        return;
+    // The parser wants an element, such as the size of a chunk, that is longer than the whole buffer.
+    if (m_buffer.size() >= maxBufferedBytes)
+        fail(ConnectionFailure::Malformed);
+    else if (status != ReadStatus::Open)
         handleEof(status);
 }
 
@@ -143,7 +180,7 @@
     bool isInterim = m_parser->get().result_int() / 100 == 1;
     if (isInterim) {
         beginResponse();
-        return true;
+        return countUnawaitedResponse(m_interimResponses, maxInterimResponses);
     }
     if (!m_areHeadersReceived) {
         m_areHeadersReceived = true;
@@ -165,9 +202,15 @@
         return true;
     std::string bytes;
     bytes.swap(body);
-    if (!m_isSkipping)
+    if (!m_isSkipping) {
         m_owner->onUpstreamBody(*this, bytes);
-    return isOpen() && m_parser;
+        return isOpen() && m_parser;
+    }
+    m_skippedBytes += bytes.size();
+    if (m_skippedBytes <= maxSkippedBytes)
+        return true;
+    fail(ConnectionFailure::Malformed);
+    return false;
 }
 
 template<typename Owner>
@@ -176,13 +219,15 @@
     bool keepsAlive = m_parser->get().keep_alive() && !m_parser->get().need_eof();
     if (m_isSkipping && keepsAlive) {
         beginResponse();
-        return true;
+        return countUnawaitedResponse(m_skippedResponses, maxSkippedResponses);
     }
     if (m_isSkipping) {
         fail(ConnectionFailure::BeforeResponse);
         return false;
     }
-    m_canReuse = keepsAlive && !m_isEofReceived && !m_buffer.size() && m_writeBuffer.isEmpty();
+    // An upstream that has sent a late response may send another one.
+    bool isClean = !m_isEofReceived && !m_buffer.size() && m_writeBuffer.isEmpty() && !m_skippedResponses;
+    m_canReuse = keepsAlive && isClean;
     m_parser.reset();
     m_owner->onUpstreamComplete(*this);
     return false;
--- a/src/gateway/Worker.h
+++ b/src/gateway/Worker.h
@@ -46,6 +46,7 @@
     // has been handled.
     void retire(std::unique_ptr<Upstream> connection) { m_retiredUpstreams.push_back(std::move(connection)); }
     GatewayState& state() { return m_state; }
+    BufferBudget& bufferedBodies() { return m_state.bufferedBodies; }
     EventLoop& loop() { return m_loop; }
     ConnectionPool<ClientSession>& connectionPool() { return m_connectionPool; }
     uint64_t random() { return m_random(); }
@@ -54,11 +55,14 @@
     // Short enough for probes and retries of silent requests, whose delays are tens of milliseconds.
     static constexpr base::Duration sessionTickInterval = std::chrono::milliseconds(20);
     static constexpr base::Duration idleTickInterval = std::chrono::milliseconds(250);
+    // A longer time between ticks means that the process was frozen or starved of processor time.
+    static constexpr base::Duration maxTickDelay = idleTickInterval + std::chrono::milliseconds(100);
 
     void run();
     void addPendingClients();
     void tickSessions(base::Instant now);
     void tickIdle(base::Instant now);
+    void closeIdleClients();
     void deleteRetired();
 
     GatewayState& m_state;
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -7,6 +7,7 @@
 template<HeaderCodec Codec>
 void Worker<Codec>::addConnection(base::FileDescriptor socket)
 {
+    ++m_state.openClients;
     {
         std::lock_guard guard(m_mutex);
         m_pendingSockets.push_back(std::move(socket));
@@ -30,11 +31,14 @@
 void Worker<Codec>::run()
 {
     while (!m_isStopping) {
-        m_loop.runOnce(m_sessions.empty() ? idleTickInterval : sessionTickInterval);
+        bool isBusy = !m_sessions.empty() || m_state.isClosingConnections;
+        m_loop.runOnce(isBusy ? sessionTickInterval : idleTickInterval);
         addPendingClients();
         auto now = base::BootClock {}.now();
         tickSessions(now);
         tickIdle(now);
+        if (m_state.isClosingConnections)
+            closeIdleClients();
         deleteRetired();
     }
 }
@@ -60,8 +64,11 @@
 template<HeaderCodec Codec>
 void Worker<Codec>::tickSessions(base::Instant now)
 {
-    if (now - m_lastSessionTick < sessionTickInterval)
+    auto sinceLastTick = now - m_lastSessionTick;
+    if (sinceLastTick < sessionTickInterval)
         return;
+    bool wasPaused = m_lastSessionTick != base::Instant {} && sinceLastTick > maxTickDelay;
+    auto pause = wasPaused ? sinceLastTick - sessionTickInterval : base::Duration {};
     m_lastSessionTick = now;
     std::vector<ClientSession*> current;
     current.reserve(m_sessions.size());
@@ -69,7 +76,7 @@
         current.push_back(session.get());
     // A session that ends during this loop is deleted only after the loop.
     for (auto* session : current)
-        session->tick(now);
+        session->tick(now, pause);
 }
 
 template<HeaderCodec Codec>
@@ -87,6 +94,20 @@
         client->tick(now);
 }
 
+template<HeaderCodec Codec>
+void Worker<Codec>::closeIdleClients()
+{
+    std::vector<Client*> idle;
+    for (const auto& [key, client] : m_clients) {
+        if (client->isIdle() && !client->hasUnreadInput())
+            idle.push_back(key);
+    }
+    for (auto* client : idle) {
+        client->close();
+        onClientDisconnected(*client);
+    }
+}
+
 template<HeaderCodec Codec>
 void Worker<Codec>::deleteRetired()
 {
@@ -119,8 +140,10 @@
     if (session != m_sessions.end())
         session->second->clientDisconnected();
     auto found = m_clients.extract(&client);
-    if (!found.empty())
-        m_retiredClients.push_back(std::move(found.mapped()));
+    if (found.empty())
+        return;
+    --m_state.openClients;
+    m_retiredClients.push_back(std::move(found.mapped()));
 }
 
 template<HeaderCodec Codec>
--- /dev/null
+++ b/tests/PlannedStopTest.cpp
@@ -0,0 +1,90 @@
+#include "fakes/GatewayFixture.h"
+#include "gateway/GracefulStop.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using fakes::GatewayFixture;
+using fakes::ScriptedUpstream;
+using std::chrono::milliseconds;
+
+// A stop under load: each request that the gateway has read must be answered.
+TEST_GROUP(PlannedStop)
+{
+    GatewayFixture gateway;
+
+    static gateway::StopTimes times() { return { milliseconds(3000), milliseconds(200), milliseconds(100) }; }
+
+    static bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+    static std::string keptRequest()
+    {
+        auto request = GatewayFixture::post("/book/x", "b");
+        return request.erase(request.find("Connection: close\r\n"), 19);
+    }
+
+    // Sends requests on kept connections until the gateway closes them. Returns the number of complete responses.
+    unsigned callUntilStopped(const std::atomic<bool>& isStopped)
+    {
+        unsigned answered = 0;
+        while (!isStopped) {
+            auto client = gateway.connectClient();
+            std::string response;
+            do {
+                GatewayFixture::write(client, keptRequest());
+                response = GatewayFixture::read(client, "\r\n\r\nok", 1000);
+                answered += contains(response, "\r\n\r\nok");
+            } while (contains(response, "\r\n\r\nok") && !contains(response, "Connection: close"));
+            if (response == "<closed>" || response.empty())
+                poll(nullptr, 0, 1);
+        }
+        return answered;
+    }
+};
+
+TEST(PlannedStop, EveryRequestThatReachedAnUpstreamIsAnswered)
+{
+    ScriptedUpstream upstream(std::vector<fakes::ScriptedResponse>(100000, { GatewayFixture::ok("ok") }));
+    gateway.addUpstream("d1", "desk", upstream);
+    std::atomic<bool> isStopped { false };
+    std::atomic<unsigned> answered { 0 };
+    {
+        std::vector<base::NamedThread> clients;
+        for (int i = 0; i < 6; ++i)
+            clients.emplace_back("client", [&] { answered += callUntilStopped(isStopped); });
+        poll(nullptr, 0, 100);
+        CHECK_TRUE(gateway::GracefulStop(gateway.state, gateway.acceptor(), times()).run());
+        LONGS_EQUAL(0, gateway.state.openClients);
+        isStopped = true;
+    }
+    CHECK_TRUE(answered > 0);
+    LONGS_EQUAL(upstream.requests().size(), answered);
+}
+
+TEST(PlannedStop, RequestThatIsHalfReadWhenTheNodeIsIdleIsStillAnswered)
+{
+    ScriptedUpstream upstream({ { GatewayFixture::ok("ok") } });
+    gateway.addUpstream("d1", "desk", upstream);
+    auto client = gateway.connectClient();
+    auto request = GatewayFixture::post("/book/x", "body");
+    GatewayFixture::write(client, request.substr(0, request.size() - 2));
+    poll(nullptr, 0, 50);
+    bool isClean = false;
+    base::NamedThread stop("stop", [&] { isClean = gateway::GracefulStop(gateway.state, gateway.acceptor(), times()).run(); });
+    poll(nullptr, 0, 500);
+    GatewayFixture::write(client, request.substr(request.size() - 2));
+    CHECK_TRUE(contains(GatewayFixture::read(client, "\r\n\r\nok"), "\r\n\r\nok"));
+    stop.join();
+    CHECK_TRUE(isClean);
+}
+
+TEST(PlannedStop, IdleConnectionsDoNotDelayTheStop)
+{
+    std::vector<base::FileDescriptor> idle;
+    for (int i = 0; i < 20; ++i)
+        idle.push_back(gateway.connectClient());
+    poll(nullptr, 0, 50);
+    auto began = base::BootClock {}.now();
+    CHECK_TRUE(gateway::GracefulStop(gateway.state, gateway.acceptor(), times()).run());
+    CHECK_TRUE(base::BootClock {}.now() - began < milliseconds(2000));
+}
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -13,6 +13,8 @@
 // A gateway on a loopback port that forwards to scripted upstreams and has no store.
 class GatewayFixture {
 public:
+    using WorkerPool = gateway::WorkerPool<platform::PlatformHeaderCodec>;
+
     GatewayFixture()
         : state(settings())
         , m_workers(state)
@@ -107,11 +109,11 @@
         return size + text + "\r\n";
     }
 
+    gateway::Acceptor<WorkerPool>& acceptor() { return *m_acceptor; }
+
     gateway::GatewayState state;
 
 private:
-    using WorkerPool = gateway::WorkerPool<platform::PlatformHeaderCodec>;
-
     static gateway::GatewaySettings settings()
     {
         gateway::GatewaySettings settings;
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "GatewayProcess.h"
 
 #include "base/Condition.h"
+#include "gateway/GracefulStop.h"
 
 namespace redwingseam {
 
@@ -115,21 +116,9 @@
 
 bool GatewayProcess::drain()
 {
-    // The load balancer removes a node after two failed health checks, which are one second apart.
-    static constexpr base::Duration minimumDrainTime = std::chrono::milliseconds(2800);
-    static constexpr base::Duration exitReserve = std::chrono::milliseconds(300);
-    static constexpr base::Duration checkInterval = std::chrono::milliseconds(50);
-    auto began = base::BootClock {}.now();
-    m_state.drainStartedAt = began;
-    base::Mutex mutex;
-    base::Condition condition;
-    std::lock_guard guard(mutex);
-    for (auto now = began; now - began < m_state.settings.terminationGrace - exitReserve; now = base::BootClock {}.now()) {
-        if (now - began > minimumDrainTime && !m_state.activeSessions)
-            return true;
-        condition.waitFor(mutex, checkInterval);
-    }
-    return false;
+    gateway::StopTimes times;
+    times.grace = m_state.settings.terminationGrace;
+    return gateway::GracefulStop(m_state, *m_acceptor, times).run();
 }
 
 } // namespace redwingseam
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -27,8 +27,8 @@
     // Starts the servers and the pollers, waits up to 800 ms (300 for peers, then 500) for the manifest and the
     // upstreams, and then accepts clients. Returns SocketFailure if it cannot listen on an address, and Ok otherwise.
     base::Error start();
-    // Fails the readiness check, closes each client connection after its current response, and waits until running
-    // requests have finished. Returns whether all of them finished within the termination grace period.
+    // Fails the readiness check, closes each client connection after its current response, and waits until all
+    // connections are closed. Returns whether they were closed within the termination grace period.
     bool drain();
     gateway::GatewayState& state() { return m_state; }
 
