Send a prompt where it was read before, by rendezvous hashing

Ruled out: telling other nodes where each run is (a message a stream, lost with all nodes at once); keeping it in the store (a billed write a stream).

Change: the nodes of a data centre rank its engines alike for the request's own part of the prompt and prefer the first two, by less than a queued prompt costs, or by two prompts for a client that resumes.

--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -24,6 +24,10 @@
     std::optional<std::string> preferredAddress;
     // Whether a second upstream should keep a backup of the run's KV cache.
     bool wantsBackup = false;
+    // Identifies the part of the prompt that is the request's own; the same for a repeated request.
+    std::optional<uint64_t> promptKey;
+    // Whether the client resumes a stream that an engine has run before.
+    bool isResumption = false;
     // Random bits for sampling and for breaking ties.
     uint64_t random = 0;
     base::Instant now {};
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -96,7 +96,7 @@
 }
 
 template<typename Predicate>
-PoolEntry* UpstreamPool::chooseCheapest(const PlacementQuery& query, const base::DataCentreName& localDataCentre, Predicate&& usable)
+PoolEntry* UpstreamPool::chooseCheapest(const PlacementQuery& query, const PromptAffinity& affinity, const base::DataCentreName& localDataCentre, Predicate&& usable)
 {
     PlacementCost cost(query, localDataCentre);
     PoolEntry* best = nullptr;
@@ -107,7 +107,7 @@
         if (!usable(entry) || contains(query.excluded, entry.instance.id))
             continue;
         // Without an engine, equal costs are common and the random offset alone spreads the choice.
-        auto value = cost.targetCost(entry) + (query.engine ? cost.jitter(i) : 0) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
+        auto value = cost.targetCost(entry) - affinity.discount(entry) + (query.engine ? cost.jitter(i) : 0) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
@@ -132,13 +132,16 @@
         return preferred;
     auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now); };
     PlacementCost cost(query, localDataCentre);
-    auto isSampled = [&](const PoolEntry& entry) { return takesWork(entry) && cost.isSampled(static_cast<size_t>(&entry - m_entries.data()), m_entries.size()); };
-    if (auto* best = chooseCheapest(query, localDataCentre, isSampled))
+    PromptAffinity affinity(query, m_entries, localDataCentre);
+    auto isSampled = [&](const PoolEntry& entry) {
+        return takesWork(entry) && (affinity.prefers(entry) || cost.isSampled(static_cast<size_t>(&entry - m_entries.data()), m_entries.size()));
+    };
+    if (auto* best = chooseCheapest(query, affinity, localDataCentre, isSampled))
         return best;
-    if (auto* best = chooseCheapest(query, localDataCentre, takesWork))
+    if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork))
         return best;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
-    return chooseCheapest(query, localDataCentre, [&](const PoolEntry& entry) { return entry.isEligible(query.now); });
+    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.isEligible(query.now); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include "fleet/Placement.h"
 #include "fleet/PlacementQuery.h"
 #include "fleet/PoolEntry.h"
+#include "fleet/PromptAffinity.h"
 #include "fleet/RetryBudget.h"
 #include "fleet/SuspicionReport.h"
 
@@ -43,7 +44,7 @@
 private:
     PoolEntry* findEntry(const base::UpstreamName&);
     template<typename Predicate>
-    PoolEntry* chooseCheapest(const PlacementQuery&, const base::DataCentreName& localDataCentre, Predicate&&);
+    PoolEntry* chooseCheapest(const PlacementQuery&, const PromptAffinity&, const base::DataCentreName& localDataCentre, Predicate&&);
     PoolEntry* findPreferred(const PlacementQuery&);
     void applyListing(const std::vector<UpstreamInstance>&, base::Instant readBegan, base::Duration grace);
     void rebuildIndex();
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -67,6 +67,8 @@
         query.engine = service->engine;
     query.promptTokens = m_request.promptTokens;
     query.maxOutputTokens = m_request.maxOutputTokens;
+    query.promptKey = m_request.promptKey;
+    query.isResumption = m_request.lastEventId.has_value();
     query.excluded = m_excluded;
     query.preferredAddress = m_backupAddress;
     query.wantsBackup = m_request.route->isResumable;
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -23,6 +23,8 @@
     // Numbers of tokens from which the load on the upstream is estimated.
     uint64_t promptTokens = 0;
     uint64_t maxOutputTokens = 0;
+    // See PlacementQuery::promptKey.
+    std::optional<uint64_t> promptKey;
     // The id of the last event that the client received, if it resumes a stream.
     std::optional<uint64_t> lastEventId;
     fleet::RetryLimits retries;
--- a/src/gateway/RequestMetadata.h
+++ b/src/gateway/RequestMetadata.h
@@ -16,6 +16,8 @@
     base::ApiKey key;
     // Last event of the stream that the client has received; empty if it does not resume a stream.
     std::optional<uint64_t> lastEventId;
+    // Identifies the part of the prompt that is the request's own; the same for a repeated request.
+    std::optional<uint64_t> promptKey;
     uint64_t promptTokens = 0;
     uint64_t maxOutputTokens = 0;
 };
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -73,6 +73,7 @@
     request.clientTimeout = m_requestMetadata.timeout.value_or(admission.route->timeout);
     request.promptTokens = m_requestMetadata.promptTokens;
     request.maxOutputTokens = m_requestMetadata.maxOutputTokens;
+    request.promptKey = m_requestMetadata.promptKey;
     request.lastEventId = m_requestMetadata.lastEventId;
     request.retries = m_state.settings.retries;
     request.priority = priorityOf(admission);
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -119,6 +119,14 @@
     LONGS_EQUAL(8000, metadata.promptTokens);
     LONGS_EQUAL(650, metadata.maxOutputTokens);
     LONGS_EQUAL(12, *metadata.lastEventId);
+    CHECK_FALSE(metadata.promptKey.has_value());
+    headers.set("Redwingseam-Prompt-Prefix", "5c1e07a2:200,e4402b7d:7800");
+    auto key = platform::PlatformHeaderCodec::readRequest(headers).promptKey;
+    // Only the part that is the request's own counts.
+    headers.set("Redwingseam-Prompt-Prefix", "91bd3f06:300,e4402b7d:7800");
+    CHECK_TRUE(key.has_value() && key == platform::PlatformHeaderCodec::readRequest(headers).promptKey);
+    headers.set("Redwingseam-Prompt-Prefix", "5c1e07a2:200,91bd3f06:7800");
+    CHECK_TRUE(key != platform::PlatformHeaderCodec::readRequest(headers).promptKey);
     headers.set("Redwingseam-Deadline-Ms", "soon");
     headers.set("Last-Event-Id", "-1");
     metadata = platform::PlatformHeaderCodec::readRequest(headers);
