Leave a store in trouble to the hub and two deputies of each data centre

Cause: once state is older than three quarters of its bound, each node asked the store by itself, and again after 0.6 to 0.8 s if it failed.

Change: the hub and the first two live neighbours ask when state gets old, the others only when it is too old to use, and then each 4 s. A hub learns from the ages in a query that a neighbour has newer state and asks it, so a store that turns hubs away and serves others still reaches all.

--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -48,7 +48,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count() });
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -79,7 +79,7 @@
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json() });
+        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -131,6 +131,11 @@
     return upstream;
 }
 
+static base::Duration parseAge(FieldReader& reader)
+{
+    return base::Duration(static_cast<int64_t>(reader.number()));
+}
+
 static StateQuery parseQuery(FieldReader& reader)
 {
     StateQuery query;
@@ -143,14 +148,12 @@
         query.wantsState = reader.flag();
     if (reader.hasMore())
         query.nodeCount = reader.number();
+    // A sender that does not state the ages has nothing newer to offer.
+    query.manifestAge = reader.hasMore() ? parseAge(reader) : base::Duration::max();
+    query.listAge = reader.hasMore() ? parseAge(reader) : base::Duration::max();
     return query;
 }
 
-static base::Duration parseAge(FieldReader& reader)
-{
-    return base::Duration(static_cast<int64_t>(reader.number()));
-}
-
 static sync::UpstreamDelta parseDelta(FieldReader& reader)
 {
     sync::UpstreamDelta delta;
@@ -187,13 +190,17 @@
             request.lastCrashAt = now - parseAge(item);
         });
     }
-    if (reader.hasMore() && !reader.isNull()) {
+    if (reader.isNull()) {
+        reader.skip();
+    } else if (reader.hasMore()) {
         reader.nested([&](FieldReader& item) {
             auto delta = parseDelta(item);
             delta.toRevision = reply.listRevision;
             reply.delta = std::make_shared<const sync::UpstreamDelta>(std::move(delta));
         });
     }
+    if (reader.hasMore())
+        reply.isDeputy = reader.flag();
     return reply;
 }
 
--- a/src/replication/NodeDirectory.cpp
+++ b/src/replication/NodeDirectory.cpp
@@ -79,6 +79,13 @@
     });
 }
 
+bool NodeDirectory::isDeputy(const base::VmName& name, base::Instant now) const
+{
+    auto neighbours = liveNeighbours(now);
+    auto end = neighbours.begin() + static_cast<std::ptrdiff_t>(std::min(deputyCount, neighbours.size()));
+    return std::any_of(neighbours.begin(), end, [&](const auto& node) { return node.name == name; });
+}
+
 bool NodeDirectory::isFirstKnownNode() const
 {
     auto orderOf = [](const sync::NodeRecord& node) { return std::tie(node.dataCentre, node.name); };
--- a/src/replication/NodeDirectory.h
+++ b/src/replication/NodeDirectory.h
@@ -36,6 +36,8 @@
     bool isHub(base::Instant now) const { return findHub(m_self.dataCentre, now)->name == m_self.name; }
     // Returns whether this node is the hub of the first data centre, by name, that has a live node.
     bool isLeader(base::Instant now) const;
+    // Returns whether `name` is a deputy of this hub: one of the first live neighbours by name.
+    bool isDeputy(const base::VmName&, base::Instant now) const;
     // Returns whether this node precedes all known nodes, live or not, in the order of data centre and name.
     bool isFirstKnownNode() const;
     // The same among the nodes of this data centre.
@@ -60,6 +62,9 @@
     // a query every 500 ms, it is longer than one.
     static constexpr base::Duration livenessTimeout = std::chrono::milliseconds(900);
 
+    // Several, since the store may turn away some nodes and serve others.
+    static constexpr size_t deputyCount = 2;
+
     bool isLive(const Entry&, base::Instant now) const;
 
     sync::NodeRecord m_self;
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -53,6 +53,8 @@
 
 private:
     static constexpr base::Duration hubQueryInterval = std::chrono::milliseconds(250);
+    // A hub asks a neighbour for its state if that is newer by more than this.
+    static constexpr base::Duration minFresherBy = std::chrono::milliseconds(500);
     // Longer than within a data centre, because traffic between data centres is billed.
     static constexpr base::Duration remoteQueryInterval = std::chrono::milliseconds(500);
     // Applies until the node has a manifest and a list. A reply from the hub takes a few milliseconds.
@@ -67,6 +69,8 @@
     static constexpr base::Duration failureNoticeLifetime = std::chrono::milliseconds(1000);
 
     OutgoingMessages receive(const StateQuery&, base::Instant now);
+    // Returns whether this hub should ask the sender for its state, which the sender has read from the store itself.
+    bool isNewerThanOwn(const StateQuery&, base::Instant now) const;
     OutgoingMessages receive(const StateReply&, base::Instant now);
     OutgoingMessages receive(const FailureNotice&, base::Instant now);
     void applyManifest(const StateReply&, base::Instant queriedAt);
@@ -102,6 +106,7 @@
     base::Instant m_lastRemoteQuery {};
     base::Instant m_lastSilentNodeQuery {};
     base::Instant m_lastStateRequest {};
+    base::Instant m_lastNeighbourQuery {};
     bool m_hasNodeList = false;
 };
 
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -82,8 +82,10 @@
     query.from = m_directory.self();
     auto manifest = m_manifest.state();
     query.manifestVersion = manifest.index ? manifest.index->manifest().version : 0;
+    query.manifestAge = now - manifest.confirmedAt;
     auto snapshot = m_upstreamCache.snapshot();
     query.listRevision = snapshot ? snapshot->list->revision : 0;
+    query.listAge = snapshot ? now - snapshot->confirmedAt : base::Duration {};
     query.loads = std::move(loads);
     query.wantsState = shouldRequestState(node, now);
     query.nodeCount = m_directory.size();
@@ -209,12 +211,29 @@
         for (const auto& [upstream, load] : m_fleet.localLoads())
             reply.loads[upstream] += load;
         reply.loads = filterLoads(reply.loads, query.from.dataCentre);
+        reply.isDeputy = m_directory.isDeputy(query.from.name, now);
     }
     // The nodes share the retry limits, so each must know the number of nodes.
     if (query.nodeCount < m_directory.size())
         reply.nodes = m_directory.nodes();
     reply.quarantined = m_crashes.quarantinedRequests(now);
-    return { { query.from.peerAddress, std::move(reply) } };
+    OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
+    bool mayAskBack = m_role.isHub() && isSameDataCentre && now - m_lastNeighbourQuery >= hubQueryInterval;
+    if (mayAskBack && isNewerThanOwn(query, now)) {
+        m_lastNeighbourQuery = now;
+        outgoing.push_back(makeQuery(query.from, {}, now));
+    }
+    return outgoing;
+}
+
+template<ManifestParser Parser>
+bool PeerSync<Parser>::isNewerThanOwn(const StateQuery& query, base::Instant now) const
+{
+    auto isNewer = [&](base::Duration theirAge, base::Instant ownConfirmedAt) { return theirAge < now - ownConfirmedAt - minFresherBy; };
+    auto snapshot = m_upstreamCache.snapshot();
+    bool hasNewerManifest = query.manifestVersion && isNewer(query.manifestAge, m_manifest.state().confirmedAt);
+    bool hasNewerList = query.listRevision && isNewer(query.listAge, snapshot ? snapshot->confirmedAt : base::Instant {});
+    return hasNewerManifest || hasNewerList;
 }
 
 template<ManifestParser Parser>
@@ -253,8 +272,10 @@
         m_crashes.applyQuarantine(request);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
-    if (isNeighbour(reply.from) && !m_role.isHub())
+    if (isNeighbour(reply.from) && !m_role.isHub()) {
         m_fleet.setPeerLoads(reply.loads);
+        m_role.setDeputy(reply.isDeputy);
+    }
     return {};
 }
 
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/LoadMap.h"
+#include "redwingseam/base/Instant.h"
 #include "sync/NodeRecord.h"
 
 #include <cstdint>
@@ -19,6 +20,9 @@
     fleet::LoadMap loads;
     // Whether the reply should include the state, which is the manifest and the list, if they are newer.
     bool wantsState = true;
+    // Ages of the sender's manifest and list, meaningful only with versions other than 0.
+    base::Duration manifestAge {};
+    base::Duration listAge {};
     // The number of nodes that the sender knows, including itself.
     uint64_t nodeCount = 0;
 };
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -35,6 +35,8 @@
     fleet::LoadMap loads;
     // Set only if the querying node knows fewer nodes.
     std::vector<sync::NodeRecord> nodes;
+    // Whether the hub that replies counts on the receiver to query the store as well, should its state become old.
+    bool isDeputy = false;
     // Informs nodes that missed the notices of the crashes.
     std::vector<forward::QuarantinedRequest> quarantined;
 };
--- a/src/sync/NodeRole.h
+++ b/src/sync/NodeRole.h
@@ -7,19 +7,27 @@
 namespace redwingseam::sync {
 
 // The role of this node, which decides whether it queries the store itself. Normally only the leader does. The hubs
-// query each other, including the leader, and the other nodes query their hub. Any node queries the store when its state
-// becomes too old. Having two leaders for a while is harmless. Thread-safe.
+// query each other, including the leader, and the other nodes query their hub. If state becomes old, the hub and the
+// deputies of each data centre query the store. The other nodes do so only when their state is too old to use, since
+// hundreds of nodes that query a store in trouble slow its recovery, and each call is billed. Having two leaders for a
+// while is harmless. Thread-safe.
 class NodeRole {
 public:
     void setHub(bool isHub) { m_isHub = isHub; }
     bool isHub() const { return m_isHub; }
+    void setDeputy(bool isDeputy) { m_isDeputy = isDeputy; }
+    bool isDeputy() const { return m_isDeputy; }
+    // Returns whether the other nodes of the data centre rely on this node's queries.
+    bool isResponsible() const { return m_isHub || m_isDeputy; }
     void setLeader(bool isLeader) { m_isLeader = isLeader; }
     bool isLeader() const { return m_isLeader; }
 
     // `age` is the age of the node's state, and `maxAge` the time within which the node must know a change.
     bool shouldQueryStore(base::Duration age, base::Duration maxAge) const
     {
-        return m_isLeader || age > std::chrono::duration_cast<base::Duration>(maxAge * maxAgeFraction);
+        if (m_isLeader)
+            return true;
+        return age > (isResponsible() ? std::chrono::duration_cast<base::Duration>(maxAge * maxAgeFraction) : maxAge);
     }
 
 private:
@@ -28,6 +36,7 @@
 
     // A node that knows no other node is hub and leader.
     std::atomic<bool> m_isHub { true };
+    std::atomic<bool> m_isDeputy { false };
     std::atomic<bool> m_isLeader { true };
 };
 
--- a/src/sync/StorePoller.h
+++ b/src/sync/StorePoller.h
@@ -5,6 +5,7 @@
 #include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
 #include "redwingseam/base/Mutex.h"
+#include "sync/NodeRole.h"
 #include "sync/PollSchedule.h"
 
 #include <glog/logging.h>
@@ -18,9 +19,10 @@
 template<typename Task>
 class StorePoller {
 public:
-    StorePoller(const char* name, Task& task, PollSchedule schedule)
+    StorePoller(const char* name, Task& task, PollSchedule schedule, const NodeRole& role)
         : m_task(task)
         , m_schedule(schedule)
+        , m_role(role)
         , m_random(std::random_device {}())
         , m_thread(name, [this] { run(); })
     {
@@ -46,12 +48,13 @@
             bool succeeded = m_task.poll();
             guard.lock();
             if (!m_isStopping)
-                m_changed.waitFor(m_mutex, m_schedule.pauseAfter(succeeded, m_random()));
+                m_changed.waitFor(m_mutex, m_schedule.pauseAfter(succeeded, m_role.isResponsible(), m_random()));
         }
     }
 
     Task& m_task;
     PollSchedule m_schedule;
+    const NodeRole& m_role;
     std::mt19937_64 m_random;
     base::Mutex m_mutex;
     base::Condition m_changed;
--- a/tests/PeerRolesTest.cpp
+++ b/tests/PeerRolesTest.cpp
@@ -1,4 +1,5 @@
 #include "fakes/FakePeerCluster.h"
+#include "sync/PollSchedule.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -45,6 +46,46 @@
     CHECK_TRUE(b1.role.isLeader() && !b2.role.isLeader());
 }
 
+TEST(PeerRoles, FewNodesOfADataCentreQueryAStoreInTrouble)
+{
+    // Replays a store that refuses all calls: 195 nodes made thousands of calls in a few seconds.
+    for (int i = 0; i < 30; ++i)
+        cluster.add("a" + std::to_string(100 + i), "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1500));
+    unsigned queriers = 0;
+    for (const auto& node : cluster.nodes)
+        queriers += node->role.shouldQueryStore(milliseconds(4000), milliseconds(5000));
+    LONGS_EQUAL(3, queriers);
+    // Without usable state each node tries for itself, though at long intervals.
+    for (const auto& node : cluster.nodes)
+        CHECK_TRUE(node->role.shouldQueryStore(milliseconds(5100), milliseconds(5000)));
+    sync::PollSchedule schedule(milliseconds(600), milliseconds(300));
+    CHECK_TRUE(schedule.pauseAfter(false, false, 0) >= milliseconds(3000));
+    CHECK_TRUE(schedule.pauseAfter(false, true, 0) <= milliseconds(300));
+    CHECK_TRUE(schedule.pauseAfter(true, false, 0) <= milliseconds(600));
+}
+
+TEST(PeerRoles, StateThatOnlyADeputyCanReadReachesItsNeighbours)
+{
+    // Replays a store that turns the hub away and serves another node of its data centre.
+    auto& a1 = cluster.add("a1", "dc-a");
+    auto& a2 = cluster.add("a2", "dc-a");
+    auto& a3 = cluster.add("a3", "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1500));
+    CHECK_TRUE(a1.role.isHub() && a2.role.isDeputy());
+    auto readAt = cluster.now;
+    a2.confirm(7, readAt);
+    a2.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), readAt, {} });
+    cluster.run(milliseconds(1000));
+    for (auto* node : { &a1, &a3 }) {
+        CHECK_TRUE(node->manifest.state().index != nullptr);
+        CHECK_TRUE(node->manifest.state().confirmedAt <= readAt);
+        CHECK_TRUE(node->upstreamCache.snapshot().has_value());
+    }
+}
+
 TEST(PeerRoles, StartingNodeReceivesStateImmediately)
 {
     auto& a1 = cluster.add("a1", "dc-a");
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -66,7 +66,7 @@
     using NodesPoller = sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>;
     using ManifestPoller = sync::StorePoller<sync::ManifestTask<platform::StoreApi>>;
     using UpstreamListPoller = sync::StorePoller<sync::UpstreamListTask<platform::StoreApi>>;
-    m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesPollSchedule());
+    m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesPollSchedule(), m_role);
     m_readinessServer = std::make_unique<http::BlockingServer<gateway::ReadinessHandler>>(m_readiness, settings.readinessAddress);
     if (!m_readinessServer->isListening())
         return listenError(settings.readinessAddress);
@@ -78,8 +78,8 @@
     if (!listener.isOpen())
         return listenError(settings.clientAddress);
     awaitStateFromPeers();
-    m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestPollSchedule(settings));
-    m_upstreamListPoller = std::make_unique<UpstreamListPoller>("fleet", m_upstreamListTask, fleetPollSchedule(settings));
+    m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestPollSchedule(settings), m_role);
+    m_upstreamListPoller = std::make_unique<UpstreamListPoller>("fleet", m_upstreamListTask, fleetPollSchedule(settings), m_role);
     awaitInitialState();
     m_acceptor = std::make_unique<gateway::Acceptor<WorkerPool>>(std::move(listener), m_workers);
     return {};
