Let streams wait at the node for room at an engine, by rank and by what can be on time

Cause: under a flood every request was handed to an engine at once, and the engines' queues decided: in order of arrival within a rank, so that beyond capacity every answer was late; running requests were preempted and read again when memory ran out; nobody was told to come back.

Ruled out: queueing at the engines with their priorities only (an engine admits as many as its memory holds and then reads their prompts side by side, so order is lost); a limit by number of requests (prompts differ by ten); refusing whatever will be late (a late answer is still worth something to its caller, and most come).

Change: an engine has room while a fifth of its memory at most is booked for prompts not read yet and the request fits its memory. Else a new stream waits in the node's queue (schedule::FairQueue, taken over: ranks, floors, fair by cost over accounts); within a rank, what can still be on time first, each fourth dispatch to the other group. What would wait past the point where its answer counts is refused at once, with the time to come back taken from the measured rate, spread, urgent ones first. Resumed streams and retries don't wait. Backups are made only where engines keep most of their memory for requests, and never in the data centre of the run for lack of room elsewhere.

The check in Fleet.BackupIsPlacedInAnotherDataCentre now releases each placement: 50 runs with backups fill more than all memory, which by intent leaves the last ones without; two new checks hold what it held under pressure and with one centre.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -26,6 +26,11 @@
     return withPool(query.service, [&](UpstreamPool& pool) { return pool.place(query, m_localDataCentre); });
 }
 
+bool Fleet::isFull(const PlacementQuery& query)
+{
+    return withPool(query.service, [&](UpstreamPool& pool) { return pool.isFull(query); });
+}
+
 void Fleet::markPrefilled(Placement& placement)
 {
     withPool(placement.target.service, [&](UpstreamPool& pool) { pool.markPrefilled(placement); });
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -23,6 +23,8 @@
     // Chooses an upstream for a request and books the load. The caller must `release` the placement.
     // Returns nullopt if no upstream is usable.
     std::optional<Placement> place(const PlacementQuery&);
+    // Returns whether the service has usable upstreams and none has room for the request.
+    bool isFull(const PlacementQuery&);
     // Removes the prompt from the pending prefill of the target.
     void markPrefilled(Placement&);
     // Releases the booked load.
--- a/src/fleet/PlacementCost.cpp
+++ b/src/fleet/PlacementCost.cpp
@@ -41,12 +41,11 @@
     return requestWeight * requests + static_cast<double>(pendingPrefill) / prefillTokensPerCostUnit + kvPressureCost(entry) + crossDataCentreCost;
 }
 
-double PlacementCost::backupCost(const PoolEntry& entry, const UpstreamInstance& target) const
+double PlacementCost::backupCost(const PoolEntry& entry) const
 {
-    double sameDataCentreCost = entry.instance.dataCentre == target.dataCentre ? sameDataCentrePenalty : 0;
     auto pendingPrefill = entry.localLoad.pendingPrefillTokens + entry.peerLoad.pendingPrefillTokens;
     // A backup uses the KV cache of its upstream but runs nothing there, so the KV cache weighs more than for a target.
-    return kvPressureCost(entry) * 4 + static_cast<double>(pendingPrefill) / prefillTokensPerCostUnit + sameDataCentreCost;
+    return kvPressureCost(entry) * 4 + static_cast<double>(pendingPrefill) / prefillTokensPerCostUnit;
 }
 
 } // namespace redwingseam::fleet
--- a/src/fleet/PlacementCost.h
+++ b/src/fleet/PlacementCost.h
@@ -27,8 +27,8 @@
     bool isSampled(size_t index, size_t count) const;
     // Cost of running the request on the upstream.
     double targetCost(const PoolEntry&) const;
-    // Cost of placing the backup of a run whose target is `target`.
-    double backupCost(const PoolEntry&, const UpstreamInstance& target) const;
+    // Cost of placing the backup of a run on the upstream.
+    double backupCost(const PoolEntry&) const;
 
 private:
     // Cost of one concurrent request. Concurrent requests delay a request far less than the prefill of queued prompts
@@ -43,8 +43,6 @@
     static constexpr double kvPressurePenalty = 100;
     // Traffic between data centres is billed. On engines, avoiding it is worth as much as the prefill of 3000 tokens.
     static constexpr double crossDataCentrePenalty = 1.5;
-    // A data centre may fail as a whole, and a backup in it is then lost together with the run.
-    static constexpr double sameDataCentrePenalty = 1000;
 
     double kvPressureCost(const PoolEntry&) const;
 
--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -28,6 +28,8 @@
     std::optional<uint64_t> promptKey;
     // Whether the client resumes a stream that an engine has run before.
     bool isResumption = false;
+    // Whether only an upstream with room may be chosen; see PoolEntry::hasRoom.
+    bool requiresRoom = false;
     // Random bits for sampling and for breaking ties.
     uint64_t random = 0;
     base::Instant now {};
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/PlacementQuery.h"
 #include "fleet/Suspicion.h"
 #include "fleet/UpstreamLoad.h"
 #include "redwingseam/fleet/UpstreamInstance.h"
@@ -27,6 +28,11 @@
     {
         return isEligible(now) && !suspicion.isActive(now);
     }
+    // Returns whether the engine can begin with the request soon: it has few prompts to read before it, and room in its KV
+    // cache, so that no running request is preempted. True for an upstream without an engine.
+    bool hasRoom(const PlacementQuery&) const;
+    // Returns whether the engine can keep a backup and still has most of its KV cache for requests of its own.
+    bool hasRoomForBackup(const PlacementQuery&) const;
     // Returns whether the upstream is listed or in its grace period, and neither superseded, draining nor replaced. A
     // suspected upstream may be eligible.
     bool isEligible(base::Instant now) const { return (isListed || now < graceEndsAt) && !isSuperseded && !instance.isDraining && !suspicion.isReplaced(); }
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -116,6 +116,19 @@
     return best;
 }
 
+bool UpstreamPool::isFull(const PlacementQuery& query) const
+{
+    bool hasUsable = false;
+    for (const auto& entry : m_entries) {
+        if (!entry.takesWork(query.now))
+            continue;
+        if (entry.hasRoom(query))
+            return false;
+        hasUsable = true;
+    }
+    return hasUsable;
+}
+
 PoolEntry* UpstreamPool::findPreferred(const PlacementQuery& query)
 {
     if (!query.preferredAddress)
@@ -130,7 +143,7 @@
 {
     if (auto* preferred = findPreferred(query))
         return preferred;
-    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now); };
+    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now) && (!query.requiresRoom || entry.hasRoom(query)); };
     PlacementCost cost(query, localDataCentre);
     PromptAffinity affinity(query, m_entries, localDataCentre);
     auto isSampled = [&](const PoolEntry& entry) {
@@ -140,6 +153,8 @@
         return best;
     if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork))
         return best;
+    if (query.requiresRoom && isFull(query))
+        return nullptr;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
     return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.isEligible(query.now); });
 }
@@ -147,16 +162,24 @@
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
 {
     PlacementCost cost(query, localDataCentre);
+    // A data centre may fail as a whole, and a backup in it is then lost together with the run.
+    bool avoidsDataCentre = std::any_of(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
+        return entry.instance.dataCentre != target.dataCentre && entry.takesWork(query.now);
+    });
+    auto isUsable = [&](const PoolEntry& entry) {
+        bool isElsewhere = entry.instance.id != target.id && !(avoidsDataCentre && entry.instance.dataCentre == target.dataCentre);
+        return isElsewhere && entry.takesWork(query.now) && entry.hasRoomForBackup(query) && !contains(query.excluded, entry.instance.id);
+    };
     PoolEntry* best = nullptr;
     auto lowest = std::numeric_limits<double>::max();
     auto offset = m_entries.empty() ? 0 : (query.random >> 20) % m_entries.size();
     for (size_t i = 0; i < m_entries.size(); ++i) {
         auto& entry = m_entries[(i + offset) % m_entries.size()];
-        if (!entry.takesWork(query.now) || entry.instance.id == target.id || contains(query.excluded, entry.instance.id))
+        if (!isUsable(entry))
             continue;
         // The sample may contain no upstream of another data centre, so all upstreams are considered and only the
         // jitter spreads the choice.
-        auto value = cost.backupCost(entry, target) + cost.jitter(i) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
+        auto value = cost.backupCost(entry) + cost.jitter(i) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
         if (value < lowest) {
             lowest = value;
             best = &entry;
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -23,6 +23,8 @@
     void update(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace);
     // Chooses upstreams for a request and books the load. Returns nullopt if the pool has no usable upstream.
     std::optional<Placement> place(const PlacementQuery&, const base::DataCentreName& localDataCentre);
+    // Returns whether there are usable upstreams and none has room.
+    bool isFull(const PlacementQuery&) const;
     // Removes the prompt from the pending prefill of the target.
     void markPrefilled(Placement&);
     // Releases the booked load.
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -5,6 +5,7 @@
 #include "forward/CrashRegister.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/ExchangeRequest.h"
+#include "forward/PlacementQueue.h"
 #include "forward/Step.h"
 
 namespace redwingseam::forward {
@@ -15,7 +16,7 @@
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
-    Exchange(ExchangeRequest, fleet::Fleet&, CrashRegister&, const ExchangePolicy&);
+    Exchange(ExchangeRequest, fleet::Fleet&, PlacementQueue&, CrashRegister&, const ExchangePolicy&);
     ~Exchange();
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
@@ -53,6 +54,8 @@
     unsigned possibleRuns() const { return m_possibleRuns; }
     // Returns the number of times that the request was handed over for sending.
     unsigned sends() const { return m_sends; }
+    // Returns whether the request waits for room at an engine.
+    bool isQueued() const { return m_queuedWork.has_value(); }
     // Returns whether model engines run the request.
     bool isEngineRequest() const;
     // Returns the urgency for the engine, from 1 for the most urgent to 9 for the least.
@@ -60,6 +63,16 @@
 
 private:
     Step place(base::Instant now, uint64_t random);
+    Step placeOrWait(base::Instant now, uint64_t random);
+    // Whether the request may be held back until an engine has room. Resumed streams and retries go first.
+    bool mayQueue() const { return isEngineRequest() && !m_request.lastEventId && !m_sends; }
+    Step placeInTurn(base::Instant now, uint64_t random);
+    Step joinQueue(base::Instant now, uint64_t random);
+    void leaveQueue();
+    base::Instant latestDispatch() const;
+    // Returns a refusal that asks the client to come back when room is expected, spread so that the clients do not
+    // return together, and more urgent ones first.
+    Step refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const;
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
@@ -75,9 +88,11 @@
 
     ExchangeRequest m_request;
     fleet::Fleet& m_fleet;
+    PlacementQueue& m_queue;
     CrashRegister& m_crashes;
     const ExchangePolicy& m_policy;
     std::optional<fleet::Placement> m_placement;
+    std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
     // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -18,6 +18,13 @@
     // Share of the latency objective for which a request waits for a usable upstream. A longer wait leaves the client
     // no time for a retry.
     double maxWaitObjectiveShare = 0.12;
+    // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
+    // engine, when requests are queued.
+    double firstEventReserveShare = 0.55;
+    // Limits of the time for which a stream waits for room at an engine: a multiple of its latency objective, after which
+    // most clients have given up, and a share of the client's timeout, after which it could not be completed.
+    double maxQueueObjectives = 3;
+    double maxQueueTimeoutShare = 0.7;
     // Multiple of the gap objective after which a silent stream is retried on another upstream even though its current
     // upstream accepts connections.
     double abandonGapMultiple = 1.6;
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -3,6 +3,7 @@
 #include "fleet/RetryLimits.h"
 #include "manifest/ManifestIndex.h"
 #include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Rank.h"
 
 #include <memory>
 #include <optional>
@@ -11,6 +12,10 @@
 
 // A client request that has been matched with a route.
 struct ExchangeRequest {
+    // Unique on this node.
+    base::RequestId id;
+    // The account of the client; empty if the route does not require a key.
+    base::ClientName client;
     // Keeps `route` alive.
     std::shared_ptr<const manifest::ManifestIndex> index;
     const manifest::Route* route = nullptr;
@@ -30,6 +35,7 @@
     fleet::RetryLimits retries;
     // 0 is the most urgent.
     uint32_t priority = 0;
+    base::Rank rank = base::Rank::Standard;
 };
 
 } // namespace redwingseam::forward
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -5,6 +5,7 @@
 #include "forward/CrashRegister.h"
 #include "forward/DrainRule.h"
 #include "forward/ExchangePolicy.h"
+#include "forward/PlacementQueue.h"
 #include "forward/StreamDurations.h"
 #include "gateway/BufferBudget.h"
 #include "gateway/GatewayMetrics.h"
@@ -47,6 +48,7 @@
 
     const GatewaySettings settings;
     fleet::Fleet fleet;
+    forward::PlacementQueue placementQueue;
     forward::CrashRegister crashes;
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -54,16 +54,22 @@
     }
     if (admission.account)
         m_account = admission.account->name;
-    m_exchange = std::make_unique<forward::Exchange>(makeExchangeRequest(admission, random()), m_state.fleet, m_state.crashes, m_state.exchangePolicy);
+    m_exchange = std::make_unique<forward::Exchange>(makeExchangeRequest(admission, random()), m_state.fleet, m_state.placementQueue, m_state.crashes, m_state.exchangePolicy);
     logAdmission(admission);
     m_state.recorder.countRequest(m_requestSettings.rank);
     execute(m_exchange->begin(m_arrivedAt, random()));
+    if (!m_isEnded && m_exchange->isQueued())
+        LOG(INFO) << log::LogLine("request_queued").with("request", m_requestMetadata.attempt.text).with("rank", base::nameOf(m_requestSettings.rank)).with("prompt_tokens", m_requestMetadata.promptTokens).text();
 }
 
 template<HeaderCodec Codec, typename Worker>
 forward::ExchangeRequest Session<Codec, Worker>::makeExchangeRequest(const forward::Admission& admission, uint64_t random) const
 {
     forward::ExchangeRequest request;
+    request.id.value = m_number;
+    if (admission.account)
+        request.client = admission.account->name;
+    request.rank = m_requestSettings.rank;
     request.index = admission.index;
     request.route = admission.route;
     request.service = forward::chooseService(*admission.route, random);
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -39,9 +39,33 @@
         auto placement = fixture.fleet.place(query(random));
         CHECK_TRUE(placement->backup.has_value());
         CHECK_TRUE(placement->backup->dataCentre != placement->target.dataCentre);
+        // Leaves room for the next one: without it there is no backup.
+        fixture.fleet.release(*placement);
     }
 }
 
+TEST(Fleet, BackupIsNeverPlacedInTheDataCentreOfItsRunForLackOfRoomElsewhere)
+{
+    fixture.addEngines();
+    unsigned backups = 0;
+    for (uint64_t random = 0; random < 50; ++random) {
+        auto placement = fixture.fleet.place(query(random));
+        if (!placement->backup)
+            continue;
+        ++backups;
+        CHECK_TRUE(placement->backup->dataCentre != placement->target.dataCentre);
+    }
+    CHECK_TRUE(backups >= 18);
+}
+
+TEST(Fleet, BackupIsPlacedInTheOnlyDataCentre)
+{
+    fixture.addUpstream("e1", "engines", "dc-a");
+    fixture.addUpstream("e2", "engines", "dc-a");
+    fixture.update();
+    CHECK_TRUE(fixture.fleet.place(query())->backup.has_value());
+}
+
 TEST(Fleet, PromptsAreSpreadOverUpstreams)
 {
     fixture.addEngines();
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -12,6 +12,7 @@
 struct FleetFixture {
     FakeClock clock;
     fleet::Fleet fleet { { "dc-a" } };
+    forward::PlacementQueue queue;
     forward::CrashRegister crashes;
     forward::ExchangePolicy exchangePolicy;
     std::vector<fleet::UpstreamInstance> instances;
@@ -53,6 +54,7 @@
     forward::ExchangeRequest makeRequest(const std::string& path) const
     {
         forward::ExchangeRequest request;
+        request.id.value = requestCount + 1;
         request.index = index;
         request.route = index->route("h", path);
         request.service = request.route->services.front().service;
