Pace dispatch from the nodes' queues, and tell attempts that never connected from runs

Cause, from logs of a flood on the large site while two fifths of the engines are dark: (1) with no engine in the sample, every node chose the cheapest one with room that all knew of, so the busiest engine had 4.4 times the mean; (2) a probe of a suspected data centre fails 150 ms after the send, before the connection attempt times out at 350 ms: the attempt was taken for silent and so for a possible run, three of them ended the request with 502 (121 answers to requests that reached no server) and used up the retry budget; (3) the backoff of a reported upstream ended on all nodes at the same moment, and a dark engine looks idle: 32 of 33 streams sent to one were lost again; (4) streams that lost their engine waited behind new ones at the next.

Ruled out: raising the retry limits (they hold for the fleet); probing before each send (probes are billed, and late by a round trip).

Change: a random engine with room where the sample has none; a pause between dispatches from a node's queue by its share of the engines; silence before a connection is no run; reports from others, where a data centre's upstreams fail together, keep an upstream out for a second longer than at the node that reported it; resumed streams get the next higher urgency. Attempts that end by a probe or a timeout are counted, logged, and their gap is a resume gap.

Tests: PlacementQueue.ManyNodesWithTheSameLateKnowledge..., Exchange.Attempt ThatNeverConnected..., Exchange.ResumedStreamIsMoreUrgent..., Fleet.NodeThat ReportedAFailure..., Fleet.ReportOfASingleFailure...

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -88,6 +88,14 @@
     });
 }
 
+size_t Fleet::usableCount(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) {
+        const auto& entries = pool.entries();
+        return static_cast<size_t>(std::count_if(entries.begin(), entries.end(), [&](const PoolEntry& entry) { return entry.takesWork(now); }));
+    });
+}
+
 void Fleet::setPeerLoads(const LoadMap& loads)
 {
     m_pools.forEach([&](PoolMap& pools) {
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -46,6 +46,9 @@
     // no other.
     bool takesWork(const UpstreamInstance&, base::Instant now);
 
+    // Returns the number of upstreams of the service that take work.
+    size_t usableCount(const base::ServiceName&, base::Instant now);
+
     // Replaces the load booked by other nodes. An upstream that is not in the map has no peer load.
     void setPeerLoads(const LoadMap&);
     // Returns the load booked by this node, without zero entries.
--- a/src/fleet/Suspicion.cpp
+++ b/src/fleet/Suspicion.cpp
@@ -4,7 +4,7 @@
 
 namespace redwingseam::fleet {
 
-void Suspicion::add(SuspicionCause cause, base::Instant now)
+void Suspicion::add(SuspicionCause cause, base::Instant now, base::Duration extraBackoff)
 {
     switch (cause) {
     case SuspicionCause::AtCapacity:
@@ -26,7 +26,7 @@
         return;
     static constexpr uint32_t maxDoublings = 8;
     auto backoff = initialBackoff * (1U << std::min(m_failures, maxDoublings));
-    m_until = now + std::min(backoff, maxBackoff);
+    m_until = now + std::min(backoff, maxBackoff) + extraBackoff;
     ++m_failures;
 }
 
--- a/src/fleet/Suspicion.h
+++ b/src/fleet/Suspicion.h
@@ -12,7 +12,8 @@
 // `clear`: the owner discards the Suspicion when the upstream is listed with a new incarnation or address.
 class Suspicion {
 public:
-    void add(SuspicionCause, base::Instant now);
+    // `extraBackoff` is added to the backoff after an outage.
+    void add(SuspicionCause, base::Instant now, base::Duration extraBackoff = {});
     void clear();
     bool isActive(base::Instant now) const { return now < m_until; }
     bool isReplaced() const { return m_isReplaced; }
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -129,6 +129,17 @@
     return hasUsable;
 }
 
+template<typename Predicate>
+PoolEntry* UpstreamPool::chooseAny(const PlacementQuery& query, Predicate&& usable)
+{
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        auto& entry = m_entries[(i + query.random) % m_entries.size()];
+        if (usable(entry) && !contains(query.excluded, entry.instance.id))
+            return &entry;
+    }
+    return nullptr;
+}
+
 PoolEntry* UpstreamPool::findPreferred(const PlacementQuery& query)
 {
     if (!query.preferredAddress)
@@ -151,8 +162,13 @@
     };
     if (auto* best = chooseCheapest(query, affinity, localDataCentre, isSampled))
         return best;
-    if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork))
+    // Nodes that know the same few upstreams with room must not all choose the cheapest.
+    if (query.requiresRoom) {
+        if (auto* any = chooseAny(query, takesWork))
+            return any;
+    } else if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork)) {
         return best;
+    }
     if (query.requiresRoom && isFull(query))
         return nullptr;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
@@ -282,8 +298,13 @@
     }
     if (entry->lastContactAt >= report.detectedAt)
         return;
-    entry->suspicion.add(report.cause, report.detectedAt);
-    m_dataCentres[entry->instance.dataCentre].recordFailure(report.upstream, report.detectedAt);
+    auto& health = m_dataCentres[entry->instance.dataCentre];
+    health.recordFailure(report.upstream, report.detectedAt);
+    // Upstreams that fail together stay down for a while. The reporting node tries each first, and if that fails, its next
+    // report arrives before this node would try.
+    static constexpr base::Duration outageBackoff = std::chrono::milliseconds(1000);
+    bool isOutage = health.isOutageSuspected(report.detectedAt);
+    entry->suspicion.add(report.cause, report.detectedAt, isOutage ? outageBackoff : base::Duration {});
 }
 
 void UpstreamPool::recordContact(const base::UpstreamName& id, base::Instant now)
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -47,6 +47,9 @@
     PoolEntry* findEntry(const base::UpstreamName&);
     template<typename Predicate>
     PoolEntry* chooseCheapest(const PlacementQuery&, const PromptAffinity&, const base::DataCentreName& localDataCentre, Predicate&&);
+    // Returns a random usable entry, or null if there is none.
+    template<typename Predicate>
+    PoolEntry* chooseAny(const PlacementQuery&, Predicate&&);
     PoolEntry* findPreferred(const PlacementQuery&);
     void applyListing(const std::vector<UpstreamInstance>&, base::Instant readBegan, base::Duration grace);
     void rebuildIndex();
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -58,7 +58,8 @@
     static constexpr unsigned mostUrgent = 1;
     static constexpr unsigned stepBetweenPriorities = 2;
     static constexpr unsigned leastUrgent = 9;
-    return std::min(leastUrgent, mostUrgent + stepBetweenPriorities * m_request.priority);
+    auto urgency = std::min(leastUrgent, mostUrgent + stepBetweenPriorities * m_request.priority);
+    return m_lastEventId ? urgency - 1 : urgency;
 }
 
 fleet::PlacementQuery Exchange::query(base::Instant now, uint64_t random) const
@@ -99,7 +100,8 @@
         auto roomQuery = query(now, random);
         roomQuery.requiresRoom = true;
         if (auto placement = m_fleet.place(roomQuery)) {
-            m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.recordDispatch(m_request.id); });
+            auto pause = m_queuedWork ? pauseBetweenDispatches(now) : base::Duration {};
+            m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.recordDispatch(m_request.id, now, pause); });
             m_queuedWork.reset();
             return send(std::move(*placement), now);
         }
@@ -113,6 +115,14 @@
     return now < latestDispatch() ? Step {} : refuseUntilRoom(m_policy.retryAfter, now, random);
 }
 
+base::Duration Exchange::pauseBetweenDispatches(base::Instant now)
+{
+    auto engines = std::max<size_t>(1, m_fleet.usableCount(m_request.service, now));
+    auto enginesPerNode = static_cast<double>(engines) / std::max(1U, m_fleet.nodeCount());
+    auto prefillTime = scaled(m_request.route->latencyObjective, m_policy.prefillObjectiveShare);
+    return scaled(prefillTime, 1 / (enginesPerNode * m_policy.queuedShareOfEngines));
+}
+
 Step Exchange::joinQueue(base::Instant now, uint64_t random)
 {
     schedule::QueuedWork work;
@@ -185,6 +195,7 @@
     m_lastActivity = now;
     m_lastProgress = {};
     m_lastProbe = now;
+    m_isConnecting = false;
     m_isProbing = false;
     m_isProbedDuringOutage = false;
     m_hasEvent = false;
@@ -233,6 +244,8 @@
 
 Step Exchange::attemptEnded(AttemptOutcome outcome, base::Instant now, uint64_t random)
 {
+    if (outcome == AttemptOutcome::Silent && m_isConnecting)
+        outcome = AttemptOutcome::NotConnected;
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
         m_mayHaveRun = true;
@@ -297,6 +310,7 @@
 
 void Exchange::recordActivity(base::Instant now)
 {
+    m_isConnecting = false;
     m_lastActivity = now;
     if (m_placement)
         m_fleet.recordContact(m_placement->target, now);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -33,6 +33,9 @@
     // Handles timeouts. Must be called at least every few tens of milliseconds.
     Step tick(base::Instant now, uint64_t random);
 
+    // Records that a new connection is being established for the current attempt. Until it is, nothing is sent, so the
+    // attempt cannot run.
+    void recordConnecting() { m_isConnecting = true; }
     // Records that the current upstream accepted the connection or that bytes of its response arrived. Bytes show that
     // the upstream lives, but only events are progress.
     void recordActivity(base::Instant now);
@@ -58,7 +61,8 @@
     bool isQueued() const { return m_queuedWork.has_value(); }
     // Returns whether model engines run the request.
     bool isEngineRequest() const;
-    // Returns the urgency for the engine, from 1 for the most urgent to 9 for the least.
+    // Returns the urgency for the engine, from 0 for the most urgent to 9 for the least. A resumed stream precedes new ones
+    // of its priority, since its client is waiting in the middle of a response.
     unsigned urgency() const;
 
 private:
@@ -69,6 +73,9 @@
     Step placeInTurn(base::Instant now, uint64_t random);
     Step joinQueue(base::Instant now, uint64_t random);
     void leaveQueue();
+    // Returns the pause after a dispatch from the queue, so that the nodes together do not overrun the engines between
+    // two reports of their load.
+    base::Duration pauseBetweenDispatches(base::Instant now);
     base::Instant latestDispatch() const;
     // Returns a refusal that asks the client to come back when room is expected, spread so that the clients do not
     // return together, and more urgent ones first.
@@ -108,6 +115,7 @@
     // Attempts that reached an upstream, whether or not it ran the request.
     unsigned m_reachedAttempts = 0;
     bool m_areHeadersSent = false;
+    bool m_isConnecting = false;
     bool m_isProbing = false;
     // Whether the last probe of the current attempt was sent while an outage of the data centre was suspected.
     bool m_isProbedDuringOutage = false;
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -21,6 +21,10 @@
     // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
     // engine, when requests are queued.
     double firstEventReserveShare = 0.55;
+    // Share of a stream's latency objective in which an engine is assumed to read a prompt, and the multiple of its equal
+    // share of the engines that a node with queued streams uses at most. Other nodes may need less than theirs.
+    double prefillObjectiveShare = 0.25;
+    double queuedShareOfEngines = 2;
     // Limits of the time for which a stream waits for room at an engine: a multiple of its latency objective, after which
     // most clients have given up, and a share of the client's timeout, after which it could not be completed.
     double maxQueueObjectives = 3;
--- a/src/forward/ServiceQueue.cpp
+++ b/src/forward/ServiceQueue.cpp
@@ -43,7 +43,7 @@
     expire(now);
     if (!m_next)
         m_next = pop();
-    return m_next && m_next->request == request;
+    return m_next && m_next->request == request && now >= m_nextTurnAt;
 }
 
 void ServiceQueue::subtractCost(const schedule::QueuedWork& work)
@@ -55,10 +55,11 @@
         m_clientCost.erase(client);
 }
 
-void ServiceQueue::recordDispatch(base::RequestId request)
+void ServiceQueue::recordDispatch(base::RequestId request, base::Instant now, base::Duration pause)
 {
     if (!m_next || m_next->request != request)
         return;
+    m_nextTurnAt = now + pause;
     m_rate.recordDispatch(m_next->cost);
     ++m_dispatches;
     subtractCost(*m_next);
--- a/src/forward/ServiceQueue.h
+++ b/src/forward/ServiceQueue.h
@@ -18,10 +18,10 @@
 public:
     // Adds work whose dispatch meets its objective until `onTimeUntil`.
     void push(schedule::QueuedWork, base::Instant onTimeUntil, base::Instant now);
-    // Returns whether the request is the next to be dispatched.
+    // Returns whether the request is the next to be dispatched, and its turn has come.
     bool isNext(base::RequestId, base::Instant now);
-    // Removes the request, which was dispatched.
-    void recordDispatch(base::RequestId);
+    // Removes the request, which was dispatched. The next turn comes after `pause`.
+    void recordDispatch(base::RequestId, base::Instant now, base::Duration pause);
     // Removes work that was pushed and not dispatched.
     void remove(const schedule::QueuedWork&);
     bool isEmpty() const { return !m_next && !m_onTime.size() && !m_late.size(); }
@@ -47,6 +47,7 @@
     // Waiting cost of each client that has work in the queue.
     std::unordered_map<base::ClientName, uint64_t> m_clientCost;
     unsigned m_dispatches = 0;
+    base::Instant m_nextTurnAt {};
     DispatchRate m_rate;
 };
 
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -65,6 +65,9 @@
     // Returns the request line and the headers for the upstream.
     std::string serializeRequestHeaders(const forward::SendParameters&) const;
     void startProbe();
+    void endFailedProbe();
+    // Counts and logs that the current attempt was given up because its upstream is silent.
+    void recordAbandonedAttempt();
     void endAttempt(forward::AttemptOutcome);
     void finishBufferedResponse();
     void finishStream();
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -142,6 +142,7 @@
     }
     m_upstream = std::make_unique<Upstream>(m_worker.loop(), parameters.placement.target);
     m_upstream->setOwner(this);
+    m_exchange->recordConnecting();
     if (!m_upstream->connect(now()))
         endAttempt(forward::AttemptOutcome::NotConnected);
 }
@@ -185,13 +186,27 @@
 {
     m_probe = std::make_unique<Upstream>(m_worker.loop(), m_sendParameters.placement.target);
     m_probe->setOwner(this);
-    if (m_probe->connect(now()))
-        return;
+    if (!m_probe->connect(now()))
+        endFailedProbe();
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::endFailedProbe()
+{
     m_worker.retire(std::move(m_probe));
     m_state.metrics.countProbe(false);
+    recordAbandonedAttempt();
     execute(m_exchange->probeEnded(false, now(), random()));
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::recordAbandonedAttempt()
+{
+    bool isConnected = m_upstream && m_upstream->isConnected();
+    recordAttempt(isConnected ? forward::AttemptOutcome::Silent : forward::AttemptOutcome::NotConnected, m_sendParameters.placement.target);
+    m_isResuming = m_exchange->areHeadersSent();
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::tick(base::Instant at, base::Duration pause)
 {
@@ -205,10 +220,7 @@
     }
     matchReadingToClient(at);
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
-        m_worker.retire(std::move(m_probe));
-        m_state.metrics.countProbe(false);
-        recordAttempt(forward::AttemptOutcome::Silent, m_sendParameters.placement.target);
-        execute(m_exchange->probeEnded(false, at, random()));
+        endFailedProbe();
         return;
     }
     bool isConnecting = m_upstream && !m_upstream->isConnected();
@@ -216,7 +228,12 @@
         endAttempt(forward::AttemptOutcome::NotConnected);
         return;
     }
-    execute(m_exchange->tick(at, random()));
+    bool hadPlacement = m_exchange->placement().has_value();
+    auto step = m_exchange->tick(at, random());
+    bool isAbandoned = hadPlacement && (step.kind == forward::StepKind::Send || !m_exchange->placement());
+    if (isAbandoned)
+        recordAbandonedAttempt();
+    execute(std::move(step));
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -190,9 +190,7 @@
 void Session<Codec, Worker>::onUpstreamFailure(Upstream& connection, ConnectionFailure kind)
 {
     if (&connection == m_probe.get()) {
-        m_worker.retire(std::move(m_probe));
-        m_state.metrics.countProbe(false);
-        execute(m_exchange->probeEnded(false, now(), random()));
+        endFailedProbe();
         return;
     }
     switch (kind) {
--- a/tests/ExchangeTest.cpp
+++ b/tests/ExchangeTest.cpp
@@ -166,6 +166,44 @@
     CHECK_TRUE(step.send.usesBackup);
 }
 
+TEST(Exchange, ResumedStreamIsMoreUrgentThanNewOnesOfItsPriority)
+{
+    // Replays engines that are lost in a flood: their streams waited behind new ones at the engines that were left.
+    fixture.addEngines();
+    auto request = fixture.makeRequest("/stream/x");
+    request.priority = 1;
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    exchange.begin(now(), 1);
+    auto urgencyOfNewStream = exchange.urgency();
+    exchange.recordEvent(5, now());
+    exchange.attemptEnded(AttemptOutcome::LostDuringResponse, now(), 2);
+    CHECK_TRUE(exchange.urgency() < urgencyOfNewStream);
+    request.priority = 0;
+    forward::Exchange urgent(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    CHECK_TRUE(urgent.urgency() < exchange.urgency());
+}
+
+TEST(Exchange, AttemptThatNeverConnectedIsNoRunHoweverItsFailureShows)
+{
+    // Replays engines that go dark during a flood: the probe of a suspected data centre fails before the connection
+    // attempt times out. Three such attempts counted as runs, and the client was told that its request may have run.
+    fixture.addEngines();
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    auto step = exchange.begin(now(), 1);
+    for (unsigned i = 0; i < 6; ++i) {
+        CHECK_TRUE(step.kind == StepKind::Send);
+        exchange.recordConnecting();
+        fixture.advance(milliseconds(150));
+        step = exchange.probeEnded(false, now(), i);
+    }
+    LONGS_EQUAL(0, exchange.possibleRuns());
+    // Once connected, silence may hide a run.
+    exchange.recordConnecting();
+    exchange.recordActivity(now());
+    exchange.probeEnded(false, now(), 1);
+    LONGS_EQUAL(1, exchange.possibleRuns());
+}
+
 TEST(Exchange, StreamBeforeItsFirstEventIsProbedAtOnceWhenItsDataCentreFails)
 {
     fixture.addEngines();
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -249,6 +249,39 @@
     CHECK_TRUE(retries <= limits.ratio * nodeCount + limits.slack);
 }
 
+TEST(Fleet, NodeThatReportedAFailureTriesTheUpstreamBeforeTheOthers)
+{
+    // Replays a dark engine in a flood: hundreds of nodes with the same report tried it at the same moment.
+    for (const char* id : { "e1", "e2", "e3" })
+        fixture.addUpstream(id, "engines", "dc-a");
+    fixture.update();
+    fleet::Fleet other({ "dc-b" });
+    other.update(fixture.instances, fixture.clock.now(), {});
+    for (int i : { 2, 1, 0 })
+        fixture.fleet.suspect(fixture.instances[static_cast<size_t>(i)], fleet::SuspicionCause::Silent, fixture.clock.now());
+    for (const auto& report : fixture.fleet.takeSuspicionReports())
+        other.applySuspicionReport(report);
+    fixture.advance(milliseconds(700));
+    CHECK_TRUE(fixture.fleet.takesWork(fixture.instances[0], fixture.clock.now()));
+    CHECK_FALSE(other.takesWork(fixture.instances[0], fixture.clock.now()));
+    // A connection attempt that fails takes 350 ms, and the report of it up to 500 ms.
+    fixture.advance(milliseconds(850));
+    CHECK_FALSE(other.takesWork(fixture.instances[0], fixture.clock.now()));
+    fixture.advance(milliseconds(500));
+    CHECK_TRUE(other.takesWork(fixture.instances[0], fixture.clock.now()));
+}
+
+TEST(Fleet, ReportOfASingleFailureEjectsAnUpstreamOnlyBriefly)
+{
+    // A service may have few upstreams, and one lost connection says little about the next one.
+    for (const char* id : { "d1", "d2", "d3" })
+        fixture.addUpstream(id, "desk", "dc-a");
+    fixture.update();
+    fixture.fleet.applySuspicionReport({ { "d1" }, { "desk" }, fleet::SuspicionCause::Silent, fixture.clock.now(), 1 });
+    fixture.advance(milliseconds(700));
+    CHECK_TRUE(fixture.fleet.takesWork(fixture.instances[0], fixture.clock.now()));
+}
+
 TEST(Fleet, ReplacedUpstreamIsReportedToOtherNodesWithItsIncarnation)
 {
     fixture.addUpstream("d1", "desk", "dc-a");
--- a/tests/PlacementQueueTest.cpp
+++ b/tests/PlacementQueueTest.cpp
@@ -135,6 +135,42 @@
     CHECK_TRUE(flood.requests[5].dispatchedAt != base::Instant {});
 }
 
+TEST(PlacementQueue, ManyNodesWithTheSameLateKnowledgeDoNotOverrunTheEngines)
+{
+    // Replays a large fleet in a flood: all nodes learn at the same time that a few engines have room, and nothing of
+    // each other's choices for 500 ms.
+    static constexpr unsigned nodeCount = 195;
+    static constexpr unsigned engineCount = 100;
+    static constexpr unsigned withRoom = 20;
+    std::map<std::string, unsigned> arrivals;
+    for (unsigned node = 0; node < nodeCount; ++node) {
+        FloodRun run(engineCount);
+        run.random = node * 1000003;
+        run.fixture.fleet.setNodeCount(nodeCount);
+        fleet::LoadMap full;
+        for (unsigned i = 0; i < engineCount; ++i)
+            full[{ "e" + std::to_string(i) }] = { 2, 16000, 17300 };
+        run.fixture.fleet.setPeerLoads(full);
+        for (int i = 0; i < 10; ++i)
+            run.arrive(Rank::Standard);
+        for (unsigned i = 0; i < withRoom; ++i)
+            full.erase({ "e" + std::to_string(i) });
+        run.fixture.fleet.setPeerLoads(full);
+        run.run(milliseconds(500), [] {});
+        for (const auto& entry : run.fixture.fleet.entries())
+            arrivals[entry.instance.id.text] += entry.localLoad.requests;
+    }
+    unsigned total = 0;
+    unsigned most = 0;
+    for (const auto& [engine, count] : arrivals) {
+        total += count;
+        most = std::max(most, count);
+    }
+    // In 500 ms the engines read 50 prompts. Without the pause, each node sends both prompts that it may to an engine.
+    CHECK_TRUE_TEXT(total <= 2 * nodeCount, std::to_string(total).c_str());
+    CHECK_TRUE_TEXT(most <= 3 * total / withRoom, std::to_string(most).c_str());
+}
+
 TEST(PlacementQueue, WaitNeverOutlivesItsUse)
 {
     FloodRun flood(1);
--- a/tests/fakes/FloodRun.h
+++ b/tests/fakes/FloodRun.h
@@ -43,6 +43,7 @@
         for (unsigned i = 0; i < engines; ++i)
             fixture.addUpstream("e" + std::to_string(i), "engines", "dc-a");
         fixture.update();
+        fixture.fleet.setNodeCount(1);
     }
 
     base::Instant now() const { return fixture.clock.now(); }
