Bound the memory of 200 endless answers at once, and hold it by a benchmark

Cause: `redwingseam-bench endless`, new, showed 66 MB for 200 bodies and 107 MB for 200 events without end, on VMs with 88 MB: each connection's read buffer grew to 256 KB and doubled, and events were not in the budget.

Ruled out: the budget for bodies (held, 24 MB); the headers (17 MB).

Change: read buffers end at what the headers need (32 KB), events at 64 KB and within the budget, which is 16 MB now.

--- a/bench/Benches.h
+++ b/bench/Benches.h
@@ -20,5 +20,6 @@
 void benchLeaving(FigureReporter&);
 void benchSlopes(FigureReporter&);
 void benchForward(FigureReporter&);
+void benchEndless(FigureReporter&);
 
 } // namespace redwingseam::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -30,6 +30,7 @@
     Bench { "leaving", benchLeaving },
     Bench { "slopes", benchSlopes },
     Bench { "forward", benchForward },
+    Bench { "endless", benchEndless },
 };
 
 } // namespace
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -52,7 +52,7 @@
 
     // Limit on the pipelined bytes that are buffered while a request is being served.
     static constexpr size_t maxReadAhead = 64 * 1024;
-    static constexpr size_t maxBufferedBytes = 256 * 1024;
+    static constexpr size_t minBufferedBytes = 32 * 1024;
     // Time allowed for sending the last bytes of a response before the connection is closed.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
 
@@ -64,6 +64,8 @@
     void beginRequest();
     void reject(unsigned status, base::ResultCode);
     bool reserveBody();
+    // The parser needs the headers in one piece.
+    size_t maxBufferedBytes() const { return std::max<size_t>(minBufferedBytes, m_limits.maxHeaderBytes); }
     void updateInterest(uint32_t events);
 
     EventLoop& m_loop;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -83,7 +83,7 @@
 template<typename Server>
 void ClientConnection<Server>::read()
 {
-    auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes);
+    auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes());
     if (status != ReadStatus::Open) {
         close();
         m_server.onClientDisconnected(*this);
@@ -129,7 +129,7 @@
         if (m_parser->is_done())
             break;
         // The parser wants an element, such as the size of a chunk, that is longer than the whole buffer.
-        if (!count && m_buffer.size() >= maxBufferedBytes) {
+        if (!count && m_buffer.size() >= maxBufferedBytes()) {
             reject(400, base::ResultCode::MalformedRequest);
             return;
         }
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -33,7 +33,7 @@
     static constexpr base::Duration revocationMargin = std::chrono::milliseconds(400);
 
     // Leaves most of the memory of the smallest VMs to connections, lists and the manifest.
-    static constexpr size_t maxBufferedBodyBytes = 24 * 1024 * 1024;
+    static constexpr size_t maxBufferedBodyBytes = 16 * 1024 * 1024;
 
     // Returns how long after its last confirmation a manifest still authorises keys; zero means no limit. It is at least
     // half of the bound, because the margin may exceed a short bound, and zero would disable the limit.
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -54,7 +54,7 @@
     // Fraction of the stated idle timeout that is used, because the upstream's timer starts at a different time.
     static constexpr double keepAliveFraction = 0.6;
     static constexpr size_t maxResponseBodyBytes = 8 * 1024 * 1024;
-    static constexpr size_t maxEventBytes = 256 * 1024;
+    static constexpr size_t maxEventBytes = 64 * 1024;
     // The upstream is not read while the client has more than this to read, until half of it is left.
     static constexpr size_t maxPendingClientBytes = 64 * 1024;
 
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -61,7 +61,7 @@
         if (m_isEnded)
             return;
     }
-    if (m_splitter.partialBytes() > maxEventBytes)
+    if (m_splitter.partialBytes() > maxEventBytes || !m_responseReservation.growTo(m_splitter.partialBytes()))
         endAttempt(forward::AttemptOutcome::Malformed);
     else if (m_splitter.hasPartialContent())
         m_exchange->recordPartialEvent(now());
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -61,8 +61,9 @@
     void skipResponse() { m_isSkipping = true; }
 
 private:
-    static constexpr uint32_t maxResponseHeaderBytes = 64 * 1024;
-    static constexpr size_t maxBufferedBytes = 256 * 1024;
+    static constexpr uint32_t maxResponseHeaderBytes = 24 * 1024;
+    // The parser needs the headers in one piece.
+    static constexpr size_t maxBufferedBytes = maxResponseHeaderBytes + 8 * 1024;
     // Interim (1xx) responses before one response.
     static constexpr unsigned maxInterimResponses = 8;
     // Late responses to earlier requests that are skipped before one response, and the size of their bodies.
