--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -1,17 +1,9 @@
 #include "fleet/UpstreamPool.h"
 
-#include "fleet/PlacementCost.h"
-
 #include <algorithm>
-#include <limits>
 
 namespace redwingseam::fleet {
 
-static bool contains(const std::vector<base::UpstreamName>& names, const base::UpstreamName& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 void UpstreamPool::update(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace)
 {
     applyListing(listed, readBegan, grace);
@@ -95,115 +87,6 @@
     return found == m_index.end() ? nullptr : &m_entries[found->second];
 }
 
-template<typename Predicate>
-PoolEntry* UpstreamPool::chooseCheapest(const PlacementQuery& query, const PromptAffinity& affinity, const base::DataCentreName& localDataCentre, Predicate&& usable)
-{
-    PlacementCost cost(query, localDataCentre);
-    PoolEntry* best = nullptr;
-    auto lowest = std::numeric_limits<double>::max();
-    auto offset = m_entries.empty() ? 0 : query.random % m_entries.size();
-    for (size_t i = 0; i < m_entries.size(); ++i) {
-        auto& entry = m_entries[(i + offset) % m_entries.size()];
-        if (!usable(entry) || contains(query.excluded, entry.instance.id))
-            continue;
-        // Without an engine, equal costs are common and the random offset alone spreads the choice.
-        auto value = cost.targetCost(entry) - affinity.discount(entry) + (query.engine ? cost.jitter(i) : 0) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
-        if (value < lowest) {
-            lowest = value;
-            best = &entry;
-        }
-    }
-    return best;
-}
-
-bool UpstreamPool::isFull(const PlacementQuery& query) const
-{
-    bool hasUsable = false;
-    for (const auto& entry : m_entries) {
-        if (!entry.takesWork(query.now))
-            continue;
-        if (entry.hasRoom(query))
-            return false;
-        hasUsable = true;
-    }
-    return hasUsable;
-}
-
-template<typename Predicate>
-PoolEntry* UpstreamPool::chooseAny(const PlacementQuery& query, Predicate&& usable)
-{
-    for (size_t i = 0; i < m_entries.size(); ++i) {
-        auto& entry = m_entries[(i + query.random) % m_entries.size()];
-        if (usable(entry) && !contains(query.excluded, entry.instance.id))
-            return &entry;
-    }
-    return nullptr;
-}
-
-PoolEntry* UpstreamPool::findPreferred(const PlacementQuery& query)
-{
-    if (!query.preferredAddress)
-        return nullptr;
-    auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
-        return entry.instance.address == *query.preferredAddress && entry.takesWork(query.now);
-    });
-    return found == m_entries.end() ? nullptr : &*found;
-}
-
-PoolEntry* UpstreamPool::chooseTarget(const PlacementQuery& query, const base::DataCentreName& localDataCentre)
-{
-    if (auto* preferred = findPreferred(query))
-        return preferred;
-    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now) && (!query.requiresRoom || entry.hasRoom(query)); };
-    PlacementCost cost(query, localDataCentre);
-    PromptAffinity affinity(query, m_entries, localDataCentre);
-    auto isSampled = [&](const PoolEntry& entry) {
-        return takesWork(entry) && (affinity.prefers(entry) || cost.isSampled(static_cast<size_t>(&entry - m_entries.data()), m_entries.size()));
-    };
-    if (auto* best = chooseCheapest(query, affinity, localDataCentre, isSampled))
-        return best;
-    // Nodes that know the same few upstreams with room must not all choose the cheapest.
-    if (query.requiresRoom) {
-        if (auto* any = chooseAny(query, takesWork))
-            return any;
-    } else if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork)) {
-        return best;
-    }
-    if (query.requiresRoom && isFull(query))
-        return nullptr;
-    // A suspected upstream may have recovered; trying it costs at most one connection attempt.
-    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.isEligible(query.now); });
-}
-
-PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
-{
-    PlacementCost cost(query, localDataCentre);
-    // A data centre may fail as a whole, and a backup in it is then lost together with the run.
-    bool avoidsDataCentre = std::any_of(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
-        return entry.instance.dataCentre != target.dataCentre && entry.takesWork(query.now);
-    });
-    auto isUsable = [&](const PoolEntry& entry) {
-        bool isElsewhere = entry.instance.id != target.id && !(avoidsDataCentre && entry.instance.dataCentre == target.dataCentre);
-        return isElsewhere && entry.takesWork(query.now) && entry.hasRoomForBackup(query) && !contains(query.excluded, entry.instance.id);
-    };
-    PoolEntry* best = nullptr;
-    auto lowest = std::numeric_limits<double>::max();
-    auto offset = m_entries.empty() ? 0 : (query.random >> 20) % m_entries.size();
-    for (size_t i = 0; i < m_entries.size(); ++i) {
-        auto& entry = m_entries[(i + offset) % m_entries.size()];
-        if (!isUsable(entry))
-            continue;
-        // The sample may contain no upstream of another data centre, so all upstreams are considered and only the
-        // jitter spreads the choice.
-        auto value = cost.backupCost(entry) + cost.jitter(i) + (isOutageSuspected(entry.instance.dataCentre, query.now) ? PlacementCost::outagePenalty : 0);
-        if (value < lowest) {
-            lowest = value;
-            best = &entry;
-        }
-    }
-    return best;
-}
-
 std::optional<Placement> UpstreamPool::place(const PlacementQuery& query, const base::DataCentreName& localDataCentre)
 {
     auto* target = chooseTarget(query, localDataCentre);
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -1,15 +1,12 @@
 #include "forward/Exchange.h"
+#include "base/ScaledDuration.h"
 
 #include <algorithm>
 
 namespace redwingseam::forward {
 
 using base::ResultCode;
-
-static base::Duration scaled(base::Duration duration, double factor)
-{
-    return std::chrono::duration_cast<base::Duration>(duration * factor);
-}
+using base::scaled;
 
 Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashRegister& crashes, const ExchangePolicy& policy)
     : m_request(std::move(request))
@@ -85,84 +82,6 @@
     return mayQueue() ? placeInTurn(now, random) : placeOrWait(now, random);
 }
 
-base::Instant Exchange::latestDispatch() const
-{
-    auto timeout = deadline() - m_request.arrivedAt;
-    return m_request.arrivedAt + std::min(scaled(timeout, m_policy.maxQueueTimeoutShare), scaled(m_request.route->latencyObjective, m_policy.maxQueueObjectives));
-}
-
-Step Exchange::placeInTurn(base::Instant now, uint64_t random)
-{
-    auto isEmpty = [](const ServiceQueue& queue) { return queue.isEmpty(); };
-    auto isNext = [&](ServiceQueue& queue) { return queue.isNext(m_request.id, now); };
-    bool isTurn = m_queuedWork ? m_queue.with(m_request.service, isNext) : m_queue.with(m_request.service, isEmpty);
-    if (isTurn) {
-        auto roomQuery = query(now, random);
-        roomQuery.requiresRoom = true;
-        if (auto placement = m_fleet.place(roomQuery)) {
-            auto pause = m_queuedWork ? pauseBetweenDispatches(now) : base::Duration {};
-            m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.recordDispatch(m_request.id, now, pause); });
-            m_queuedWork.reset();
-            return send(std::move(*placement), now);
-        }
-        if (!m_fleet.isFull(roomQuery)) {
-            leaveQueue();
-            return placeOrWait(now, random);
-        }
-    }
-    if (!m_queuedWork)
-        return joinQueue(now, random);
-    return now < latestDispatch() ? Step {} : refuseUntilRoom(m_policy.retryAfter, now, random);
-}
-
-base::Duration Exchange::pauseBetweenDispatches(base::Instant now)
-{
-    auto engines = std::max<size_t>(1, m_fleet.usableCount(m_request.service, now));
-    auto enginesPerNode = static_cast<double>(engines) / std::max(1U, m_fleet.nodeCount());
-    auto prefillTime = scaled(m_request.route->latencyObjective, m_policy.prefillObjectiveShare);
-    return scaled(prefillTime, 1 / (enginesPerNode * m_policy.queuedShareOfEngines));
-}
-
-Step Exchange::joinQueue(base::Instant now, uint64_t random)
-{
-    schedule::QueuedWork work;
-    work.request = m_request.id;
-    work.client = m_request.client;
-    work.rank = m_request.rank;
-    work.cost = std::max<uint64_t>(1, m_request.promptTokens + m_request.maxOutputTokens);
-    auto wait = m_queue.with(m_request.service, [&](const ServiceQueue& queue) { return queue.expectedWait(work, now); });
-    if (wait && now + *wait > latestDispatch())
-        return refuseUntilRoom(*wait, now, random);
-    auto onTimeUntil = m_request.arrivedAt + scaled(m_request.route->latencyObjective, 1 - m_policy.firstEventReserveShare);
-    m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.push(work, onTimeUntil, now); });
-    m_queuedWork = std::move(work);
-    return {};
-}
-
-void Exchange::leaveQueue()
-{
-    if (!m_queuedWork)
-        return;
-    m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.remove(*m_queuedWork); });
-    m_queuedWork.reset();
-}
-
-Step Exchange::refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const
-{
-    // The most urgent clients return after half of the wait, the others later, each spread over a quarter.
-    static constexpr double firstReturnShare = 0.5;
-    static constexpr double shareStep = 0.25;
-    static constexpr uint64_t spreadSteps = 1024;
-    auto spread = static_cast<double>(random % spreadSteps) / static_cast<double>(spreadSteps);
-    auto share = firstReturnShare + shareStep * (static_cast<double>(base::indexOf(m_request.rank)) + spread);
-    static constexpr double maxShare = firstReturnShare + shareStep * static_cast<double>(base::rankCount);
-    // A client that returns later than this has no time left for its answer.
-    auto latestReturn = (deadline() - now) / 3;
-    auto step = refuse(ResultCode::QueueFull);
-    step.retryAfter = std::max(m_policy.retryAfter, scaled(std::min(expectedWait, scaled(latestReturn, 1 / maxShare)), share));
-    return step;
-}
-
 Step Exchange::placeOrWait(base::Instant now, uint64_t random)
 {
     auto placement = m_fleet.place(query(now, random));
--- /dev/null
+++ b/src/forward/ExchangeQueueing.cpp
@@ -0,0 +1,90 @@
+// The part of an Exchange that holds a new stream back until an engine has room, or turns it away.
+
+#include "base/ScaledDuration.h"
+#include "forward/Exchange.h"
+
+#include <algorithm>
+
+namespace redwingseam::forward {
+
+using base::scaled;
+
+base::Instant Exchange::latestDispatch() const
+{
+    auto timeout = deadline() - m_request.arrivedAt;
+    return m_request.arrivedAt + std::min(scaled(timeout, m_policy.maxQueueTimeoutShare), scaled(m_request.route->latencyObjective, m_policy.maxQueueObjectives));
+}
+
+Step Exchange::placeInTurn(base::Instant now, uint64_t random)
+{
+    auto isEmpty = [](const ServiceQueue& queue) { return queue.isEmpty(); };
+    auto isNext = [&](ServiceQueue& queue) { return queue.isNext(m_request.id, now); };
+    bool isTurn = m_queuedWork ? m_queue.with(m_request.service, isNext) : m_queue.with(m_request.service, isEmpty);
+    if (isTurn) {
+        auto roomQuery = query(now, random);
+        roomQuery.requiresRoom = true;
+        if (auto placement = m_fleet.place(roomQuery)) {
+            auto pause = m_queuedWork ? pauseBetweenDispatches(now) : base::Duration {};
+            m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.recordDispatch(m_request.id, now, pause); });
+            m_queuedWork.reset();
+            return send(std::move(*placement), now);
+        }
+        if (!m_fleet.isFull(roomQuery)) {
+            leaveQueue();
+            return placeOrWait(now, random);
+        }
+    }
+    if (!m_queuedWork)
+        return joinQueue(now, random);
+    return now < latestDispatch() ? Step {} : refuseUntilRoom(m_policy.retryAfter, now, random);
+}
+
+base::Duration Exchange::pauseBetweenDispatches(base::Instant now)
+{
+    auto engines = std::max<size_t>(1, m_fleet.usableCount(m_request.service, now));
+    auto enginesPerNode = static_cast<double>(engines) / std::max(1U, m_fleet.nodeCount());
+    auto prefillTime = scaled(m_request.route->latencyObjective, m_policy.prefillObjectiveShare);
+    return scaled(prefillTime, 1 / (enginesPerNode * m_policy.queuedShareOfEngines));
+}
+
+Step Exchange::joinQueue(base::Instant now, uint64_t random)
+{
+    schedule::QueuedWork work;
+    work.request = m_request.id;
+    work.client = m_request.client;
+    work.rank = m_request.rank;
+    work.cost = std::max<uint64_t>(1, m_request.promptTokens + m_request.maxOutputTokens);
+    auto wait = m_queue.with(m_request.service, [&](const ServiceQueue& queue) { return queue.expectedWait(work, now); });
+    if (wait && now + *wait > latestDispatch())
+        return refuseUntilRoom(*wait, now, random);
+    auto onTimeUntil = m_request.arrivedAt + scaled(m_request.route->latencyObjective, 1 - m_policy.firstEventReserveShare);
+    m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.push(work, onTimeUntil, now); });
+    m_queuedWork = std::move(work);
+    return {};
+}
+
+void Exchange::leaveQueue()
+{
+    if (!m_queuedWork)
+        return;
+    m_queue.with(m_request.service, [&](ServiceQueue& queue) { queue.remove(*m_queuedWork); });
+    m_queuedWork.reset();
+}
+
+Step Exchange::refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const
+{
+    // The most urgent clients return after half of the wait, the others later, each spread over a quarter.
+    static constexpr double firstReturnShare = 0.5;
+    static constexpr double shareStep = 0.25;
+    static constexpr uint64_t spreadSteps = 1024;
+    auto spread = static_cast<double>(random % spreadSteps) / static_cast<double>(spreadSteps);
+    auto share = firstReturnShare + shareStep * (static_cast<double>(base::indexOf(m_request.rank)) + spread);
+    static constexpr double maxShare = firstReturnShare + shareStep * static_cast<double>(base::rankCount);
+    // A client that returns later than this has no time left for its answer.
+    auto latestReturn = (deadline() - now) / 3;
+    auto step = refuse(base::ResultCode::QueueFull);
+    step.retryAfter = std::max(m_policy.retryAfter, scaled(std::min(expectedWait, scaled(latestReturn, 1 / maxShare)), share));
+    return step;
+}
+
+} // namespace redwingseam::forward
--- a/tests/EndlessInputTest.cpp
+++ b/tests/EndlessInputTest.cpp
@@ -21,6 +21,21 @@
         std::string pattern;
     };
 
+    // A gateway with an upstream that answers without end, and a sound one that is chosen second.
+    struct BesideSoundUpstream {
+        explicit BesideSoundUpstream(const EndlessResponse& endless)
+            : upstream(endless.prefix, endless.pattern)
+            , other({ { GatewayFixture::ok("other") } })
+        {
+            gateway.addUpstream("d1", "desk", upstream.address());
+            gateway.addUpstream("d2", "desk", other, "dc-b");
+        }
+
+        GatewayFixture gateway;
+        EndlessUpstream upstream;
+        ScriptedUpstream other;
+    };
+
     static std::string signedHead() { return "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\n"; }
 
     static std::vector<EndlessResponse> endlessResponses()
@@ -48,31 +63,23 @@
 TEST(EndlessInput, NonIdempotentRequestFailsWithoutBeingCalledNotRun)
 {
     for (const auto& endless : endlessResponses()) {
-        GatewayFixture gateway;
-        EndlessUpstream upstream(endless.prefix, endless.pattern);
-        ScriptedUpstream other({ { GatewayFixture::ok("other") } });
-        gateway.addUpstream("d1", "desk", upstream.address());
-        gateway.addUpstream("d2", "desk", other, "dc-b");
-        auto response = gateway.exchange(GatewayFixture::post("/book/x", "b"));
+        BesideSoundUpstream run(endless);
+        auto response = run.gateway.exchange(GatewayFixture::post("/book/x", "b"));
         CHECK_TRUE_TEXT(contains(response, "HTTP/1.1 502 "), endless.name);
-        CHECK_TRUE_TEXT(upstream.sentBytes() < maxSentBytes, endless.name);
-        LONGS_EQUAL_TEXT(0, other.requests().size(), endless.name);
-        for (int i = 0; i < 100 && gateway.state.bufferedBodies.usedBytes(); ++i)
+        CHECK_TRUE_TEXT(run.upstream.sentBytes() < maxSentBytes, endless.name);
+        LONGS_EQUAL_TEXT(0, run.other.requests().size(), endless.name);
+        for (int i = 0; i < 100 && run.gateway.state.bufferedBodies.usedBytes(); ++i)
             poll(nullptr, 0, 10);
-        LONGS_EQUAL_TEXT(0, gateway.state.bufferedBodies.usedBytes(), endless.name);
+        LONGS_EQUAL_TEXT(0, run.gateway.state.bufferedBodies.usedBytes(), endless.name);
     }
 }
 
 TEST(EndlessInput, IdempotentRequestIsServedElsewhere)
 {
     for (const auto& endless : endlessResponses()) {
-        GatewayFixture gateway;
-        EndlessUpstream upstream(endless.prefix, endless.pattern);
-        ScriptedUpstream other({ { GatewayFixture::ok("other") } });
-        gateway.addUpstream("d1", "desk", upstream.address());
-        gateway.addUpstream("d2", "desk", other, "dc-b");
-        CHECK_TRUE_TEXT(contains(gateway.exchange(GatewayFixture::get("/read/x")), "\r\n\r\nother"), endless.name);
-        CHECK_TRUE_TEXT(upstream.sentBytes() < maxSentBytes, endless.name);
+        BesideSoundUpstream run(endless);
+        CHECK_TRUE_TEXT(contains(run.gateway.exchange(GatewayFixture::get("/read/x")), "\r\n\r\nother"), endless.name);
+        CHECK_TRUE_TEXT(run.upstream.sentBytes() < maxSentBytes, endless.name);
     }
 }
 
