--- a/tests/PeerRolesTest.cpp
+++ b/tests/PeerRolesTest.cpp
@@ -140,6 +140,30 @@
     CHECK_TRUE_TEXT(cluster.bytesSent < 2 * fullListBytes * 9, std::to_string(cluster.bytesSent / fullListBytes).c_str());
 }
 
+TEST(PeerRoles, ThreeHundredNodesThatStartTogetherHaveStateWithinThreeSeconds)
+{
+    // Replays the restart of all processes. The list of nodes is in the store, and only the first node has read the state.
+    for (int dataCentre = 0; dataCentre < 6; ++dataCentre) {
+        for (int i = 0; i < 50; ++i)
+            cluster.add("n" + std::to_string(100 * (dataCentre + 1) + i), "dc-" + std::to_string(dataCentre));
+    }
+    cluster.delay = milliseconds(30);
+    cluster.run(milliseconds(100));
+    cluster.shareNodeList();
+    cluster.run(milliseconds(300));
+    auto& first = *cluster.nodes.front();
+    first.confirm(7, cluster.now);
+    first.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), cluster.now, {} });
+    cluster.run(milliseconds(2600));
+    unsigned leaders = 0;
+    for (const auto& node : cluster.nodes) {
+        CHECK_TRUE_TEXT(node->manifest.state().index != nullptr, node->record.name.text.c_str());
+        CHECK_TRUE_TEXT(node->upstreamCache.snapshot().has_value(), node->record.name.text.c_str());
+        leaders += node->role.isLeader();
+    }
+    LONGS_EQUAL(1, leaders);
+}
+
 TEST(PeerRoles, OutdatedNodeListRemovesNoLiveNode)
 {
     auto& a1 = cluster.add("a1", "dc-a");
