Bound the times in headers before they are converted

The same holds for a client's deadline. The same seed passed minutes before in another folder: the order in which libFuzzer reads its seeds is most likely that of the folder, which differs between clones; not proved, open.

Ruled out: load (the input, kept, fails each time on the code before).

Test: PlatformCodec.HugeTimesAreBounded.

--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -107,6 +107,16 @@
     CHECK_TRUE(page.nodes.at(0) == node);
 }
 
+TEST(PlatformCodec, HugeTimesAreBounded)
+{
+    // Found by the fuzzer: the conversion to the duration type overflowed.
+    boost::beast::http::fields headers;
+    headers.set("Redwingseam-Deadline-Ms", "18446744073709551615");
+    headers.set("Keep-Alive", "timeout=9223372036854775807");
+    CHECK_TRUE(*platform::PlatformHeaderCodec::readRequest(headers).timeout == std::chrono::hours(24));
+    CHECK_TRUE(*platform::PlatformHeaderCodec::readResponse(200, headers).keepAlive == std::chrono::hours(24));
+}
+
 TEST(PlatformCodec, RequestHeadersAreParsed)
 {
     boost::beast::http::fields headers;
