Log each client connection that a node closes as idle

A request that ended without an answer could not be traced: no log line told that a node had closed a connection on its own, for how long it had been idle, by which limit, and whether input waited on it. The line client_connection_idle tells the idle time, the limit of the connection and the one in force, and whether bytes of a request had been read or waited. One line a connection.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -64,6 +64,7 @@
     void beginRequest();
     void reject(unsigned status, base::ResultCode);
     bool reserveBody();
+    void logIdleClose(base::Duration waited) const;
     // The parser needs the headers in one piece.
     size_t maxBufferedBytes() const { return std::max<size_t>(minBufferedBytes, m_limits.maxHeaderBytes); }
     void updateInterest(uint32_t events);
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -2,8 +2,11 @@
 
 #include "gateway/ClientConnection.h"
 #include "gateway/LocalResponse.h"
+#include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
 
+#include <glog/logging.h>
+
 namespace redwingseam::gateway {
 
 template<typename Server>
@@ -193,6 +196,16 @@
     parse();
 }
 
+template<typename Server>
+void ClientConnection<Server>::logIdleClose(base::Duration waited) const
+{
+    auto millis = [](base::Duration duration) { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()); };
+    log::LogLine line("client_connection_idle");
+    line.with("idle_ms", millis(waited)).with("limit_ms", millis(m_limits.idleTimeout)).with("limit_in_force_ms", millis(m_server.clientLimits().idleTimeout));
+    line.with("half_read", m_hasRequestBytes ? "yes" : "no").with("unread_input", hasUnreadInput() ? "yes" : "no");
+    LOG(INFO) << line.text();
+}
+
 template<typename Server>
 void ClientConnection<Server>::tick(base::Instant now)
 {
@@ -211,6 +224,7 @@
         return;
     }
     if (waited > m_limits.idleTimeout) {
+        logIdleClose(waited);
         close();
         m_server.onClientDisconnected(*this);
     }
--- a/src/gateway/Worker.h
+++ b/src/gateway/Worker.h
@@ -47,6 +47,8 @@
     void retire(std::unique_ptr<Upstream> connection) { m_retiredUpstreams.push_back(std::move(connection)); }
     GatewayState& state() { return m_state; }
     BufferBudget& bufferedBodies() { return m_state.bufferedBodies; }
+    // Returns the limits of the newest known manifest.
+    manifest::ClientLimits clientLimits() const;
     EventLoop& loop() { return m_loop; }
     ConnectionPool<ClientSession>& connectionPool() { return m_connectionPool; }
     uint64_t random() { return m_random(); }
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -51,8 +51,7 @@
         std::lock_guard guard(m_mutex);
         pending.swap(m_pendingSockets);
     }
-    auto manifestState = m_state.manifest.state();
-    auto limits = manifestState.index ? manifestState.index->manifest().limits : manifest::ClientLimits {};
+    auto limits = clientLimits();
     auto now = base::BootClock {}.now();
     for (auto& socket : pending) {
         auto client = std::make_unique<Client>(m_loop, *this, std::move(socket), limits, now);
@@ -61,6 +60,13 @@
     }
 }
 
+template<HeaderCodec Codec>
+manifest::ClientLimits Worker<Codec>::clientLimits() const
+{
+    auto manifestState = m_state.manifest.state();
+    return manifestState.index ? manifestState.index->manifest().limits : manifest::ClientLimits {};
+}
+
 template<HeaderCodec Codec>
 void Worker<Codec>::tickSessions(base::Instant now)
 {
