--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -21,7 +21,7 @@
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    ClientConnection(EventLoop&, Server&, base::FileDescriptor, const manifest::ClientLimits&, base::Instant now);
+    ClientConnection(EventLoop&, Server&, base::FileDescriptor, base::Instant now);
     ~ClientConnection() { close(); }
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
@@ -62,6 +62,9 @@
     void read();
     void parse();
     void beginRequest();
+    // Applies the newest limits to the request whose first byte has arrived.
+    void applyLimits();
+    bool isIdleTooLong(base::Duration waited) const { return waited > m_idleTimeout && waited > m_server.clientLimits().idleTimeout; }
     void reject(unsigned status, base::ResultCode);
     bool reserveBody();
     void logIdleClose(base::Duration waited) const;
@@ -72,7 +75,10 @@
     EventLoop& m_loop;
     Server& m_server;
     base::FileDescriptor m_socket;
+    // The limits in force when the current request began.
     manifest::ClientLimits m_limits;
+    // The idle timeout in force when the connection became idle. The client may still go by it after it was lowered.
+    base::Duration m_idleTimeout {};
     EventHandler m_eventHandler;
     uint32_t m_interestEvents = EPOLLIN;
     WriteBuffer m_writeBuffer;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -10,11 +10,12 @@
 namespace redwingseam::gateway {
 
 template<typename Server>
-ClientConnection<Server>::ClientConnection(EventLoop& loop, Server& server, base::FileDescriptor socket, const manifest::ClientLimits& limits, base::Instant now)
+ClientConnection<Server>::ClientConnection(EventLoop& loop, Server& server, base::FileDescriptor socket, base::Instant now)
     : m_loop(loop)
     , m_server(server)
     , m_socket(std::move(socket))
-    , m_limits(limits)
+    , m_limits(server.clientLimits())
+    , m_idleTimeout(m_limits.idleTimeout)
     , m_eventHandler { this, &ClientConnection::onEvents }
     , m_bodyReservation(server.bufferedBodies())
     , m_phaseStartedAt(now)
@@ -28,13 +29,19 @@
 {
     m_parser.emplace();
     m_bodyReservation.reset();
-    m_parser->header_limit(m_limits.maxHeaderBytes);
-    m_parser->body_limit(m_limits.maxBodyBytes);
     m_parser->eager(true);
     m_hasRequestBytes = false;
     m_isContinueSent = false;
 }
 
+template<typename Server>
+void ClientConnection<Server>::applyLimits()
+{
+    m_limits = m_server.clientLimits();
+    m_parser->header_limit(m_limits.maxHeaderBytes);
+    m_parser->body_limit(m_limits.maxBodyBytes);
+}
+
 template<typename Server>
 void ClientConnection<Server>::close()
 {
@@ -112,6 +119,7 @@
         if (!m_hasRequestBytes) {
             m_hasRequestBytes = true;
             m_phaseStartedAt = base::BootClock {}.now();
+            applyLimits();
         }
         boost::beast::error_code error;
         auto count = m_parser->put(m_buffer.data(), error);
@@ -190,6 +198,7 @@
         flush();
         return;
     }
+    m_idleTimeout = m_server.clientLimits().idleTimeout;
     beginRequest();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
     // The buffer may already hold pipelined requests.
@@ -201,7 +210,7 @@
 {
     auto millis = [](base::Duration duration) { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()); };
     log::LogLine line("client_connection_idle");
-    line.with("idle_ms", millis(waited)).with("limit_ms", millis(m_limits.idleTimeout)).with("limit_in_force_ms", millis(m_server.clientLimits().idleTimeout));
+    line.with("idle_ms", millis(waited)).with("limit_ms", millis(m_idleTimeout)).with("limit_in_force_ms", millis(m_server.clientLimits().idleTimeout));
     line.with("half_read", m_hasRequestBytes ? "yes" : "no").with("unread_input", hasUnreadInput() ? "yes" : "no");
     LOG(INFO) << line.text();
 }
@@ -223,7 +232,7 @@
         reject(408, base::ResultCode::RequestTimeout);
         return;
     }
-    if (waited > m_limits.idleTimeout) {
+    if (isIdleTooLong(waited)) {
         logIdleClose(waited);
         close();
         m_server.onClientDisconnected(*this);
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -51,10 +51,9 @@
         std::lock_guard guard(m_mutex);
         pending.swap(m_pendingSockets);
     }
-    auto limits = clientLimits();
     auto now = base::BootClock {}.now();
     for (auto& socket : pending) {
-        auto client = std::make_unique<Client>(m_loop, *this, std::move(socket), limits, now);
+        auto client = std::make_unique<Client>(m_loop, *this, std::move(socket), now);
         auto* key = client.get();
         m_clients.emplace(key, std::move(client));
     }
