LOST: tell clients how long a connection may be idle

Urgent bookings among them. Cause: the node closes a connection after the idle timeout of the manifest, but no response told the client that time, so clients used connections up to that very moment (class: a timeout known to one end only). In the logs clients' requests came after idle times spread up to 15.2 s, with closes from 15.0 s on. Each response on a kept connection now says Keep-Alive: timeout, four fifths of the idle timeout, and the connection stays for the whole timeout that was in force then. The test failed before: no response had the header.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -26,6 +26,9 @@
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
 
+    // Returns the idle time to announce to the client in the headers of the current response. The connection stays open
+    // for longer than that, so that a request which the client sends at the last moment still arrives in time.
+    base::Duration announceIdleTimeout();
     // Appends bytes to the current response.
     void write(std::string_view);
     // Marks the current response as complete. The connection continues with the next request, or closes
@@ -53,6 +56,7 @@
     // Limit on the pipelined bytes that are buffered while a request is being served.
     static constexpr size_t maxReadAhead = 64 * 1024;
     static constexpr size_t minBufferedBytes = 32 * 1024;
+    static constexpr double announcedIdleShare = 0.8;
     // Time allowed for sending the last bytes of a response before the connection is closed.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
 
@@ -77,7 +81,7 @@
     base::FileDescriptor m_socket;
     // The limits in force when the current request began.
     manifest::ClientLimits m_limits;
-    // The idle timeout in force when the connection became idle. The client may still go by it after it was lowered.
+    // The idle timeout that the client was last told. It may still go by it after it was lowered.
     base::Duration m_idleTimeout {};
     EventHandler m_eventHandler;
     uint32_t m_interestEvents = EPOLLIN;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ScaledDuration.h"
 #include "gateway/ClientConnection.h"
 #include "gateway/LocalResponse.h"
 #include "log/LogLine.h"
@@ -171,11 +172,18 @@
 {
     m_isServing = true;
     m_server.onRejected(*this, status, code);
-    write(serializeLocalResponse({ status, code, {}, false }));
+    write(serializeLocalResponse({ status, code }));
     if (isOpen())
         finishResponse(false, base::BootClock {}.now());
 }
 
+template<typename Server>
+base::Duration ClientConnection<Server>::announceIdleTimeout()
+{
+    m_idleTimeout = m_server.clientLimits().idleTimeout;
+    return base::scaled(m_idleTimeout, announcedIdleShare);
+}
+
 template<typename Server>
 void ClientConnection<Server>::write(std::string_view bytes)
 {
@@ -198,7 +206,6 @@
         flush();
         return;
     }
-    m_idleTimeout = m_server.clientLimits().idleTimeout;
     beginRequest();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
     // The buffer may already hold pipelined requests.
--- a/src/gateway/HeaderUtils.cpp
+++ b/src/gateway/HeaderUtils.cpp
@@ -35,6 +35,15 @@
     return text;
 }
 
+std::string persistenceHeaders(std::optional<base::Duration> idleTimeout)
+{
+    if (!idleTimeout)
+        return "Connection: close\r\n";
+    auto seconds = std::chrono::floor<std::chrono::seconds>(*idleTimeout).count();
+    // The header has no fractions, and zero would ask the client to close at once.
+    return seconds ? "Connection: keep-alive\r\nKeep-Alive: timeout=" + std::to_string(seconds) + "\r\n" : std::string();
+}
+
 std::string hostOf(const http::fields& headers)
 {
     std::string_view host = headers[http::field::host];
--- a/src/gateway/HeaderUtils.h
+++ b/src/gateway/HeaderUtils.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "redwingseam/base/Instant.h"
+
 #include <boost/beast/http/fields.hpp>
+#include <optional>
 #include <string>
 
 namespace redwingseam::gateway {
@@ -12,6 +15,10 @@
 // Returns the header lines as sent, without the terminating empty line.
 std::string serializeHeaders(const boost::beast::http::fields&);
 
+// Returns the headers that tell a client whether the connection persists after the response. `idleTimeout`: how long it
+// may be idle before the next request; empty if it closes.
+std::string persistenceHeaders(std::optional<base::Duration> idleTimeout);
+
 // Returns the value of `Host` without the port.
 std::string hostOf(const boost::beast::http::fields&);
 
--- a/src/gateway/LocalResponse.cpp
+++ b/src/gateway/LocalResponse.cpp
@@ -1,4 +1,5 @@
 #include "gateway/LocalResponse.h"
+#include "gateway/HeaderUtils.h"
 
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
@@ -22,9 +23,7 @@
     text.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size())).append("\r\n");
     if (response.retryAfter)
         text.append("Retry-After: ").append(formatSeconds(*response.retryAfter)).append("\r\n");
-    if (!response.keepsAlive)
-        text.append("Connection: close\r\n");
-    return text.append("\r\n").append(body);
+    return text.append(persistenceHeaders(response.idleTimeout)).append("\r\n").append(body);
 }
 
 } // namespace redwingseam::gateway
--- a/src/gateway/LocalResponse.h
+++ b/src/gateway/LocalResponse.h
@@ -14,7 +14,8 @@
     base::ResultCode code = base::ResultCode::Ok;
     // Value of `Retry-After`: the time after which the client should retry.
     std::optional<base::Duration> retryAfter;
-    bool keepsAlive = true;
+    // How long the client may leave the connection idle before its next request; empty if the connection closes.
+    std::optional<base::Duration> idleTimeout {};
 };
 
 // Returns the complete response, head and body, as sent to the client.
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -233,8 +233,7 @@
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
     text.append(boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(response.status))).append("\r\n");
     text.append(serializeHeaders(headers)).append(framing);
-    if (!keepsClientConnection())
-        text.append("Connection: close\r\n");
+    text.append(persistenceHeaders(keepsClientConnection() ? std::optional(m_client.announceIdleTimeout()) : std::nullopt));
     m_exchange->recordHeadersSent();
     m_client.write(text.append("\r\n"));
 }
@@ -273,14 +272,16 @@
 {
     m_errorCode = response.code;
     auto complete = response;
-    complete.keepsAlive = keepsClientConnection();
+    bool keepsConnection = keepsClientConnection();
+    if (keepsConnection)
+        complete.idleTimeout = m_client.announceIdleTimeout();
     m_client.write(serializeLocalResponse(complete));
     if (m_isEnded)
         return;
     auto& client = m_client;
     LOG(INFO) << log::LogLine("answered_itself").with("request", m_requestMetadata.attempt.text).with("status", response.status).with("code", base::nameOf(response.code)).text();
     end(outcome);
-    client.finishResponse(complete.keepsAlive, now());
+    client.finishResponse(keepsConnection, now());
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/tests/ClientLimitsTest.cpp
+++ b/tests/ClientLimitsTest.cpp
@@ -62,6 +62,20 @@
     STRCMP_EQUAL("<closed>", GatewayFixture::read(client).c_str());
 }
 
+// A client that does not know the idle timeout sends requests on connections that are about to be closed.
+TEST(ClientLimits, ResponsesOnKeptConnectionsTellHowLongTheConnectionMayBeIdle)
+{
+    publish(withIdleTimeout(milliseconds(5000)));
+    auto client = gateway.connectClient();
+    auto request = GatewayFixture::post("/book/x", "b");
+    GatewayFixture::write(client, request.erase(request.find("Connection: close\r\n"), 19));
+    auto response = GatewayFixture::read(client, "\r\n\r\nok");
+    CHECK_TRUE(response.find("Connection: keep-alive\r\nKeep-Alive: timeout=4\r\n") != std::string::npos);
+    GatewayFixture::write(client, "GET /none/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(GatewayFixture::read(client, "Keep-Alive: timeout=4\r\n", 1000).find("<closed>") == std::string::npos);
+    CHECK_TRUE(gateway.exchange(GatewayFixture::get("/none/x")).find("Keep-Alive") == std::string::npos);
+}
+
 TEST(ClientLimits, RequestsOnOpenConnectionsMayBeAsLargeAsTheNewestLimitsAllow)
 {
     manifest::ClientLimits limits;
