Count a client whose response was aborted as closed

What callers saw: after one stream had been aborted (no retry left, or the deadline in the middle), a planned stop of that node never ended early. It ran until the grace was nearly over and reported that connections were left.

Cause: Session::abortResponse closed the client's socket without telling the worker, so the connection stayed in Worker::m_clients and GatewayState::openClients never returned to 0. GracefulStop waits for that.

Fix: closing a connection and reporting it are one call, ClientConnection::disconnect; close() is private. No caller can do half of it.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -31,8 +31,9 @@
     // Marks the current response as complete. The connection continues with the next request, or closes
     // if `keepsAlive` is false.
     void finishResponse(bool keepsAlive, base::Instant now);
-    // Closes the connection immediately, so that the client sees a truncated response if one is in progress.
-    void close();
+    // Closes the connection immediately, so that the client sees a truncated response if one is in progress, and reports
+    // it to the server.
+    void disconnect();
 
     bool isOpen() const { return m_socket.isOpen(); }
     // Returns the size of the response bytes that the client has not accepted yet.
@@ -58,6 +59,7 @@
 
     static void onEvents(void* self, uint32_t events) { static_cast<ClientConnection*>(self)->handle(events); }
     void handle(uint32_t events);
+    void close();
     void flush();
     void read();
     void parse();
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -41,6 +41,13 @@
     m_socket = {};
 }
 
+template<typename Server>
+void ClientConnection<Server>::disconnect()
+{
+    close();
+    m_server.onClientDisconnected(*this);
+}
+
 template<typename Server>
 void ClientConnection<Server>::updateInterest(uint32_t events)
 {
@@ -56,8 +63,7 @@
     if (isOpen() && (events & EPOLLOUT))
         flush();
     if (isOpen() && (events & EPOLLRDHUP)) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
@@ -68,13 +74,11 @@
 void ClientConnection<Server>::flush()
 {
     if (!m_writeBuffer.flush(m_socket.descriptor())) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     if (m_writeBuffer.isEmpty() && m_isClosing) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
@@ -85,8 +89,7 @@
 {
     auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes());
     if (status != ReadStatus::Open) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     if (m_isServing && m_buffer.size() >= maxReadAhead) {
@@ -200,8 +203,7 @@
         return;
     auto waited = now - m_phaseStartedAt;
     if (m_isClosing && waited > lingerTimeout) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     if (m_isClosing)
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -289,7 +289,7 @@
     m_errorCode = code;
     auto& client = m_client;
     end(outcome);
-    client.close();
+    client.disconnect();
 }
 
 } // namespace redwingseam::gateway
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -102,10 +102,8 @@
         if (client->isIdle() && !client->hasUnreadInput())
             idle.push_back(key);
     }
-    for (auto* client : idle) {
-        client->close();
-        onClientDisconnected(*client);
-    }
+    for (auto* client : idle)
+        client->disconnect();
 }
 
 template<HeaderCodec Codec>
--- /dev/null
+++ b/tests/UnansweredRequestTest.cpp
@@ -0,0 +1,50 @@
+#include "fakes/GatewayFixture.h"
+#include "gateway/GracefulStop.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using fakes::GatewayFixture;
+using fakes::ScriptedUpstream;
+using std::chrono::milliseconds;
+
+// Requests that were read, or responses that were written, and that the client could lose nevertheless.
+TEST_GROUP(UnansweredRequest)
+{
+    GatewayFixture gateway;
+
+    static bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+    static std::string withKeepAlive(std::string request) { return request.erase(request.find("Connection: close\r\n"), 19); }
+
+    static bool waitUntil(const std::function<bool()>& predicate)
+    {
+        for (int i = 0; i < 300 && !predicate(); ++i)
+            poll(nullptr, 0, 10);
+        return predicate();
+    }
+
+    // Writes all bytes to a client that reads nothing meanwhile. Returns the number of bytes written before an error.
+    static size_t writeAll(const base::FileDescriptor& client, const std::string& bytes)
+    {
+        size_t written = 0;
+        while (written < bytes.size()) {
+            auto count = send(client.descriptor(), bytes.data() + written, std::min<size_t>(16384, bytes.size() - written), MSG_NOSIGNAL);
+            if (count <= 0)
+                break;
+            written += static_cast<size_t>(count);
+            poll(nullptr, 0, 1);
+        }
+        return written;
+    }
+};
+
+TEST(UnansweredRequest, AbortedStreamLeavesNoOpenClientBehind)
+{
+    ScriptedUpstream only({ { GatewayFixture::streamHead() + GatewayFixture::event(1), true } });
+    gateway.addUpstream("e1", "engines", only);
+    CHECK_TRUE(contains(gateway.exchange(GatewayFixture::post("/stream/x", "b")), "<closed>"));
+    CHECK_TRUE(waitUntil([&] { return !gateway.state.openClients; }));
+    gateway::StopTimes times { milliseconds(3000), milliseconds(200), milliseconds(100) };
+    CHECK_TRUE(gateway::GracefulStop(gateway.state, gateway.acceptor(), times).run());
+}
