Decide once per response whether its connection goes on

What callers saw: a client whose stream had begun before a planned stop was told that its connection stays open. The connection was closed without notice when the stream ended during the stop, and a request that the client sent on it was discarded or reset: neither an answer nor a refusal.

Cause: keepsClientConnection() was evaluated when the headers were written and again when the response ended. A stop that begins in between changes the result, but the client knows only the first one.

Fix: the decision is made when the headers are written, and kept. A connection that was not told otherwise goes on; its next response says "Connection: close", and GracefulStop closes it at the end if it is idle.

Evidence: UnansweredRequest.ConnectionThatPromisedToGoOnServesTheRequestAfterAStopBegan failed before (the client read the end of the connection instead of an answer) and passes now. Mutation run: deciding again in deliverResponse makes it fail.

--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -86,7 +86,9 @@
     void recordOutcome(SessionOutcome);
     void closeUpstream();
     void releaseUpstream(std::unique_ptr<Upstream>);
-    bool keepsClientConnection() const;
+    // Decides whether the client connection goes on after this response. Called once, for the headers of the response: a
+    // client that was not told otherwise may send its next request.
+    bool decideClientConnection();
     void logAdmission(const forward::Admission&) const;
     void logOutcome(SessionOutcome) const;
     // Counts and logs the end of an attempt.
@@ -119,6 +121,7 @@
     std::optional<BufferedResponse> m_failureResponse;
     forward::EventSplitter m_splitter;
     bool m_isEventStream = false;
+    bool m_keepsClientConnection = false;
     bool m_isEnded = false;
     // Whether the connection to the upstream failed since the last event.
     bool m_isResuming = false;
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -220,9 +220,10 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-bool Session<Codec, Worker>::keepsClientConnection() const
+bool Session<Codec, Worker>::decideClientConnection()
 {
-    return m_clientRequest.keep_alive() && !m_state.isDraining();
+    m_keepsClientConnection = m_clientRequest.keep_alive() && !m_state.isDraining();
+    return m_keepsClientConnection;
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -233,7 +234,7 @@
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
     text.append(boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(response.status))).append("\r\n");
     text.append(serializeHeaders(headers)).append(framing);
-    if (!keepsClientConnection())
+    if (!decideClientConnection())
         text.append("Connection: close\r\n");
     m_exchange->recordHeadersSent();
     m_client.write(text.append("\r\n"));
@@ -242,7 +243,6 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::deliverResponse()
 {
-    bool keepsConnection = keepsClientConnection();
     auto status = m_response.status;
     if (isEventStream()) {
         if (!m_exchange->areHeadersSent())
@@ -265,7 +265,7 @@
         return;
     auto& client = m_client;
     end(status < 500 ? SessionOutcome::Completed : SessionOutcome::UpstreamError);
-    client.finishResponse(keepsConnection, now());
+    client.finishResponse(m_keepsClientConnection, now());
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -273,7 +273,7 @@
 {
     m_errorCode = response.code;
     auto complete = response;
-    complete.keepsAlive = keepsClientConnection();
+    complete.keepsAlive = decideClientConnection();
     m_client.write(serializeLocalResponse(complete));
     if (m_isEnded)
         return;
--- a/tests/UnansweredRequestTest.cpp
+++ b/tests/UnansweredRequestTest.cpp
@@ -1,10 +1,12 @@
 #include "fakes/GatewayFixture.h"
+#include "fakes/ManualUpstream.h"
 #include "gateway/GracefulStop.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace redwingseam;
 using fakes::GatewayFixture;
+using fakes::ManualUpstream;
 using fakes::ScriptedUpstream;
 using std::chrono::milliseconds;
 
@@ -48,3 +50,24 @@
     gateway::StopTimes times { milliseconds(3000), milliseconds(200), milliseconds(100) };
     CHECK_TRUE(gateway::GracefulStop(gateway.state, gateway.acceptor(), times).run());
 }
+
+TEST(UnansweredRequest, ConnectionThatPromisedToGoOnServesTheRequestAfterAStopBegan)
+{
+    ManualUpstream engine;
+    ScriptedUpstream desk({ { GatewayFixture::ok("ok") } });
+    gateway.addUpstream("e1", "engines", engine.address());
+    gateway.addUpstream("d1", "desk", desk);
+    auto client = gateway.connectClient();
+    GatewayFixture::write(client, withKeepAlive(GatewayFixture::post("/stream/x", "b")));
+    engine.acceptRequest();
+    engine.respond(GatewayFixture::streamHead() + GatewayFixture::event(1));
+    auto begun = GatewayFixture::read(client, "data: e1\n\n");
+    CHECK_TRUE(contains(begun, "data: e1\n\n") && !contains(begun, "Connection: close"));
+    gateway.state.drainStartedAt = base::BootClock {}.now();
+    engine.respond("0\r\n\r\n");
+    CHECK_TRUE(contains(GatewayFixture::read(client, "0\r\n\r\n"), "0\r\n\r\n"));
+    GatewayFixture::write(client, withKeepAlive(GatewayFixture::post("/book/x", "b")));
+    auto response = GatewayFixture::read(client, "\r\n\r\nok");
+    CHECK_TRUE_TEXT(contains(response, "\r\n\r\nok"), response.c_str());
+    CHECK_TRUE(contains(response, "Connection: close\r\n"));
+}
