Read on after the last response, so that no reset destroys it

What callers saw: a request that was answered early (400, 413, 431, 503), or another request that crossed "Connection: close", got a reset instead of the answer: the client's next write failed, and most clients then drop what they have received.

Cause: the connection was closed as soon as the response was written. Closing a socket that has unread input, or that receives more, resets the connection.

Fix: after the last byte only the sending side is shut down. Input is read and discarded until the client closes, at most 16 MB, 3 s, and 1 s without any. The body of a rejected request is released at once. Such a connection counts as open and not as idle, so a stop waits for it, but not for longer than these bounds and never beyond its grace.

Evidence: UnansweredRequest.RejectionReachesAClientThatWritesItsWholeBodyFirst failed before (32768 of 2097152 bytes could be written before the reset), and so did the two tests of ClientConnection; they pass now. ClientThatNeverClosesARejectedConnectionDoesNotDelayAStop passed before and holds the bound.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -28,8 +28,8 @@
 
     // Appends bytes to the current response.
     void write(std::string_view);
-    // Marks the current response as complete. The connection continues with the next request, or closes
-    // if `keepsAlive` is false.
+    // Marks the current response as complete. The connection continues with the next request. If `keepsAlive` is false, it
+    // sends no more and closes once the client has closed its side, or has sent nothing for a moment.
     void finishResponse(bool keepsAlive, base::Instant now);
     // Closes the connection immediately, so that the client sees a truncated response if one is in progress, and reports
     // it to the server.
@@ -41,7 +41,7 @@
     // Whether a request has been read whose response is not complete.
     bool isServing() const { return m_isServing; }
     // Whether the last response has been written and no byte of another request has arrived.
-    bool isIdle() const { return !m_isServing && !m_hasRequestBytes && m_writeBuffer.isEmpty(); }
+    bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && m_writeBuffer.isEmpty(); }
     // Whether bytes of the client, or the end of its input, wait to be read.
     bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
     // Closes the connection if the client takes too long to send a request, after a response with status 408 if the
@@ -54,8 +54,11 @@
     // Limit on the pipelined bytes that are buffered while a request is being served.
     static constexpr size_t maxReadAhead = 64 * 1024;
     static constexpr size_t minBufferedBytes = 32 * 1024;
-    // Time allowed for sending the last bytes of a response before the connection is closed.
+    // Time allowed for sending the last bytes of a response, and again for the client's input after them.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
+    // A client that sends nothing for this long after the last response has seen its end.
+    static constexpr base::Duration lingerQuietTime = std::chrono::seconds(1);
+    static constexpr size_t maxDiscardedBytes = 16 * 1024 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<ClientConnection*>(self)->handle(events); }
     void handle(uint32_t events);
@@ -65,6 +68,11 @@
     void parse();
     void beginRequest();
     void reject(unsigned status, base::ResultCode);
+    // Sends the end of the output. Closing the socket at once would reset the connection if the client is still sending,
+    // and the reset would destroy what the client has not read.
+    void shutDownSending();
+    void discardInput();
+    void tickClosing(base::Instant now);
     bool reserveBody();
     // The parser needs the headers in one piece.
     size_t maxBufferedBytes() const { return std::max<size_t>(minBufferedBytes, m_limits.maxHeaderBytes); }
@@ -83,11 +91,14 @@
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
     bool m_isContinueSent = false;
-    // The connection closes as soon as all pending bytes are written.
+    // The last response is complete; further input is discarded.
     bool m_isClosing = false;
-    // When the connection was accepted, the first byte of the current request arrived, or the last response was complete,
-    // whichever is the latest.
+    bool m_isSendingShutDown = false;
+    size_t m_discardedBytes = 0;
+    // When the connection was accepted, the first byte of the current request arrived, the last response was complete, or
+    // the sending side was shut down, whichever is the latest.
     base::Instant m_phaseStartedAt {};
+    base::Instant m_lastInputAt {};
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -4,6 +4,8 @@
 #include "gateway/LocalResponse.h"
 #include "redwingseam/base/BootClock.h"
 
+#include <sys/socket.h>
+
 namespace redwingseam::gateway {
 
 template<typename Server>
@@ -77,10 +79,8 @@
         disconnect();
         return;
     }
-    if (m_writeBuffer.isEmpty() && m_isClosing) {
-        disconnect();
-        return;
-    }
+    if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
+        shutDownSending();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
 }
 
@@ -92,18 +92,40 @@
         disconnect();
         return;
     }
+    if (m_isClosing) {
+        discardInput();
+        return;
+    }
     if (m_isServing && m_buffer.size() >= maxReadAhead) {
         // The read-ahead buffer is full, so only the end of the connection is watched until the response is
         // complete.
         updateInterest(m_writeBuffer.isEmpty() ? EPOLLRDHUP : EPOLLRDHUP | EPOLLOUT);
         return;
     }
-    if (m_isClosing)
-        m_buffer.clear();
-    else if (!m_isServing)
+    if (!m_isServing)
         parse();
 }
 
+template<typename Server>
+void ClientConnection<Server>::shutDownSending()
+{
+    m_isSendingShutDown = true;
+    m_phaseStartedAt = base::BootClock {}.now();
+    m_lastInputAt = m_phaseStartedAt;
+    // If this fails, the next read reports the error.
+    ::shutdown(m_socket.descriptor(), SHUT_WR);
+}
+
+template<typename Server>
+void ClientConnection<Server>::discardInput()
+{
+    m_lastInputAt = base::BootClock {}.now();
+    m_discardedBytes += m_buffer.size();
+    m_buffer.clear();
+    if (m_discardedBytes > maxDiscardedBytes)
+        disconnect();
+}
+
 template<typename Server>
 void ClientConnection<Server>::parse()
 {
@@ -187,6 +209,8 @@
     if (!keepsAlive) {
         m_isClosing = true;
         m_buffer.clear();
+        m_parser.reset();
+        m_bodyReservation.reset();
         flush();
         return;
     }
@@ -201,13 +225,11 @@
 {
     if (!isOpen() || m_isServing)
         return;
-    auto waited = now - m_phaseStartedAt;
-    if (m_isClosing && waited > lingerTimeout) {
-        disconnect();
+    if (m_isClosing) {
+        tickClosing(now);
         return;
     }
-    if (m_isClosing)
-        return;
+    auto waited = now - m_phaseStartedAt;
     if (m_hasRequestBytes && !m_parser->is_header_done() && waited > m_limits.headerTimeout) {
         reject(408, base::ResultCode::RequestTimeout);
         return;
@@ -218,4 +240,12 @@
     }
 }
 
+template<typename Server>
+void ClientConnection<Server>::tickClosing(base::Instant now)
+{
+    bool isQuiet = m_isSendingShutDown && now - m_lastInputAt > lingerQuietTime;
+    if (isQuiet || now - m_phaseStartedAt > lingerTimeout)
+        disconnect();
+}
+
 } // namespace redwingseam::gateway
--- /dev/null
+++ b/tests/ClientConnectionTest.cpp
@@ -0,0 +1,78 @@
+#include "fakes/RecordingClientServer.h"
+
+#include <CppUTest/TestHarness.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+using namespace redwingseam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// One client connection whose event loop and clock the test moves.
+TEST_GROUP(ClientConnection)
+{
+    gateway::EventLoop loop;
+    fakes::RecordingClientServer server;
+    manifest::ClientLimits limits;
+    base::FileDescriptor client;
+    std::unique_ptr<fakes::RecordingClientServer::Connection> connection;
+    base::Instant start = base::BootClock {}.now();
+
+    void setup() override { connect(); }
+    void teardown() override { connection.reset(); }
+
+    void connect()
+    {
+        int sockets[2];
+        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, sockets);
+        client = base::FileDescriptor(sockets[0]);
+        connection = std::make_unique<fakes::RecordingClientServer::Connection>(loop, server, base::FileDescriptor(sockets[1]), limits, start);
+    }
+
+    void write(const std::string& bytes)
+    {
+        send(client.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        loop.runOnce(milliseconds(100));
+    }
+
+    // Returns what the client has received, and "<closed>" after the end of the input.
+    std::string received() const
+    {
+        char buffer[4096];
+        std::string text;
+        while (true) {
+            auto count = recv(client.descriptor(), buffer, sizeof buffer, 0);
+            if (count < 0)
+                return text;
+            if (!count)
+                return text + "<closed>";
+            text.append(buffer, static_cast<size_t>(count));
+        }
+    }
+};
+
+TEST(ClientConnection, InputAfterTheLastResponseIsBounded)
+{
+    write("no request\r\n\r\n");
+    LONGS_EQUAL(1, server.rejections.size());
+    CHECK_TRUE(received().ends_with("<closed>"));
+    const std::string block(32 * 1024, 'x');
+    unsigned blocks = 0;
+    while (connection->isOpen() && blocks < 2000) {
+        write(block);
+        ++blocks;
+    }
+    // 16 MB.
+    CHECK_TRUE(blocks > 400 && blocks < 600);
+    LONGS_EQUAL(1, server.disconnects);
+}
+
+TEST(ClientConnection, ClientThatNeitherSendsNorClosesAfterTheLastResponseIsDisconnected)
+{
+    write("no request\r\n\r\n");
+    connection->tick(base::BootClock {}.now() + milliseconds(500));
+    CHECK_TRUE(connection->isOpen());
+    connection->tick(base::BootClock {}.now() + milliseconds(1300));
+    CHECK_FALSE(connection->isOpen());
+    LONGS_EQUAL(1, server.disconnects);
+}
--- a/tests/UnansweredRequestTest.cpp
+++ b/tests/UnansweredRequestTest.cpp
@@ -71,3 +71,29 @@
     CHECK_TRUE_TEXT(contains(response, "\r\n\r\nok"), response.c_str());
     CHECK_TRUE(contains(response, "Connection: close\r\n"));
 }
+
+TEST(UnansweredRequest, RejectionReachesAClientThatWritesItsWholeBodyFirst)
+{
+    auto client = gateway.connectClient();
+    GatewayFixture::write(client, "POST /book/x HTTP/1.1\r\nHost: h\r\nRedwingseam-Key: key\r\nContent-Length: 9999999\r\n\r\n");
+    std::string body(2 * 1024 * 1024, 'b');
+    LONGS_EQUAL(body.size(), writeAll(client, body));
+    auto response = GatewayFixture::read(client, "<never>", 1500);
+    CHECK_TRUE_TEXT(contains(response, "HTTP/1.1 413 "), response.c_str());
+    CHECK_TRUE(contains(response, "<closed>"));
+    CHECK_TRUE(waitUntil([&] { return !gateway.state.bufferedBodies.usedBytes(); }));
+    client = {};
+    CHECK_TRUE(waitUntil([&] { return !gateway.state.openClients; }));
+}
+
+TEST(UnansweredRequest, ClientThatNeverClosesARejectedConnectionDoesNotDelayAStop)
+{
+    auto client = gateway.connectClient();
+    GatewayFixture::write(client, "no request\r\n\r\n");
+    CHECK_TRUE(contains(GatewayFixture::read(client, "<never>", 1500), "HTTP/1.1 400 "));
+    gateway::StopTimes times { milliseconds(8000), milliseconds(200), milliseconds(100) };
+    auto began = base::BootClock {}.now();
+    CHECK_TRUE(gateway::GracefulStop(gateway.state, gateway.acceptor(), times).run());
+    CHECK_TRUE(base::BootClock {}.now() - began < milliseconds(4500));
+    LONGS_EQUAL(0, gateway.state.openClients);
+}
--- /dev/null
+++ b/tests/fakes/RecordingClientServer.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gateway/ClientConnection.h"
+
+#include <vector>
+
+namespace redwingseam::fakes {
+
+// Server side of a ClientConnection in a test: records what the connection reports and answers nothing by itself.
+struct RecordingClientServer {
+    using Connection = gateway::ClientConnection<RecordingClientServer>;
+
+    gateway::BufferBudget budget { 16 * 1024 * 1024 };
+    std::vector<Connection::Request> requests;
+    std::vector<unsigned> rejections;
+    unsigned disconnects = 0;
+
+    gateway::BufferBudget& bufferedBodies() { return budget; }
+    void onRequest(Connection&, Connection::Request request) { requests.push_back(std::move(request)); }
+    void onRejected(Connection&, unsigned status, base::ResultCode) { rejections.push_back(status); }
+    void onClientDisconnected(Connection&) { ++disconnects; }
+};
+
+} // namespace redwingseam::fakes
