Do not cut off the last response while the client is reading it

What callers saw: a client on a slow link that had asked for "Connection: close", or was served during a stop, lost the rest of a long response 3 s after the gateway had it complete, however steadily it was reading.

Cause: the time for sending the last bytes was counted from the end of the response, not from the last bytes that the client accepted.

Fix: each accepted byte starts the time again. A client that accepts nothing is still disconnected after 3 s.

Evidence: ClientConnection.LastResponseIsNotCutOffWhileTheClientKeepsReadingIt failed before (closed right after the client had read) and passes now.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -54,7 +54,7 @@
     // Limit on the pipelined bytes that are buffered while a request is being served.
     static constexpr size_t maxReadAhead = 64 * 1024;
     static constexpr size_t minBufferedBytes = 32 * 1024;
-    // Time allowed for sending the last bytes of a response, and again for the client's input after them.
+    // Time allowed for the next bytes of the last response to be accepted, and again for the client's input after them.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
     // A client that sends nothing for this long after the last response has seen its end.
     static constexpr base::Duration lingerQuietTime = std::chrono::seconds(1);
@@ -95,8 +95,8 @@
     bool m_isClosing = false;
     bool m_isSendingShutDown = false;
     size_t m_discardedBytes = 0;
-    // When the connection was accepted, the first byte of the current request arrived, the last response was complete, or
-    // the sending side was shut down, whichever is the latest.
+    // When the connection was accepted, the first byte of the current request arrived, the last response was complete,
+    // bytes of it were accepted after that, or the sending side was shut down, whichever is the latest.
     base::Instant m_phaseStartedAt {};
     base::Instant m_lastInputAt {};
 };
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -75,10 +75,13 @@
 template<typename Server>
 void ClientConnection<Server>::flush()
 {
+    auto pendingBefore = m_writeBuffer.size();
     if (!m_writeBuffer.flush(m_socket.descriptor())) {
         disconnect();
         return;
     }
+    if (m_isClosing && m_writeBuffer.size() < pendingBefore)
+        m_phaseStartedAt = base::BootClock {}.now();
     if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
         shutDownSending();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
--- a/tests/ClientConnectionTest.cpp
+++ b/tests/ClientConnectionTest.cpp
@@ -51,6 +51,25 @@
     }
 };
 
+TEST(ClientConnection, LastResponseIsNotCutOffWhileTheClientKeepsReadingIt)
+{
+    write("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    LONGS_EQUAL(1, server.requests.size());
+    connection->write(std::string(2 * 1024 * 1024, 'r'));
+    // The response was complete almost as long ago as the connection may wait for a client that reads nothing.
+    connection->finishResponse(false, base::BootClock {}.now() - milliseconds(2900));
+    CHECK_TRUE(connection->pendingBytes() > 0);
+    received();
+    loop.runOnce(milliseconds(100));
+    CHECK_TRUE(connection->pendingBytes() > 0);
+    connection->tick(base::BootClock {}.now() + milliseconds(300));
+    CHECK_TRUE(connection->isOpen());
+    // A client that reads nothing more does not hold the connection.
+    connection->tick(base::BootClock {}.now() + seconds(4));
+    CHECK_FALSE(connection->isOpen());
+    LONGS_EQUAL(1, server.disconnects);
+}
+
 TEST(ClientConnection, InputAfterTheLastResponseIsBounded)
 {
     write("no request\r\n\r\n");
