Answer a request whose body stops arriving, and wait for one that arrives

What callers saw: a request whose body took longer than the idle timeout was cut off without an answer or a refusal, even while its bytes kept arriving.

Cause: the idle timeout was counted from the first byte of the request, and its end only closed the connection.

Fix: while a body is being read, the time since the last byte counts, and a body that has stopped is answered with 408, which states that the request was not run. The timeout between two requests is as before.

Evidence: ClientConnection.BodyThatStopsArrivingIsAnsweredWithATimeout (closed without a byte) and BodyThatKeepsArrivingIsNotCutOff failed before and pass now. Mutations run, each caught: without the 408; without the time of the last input in read().

--- a/include/redwingseam/manifest/ClientLimits.h
+++ b/include/redwingseam/manifest/ClientLimits.h
@@ -14,7 +14,7 @@
     uint64_t maxBodyBytes = 4 * 1024 * 1024;
     // Timeout from the first byte of a request to the end of its headers.
     base::Duration headerTimeout = std::chrono::seconds(3);
-    // Timeout of a connection between two requests, and from the first byte of a request to the end of its body.
+    // Timeout of a connection between two requests, and between two parts of a body.
     base::Duration idleTimeout = std::chrono::seconds(15);
 };
 
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -44,8 +44,8 @@
     bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && m_writeBuffer.isEmpty(); }
     // Whether bytes of the client, or the end of its input, wait to be read.
     bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
-    // Closes the connection if the client takes too long to send a request, after a response with status 408 if the
-    // headers are incomplete.
+    // Closes the connection if the client takes too long to send a request, after a response with status 408 if a part of
+    // it has arrived.
     void tick(base::Instant now);
 
 private:
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -95,6 +95,7 @@
         disconnect();
         return;
     }
+    m_lastInputAt = base::BootClock {}.now();
     if (m_isClosing) {
         discardInput();
         return;
@@ -122,7 +123,6 @@
 template<typename Server>
 void ClientConnection<Server>::discardInput()
 {
-    m_lastInputAt = base::BootClock {}.now();
     m_discardedBytes += m_buffer.size();
     m_buffer.clear();
     if (m_discardedBytes > maxDiscardedBytes)
@@ -237,6 +237,11 @@
         reject(408, base::ResultCode::RequestTimeout);
         return;
     }
+    if (m_hasRequestBytes && m_parser->is_header_done()) {
+        if (now - m_lastInputAt > m_limits.idleTimeout)
+            reject(408, base::ResultCode::RequestTimeout);
+        return;
+    }
     if (waited > m_limits.idleTimeout) {
         close();
         m_server.onClientDisconnected(*this);
--- a/tests/ClientConnectionTest.cpp
+++ b/tests/ClientConnectionTest.cpp
@@ -51,6 +51,31 @@
     }
 };
 
+TEST(ClientConnection, BodyThatStopsArrivingIsAnsweredWithATimeout)
+{
+    write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    connection->tick(base::BootClock {}.now() + limits.idleTimeout + seconds(1));
+    auto response = received();
+    CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 408 "), response.c_str());
+    LONGS_EQUAL(1, server.rejections.size());
+    LONGS_EQUAL(0, server.budget.usedBytes());
+}
+
+TEST(ClientConnection, BodyThatKeepsArrivingIsNotCutOff)
+{
+    limits.idleTimeout = milliseconds(200);
+    connect();
+    write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\n");
+    for (const char* byte : { "a", "b", "c", "d", "e", "f" }) {
+        poll(nullptr, 0, 60);
+        write(byte);
+        connection->tick(base::BootClock {}.now());
+    }
+    LONGS_EQUAL(0, server.disconnects);
+    LONGS_EQUAL(0, server.rejections.size());
+    LONGS_EQUAL(1, server.requests.size());
+}
+
 TEST(ClientConnection, LastResponseIsNotCutOffWhileTheClientKeepsReadingIt)
 {
     write("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
