Do not write a second response into a stream that has begun

What callers saw: a stream that broke and was resumed at another upstream could end with the header and body of another response, such as a 404, in the middle of its chunks: no valid end, and bytes that are no events.

Cause: a complete response without events counted as the completion of the attempt, also when headers had been forwarded already. deliverResponse then wrote it with new headers.

Fix: once headers were forwarded, a response without events is malformed. The stream goes on elsewhere if that is allowed, and is otherwise broken off.

Evidence: UnansweredRequest.ResponseWithoutEventsIsNotWrittenIntoAStreamThatHasBegun failed before (the client read "HTTP/1.1 404 Not Found" after the first event) and passes now. Mutation run: without the condition in classifyResponse it fails.

--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -161,6 +161,9 @@
         return AttemptOutcome::UpstreamError;
     if (metadata.status / 100 == 2 && !metadata.isSigned)
         return AttemptOutcome::Malformed;
+    // Only events can continue a stream that the client is reading.
+    if (m_exchange->areHeadersSent())
+        return AttemptOutcome::Malformed;
     return AttemptOutcome::Completed;
 }
 
--- a/tests/UnansweredRequestTest.cpp
+++ b/tests/UnansweredRequestTest.cpp
@@ -97,3 +97,21 @@
     CHECK_TRUE(base::BootClock {}.now() - began < milliseconds(4500));
     LONGS_EQUAL(0, gateway.state.openClients);
 }
+
+TEST(UnansweredRequest, ResponseWithoutEventsIsNotWrittenIntoAStreamThatHasBegun)
+{
+    const std::string signedHead = "Redwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nContent-Length: 7\r\n\r\nnothing";
+    for (const char* status : { "404 X", "400 X", "201 X" }) {
+        GatewayFixture fresh;
+        ScriptedUpstream first({ { GatewayFixture::streamHead() + GatewayFixture::event(1), true } });
+        ScriptedUpstream second({ { std::string("HTTP/1.1 ") + status + "\r\n" + signedHead } });
+        ScriptedUpstream third({ { GatewayFixture::streamHead() + GatewayFixture::event(2) + "0\r\n\r\n" } });
+        fresh.addUpstream("e1", "engines", first);
+        fresh.addUpstream("e2", "engines", second, "dc-b");
+        auto client = fresh.connectClient();
+        GatewayFixture::write(client, GatewayFixture::post("/stream/x", "b"));
+        CHECK_TRUE(waitUntil([&] { return second.requests().size() == 1; }));
+        auto response = GatewayFixture::read(client, "<never>", 1500);
+        CHECK_TRUE_TEXT(contains(response, "data: e1\n\n<closed>") || contains(response, "data: e1\n\n\r\n<closed>"), response.c_str());
+    }
+}
