Give up a silent attempt only for another one

What callers saw: a stream or an idempotent request whose upstream was only slow or silent was broken off, or answered with 502, when the retry budget was used up, the attempts were, or no other upstream was listed. The upstream could be sound and would have answered before the deadline.

Cause: a stalled stream, a failed probe and a late idempotent attempt ended the attempt first and asked afterwards whether another one is permitted and possible.

Fix: Exchange::replaceSilentAttempt first checks the limits, then books another upstream, then takes the retry from the budget, and only then ends the attempt. Otherwise the attempt goes on, until the deadline at the latest. A failed probe still makes other requests avoid the upstream, and is remembered, so that the attempt is replaced as soon as that is possible. Nothing is taken from the budget while it waits. Loss of the connection ends an attempt as before.

Evidence: five tests of SilentUpstream failed before (all but UnreachableUpstreamIsLeftAsSoonAsThereIsAnother, which guards the new state) and pass now; StreamProgress, which bounds the time until a stalled stream moves, is unchanged and passes.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -116,6 +116,7 @@
     m_lastProbe = now;
     m_isConnecting = false;
     m_isProbing = false;
+    m_isUnreachable = false;
     m_isProbedDuringOutage = false;
     m_hasEvent = false;
     ++m_sends;
@@ -151,20 +152,33 @@
     return std::nullopt;
 }
 
-bool Exchange::mayRetry(AttemptOutcome outcome, base::Instant now)
+bool Exchange::isRetryAllowed(AttemptOutcome outcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now) const
 {
-    if (now >= deadline() || m_reachedAttempts >= m_policy.maxReachedAttempts || m_crashes.isQuarantined(m_request.fingerprint, now))
-        return false;
-    if (mayHaveRun(outcome) && (!m_request.route->isRepeatable() || m_possibleRuns >= m_request.route->maxAttempts))
+    if (now >= deadline() || reachedAttempts >= m_policy.maxReachedAttempts || m_crashes.isQuarantined(m_request.fingerprint, now))
         return false;
+    return !mayHaveRun(outcome) || (m_request.route->isRepeatable() && possibleRuns < m_request.route->maxAttempts);
+}
+
+bool Exchange::acquireRetry(AttemptOutcome outcome, base::Instant now)
+{
     // An attempt that did not reach the upstream causes no load there, so it does not use the shared retry budget.
     return outcome == AttemptOutcome::NotConnected || m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now);
 }
 
 Step Exchange::attemptEnded(AttemptOutcome outcome, base::Instant now, uint64_t random)
 {
-    if (outcome == AttemptOutcome::Silent && m_isConnecting)
-        outcome = AttemptOutcome::NotConnected;
+    if (outcome == AttemptOutcome::Silent)
+        outcome = silentOutcome();
+    recordAttemptEnd(outcome, now);
+    if (outcome == AttemptOutcome::Completed)
+        return { StepKind::Deliver };
+    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
+        return giveUp(outcome);
+    return place(now, random);
+}
+
+void Exchange::recordAttemptEnd(AttemptOutcome outcome, base::Instant now)
+{
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
         m_mayHaveRun = true;
@@ -178,21 +192,40 @@
     if (ended) {
         m_fleet.release(*ended);
         updateCrashRegister(outcome, ended->target, now);
-        if (auto cause = suspicionCauseFor(outcome))
-            m_fleet.suspect(ended->target, *cause, now);
-        else
+        auto cause = suspicionCauseFor(outcome);
+        bool isSuspected = m_isUnreachable && outcome == silentOutcome();
+        if (!cause)
             m_fleet.clearSuspicion(ended->target);
+        else if (!isSuspected)
+            m_fleet.suspect(ended->target, *cause, now);
         if (outcome != AttemptOutcome::BackupMissing)
             m_excluded.push_back(ended->target.id);
         // A backup exists only after the run has produced an event.
         if (mayHaveRun(outcome) && ended->backup && m_hasEvent)
             m_backupAddress = ended->backup->address;
     }
-    if (outcome == AttemptOutcome::Completed)
-        return { StepKind::Deliver };
-    if (!mayRetry(outcome, now))
-        return giveUp(outcome);
-    return place(now, random);
+}
+
+Step Exchange::replaceSilentAttempt(base::Instant now, uint64_t random)
+{
+    auto outcome = silentOutcome();
+    auto possibleRuns = m_possibleRuns + (mayHaveRun(outcome) ? 1 : 0);
+    auto reachedAttempts = m_reachedAttempts + (outcome == AttemptOutcome::NotConnected ? 0 : 1);
+    if (!isRetryAllowed(outcome, possibleRuns, reachedAttempts, now))
+        return {};
+    auto nextQuery = query(now, random);
+    nextQuery.excluded.push_back(m_placement->target.id);
+    if (mayHaveRun(outcome) && m_placement->backup && m_hasEvent)
+        nextQuery.preferredAddress = m_placement->backup->address;
+    auto next = m_fleet.place(nextQuery);
+    if (!next)
+        return {};
+    if (!acquireRetry(outcome, now)) {
+        m_fleet.release(*next);
+        return {};
+    }
+    recordAttemptEnd(outcome, now);
+    return send(std::move(*next), now);
 }
 
 void Exchange::updateCrashRegister(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
@@ -230,6 +263,7 @@
 void Exchange::recordActivity(base::Instant now)
 {
     m_isConnecting = false;
+    m_isUnreachable = false;
     m_lastActivity = now;
     if (m_placement)
         m_fleet.recordContact(m_placement->target, now);
@@ -269,11 +303,14 @@
     m_lastProbe = now;
     if (!m_placement)
         return {};
+    m_isUnreachable = !isReachable;
     if (isReachable) {
         m_fleet.recordContact(m_placement->target, now);
         return {};
     }
-    return attemptEnded(AttemptOutcome::Silent, now, random);
+    // Other requests must avoid the upstream even if this one has to stay.
+    m_fleet.suspect(m_placement->target, *suspicionCauseFor(silentOutcome()), now);
+    return replaceSilentAttempt(now, random);
 }
 
 Step Exchange::tick(base::Instant now, uint64_t random)
@@ -311,11 +348,14 @@
 {
     const auto& route = *m_request.route;
     if (route.kind == manifest::RouteKind::Idempotent)
-        return isIdempotentAttemptLate(now) ? attemptEnded(AttemptOutcome::Silent, now, random) : Step {};
+        return isIdempotentAttemptLate(now) ? replaceSilentAttempt(now, random) : Step {};
     if (!isStream() || !route.isResumable || m_isProbing)
         return {};
-    if (isStreamStalled(now))
-        return attemptEnded(AttemptOutcome::Silent, now, random);
+    if (m_isUnreachable || isStreamStalled(now)) {
+        auto step = replaceSilentAttempt(now, random);
+        if (step.kind != StepKind::Wait)
+            return step;
+    }
     auto wait = m_hasEvent ? scaled(route.gapObjective, m_policy.probeAfterGapShare) : m_policy.probeInterval;
     // Upstreams fail together during an outage of their data centre, so one additional probe is enough.
     bool isOutageSuspected = m_fleet.isOutageSuspected(m_placement->target, now);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -28,7 +28,7 @@
     // Handles a request that was not run, possibly because the target could not reach the backup upstream. Sends it to
     // the same target again with another backup if the retry limits permit.
     Step backupRefused(base::Instant now, uint64_t random);
-    // Handles the result of a probe of the current upstream.
+    // Handles the result of a probe of the current upstream. Returns Send if its attempt is abandoned for another one.
     Step probeEnded(bool isReachable, base::Instant now, uint64_t random);
     // Handles timeouts. Must be called at least every few tens of milliseconds.
     Step tick(base::Instant now, uint64_t random);
@@ -87,7 +87,16 @@
     Step handleSilence(base::Instant now, uint64_t random);
     bool isIdempotentAttemptLate(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
-    bool mayRetry(AttemptOutcome, base::Instant now);
+    // Abandons the attempt if another one can be started instead. Silence is no proof that there will be no response, so
+    // otherwise the attempt goes on until the deadline.
+    Step replaceSilentAttempt(base::Instant now, uint64_t random);
+    // Updates the state after the end of the current attempt.
+    void recordAttemptEnd(AttemptOutcome, base::Instant now);
+    // Returns the outcome of the current attempt if it is abandoned for silence.
+    AttemptOutcome silentOutcome() const { return m_isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
+    // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
+    bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now) const;
+    bool acquireRetry(AttemptOutcome, base::Instant now);
     void release();
     fleet::PlacementQuery query(base::Instant now, uint64_t random) const;
     base::Instant deadline() const;
@@ -117,6 +126,8 @@
     bool m_areHeadersSent = false;
     bool m_isConnecting = false;
     bool m_isProbing = false;
+    // Whether the last probe of the current attempt failed and nothing was received since.
+    bool m_isUnreachable = false;
     // Whether the last probe of the current attempt was sent while an outage of the data centre was suspected.
     bool m_isProbedDuringOutage = false;
     bool m_mayHaveRun = false;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -195,8 +195,10 @@
 {
     m_worker.retire(std::move(m_probe));
     m_state.metrics.countProbe(false);
-    recordAbandonedAttempt();
-    execute(m_exchange->probeEnded(false, now(), random()));
+    auto step = m_exchange->probeEnded(false, now(), random());
+    if (step.kind == forward::StepKind::Send)
+        recordAbandonedAttempt();
+    execute(std::move(step));
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -230,8 +232,7 @@
     }
     bool hadPlacement = m_exchange->placement().has_value();
     auto step = m_exchange->tick(at, random());
-    bool isAbandoned = hadPlacement && (step.kind == forward::StepKind::Send || !m_exchange->placement());
-    if (isAbandoned)
+    if (hadPlacement && step.kind == forward::StepKind::Send)
         recordAbandonedAttempt();
     execute(std::move(step));
 }
