Pause accepting while the process has no descriptors left

What callers could see (found by reading): with all descriptors in use, the accepting thread took a whole core, which the workers lacked; connections that were still in the listen queue when a stop closed the listener were reset.

Cause: accept4 fails with EMFILE and leaves the connection in the queue, so the level-triggered listener stays readable and the loop does not wait.

Fix: on EMFILE, ENFILE, ENOBUFS and ENOMEM the listener is not watched and is tried again every 50 ms. One line is logged when this begins and one when it ends. A stop waits up to 0.5 s for the connections in the queue.

--- a/src/gateway/Acceptor.h
+++ b/src/gateway/Acceptor.h
@@ -3,9 +3,14 @@
 #include "base/NamedThread.h"
 #include "gateway/EventLoop.h"
 #include "gateway/SocketCalls.h"
+#include "log/LogLine.h"
 
 #include <atomic>
+#include <cerrno>
+#include <glog/logging.h>
 #include <sys/epoll.h>
+#include <thread>
+#include <utility>
 
 namespace redwingseam::gateway {
 
@@ -34,11 +39,18 @@
         if (!m_listener.isOpen())
             return;
         acceptPending();
+        for (unsigned retries = 0; m_isPaused && retries < maxRetriesAtClose; ++retries) {
+            std::this_thread::sleep_for(retryInterval);
+            acceptPending();
+        }
         base::FileDescriptor closed = std::move(m_listener);
     }
 
 private:
     static constexpr base::Duration pollTimeout = std::chrono::seconds(60);
+    static constexpr base::Duration retryInterval = std::chrono::milliseconds(50);
+    // Closing the listener resets the connections in its queue, but a stop must not wait long for them.
+    static constexpr unsigned maxRetriesAtClose = 10;
 
     static void onReadable(void* self, uint32_t) { static_cast<Acceptor*>(self)->acceptPending(); }
 
@@ -46,12 +58,26 @@
     {
         for (auto socket = acceptFrom(m_listener.descriptor()); socket.isOpen(); socket = acceptFrom(m_listener.descriptor()))
             m_handler.addConnection(std::move(socket));
+        setPaused(isScarcity(errno));
+    }
+
+    // While paused, the waiting connections stay in the listen queue, and the listener, which remains readable, is not
+    // watched.
+    void setPaused(bool isPaused)
+    {
+        if (std::exchange(m_isPaused, isPaused) == isPaused)
+            return;
+        LOG(WARNING) << log::LogLine(isPaused ? "accept_paused" : "accept_resumed").text();
+        m_loop.change(m_listener.descriptor(), m_eventHandler, isPaused ? 0U : static_cast<uint32_t>(EPOLLIN));
     }
 
     void run()
     {
-        while (!m_isStopping)
-            m_loop.runOnce(pollTimeout);
+        while (!m_isStopping) {
+            m_loop.runOnce(m_isPaused ? retryInterval : pollTimeout);
+            if (m_isPaused)
+                acceptPending();
+        }
     }
 
     EventLoop m_loop;
@@ -59,6 +85,7 @@
     Handler& m_handler;
     EventHandler m_eventHandler;
     std::atomic<bool> m_isStopping { false };
+    bool m_isPaused = false;
     base::NamedThread m_thread;
 };
 
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -65,6 +65,11 @@
     return result;
 }
 
+bool isScarcity(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 bool hasPendingInput(int descriptor)
 {
     char byte = 0;
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -14,8 +14,11 @@
 int connectError(int descriptor);
 // Returns a non-blocking listening socket; closed if the address cannot be bound.
 base::FileDescriptor listenOn(const http::SocketAddress&);
-// Accepts the next pending connection. Returns a closed socket if there is none.
+// Accepts the next pending connection. Returns a closed socket if there is none, or if the process lacks the resources
+// for it, which `isScarcity` tells from the value of errno.
 base::FileDescriptor acceptFrom(int listener);
+// Whether the error means that the process or the machine has no descriptors or memory left at present.
+bool isScarcity(int error);
 // Returns whether unread bytes, the end of the input or an error are pending. Consumes nothing.
 bool hasPendingInput(int descriptor);
 // Appends the available bytes to `buffer` until it holds `maxBytes`, or up to one read block more.
