Keep discarded upstream connections until their events are handled

Cause: ConnectionPool::acquire deleted a pooled connection that the upstream had closed while the event for that was still in the current batch of the event loop. The event went to freed memory, usually to the connection that was created next, in the same place, for the same request: it was taken for connected while it was still connecting, and its socket was read.

Fix: such connections are closed at once and deleted at the next tick, outside of event handling, as is done for those of sessions.

Evidence: ConnectionPool.EventOfADiscardedConnectionIsNotTakenForOneOfItsSuccessor failed before (the successor, which cannot connect, counted as connected) and passes now. Mutation run: without the move to m_discarded it fails. Elsewhere objects with handlers are deleted only by deleteRetired and ConnectionPool::tick, both after the batch.

--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -14,7 +14,8 @@
 public:
     using Connection = UpstreamConnection<Owner>;
 
-    // Returns the most recently used reusable connection to `instance`, or null if there is none.
+    // Returns the most recently used reusable connection to `instance`, or null if there is none. Others that it finds are
+    // closed, and deleted at the next `tick`: the current batch of events may still refer to them.
     std::unique_ptr<Connection> acquire(const fleet::UpstreamInstance& instance, base::Instant now)
     {
         auto& idle = m_idle[instance.id];
@@ -23,6 +24,8 @@
             idle.pop_back();
             if (isReusable(*connection, instance, now) && !connection->hasUnreadInput())
                 return connection;
+            connection->close();
+            m_discarded.push_back(std::move(connection));
         }
         return nullptr;
     }
@@ -33,9 +36,11 @@
         m_idle[connection->instance().id].push_back(std::move(connection));
     }
 
-    // Closes connections that were idle for too long or that the upstream has closed.
+    // Closes connections that were idle for too long or that the upstream has closed. Must not be called while events are
+    // handled.
     void tick(base::Instant now)
     {
+        m_discarded.clear();
         for (auto entry = m_idle.begin(); entry != m_idle.end();) {
             std::erase_if(entry->second, [&](const auto& connection) { return !isReusable(*connection, connection->instance(), now); });
             entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
@@ -50,6 +55,7 @@
     }
 
     std::unordered_map<base::UpstreamName, std::vector<std::unique_ptr<Connection>>> m_idle;
+    std::vector<std::unique_ptr<Connection>> m_discarded;
 };
 
 } // namespace redwingseam::gateway
