Hold deadlines when every tick of a worker is late

What callers could see (found by reading): on a node without enough processor time, requests stayed without an answer beyond their route's timeout.

Cause: a tick that comes more than 350 ms late is taken for a pause of the process, after which nothing is judged before the next tick. When every pass of the loop takes that long, every tick is such a tick and no session ever reaches its deadline.

Fix: only the first of consecutive late ticks is skipped. The silence of upstreams is still not counted for the time of the pauses.

Evidence: OverloadedWorker.DeadlineHoldsThoughEveryTickIsLate failed before (no byte until the load ended) and passes now. Mutation: the old code, which returns at each late tick.

--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -114,6 +114,8 @@
     std::unique_ptr<Upstream> m_probe;
     bool m_isUpstreamPaused = false;
     base::Instant m_lastTickAt {};
+    // Whether the process did not run before the last tick.
+    bool m_wasPaused = false;
     BufferReservation m_responseReservation;
     ResponseMetadata m_responseMetadata;
     BufferedResponse m_response;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -214,11 +214,14 @@
 {
     if (m_isEnded || !m_exchange)
         return;
-    if (pause != base::Duration {}) {
-        // What arrived meanwhile is read before the next tick judges the upstream.
+    bool wasPausedBefore = std::exchange(m_wasPaused, pause != base::Duration {});
+    if (m_wasPaused) {
         m_exchange->discountPause(pause, at);
         m_lastTickAt = at;
-        return;
+        // What arrived meanwhile is read before the next tick judges the upstream. On an overloaded machine every tick is
+        // late, and the deadline holds nevertheless.
+        if (!wasPausedBefore)
+            return;
     }
     matchReadingToClient(at);
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -11,11 +11,12 @@
 namespace redwingseam::fakes {
 
 // A gateway on a loopback port that forwards to scripted upstreams and has no store.
-class GatewayFixture {
+template<gateway::HeaderCodec Codec>
+class BasicGatewayFixture {
 public:
-    using WorkerPool = gateway::WorkerPool<platform::PlatformHeaderCodec>;
+    using WorkerPool = gateway::WorkerPool<Codec>;
 
-    GatewayFixture()
+    BasicGatewayFixture()
         : state(settings())
         , m_workers(state)
     {
@@ -131,4 +132,6 @@
     std::unique_ptr<gateway::Acceptor<WorkerPool>> m_acceptor;
 };
 
+using GatewayFixture = BasicGatewayFixture<platform::PlatformHeaderCodec>;
+
 } // namespace redwingseam::fakes
