--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -7,6 +7,7 @@
 #include "redwingseam/base/BootClock.h"
 
 #include <glog/logging.h>
+#include <sys/socket.h>
 
 namespace redwingseam::gateway {
 
@@ -52,6 +53,13 @@
     m_socket = {};
 }
 
+template<typename Server>
+void ClientConnection<Server>::disconnect()
+{
+    close();
+    m_server.onClientDisconnected(*this);
+}
+
 template<typename Server>
 void ClientConnection<Server>::updateInterest(uint32_t events)
 {
@@ -67,8 +75,7 @@
     if (isOpen() && (events & EPOLLOUT))
         flush();
     if (isOpen() && (events & EPOLLRDHUP)) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
     if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
@@ -78,16 +85,15 @@
 template<typename Server>
 void ClientConnection<Server>::flush()
 {
+    auto pendingBefore = m_writeBuffer.size();
     if (!m_writeBuffer.flush(m_socket.descriptor())) {
-        close();
-        m_server.onClientDisconnected(*this);
-        return;
-    }
-    if (m_writeBuffer.isEmpty() && m_isClosing) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
         return;
     }
+    if (m_isClosing && m_writeBuffer.size() < pendingBefore)
+        m_phaseStartedAt = base::BootClock {}.now();
+    if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
+        shutDownSending();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
 }
 
@@ -96,8 +102,12 @@
 {
     auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes());
     if (status != ReadStatus::Open) {
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
+        return;
+    }
+    m_lastInputAt = base::BootClock {}.now();
+    if (m_isClosing) {
+        discardInput();
         return;
     }
     if (m_isServing && m_buffer.size() >= maxReadAhead) {
@@ -106,12 +116,29 @@
         updateInterest(m_writeBuffer.isEmpty() ? EPOLLRDHUP : EPOLLRDHUP | EPOLLOUT);
         return;
     }
-    if (m_isClosing)
-        m_buffer.clear();
-    else if (!m_isServing)
+    if (!m_isServing)
         parse();
 }
 
+template<typename Server>
+void ClientConnection<Server>::shutDownSending()
+{
+    m_isSendingShutDown = true;
+    m_phaseStartedAt = base::BootClock {}.now();
+    m_lastInputAt = m_phaseStartedAt;
+    // If this fails, the next read reports the error.
+    ::shutdown(m_socket.descriptor(), SHUT_WR);
+}
+
+template<typename Server>
+void ClientConnection<Server>::discardInput()
+{
+    m_discardedBytes += m_buffer.size();
+    m_buffer.clear();
+    if (m_discardedBytes > maxDiscardedBytes)
+        disconnect();
+}
+
 template<typename Server>
 void ClientConnection<Server>::parse()
 {
@@ -203,6 +230,8 @@
     if (!keepsAlive) {
         m_isClosing = true;
         m_buffer.clear();
+        m_parser.reset();
+        m_bodyReservation.reset();
         flush();
         return;
     }
@@ -227,23 +256,32 @@
 {
     if (!isOpen() || m_isServing)
         return;
-    auto waited = now - m_phaseStartedAt;
-    if (m_isClosing && waited > lingerTimeout) {
-        close();
-        m_server.onClientDisconnected(*this);
+    if (m_isClosing) {
+        tickClosing(now);
         return;
     }
-    if (m_isClosing)
-        return;
+    auto waited = now - m_phaseStartedAt;
     if (m_hasRequestBytes && !m_parser->is_header_done() && waited > m_limits.headerTimeout) {
         reject(408, base::ResultCode::RequestTimeout);
         return;
     }
+    if (m_hasRequestBytes && m_parser->is_header_done()) {
+        if (now - m_lastInputAt > m_limits.idleTimeout)
+            reject(408, base::ResultCode::RequestTimeout);
+        return;
+    }
     if (isIdleTooLong(waited)) {
         logIdleClose(waited);
-        close();
-        m_server.onClientDisconnected(*this);
+        disconnect();
     }
 }
 
+template<typename Server>
+void ClientConnection<Server>::tickClosing(base::Instant now)
+{
+    bool isQuiet = m_isSendingShutDown && now - m_lastInputAt > lingerQuietTime;
+    if (isQuiet || now - m_phaseStartedAt > lingerTimeout)
+        disconnect();
+}
+
 } // namespace redwingseam::gateway
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -195,8 +195,10 @@
 {
     m_worker.retire(std::move(m_probe));
     m_state.metrics.countProbe(false);
-    recordAbandonedAttempt();
-    execute(m_exchange->probeEnded(false, now(), random()));
+    auto step = m_exchange->probeEnded(false, now(), random());
+    if (step.kind == forward::StepKind::Send)
+        recordAbandonedAttempt();
+    execute(std::move(step));
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -212,11 +214,14 @@
 {
     if (m_isEnded || !m_exchange)
         return;
-    if (pause != base::Duration {}) {
-        // What arrived meanwhile is read before the next tick judges the upstream.
+    bool wasPausedBefore = std::exchange(m_wasPaused, pause != base::Duration {});
+    if (m_wasPaused) {
         m_exchange->discountPause(pause, at);
         m_lastTickAt = at;
-        return;
+        // What arrived meanwhile is read before the next tick judges the upstream. On an overloaded machine every tick is
+        // late, and the deadline holds nevertheless.
+        if (!wasPausedBefore)
+            return;
     }
     matchReadingToClient(at);
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
@@ -230,8 +235,7 @@
     }
     bool hadPlacement = m_exchange->placement().has_value();
     auto step = m_exchange->tick(at, random());
-    bool isAbandoned = hadPlacement && (step.kind == forward::StepKind::Send || !m_exchange->placement());
-    if (isAbandoned)
+    if (hadPlacement && step.kind == forward::StepKind::Send)
         recordAbandonedAttempt();
     execute(std::move(step));
 }
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -161,6 +161,9 @@
         return AttemptOutcome::UpstreamError;
     if (metadata.status / 100 == 2 && !metadata.isSigned)
         return AttemptOutcome::Malformed;
+    // Only events can continue a stream that the client is reading.
+    if (m_exchange->areHeadersSent())
+        return AttemptOutcome::Malformed;
     return AttemptOutcome::Completed;
 }
 
@@ -220,9 +223,10 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-bool Session<Codec, Worker>::keepsClientConnection() const
+bool Session<Codec, Worker>::decideClientConnection()
 {
-    return m_clientRequest.keep_alive() && !m_state.isDraining();
+    m_keepsClientConnection = m_clientRequest.keep_alive() && !m_state.isDraining();
+    return m_keepsClientConnection;
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -233,7 +237,7 @@
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
     text.append(boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(response.status))).append("\r\n");
     text.append(serializeHeaders(headers)).append(framing);
-    text.append(persistenceHeaders(keepsClientConnection() ? std::optional(m_client.announceIdleTimeout()) : std::nullopt));
+    text.append(persistenceHeaders(decideClientConnection() ? std::optional(m_client.announceIdleTimeout()) : std::nullopt));
     m_exchange->recordHeadersSent();
     m_client.write(text.append("\r\n"));
 }
@@ -241,7 +245,6 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::deliverResponse()
 {
-    bool keepsConnection = keepsClientConnection();
     auto status = m_response.status;
     if (isEventStream()) {
         if (!m_exchange->areHeadersSent())
@@ -264,7 +267,7 @@
         return;
     auto& client = m_client;
     end(status < 500 ? SessionOutcome::Completed : SessionOutcome::UpstreamError);
-    client.finishResponse(keepsConnection, now());
+    client.finishResponse(m_keepsClientConnection, now());
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -272,8 +275,7 @@
 {
     m_errorCode = response.code;
     auto complete = response;
-    bool keepsConnection = keepsClientConnection();
-    if (keepsConnection)
+    if (decideClientConnection())
         complete.idleTimeout = m_client.announceIdleTimeout();
     m_client.write(serializeLocalResponse(complete));
     if (m_isEnded)
@@ -281,7 +283,7 @@
     auto& client = m_client;
     LOG(INFO) << log::LogLine("answered_itself").with("request", m_requestMetadata.attempt.text).with("status", response.status).with("code", base::nameOf(response.code)).text();
     end(outcome);
-    client.finishResponse(keepsConnection, now());
+    client.finishResponse(m_keepsClientConnection, now());
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -290,7 +292,7 @@
     m_errorCode = code;
     auto& client = m_client;
     end(outcome);
-    client.close();
+    client.disconnect();
 }
 
 } // namespace redwingseam::gateway
