LOST: read a request that has arrived before its connection is closed as idle

Cause: a connection is judged idle by the time since its last response, without a look at its socket. Evidence: ClientConnection.RequestThatArrivedBeforeTheIdleCloseIsRead failed on the code before (the connection was closed).

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -247,7 +247,6 @@
     auto millis = [](base::Duration duration) { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()); };
     log::LogLine line("client_connection_idle");
     line.with("idle_ms", millis(waited)).with("limit_ms", millis(m_idleTimeout)).with("limit_in_force_ms", millis(m_server.clientLimits().idleTimeout));
-    line.with("half_read", m_hasRequestBytes ? "yes" : "no").with("unread_input", hasUnreadInput() ? "yes" : "no");
     LOG(INFO) << line.text();
 }
 
@@ -270,7 +269,8 @@
             reject(408, base::ResultCode::RequestTimeout);
         return;
     }
-    if (isIdleTooLong(waited)) {
+    // Input that waits is read before the next tick.
+    if (isIdleTooLong(waited) && !hasUnreadInput()) {
         logIdleClose(waited);
         disconnect();
     }
--- a/tests/ClientConnectionTest.cpp
+++ b/tests/ClientConnectionTest.cpp
@@ -119,3 +119,13 @@
     CHECK_FALSE(connection->isOpen());
     LONGS_EQUAL(1, server.disconnects);
 }
+
+TEST(ClientConnection, RequestThatArrivedBeforeTheIdleCloseIsRead)
+{
+    std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    send(client.descriptor(), request.data(), request.size(), MSG_NOSIGNAL);
+    connection->tick(start + server.limits.idleTimeout + seconds(1));
+    CHECK_TRUE(connection->isOpen());
+    loop.runOnce(milliseconds(100));
+    LONGS_EQUAL(1, server.requests.size());
+}
