Log the prompt parts of requests and how far a lost attempt had come

Callers saw upstreams of one route crash one after the other (BUDGET). The log named a lost attempt by the fingerprint of its request only, which no other request shares, so it could not tell whether the crashes have a part of the prompt in common, whether they come before or after the first bytes, or whether they are the same requests again.

The codec parses the parts, at most 16, without the last one, which is the request's own.

--- a/include/redwingseam/base/Ids.h
+++ b/include/redwingseam/base/Ids.h
@@ -25,6 +25,7 @@
 struct CallTag;
 struct VersionTag;
 struct FingerprintTag;
+struct PromptPartHashTag;
 
 using VmName = TaggedString<VmTag>;
 using DataCentreName = TaggedString<DataCentreTag>;
@@ -58,5 +59,7 @@
 using ObjectVersion = TaggedNumber<VersionTag>;
 // Hash of the properties by which two requests count as the same work.
 using Fingerprint = TaggedNumber<FingerprintTag>;
+// Hash of the id of a prompt part, the same on every node.
+using PromptPartHash = TaggedNumber<PromptPartHashTag>;
 
 } // namespace redwingseam::base
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -52,6 +52,8 @@
     const ExchangeRequest& request() const { return m_request; }
     const std::optional<fleet::Placement>& placement() const { return m_placement; }
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
+    // Returns when the current attempt was started, or the last one if there is none.
+    base::Instant sentAt() const { return m_sentAt; }
     bool areHeadersSent() const { return m_areHeadersSent; }
     // Returns the number of attempts that may have run.
     unsigned possibleRuns() const { return m_possibleRuns; }
--- a/src/gateway/RequestMetadata.h
+++ b/src/gateway/RequestMetadata.h
@@ -5,9 +5,13 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace redwingseam::gateway {
 
+// Further parts of a prompt are ignored.
+inline constexpr size_t maxPromptParts = 16;
+
 // Values read from the headers of a client's request.
 struct RequestMetadata {
     base::ClientAttemptId attempt;
@@ -18,6 +22,8 @@
     std::optional<uint64_t> lastEventId;
     // Identifies the part of the prompt that is the request's own; the same for a repeated request.
     std::optional<uint64_t> promptKey;
+    // The parts of the prompt that other requests may share, in order. Bounded by `maxPromptParts`.
+    std::vector<base::PromptPartHash> promptParts;
     uint64_t promptTokens = 0;
     uint64_t maxOutputTokens = 0;
 };
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -80,6 +80,7 @@
     request.promptTokens = m_requestMetadata.promptTokens;
     request.maxOutputTokens = m_requestMetadata.maxOutputTokens;
     request.promptKey = m_requestMetadata.promptKey;
+    request.promptParts = m_requestMetadata.promptParts;
     request.lastEventId = m_requestMetadata.lastEventId;
     request.retries = m_state.settings.retries;
     request.priority = priorityOf(admission);
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -137,6 +137,17 @@
     CHECK_TRUE(key.has_value() && key == platform::PlatformHeaderCodec::readRequest(headers).promptKey);
     headers.set("Redwingseam-Prompt-Prefix", "5c1e07a2:200,91bd3f06:7800");
     CHECK_TRUE(key != platform::PlatformHeaderCodec::readRequest(headers).promptKey);
+    auto parts = platform::PlatformHeaderCodec::readRequest(headers).promptParts;
+    LONGS_EQUAL(1, parts.size());
+    headers.set("Redwingseam-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    // The last part is the request's own.
+    LONGS_EQUAL(2, platform::PlatformHeaderCodec::readRequest(headers).promptParts.size());
+    CHECK_TRUE(platform::PlatformHeaderCodec::readRequest(headers).promptParts.front() == parts.front());
+    std::string endless;
+    for (int i = 0; i < 1000; ++i)
+        endless += std::to_string(i) + ":1,";
+    headers.set("Redwingseam-Prompt-Prefix", endless);
+    LONGS_EQUAL(gateway::maxPromptParts, platform::PlatformHeaderCodec::readRequest(headers).promptParts.size());
     headers.set("Redwingseam-Deadline-Ms", "soon");
     headers.set("Last-Event-Id", "-1");
     metadata = platform::PlatformHeaderCodec::readRequest(headers);
