Quarantine the prompt part on which upstreams crash

No two were alike, and the CrashRegister knows a request only by the hash of account, target and body: three crashes each, retries included, for every new request.

Cause: the unit of blame was the whole request. A defect that belongs to a part of the input needs a unit that repeats.

forward::PartRegister now takes each loss before any progress as evidence against all shared parts of the request, and progress (an event or a complete response) as proof for them; a part that crashes each upstream never makes any. BlameAnalysis groups losses into failures of upstreams, counts failures that happen together once, and blames the cause that most failures have in common, so the requests that were lost beside it, and the parts that it shares with sound requests, are explained away. The request as a whole is a cause as well: a request that crashes upstreams by itself condemns none of its parts. Three crashes quarantine a part, two if nothing else can be the cause. The nodes exchange crashes, clearances and trials; a node that was restarted gets the evidence with the reply to its query, and a hub asks its neighbours. Trials at growing intervals, by one node at first, end a wrong quarantine; after seven crashes there are none.

--- /dev/null
+++ b/src/forward/CrashBlame.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "forward/CrashCause.h"
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::forward {
+
+// The crashes that are attributed to one cause.
+struct CrashBlame {
+    CrashCause cause;
+    // Independent crashes: upstreams that fail together count once.
+    unsigned crashes = 0;
+    // Those of them in which no other prompt part can be the cause.
+    unsigned unambiguousCrashes = 0;
+    base::Instant lastCrashAt {};
+};
+
+} // namespace redwingseam::forward
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -8,7 +8,7 @@
 using base::ResultCode;
 using base::scaled;
 
-Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashRegister& crashes, const ExchangePolicy& policy)
+Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, const ExchangePolicy& policy)
     : m_request(std::move(request))
     , m_fleet(fleet)
     , m_queue(queue)
@@ -39,7 +39,7 @@
 Step Exchange::begin(base::Instant now, uint64_t random)
 {
     m_fleet.countRequest(m_request.service, now);
-    if (m_crashes.isQuarantined(m_request.fingerprint, now))
+    if (m_crashes.requests.isQuarantined(m_request.fingerprint, now))
         return refuse(ResultCode::HarmfulRequest);
     return place(now, random);
 }
@@ -77,8 +77,36 @@
     return query;
 }
 
+bool Exchange::maySend(base::Instant now)
+{
+    if (!m_crashes.parts.isQuarantined(m_request.promptParts))
+        return true;
+    if (m_sends)
+        return false;
+    m_isTrial = m_isTrial || m_crashes.parts.tryBeginTrial(m_request.promptParts, now);
+    return m_isTrial;
+}
+
+bool Exchange::isSuspect(base::Instant now)
+{
+    return m_crashes.requests.isSuspect(m_request.fingerprint, now) || m_crashes.parts.isSuspect(m_request.promptParts);
+}
+
+Step Exchange::refuseQuarantined(base::Instant now) const
+{
+    auto step = refuse(ResultCode::HarmfulRequest);
+    auto until = m_crashes.parts.quarantinedUntil(m_request.promptParts).value_or(now);
+    step.retryAfter = std::clamp(std::min(until, now + m_policy.maxRetryAfter) - now, m_policy.retryAfter, m_policy.maxRetryAfter);
+    return step;
+}
+
 Step Exchange::place(base::Instant now, uint64_t random)
 {
+    if (!maySend(now)) {
+        leaveQueue();
+        m_waitingSince = {};
+        return m_mayHaveRun || m_areHeadersSent ? giveUp(AttemptOutcome::NotRun) : refuseQuarantined(now);
+    }
     return mayQueue() ? placeInTurn(now, random) : placeOrWait(now, random);
 }
 
@@ -104,7 +132,7 @@
     parameters.timeout = deadline() - now;
     // A reused connection may break for unrelated reasons, which would count as another crash of the request.
     bool wasContacted = std::find(m_contacted.begin(), m_contacted.end(), placement.target.id) != m_contacted.end();
-    parameters.allowsReusedConnection = !wasContacted && !m_crashes.isSuspect(m_request.fingerprint, now);
+    parameters.allowsReusedConnection = !wasContacted && !isSuspect(now);
     if (!wasContacted)
         m_contacted.push_back(placement.target.id);
     m_backupAddress.reset();
@@ -153,7 +181,7 @@
 
 bool Exchange::mayRetry(AttemptOutcome outcome, base::Instant now)
 {
-    if (now >= deadline() || m_reachedAttempts >= m_policy.maxReachedAttempts || m_crashes.isQuarantined(m_request.fingerprint, now))
+    if (now >= deadline() || m_reachedAttempts >= m_policy.maxReachedAttempts || m_crashes.requests.isQuarantined(m_request.fingerprint, now) || m_crashes.parts.isQuarantined(m_request.promptParts))
         return false;
     if (mayHaveRun(outcome) && (!m_request.route->isRepeatable() || m_possibleRuns >= m_request.route->maxAttempts))
         return false;
@@ -177,7 +205,7 @@
     m_placement.reset();
     if (ended) {
         m_fleet.release(*ended);
-        updateCrashRegister(outcome, ended->target, now);
+        updateCrashEvidence(outcome, ended->target, now);
         if (auto cause = suspicionCauseFor(outcome))
             m_fleet.suspect(ended->target, *cause, now);
         else
@@ -195,14 +223,29 @@
     return place(now, random);
 }
 
-void Exchange::updateCrashRegister(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
+void Exchange::recordProgress(base::Instant now)
+{
+    m_crashes.requests.recordProgress(m_request.fingerprint);
+    m_crashes.parts.recordProgress(m_request.promptParts, now);
+}
+
+void Exchange::updateCrashEvidence(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
 {
-    if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::UpstreamError)
-        m_crashes.recordProgress(m_request.fingerprint);
+    if (outcome == AttemptOutcome::Completed)
+        recordProgress(now);
+    // An upstream may reject a request before it reads a prompt part.
+    if (outcome == AttemptOutcome::UpstreamError)
+        m_crashes.requests.recordProgress(m_request.fingerprint);
     bool isLost = outcome == AttemptOutcome::LostBeforeResponse || outcome == AttemptOutcome::LostDuringResponse;
-    // During a suspected outage of the data centre the request is not the likely cause.
-    if (isLost && !m_hasEvent && !m_fleet.isOutageSuspected(upstream, now))
-        m_crashes.recordCrash({ m_request.fingerprint, m_sentAt, now });
+    if (!isLost || m_hasEvent)
+        return;
+    // During a suspected outage of the data centre the request is not the likely cause. Crashes on a part that is
+    // already suspect look like an outage if they are frequent.
+    bool isOutage = m_fleet.isOutageSuspected(upstream, now);
+    if (!isOutage)
+        m_crashes.requests.recordCrash({ m_request.fingerprint, m_sentAt, now });
+    if (!isOutage || m_crashes.parts.isSuspect(m_request.promptParts))
+        m_crashes.parts.recordCrash({ 0, m_request.fingerprint, upstream.id, m_request.promptParts, m_sentAt, now }, now);
 }
 
 Step Exchange::backupRefused(base::Instant now, uint64_t random)
@@ -242,7 +285,7 @@
     m_lastActivity = now;
     m_lastProgress = now;
     if (!m_hasEvent && m_placement) {
-        m_crashes.recordProgress(m_request.fingerprint);
+        recordProgress(now);
         m_fleet.markPrefilled(*m_placement);
         m_fleet.clearSuspicion(m_placement->target);
     }
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -2,7 +2,7 @@
 
 #include "fleet/Fleet.h"
 #include "forward/AttemptOutcome.h"
-#include "forward/CrashRegister.h"
+#include "forward/CrashEvidence.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/ExchangeRequest.h"
 #include "forward/PlacementQueue.h"
@@ -16,12 +16,12 @@
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
-    Exchange(ExchangeRequest, fleet::Fleet&, PlacementQueue&, CrashRegister&, const ExchangePolicy&);
+    Exchange(ExchangeRequest, fleet::Fleet&, PlacementQueue&, CrashEvidence&, const ExchangePolicy&);
     ~Exchange();
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
-    // Starts the first attempt, or refuses the request if it is quarantined.
+    // Starts the first attempt, or refuses the request if it or one of its prompt parts is quarantined.
     Step begin(base::Instant now, uint64_t random);
     // Handles the end of the current attempt. Its connection must already be closed or released.
     Step attemptEnded(AttemptOutcome, base::Instant now, uint64_t random);
@@ -85,7 +85,12 @@
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
-    void updateCrashRegister(AttemptOutcome, const fleet::UpstreamInstance&, base::Instant now);
+    // Returns whether the request may be sent: none of its prompt parts is quarantined, or it is a trial.
+    bool maySend(base::Instant now);
+    bool isSuspect(base::Instant now);
+    Step refuseQuarantined(base::Instant now) const;
+    void recordProgress(base::Instant now);
+    void updateCrashEvidence(AttemptOutcome, const fleet::UpstreamInstance&, base::Instant now);
     Step handleSilence(base::Instant now, uint64_t random);
     bool isIdempotentAttemptLate(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
@@ -98,7 +103,7 @@
     ExchangeRequest m_request;
     fleet::Fleet& m_fleet;
     PlacementQueue& m_queue;
-    CrashRegister& m_crashes;
+    CrashEvidence& m_crashes;
     const ExchangePolicy& m_policy;
     std::optional<fleet::Placement> m_placement;
     std::optional<schedule::QueuedWork> m_queuedWork;
@@ -126,6 +131,8 @@
     bool m_hasFailureResponse = false;
     // Whether the current attempt has delivered an event.
     bool m_hasEvent = false;
+    // Whether the request tries a quarantined prompt part.
+    bool m_isTrial = false;
     base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -36,6 +36,8 @@
     base::Duration retryAfter = std::chrono::milliseconds(300);
     // The same delay while this node drains, because another node can serve the client immediately.
     base::Duration retryElsewhereAfter = std::chrono::milliseconds(30);
+    // The longest delay that a client is asked to wait, for the next trial of a quarantined prompt part.
+    base::Duration maxRetryAfter = std::chrono::seconds(60);
     // Maximum number of attempts of one request that reach an upstream, whether they run or not. Prevents endless
     // loops among upstreams that all reject the request.
     unsigned maxReachedAttempts = 8;
--- /dev/null
+++ b/src/forward/PartEvidence.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "forward/PartCrash.h"
+
+#include <functional>
+
+namespace redwingseam::forward {
+
+// Returns when a request with the part last made progress, or a zero Instant if none did.
+using LastProgress = std::function<base::Instant(base::PromptPartHash)>;
+
+// Whether progress shortly before a crash, or after it, speaks for the part.
+inline constexpr base::Duration soundnessPeriod = std::chrono::seconds(60);
+
+// Returns the parts of the crashed request that may have caused the crash: those without progress since it and for some
+// time before it. If all parts made progress before the crash, those without progress since are returned, because an
+// upstream may be changed so that it fails on a part that it served before.
+std::vector<base::PromptPartHash> possibleCauses(const PartCrash&, const LastProgress&);
+
+} // namespace redwingseam::forward
--- /dev/null
+++ b/src/forward/PartRegister.cpp
@@ -0,0 +1,305 @@
+#include "forward/PartRegister.h"
+
+#include "base/Hash.h"
+#include "forward/FormatParts.h"
+#include "log/LogLine.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <mutex>
+#include <tuple>
+#include <utility>
+
+namespace redwingseam::forward {
+
+static std::string format(base::PromptPartHash part)
+{
+    return formatParts({ &part, 1 });
+}
+
+static uint64_t millis(base::Duration duration)
+{
+    return static_cast<uint64_t>(std::max<int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+}
+
+PartState PartRegister::stateOf(base::PromptPartHash part)
+{
+    return withState(part, [&](States& states) {
+        auto found = states.find(part);
+        return found == states.end() ? PartState {} : found->second;
+    });
+}
+
+PartState& PartRegister::stateIn(States& states, base::PromptPartHash part)
+{
+    if (states.size() >= maxStatesPerShard && !states.contains(part)) {
+        auto rank = [](const PartState& state) { return std::tuple(state.verdict, state.isPossibleCause, state.lastProgressAt); };
+        states.erase(std::min_element(states.begin(), states.end(), [&](const auto& left, const auto& right) { return rank(left.second) < rank(right.second); }));
+    }
+    return states[part];
+}
+
+void PartRegister::recordCrash(PartCrash crash, base::Instant now)
+{
+    if (crash.parts.empty())
+        return;
+    crash.id = base::hashBytes(crash.upstream.text, base::hashCombine(crash.fingerprint.value, static_cast<uint64_t>(crash.lostAt.time_since_epoch().count())));
+    std::lock_guard guard(m_mutex);
+    if (!addCrash(crash, now))
+        return;
+    LOG(WARNING) << log::LogLine("prompt_parts_suspected").with("parts", formatParts(crash.parts)).with("upstream", crash.upstream.text).with("ran_ms", millis(crash.lostAt - crash.sentAt)).text();
+    std::lock_guard reportsGuard(m_reportsMutex);
+    if (m_reports.crashes.size() < maxReports)
+        m_reports.crashes.push_back(std::move(crash));
+    updateVerdicts();
+}
+
+bool PartRegister::addCrash(const PartCrash& crash, base::Instant now)
+{
+    auto& crashes = m_evidence.crashes;
+    std::erase_if(crashes, [&](const PartCrash& known) { return now - known.lostAt > retention; });
+    if (std::any_of(crashes.begin(), crashes.end(), [&](const PartCrash& known) { return known.id == crash.id; }))
+        return false;
+    evictCrashIfFull();
+    crashes.push_back(crash);
+    return true;
+}
+
+void PartRegister::evictCrashIfFull()
+{
+    auto& crashes = m_evidence.crashes;
+    if (crashes.size() < maxCrashes)
+        return;
+    auto isAboutQuarantined = [&](const PartCrash& crash) {
+        return std::any_of(crash.parts.begin(), crash.parts.end(), [&](auto part) { return stateOf(part).verdict == PartVerdict::Quarantined; });
+    };
+    auto rank = [&](const PartCrash& crash) { return std::pair(isAboutQuarantined(crash), crash.lostAt); };
+    crashes.erase(std::min_element(crashes.begin(), crashes.end(), [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
+}
+
+bool PartRegister::addProgress(base::PromptPartHash part, base::Instant at)
+{
+    return withState(part, [&](States& states) {
+        auto& state = stateIn(states, part);
+        state.lastProgressAt = std::max(state.lastProgressAt, at);
+        return state.isPossibleCause;
+    });
+}
+
+void PartRegister::recordProgress(Parts parts, base::Instant now)
+{
+    std::vector<PartClearance> clearances;
+    for (auto part : parts) {
+        if (addProgress(part, now))
+            clearances.push_back({ part, now });
+    }
+    if (clearances.empty())
+        return;
+    std::lock_guard guard(m_mutex);
+    for (const auto& clearance : clearances)
+        addClearance(clearance);
+    updateVerdicts();
+    std::lock_guard reportsGuard(m_reportsMutex);
+    for (const auto& clearance : clearances) {
+        if (m_reports.clearances.size() < maxReports)
+            m_reports.clearances.push_back(clearance);
+    }
+}
+
+void PartRegister::addClearance(const PartClearance& clearance)
+{
+    auto& clearances = m_evidence.clearances;
+    std::erase_if(clearances, [&](const PartClearance& known) { return known.part == clearance.part; });
+    if (clearances.size() >= maxClearances)
+        clearances.pop_front();
+    clearances.push_back(clearance);
+}
+
+bool PartRegister::isSuspect(Parts parts)
+{
+    return m_hasAccused && std::any_of(parts.begin(), parts.end(), [&](auto part) { return stateOf(part).verdict != PartVerdict::Sound; });
+}
+
+bool PartRegister::isQuarantined(Parts parts)
+{
+    return quarantinedUntil(parts).has_value();
+}
+
+std::optional<base::Instant> PartRegister::quarantinedUntil(Parts parts)
+{
+    std::optional<base::Instant> until;
+    if (!m_quarantinedCount)
+        return until;
+    for (auto part : parts) {
+        if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
+            until = std::max(until.value_or(base::Instant {}), TrialSchedule::nextTrialAt(state));
+    }
+    return until;
+}
+
+bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
+{
+    std::vector<PartTrial> trials;
+    for (auto part : parts) {
+        auto verdict = PartVerdict::Sound;
+        bool isTurn = withState(part, [&](States& states) {
+            auto found = states.find(part);
+            verdict = found == states.end() ? PartVerdict::Sound : found->second.verdict;
+            if (verdict != PartVerdict::Quarantined)
+                return true;
+            if (!m_trials.isTurn(part, found->second, now))
+                return false;
+            found->second.lastTrialAt = now;
+            return true;
+        });
+        if (!isTurn)
+            return false;
+        if (verdict != PartVerdict::Quarantined)
+            continue;
+        trials.push_back({ part, now });
+        LOG(WARNING) << log::LogLine("prompt_part_tried").with("part", format(part)).text();
+    }
+    std::lock_guard guard(m_reportsMutex);
+    for (const auto& trial : trials) {
+        if (m_reports.trials.size() < maxReports)
+            m_reports.trials.push_back(trial);
+    }
+    return true;
+}
+
+void PartRegister::addTrial(const PartTrial& trial)
+{
+    withState(trial.part, [&](States& states) {
+        if (auto found = states.find(trial.part); found != states.end())
+            found->second.lastTrialAt = std::max(found->second.lastTrialAt, trial.startedAt);
+    });
+}
+
+void PartRegister::apply(const PartReports& reports, base::Instant now)
+{
+    if (reports.isEmpty())
+        return;
+    std::lock_guard guard(m_mutex);
+    for (const auto& clearance : reports.clearances) {
+        if (addProgress(clearance.part, clearance.progressAt))
+            addClearance(clearance);
+    }
+    for (const auto& crash : reports.crashes)
+        addCrash(crash, now);
+    updateVerdicts();
+    for (const auto& trial : reports.trials)
+        addTrial(trial);
+}
+
+PartReports PartRegister::takeReports()
+{
+    std::lock_guard guard(m_reportsMutex);
+    return std::exchange(m_reports, {});
+}
+
+PartReports PartRegister::evidence()
+{
+    std::lock_guard guard(m_mutex);
+    PartReports reports;
+    reports.clearances.assign(m_evidence.clearances.begin(), m_evidence.clearances.end());
+    const auto& quarantined = m_evidence.quarantined;
+    auto isQuarantined = [&](base::PromptPartHash part) { return std::find(quarantined.begin(), quarantined.end(), part) != quarantined.end(); };
+    for (const auto& crash : m_evidence.crashes) {
+        auto causes = crash;
+        causes.parts = possibleCauses(crash, [&](auto part) { return stateOf(part).lastProgressAt; });
+        if (std::any_of(causes.parts.begin(), causes.parts.end(), isQuarantined))
+            reports.crashes.push_back(std::move(causes));
+    }
+    for (auto part : quarantined) {
+        if (auto state = stateOf(part); state.lastTrialAt != base::Instant {})
+            reports.trials.push_back({ part, state.lastTrialAt });
+    }
+    return reports;
+}
+
+bool PartRegister::isQuarantineDue(const CrashBlame& blame)
+{
+    // Requests as a whole are the concern of the CrashRegister.
+    if (blame.cause.kind != CauseKind::PromptPart)
+        return false;
+    auto progressAt = stateOf({ blame.cause.value }).lastProgressAt;
+    bool isProven = progressAt != base::Instant {} && blame.lastCrashAt - progressAt <= soundnessPeriod;
+    if (isProven)
+        return blame.crashes >= provenThreshold;
+    return blame.crashes >= ambiguousThreshold || blame.unambiguousCrashes >= unambiguousThreshold;
+}
+
+void PartRegister::setState(base::PromptPartHash part, const Judgement& judgement)
+{
+    const auto& blame = judgement.blame;
+    auto before = withState(part, [&](States& states) {
+        auto& state = stateIn(states, part);
+        auto previous = std::exchange(state.verdict, judgement.verdict);
+        state.isPossibleCause = judgement.isPossibleCause;
+        state.crashes = blame.crashes;
+        state.lastCrashAt = blame.lastCrashAt;
+        if (judgement.verdict != PartVerdict::Quarantined)
+            state.lastTrialAt = {};
+        return previous;
+    });
+    bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
+    if (!isChange)
+        return;
+    LOG(WARNING) << log::LogLine("prompt_part_verdict").with("part", format(part)).with("verdict", base::nameOf(judgement.verdict)).with("before", base::nameOf(before)).with("crashes", blame.crashes).with("unambiguous_crashes", blame.unambiguousCrashes).text();
+}
+
+std::vector<CrashEvent> PartRegister::findFailures(Judgements& judgements)
+{
+    std::vector<PartCrash> causes;
+    std::erase_if(m_evidence.crashes, [&](const PartCrash& crash) {
+        for (auto part : crash.parts)
+            judgements[part].isPossibleCause |= stateOf(part).lastProgressAt < crash.lostAt;
+        auto possible = crash;
+        possible.parts = possibleCauses(crash, [&](auto part) { return stateOf(part).lastProgressAt; });
+        if (possible.parts.empty())
+            return true;
+        causes.push_back(std::move(possible));
+        return false;
+    });
+    return groupByFailure(std::move(causes));
+}
+
+void PartRegister::updateVerdicts()
+{
+    Judgements judgements;
+    // Parts that are not accused any more become sound.
+    for (auto part : m_evidence.accused)
+        judgements[part];
+    auto failures = findFailures(judgements);
+    m_evidence.quarantined.clear();
+    uint64_t hash = 0;
+    for (const auto& blame : assignBlame(failures)) {
+        if (!isQuarantineDue(blame))
+            continue;
+        base::PromptPartHash part { blame.cause.value };
+        m_evidence.quarantined.push_back(part);
+        judgements[part].verdict = PartVerdict::Quarantined;
+        judgements[part].blame = blame;
+        hash ^= base::hashCombine(part.value, 1);
+    }
+    for (const auto& failure : failures) {
+        auto parts = failure.parts();
+        bool isExplained = std::any_of(parts.begin(), parts.end(), [&](auto part) { return judgements[part].verdict == PartVerdict::Quarantined; });
+        for (auto part : parts) {
+            auto& verdict = judgements[part].verdict;
+            if (!isExplained && verdict == PartVerdict::Sound)
+                verdict = PartVerdict::Suspect;
+        }
+    }
+    m_evidence.accused.clear();
+    for (const auto& [part, judgement] : judgements) {
+        setState(part, judgement);
+        if (judgement.isPossibleCause)
+            m_evidence.accused.push_back(part);
+    }
+    m_quarantineHash = hash;
+    m_quarantinedCount = m_evidence.quarantined.size();
+    m_hasAccused = !m_evidence.accused.empty();
+}
+
+} // namespace redwingseam::forward
--- /dev/null
+++ b/src/forward/PartState.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "forward/PartVerdict.h"
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::forward {
+
+// What a node knows of one prompt part.
+struct PartState {
+    // When a request with the part last made progress on any node; zero if none is known.
+    base::Instant lastProgressAt {};
+    // Whether there was a crash of a request with the part since.
+    bool isPossibleCause = false;
+    PartVerdict verdict = PartVerdict::Sound;
+    // The next fields are set only for a quarantined part.
+    unsigned crashes = 0;
+    base::Instant lastCrashAt {};
+    base::Instant lastTrialAt {};
+};
+
+} // namespace redwingseam::forward
--- a/src/gateway/AdminHandler.cpp
+++ b/src/gateway/AdminHandler.cpp
@@ -9,7 +9,7 @@
 AdminHandler::Response AdminHandler::handle(const http::ServerRequest& request)
 {
     if (request.path == "/metrics")
-        return { 200, m_state.metrics.text(), "text/plain; version=0.0.4" };
+        return { 200, m_state.metrics.text() + quarantineMetric(), "text/plain; version=0.0.4" };
     if (request.path == "/status")
         return { 200, status() };
     if (request.path == "/report")
@@ -22,6 +22,11 @@
     return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count());
 }
 
+std::string AdminHandler::quarantineMetric() const
+{
+    return "# TYPE redwingseam_quarantined_parts gauge\nredwingseam_quarantined_parts " + std::to_string(m_state.crashes.parts.quarantinedCount()) + "\n";
+}
+
 std::string AdminHandler::status() const
 {
     auto now = base::BootClock {}.now();
@@ -45,7 +50,8 @@
         { "vms_live", m_state.fleet.nodeCount() },
         { "draining", m_state.isDraining() },
         { "degraded", std::move(degraded) },
-        { "harmful_requests", m_state.crashes.quarantinedRequests(now).size() },
+        { "quarantined_parts", m_state.crashes.parts.quarantinedCount() },
+        { "harmful_requests", m_state.crashes.requests.quarantinedRequests(now).size() },
     };
     if (manifestState.index)
         document["settings_age_ms"] = millisSince(manifestState.confirmedAt, now);
--- a/src/gateway/AdminHandler.h
+++ b/src/gateway/AdminHandler.h
@@ -19,6 +19,7 @@
     Response handle(const http::ServerRequest&);
 
 private:
+    std::string quarantineMetric() const;
     std::string status() const;
 
     GatewayState& m_state;
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -2,7 +2,7 @@
 
 #include "fleet/Fleet.h"
 #include "forward/AdmissionRule.h"
-#include "forward/CrashRegister.h"
+#include "forward/CrashEvidence.h"
 #include "forward/DrainRule.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/PlacementQueue.h"
@@ -49,7 +49,7 @@
     const GatewaySettings settings;
     fleet::Fleet fleet;
     forward::PlacementQueue placementQueue;
-    forward::CrashRegister crashes;
+    forward::CrashEvidence crashes;
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
     const forward::DrainRule drain;
--- a/src/replication/FailureNotice.h
+++ b/src/replication/FailureNotice.h
@@ -2,19 +2,22 @@
 
 #include "fleet/SuspicionReport.h"
 #include "forward/CrashReport.h"
+#include "forward/PartReports.h"
 #include "sync/NodeRecord.h"
 
 #include <vector>
 
 namespace redwingseam::replication {
 
-// Reports upstreams that a node suspects to be down and requests during which upstreams crashed. Hubs forward it.
+// Reports upstreams that a node suspects to be down and requests and prompt parts during which upstreams
+// crashed. Hubs forward it.
 struct FailureNotice {
     sync::NodeRecord from;
     std::vector<fleet::SuspicionReport> suspicions;
     std::vector<forward::CrashReport> crashes;
+    forward::PartReports parts;
 
-    bool isEmpty() const { return suspicions.empty() && crashes.empty(); }
+    bool isEmpty() const { return suspicions.empty() && crashes.empty() && parts.isEmpty(); }
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -48,7 +48,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count() });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash });
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -67,6 +67,28 @@
     return list;
 }
 
+static Json format(const forward::PartCrash& crash, base::Instant now)
+{
+    auto parts = Json::array();
+    for (auto part : crash.parts)
+        parts.push_back(Json::array({ part.value }));
+    return Json::array({ crash.id, crash.fingerprint.value, crash.upstream.text, std::move(parts), ageOf(crash.sentAt, now), ageOf(crash.lostAt, now) });
+}
+
+static Json format(const forward::PartReports& reports, base::Instant now)
+{
+    auto crashes = Json::array();
+    for (const auto& crash : reports.crashes)
+        crashes.push_back(format(crash, now));
+    auto clearances = Json::array();
+    for (const auto& clearance : reports.clearances)
+        clearances.push_back(Json::array({ clearance.part.value, ageOf(clearance.progressAt, now) }));
+    auto trials = Json::array();
+    for (const auto& trial : reports.trials)
+        trials.push_back(Json::array({ trial.part.value, ageOf(trial.startedAt, now) }));
+    return Json::array({ std::move(crashes), std::move(clearances), std::move(trials) });
+}
+
 static Json format(const sync::UpstreamDelta& delta)
 {
     auto removed = Json::array();
@@ -79,7 +101,7 @@
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy });
+        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now) });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -87,7 +109,7 @@
     auto list = Json::array();
     for (const auto& suspicion : notice.suspicions)
         list.push_back(Json::array({ suspicion.upstream.text, suspicion.service.text, static_cast<int>(suspicion.cause), ageOf(suspicion.detectedAt, now), suspicion.incarnation }));
-    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now) });
+    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now) });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -136,6 +158,39 @@
     return base::Duration(static_cast<int64_t>(reader.number()));
 }
 
+static forward::PartCrash parsePartCrash(FieldReader& item, base::Instant now)
+{
+    forward::PartCrash crash;
+    crash.id = item.number(UINT64_MAX);
+    crash.fingerprint.value = item.number(UINT64_MAX);
+    crash.upstream.text = item.text();
+    item.forEach([&](FieldReader& part) { crash.parts.push_back({ part.number(UINT64_MAX) }); });
+    crash.sentAt = now - parseAge(item);
+    crash.lostAt = now - parseAge(item);
+    return crash;
+}
+
+static forward::PartReports parsePartReports(FieldReader& reader, base::Instant now)
+{
+    forward::PartReports reports;
+    if (!reader.hasMore())
+        return reports;
+    reader.nested([&](FieldReader& lists) {
+        lists.forEach([&](FieldReader& item) { reports.crashes.push_back(parsePartCrash(item, now)); });
+        lists.forEach([&](FieldReader& item) {
+            auto& clearance = reports.clearances.emplace_back();
+            clearance.part.value = item.number(UINT64_MAX);
+            clearance.progressAt = now - parseAge(item);
+        });
+        lists.forEach([&](FieldReader& item) {
+            auto& trial = reports.trials.emplace_back();
+            trial.part.value = item.number(UINT64_MAX);
+            trial.startedAt = now - parseAge(item);
+        });
+    });
+    return reports;
+}
+
 static StateQuery parseQuery(FieldReader& reader)
 {
     StateQuery query;
@@ -151,6 +206,8 @@
     // A sender that does not state the ages has nothing newer to offer.
     query.manifestAge = reader.hasMore() ? parseAge(reader) : base::Duration::max();
     query.listAge = reader.hasMore() ? parseAge(reader) : base::Duration::max();
+    if (reader.hasMore())
+        query.quarantineHash = reader.number(UINT64_MAX);
     return query;
 }
 
@@ -201,6 +258,7 @@
     }
     if (reader.hasMore())
         reply.isDeputy = reader.flag();
+    reply.parts = parsePartReports(reader, now);
     return reply;
 }
 
@@ -226,6 +284,7 @@
             crash.lostAt = now - parseAge(item);
         });
     }
+    notice.parts = parsePartReports(reader, now);
     return notice;
 }
 
--- a/src/replication/NodeDirectory.h
+++ b/src/replication/NodeDirectory.h
@@ -30,6 +30,9 @@
     // Returns the number of known nodes, including this one.
     size_t size() const { return m_entries.size() + 1; }
 
+    // Returns the number of known nodes whose names precede that of this node.
+    uint32_t position() const { return static_cast<uint32_t>(std::distance(m_entries.begin(), m_entries.lower_bound(m_self.name))); }
+
     // Returns the live node of a data centre that has the lowest name, or the first known node if none is live. This
     // node counts as live. Returns nothing if no node of the data centre is known.
     std::optional<sync::NodeRecord> findHub(const base::DataCentreName&, base::Instant now) const;
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fleet/Fleet.h"
-#include "forward/CrashRegister.h"
+#include "forward/CrashEvidence.h"
 #include "manifest/ManifestHolder.h"
 #include "redwingseam/base/Result.h"
 #include "replication/LoadFilter.h"
@@ -37,7 +37,7 @@
 template<ManifestParser Parser>
 class PeerSync {
 public:
-    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashRegister&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&);
+    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashEvidence&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&);
 
     // Sets the store's list of nodes. After the first list, the node queries the others at its next tick.
     void setNodes(const std::vector<sync::NodeRecord>&);
@@ -73,6 +73,8 @@
     bool isNewerThanOwn(const StateQuery&, base::Instant now) const;
     OutgoingMessages receive(const StateReply&, base::Instant now);
     OutgoingMessages receive(const FailureNotice&, base::Instant now);
+    // Returns whether this hub may ask its neighbour about quarantined prompt parts, as it does after a restart.
+    bool lacksQuarantine(const StateQuery&) const;
     void applyManifest(const StateReply&, base::Instant queriedAt);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
@@ -91,7 +93,7 @@
     void updateRole(base::Instant now);
 
     fleet::Fleet& m_fleet;
-    forward::CrashRegister& m_crashes;
+    forward::CrashEvidence& m_crashes;
     manifest::ManifestHolder& m_manifest;
     sync::UpstreamListCache& m_upstreamCache;
     sync::NodeRole& m_role;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -10,7 +10,7 @@
 namespace redwingseam::replication {
 
 template<ManifestParser Parser>
-PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, forward::CrashRegister& crashes, manifest::ManifestHolder& manifest, sync::UpstreamListCache& upstreamCache, sync::NodeRole& role)
+PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, forward::CrashEvidence& crashes, manifest::ManifestHolder& manifest, sync::UpstreamListCache& upstreamCache, sync::NodeRole& role)
     : m_fleet(fleet)
     , m_crashes(crashes)
     , m_manifest(manifest)
@@ -43,6 +43,7 @@
 void PeerSync<Parser>::updateRole(base::Instant now)
 {
     m_fleet.setNodeCount(static_cast<uint32_t>(m_directory.size()));
+    m_crashes.parts.trials().setPosition(m_directory.position(), static_cast<uint32_t>(m_directory.size()));
     bool isHub = m_directory.isHub(now);
     bool isLeader = m_directory.isLeader(now);
     if (isHub == m_role.isHub() && isLeader == m_role.isLeader())
@@ -57,7 +58,7 @@
 OutgoingMessages PeerSync<Parser>::tick(base::Instant now)
 {
     std::lock_guard guard(m_mutex);
-    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), m_crashes.takeReports() };
+    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), m_crashes.requests.takeReports(), m_crashes.parts.takeReports() };
     OutgoingMessages outgoing;
     m_lastTick = now;
     updateRole(now);
@@ -89,6 +90,7 @@
     query.loads = std::move(loads);
     query.wantsState = shouldRequestState(node, now);
     query.nodeCount = m_directory.size();
+    query.quarantineHash = m_crashes.parts.quarantineHash();
     m_pendingQueries[query.sequence] = now;
     return { node.peerAddress, std::move(query) };
 }
@@ -172,7 +174,7 @@
     }
     for (const auto& node : receivers) {
         if (node.name != from.name)
-            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes } });
+            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes, notice.parts } });
     }
 }
 
@@ -216,10 +218,12 @@
     // The nodes share the retry limits, so each must know the number of nodes.
     if (query.nodeCount < m_directory.size())
         reply.nodes = m_directory.nodes();
-    reply.quarantined = m_crashes.quarantinedRequests(now);
+    if (query.quarantineHash != m_crashes.parts.quarantineHash())
+        reply.parts = m_crashes.parts.evidence();
+    reply.quarantined = m_crashes.requests.quarantinedRequests(now);
     OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
     bool mayAskBack = m_role.isHub() && isSameDataCentre && now - m_lastNeighbourQuery >= hubQueryInterval;
-    if (mayAskBack && isNewerThanOwn(query, now)) {
+    if (mayAskBack && (isNewerThanOwn(query, now) || lacksQuarantine(query))) {
         m_lastNeighbourQuery = now;
         outgoing.push_back(makeQuery(query.from, {}, now));
     }
@@ -236,6 +240,12 @@
     return hasNewerManifest || hasNewerList;
 }
 
+template<ManifestParser Parser>
+bool PeerSync<Parser>::lacksQuarantine(const StateQuery& query) const
+{
+    return query.quarantineHash && query.quarantineHash != m_crashes.parts.quarantineHash();
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::addListTo(const StateQuery& query, StateReply& reply)
 {
@@ -269,7 +279,8 @@
     applyManifest(reply, pending.mapped());
     applyList(reply, pending.mapped());
     for (const auto& request : reply.quarantined)
-        m_crashes.applyQuarantine(request);
+        m_crashes.requests.applyQuarantine(request);
+    m_crashes.parts.apply(reply.parts, now);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
     if (isNeighbour(reply.from) && !m_role.isHub()) {
@@ -337,10 +348,15 @@
         if (now - crash.lostAt < failureNoticeLifetime)
             recent.crashes.push_back(crash);
     }
+    recent.parts = notice.parts;
+    std::erase_if(recent.parts.crashes, [&](const forward::PartCrash& crash) { return now - crash.lostAt >= failureNoticeLifetime; });
+    std::erase_if(recent.parts.clearances, [&](const forward::PartClearance& clearance) { return now - clearance.progressAt >= failureNoticeLifetime; });
+    std::erase_if(recent.parts.trials, [&](const forward::PartTrial& trial) { return now - trial.startedAt >= failureNoticeLifetime; });
     for (const auto& suspicion : recent.suspicions)
         m_fleet.applySuspicionReport(suspicion);
+    m_crashes.parts.apply(recent.parts, now);
     for (const auto& crash : recent.crashes)
-        m_crashes.applyReport(crash);
+        m_crashes.requests.applyReport(crash);
     OutgoingMessages outgoing;
     if (m_role.isHub() && !recent.isEmpty())
         sendFailureNotice(outgoing, recent, now);
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -25,6 +25,8 @@
     base::Duration listAge {};
     // The number of nodes that the sender knows, including itself.
     uint64_t nodeCount = 0;
+    // See PartRegister::quarantineHash.
+    uint64_t quarantineHash = 0;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/LoadMap.h"
+#include "forward/PartReports.h"
 #include "forward/QuarantinedRequest.h"
 #include "redwingseam/base/Instant.h"
 #include "sync/NodeRecord.h"
@@ -39,6 +40,8 @@
     bool isDeputy = false;
     // Informs nodes that missed the notices of the crashes.
     std::vector<forward::QuarantinedRequest> quarantined;
+    // Set only if the querying node has quarantined other prompt parts.
+    forward::PartReports parts;
 };
 
 } // namespace redwingseam::replication
--- a/tests/CrashRegisterTest.cpp
+++ b/tests/CrashRegisterTest.cpp
@@ -81,14 +81,14 @@
     forward::Exchange served(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
     served.begin(now(), 1);
     served.attemptEnded(AttemptOutcome::Completed, now(), 1);
-    CHECK_FALSE(fixture.crashes.isSuspect({ 5 }, now()));
+    CHECK_FALSE(fixture.crashes.requests.isSuspect({ 5 }, now()));
     crash("/stream/x", 6);
     forward::Exchange stream(requestOf("/stream/x", 8), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
     stream.begin(now(), 1);
     stream.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1);
-    CHECK_TRUE(fixture.crashes.isSuspect({ 8 }, now()));
+    CHECK_TRUE(fixture.crashes.requests.isSuspect({ 8 }, now()));
     stream.recordEvent(1, now());
-    CHECK_FALSE(fixture.crashes.isSuspect({ 8 }, now()));
+    CHECK_FALSE(fixture.crashes.requests.isSuspect({ 8 }, now()));
 }
 
 TEST(CrashRegister, SuspectIsSentOnlyOnANewConnection)
@@ -105,11 +105,11 @@
 {
     base::Fingerprint fingerprint { 9 };
     for (int i = 0; i < 10; ++i)
-        fixture.crashes.recordCrash({ fingerprint, now(), now() + milliseconds(100 + i) });
-    CHECK_TRUE(fixture.crashes.isSuspect(fingerprint, now()));
-    CHECK_FALSE(fixture.crashes.isQuarantined(fingerprint, now()));
-    LONGS_EQUAL(10, fixture.crashes.takeReports().size());
-    LONGS_EQUAL(0, fixture.crashes.takeReports().size());
+        fixture.crashes.requests.recordCrash({ fingerprint, now(), now() + milliseconds(100 + i) });
+    CHECK_TRUE(fixture.crashes.requests.isSuspect(fingerprint, now()));
+    CHECK_FALSE(fixture.crashes.requests.isQuarantined(fingerprint, now()));
+    LONGS_EQUAL(10, fixture.crashes.requests.takeReports().size());
+    LONGS_EQUAL(0, fixture.crashes.requests.takeReports().size());
 }
 
 TEST(CrashRegister, DataCentreOutageQuarantinesNoRequest)
@@ -128,7 +128,7 @@
                 fixture.advance(milliseconds(1 + seed % 40));
                 step = exchange.attemptEnded(AttemptOutcome::LostBeforeResponse, fixture.clock.now(), seed * fingerprint);
             }
-            RC_ASSERT(!fixture.crashes.isQuarantined({ fingerprint }, fixture.clock.now()));
+            RC_ASSERT(!fixture.crashes.requests.isQuarantined({ fingerprint }, fixture.clock.now()));
         }
     });
 }
@@ -143,20 +143,20 @@
             fixture.fleet.suspect(instance, fleet::SuspicionCause::ConnectionLost, now());
     }
     exchange.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1);
-    CHECK_FALSE(fixture.crashes.isSuspect({ 5 }, now()));
+    CHECK_FALSE(fixture.crashes.requests.isSuspect({ 5 }, now()));
 }
 
 TEST(CrashRegister, HistoriesAreBounded)
 {
     for (uint64_t i = 0; i < 100'000; ++i)
-        fixture.crashes.applyReport(forward::CrashReport { { i }, now(), now() + milliseconds(1) });
+        fixture.crashes.requests.applyReport(forward::CrashReport { { i }, now(), now() + milliseconds(1) });
     for (int crash = 0; crash < 3; ++crash) {
         fixture.advance(milliseconds(10));
-        fixture.crashes.applyReport(forward::CrashReport { { 3 }, now(), now() + milliseconds(1) });
+        fixture.crashes.requests.applyReport(forward::CrashReport { { 3 }, now(), now() + milliseconds(1) });
     }
     for (uint64_t i = 200'000; i < 300'000; ++i)
-        fixture.crashes.applyReport(forward::CrashReport { { i }, now(), now() + milliseconds(1) });
-    CHECK_TRUE(fixture.crashes.isQuarantined({ 3 }, now()));
-    LONGS_EQUAL(1, fixture.crashes.quarantinedRequests(now()).size());
-    CHECK_FALSE(fixture.crashes.isQuarantined({ 3 }, now() + std::chrono::hours(2)));
+        fixture.crashes.requests.applyReport(forward::CrashReport { { i }, now(), now() + milliseconds(1) });
+    CHECK_TRUE(fixture.crashes.requests.isQuarantined({ 3 }, now()));
+    LONGS_EQUAL(1, fixture.crashes.requests.quarantinedRequests(now()).size());
+    CHECK_FALSE(fixture.crashes.requests.isQuarantined({ 3 }, now() + std::chrono::hours(2)));
 }
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -2,6 +2,7 @@
 #include "fakes/FakePeerCluster.h"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 
 using namespace redwingseam;
 using fakes::FakePeerCluster;
@@ -48,3 +49,29 @@
         (void)replication::parseMessage(bytes, now);
     });
 }
+
+TEST(PeerMessage, PartReportsSurviveTheCodec)
+{
+    auto now = base::Instant(std::chrono::seconds(5));
+    replication::FailureNotice notice;
+    notice.from = { { "n" }, { "dc" }, "127.0.0.1:1" };
+    notice.parts.crashes = { { UINT64_MAX, { 4 }, { "e1" }, { { UINT64_MAX - 1 }, { 2 } }, now - milliseconds(30), now } };
+    notice.parts.clearances = { { { 2 }, now - milliseconds(1) } };
+    notice.parts.trials = { { { 3 }, now - milliseconds(2) } };
+    auto bytes = replication::formatMessage(notice, now);
+    auto read = replication::parseMessage(bytes, now);
+    CHECK_TRUE(read.has_value());
+    const auto& parts = std::get<replication::FailureNotice>(*read).parts;
+    CHECK_TRUE(parts.crashes.front().id == UINT64_MAX && parts.crashes.front().parts == notice.parts.crashes.front().parts);
+    CHECK_TRUE(parts.crashes.front().sentAt == now - milliseconds(30) && parts.crashes.front().upstream.text == "e1");
+    CHECK_TRUE(parts.clearances.front().progressAt == now - milliseconds(1));
+    CHECK_TRUE(parts.trials.front().startedAt == now - milliseconds(2));
+    // A node of the release before sends a notice without the last field.
+    auto older = nlohmann::json::from_cbor(bytes);
+    older.erase(older.size() - 1);
+    std::string olderBytes;
+    nlohmann::json::to_cbor(older, olderBytes);
+    read = replication::parseMessage(olderBytes, now);
+    CHECK_TRUE(read.has_value());
+    CHECK_TRUE(std::get<replication::FailureNotice>(*read).parts.isEmpty());
+}
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -101,18 +101,18 @@
     cluster.run(milliseconds(1000));
     base::Fingerprint fingerprint { UINT64_MAX - 1 };
     for (size_t i : { 1, 3, 4 }) {
-        cluster.nodes[i]->crashes.recordCrash({ fingerprint, cluster.now, cluster.now + milliseconds(5) });
+        cluster.nodes[i]->crashes.requests.recordCrash({ fingerprint, cluster.now, cluster.now + milliseconds(5) });
         cluster.run(milliseconds(300));
     }
     for (const auto& node : cluster.nodes) {
-        CHECK_TRUE(node->crashes.isQuarantined(fingerprint, cluster.now));
-        CHECK_FALSE(node->crashes.isSuspect({ 7 }, cluster.now));
+        CHECK_TRUE(node->crashes.requests.isQuarantined(fingerprint, cluster.now));
+        CHECK_FALSE(node->crashes.requests.isSuspect({ 7 }, cluster.now));
     }
     // A node that joins later learns of the quarantined request from its first replies.
     auto& newNode = cluster.add("b3", "dc-b");
     cluster.shareNodeList();
     cluster.run(milliseconds(1000));
-    CHECK_TRUE(newNode.crashes.isQuarantined(fingerprint, cluster.now));
+    CHECK_TRUE(newNode.crashes.requests.isQuarantined(fingerprint, cluster.now));
 }
 
 TEST(PeerSync, UpstreamListReplicatesToNeighboursOnlyIfNewer)
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -13,7 +13,7 @@
     FakeClock clock;
     fleet::Fleet fleet { { "dc-a" } };
     forward::PlacementQueue queue;
-    forward::CrashRegister crashes;
+    forward::CrashEvidence crashes;
     forward::ExchangePolicy exchangePolicy;
     std::vector<fleet::UpstreamInstance> instances;
     mutable uint64_t requestCount = 0;
--- a/tests/fakes/PeerNode.h
+++ b/tests/fakes/PeerNode.h
@@ -26,7 +26,7 @@
 
     sync::NodeRecord record;
     fleet::Fleet fleet { { "dc-a" } };
-    forward::CrashRegister crashes;
+    forward::CrashEvidence crashes;
     manifest::ManifestHolder manifest;
     sync::UpstreamListCache upstreamCache;
     sync::NodeRole role;
