Judge prompt parts for each service by itself

A part that crashes the upstreams of one service made progress at those of another, which cleared it everywhere, so requests with it would have reached the first service again and again. The hash of a part now includes the service, in the evidence and in the log lines, so that they still match.

Gateway.RequestsWithADeadlyPromptPartAreRefusedOfOneServiceOnly sends twelve different requests with one part through sockets: five at most reach the upstreams, and another service still gets requests with the part.

--- a/src/forward/BlameAnalysis.cpp
+++ b/src/forward/BlameAnalysis.cpp
@@ -107,6 +107,7 @@
 std::vector<CrashBlame> assignBlame(const std::vector<CrashEvent>& events)
 {
     std::vector<const CrashEvent*> unexplained;
+    unexplained.reserve(events.size());
     for (const auto& event : events)
         unexplained.push_back(&event);
     std::vector<CrashBlame> blames;
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -31,7 +31,7 @@
     uint64_t maxOutputTokens = 0;
     // See PlacementQuery::promptKey.
     std::optional<uint64_t> promptKey;
-    // The parts of the prompt that other requests may share, in order.
+    // The parts of the prompt that other requests to the same service may share, in order.
     std::vector<base::PromptPartHash> promptParts;
     // The id of the last event that the client received, if it resumes a stream.
     std::optional<uint64_t> lastEventId;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -80,7 +80,10 @@
     request.promptTokens = m_requestMetadata.promptTokens;
     request.maxOutputTokens = m_requestMetadata.maxOutputTokens;
     request.promptKey = m_requestMetadata.promptKey;
-    request.promptParts = m_requestMetadata.promptParts;
+    // Services differ in the parts on which they crash.
+    auto serviceHash = base::hashBytes(request.service.text);
+    for (auto part : m_requestMetadata.promptParts)
+        request.promptParts.push_back({ base::hashCombine(part.value, serviceHash) });
     request.lastEventId = m_requestMetadata.lastEventId;
     request.retries = m_state.settings.retries;
     request.priority = priorityOf(admission);
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -57,8 +57,8 @@
         line.with("manifest_version", manifestState.index->manifest().version).with("manifest_age_ms", ageMs(manifestState.confirmedAt));
     if (m_state.fleet.listedAt() != base::Instant {})
         line.with("upstreams_age_ms", ageMs(m_state.fleet.listedAt()));
-    if (!m_requestMetadata.promptParts.empty())
-        line.with("parts", forward::formatParts(m_requestMetadata.promptParts));
+    if (m_exchange && !m_requestMetadata.promptParts.empty())
+        line.with("parts", forward::formatParts(m_exchange->request().promptParts));
     if (m_requestMetadata.lastEventId)
         line.with("last_event", *m_requestMetadata.lastEventId);
     if (auto drainStart = m_state.drainStartedAt.load(); drainStart != base::Instant {})
@@ -80,7 +80,7 @@
     if (m_sendParameters.usesBackup)
         line.with("from_copy", 1);
     if (m_exchange && outcome != forward::AttemptOutcome::Completed)
-        line.with("fingerprint", m_exchange->request().fingerprint.value).with("parts", forward::formatParts(m_requestMetadata.promptParts)).with("sent_ms", millisOf(now() - m_exchange->sentAt())).with("partial_bytes", m_response.body.size() + m_splitter.partialBytes());
+        line.with("fingerprint", m_exchange->request().fingerprint.value).with("parts", forward::formatParts(m_exchange->request().promptParts)).with("sent_ms", millisOf(now() - m_exchange->sentAt())).with("partial_bytes", m_response.body.size() + m_splitter.partialBytes());
     if (m_exchange && m_exchange->lastEventId())
         line.with("last_event", *m_exchange->lastEventId());
     LOG(INFO) << line.text();
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -1,5 +1,7 @@
 #include "fakes/GatewayFixture.h"
 
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace redwingseam;
@@ -278,3 +280,26 @@
     CHECK_TRUE(contains(response, "one<closed>"));
     CHECK_TRUE(contains(gateway.exchange(GatewayFixture::post("/stream/x", "b")), "HTTP/1.1 503 "));
 }
+
+TEST(Gateway, RequestsWithADeadlyPromptPartAreRefusedOfOneServiceOnly)
+{
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    for (int i = 0; i < 8; ++i) {
+        upstreams.push_back(std::make_unique<ScriptedUpstream>(std::vector<fakes::ScriptedResponse>(9, { "", true })));
+        gateway.addUpstream("d" + std::to_string(i), "desk", *upstreams.back(), "dc-" + std::to_string(i));
+    }
+    ScriptedUpstream engine({ { GatewayFixture::streamHead() + GatewayFixture::event(1) + "0\r\n\r\n" } });
+    gateway.addUpstream("e1", "engines", engine);
+    std::string last;
+    for (int i = 0; i < 12; ++i) {
+        last = gateway.exchange(GatewayFixture::post("/book/x", std::to_string(i), "Redwingseam-Prompt-Prefix: aa" + std::to_string(i) + ":9,dead:7,bb" + std::to_string(i) + ":1\r\n"));
+        // Upstreams that crash within a tenth of a second count as one failure.
+        std::this_thread::sleep_for(std::chrono::milliseconds(110));
+    }
+    size_t arrivals = 0;
+    for (const auto& upstream : upstreams)
+        arrivals += upstream->requests().size();
+    CHECK_TRUE(arrivals <= 5);
+    CHECK_TRUE_TEXT(contains(last, "HTTP/1.1 503 ") && contains(last, "HarmfulRequest"), last.c_str());
+    CHECK_TRUE(contains(gateway.exchange(GatewayFixture::post("/stream/x", "s", "Redwingseam-Prompt-Prefix: aa1:9,dead:7,cc:1\r\n")), "data: e1"));
+}
