Soak: changes of the manifest in series, and checks of every connection

What the soak could not see: a request that ended without an answer beside a change of the manifest or a stop. Clients counted a closed connection as one outcome among others, the only change was a new version with the same content, and nobody looked at when a process ended.

Manifests now change in series that overlap with SIGTERM, SIGHUP, SIGKILL and SIGSTOP: idle timeout and size limits raised and lowered, a route moved, weighted, added and removed, timeouts, many routes. Clients leave connections idle for up to four fifths of the newest idle timeout, send bodies slowly, pipeline, abandon streams, and reuse a connection at once after an answer. Each exchange is recorded with its times. Afterwards it is compared with the gateway's log (requests read, versions in force): a whole request without an answer, a close without announcement, an idle close below the limit in force, an own 4xx for a proper request, an answer cut although its upstream went on, a stop that lasts although no request runs, a process that ends by itself, two sets of headers, bytes past an answer.

A signal is sent without asking the process for its state first, because that reaped a process that had just exited and hid its status. Soaks that run at once hold different slices of ports instead of deriving them from the process id.

--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import copy
+import signal
 import time
 
 from gateway import TERMINATION_GRACE_SECONDS, Gateway
 from history_checker import HistoryChecker
+from manifest import Manifest
 from store import Store
 from upstream import Upstream
 
@@ -20,7 +22,8 @@
         self.zones = ["zone-a", "zone-b", "zone-c"]
         self.store = Store()
         self.store.rewrite_for_reader = self._with_proxy_address
-        self.checker = HistoryChecker(REVOKE_SECONDS)
+        self.manifest = Manifest(random)
+        self.checker = HistoryChecker(REVOKE_SECONDS, self.manifest)
         self.upstreams = []
         self.gateways = []
         self.binary = binary
@@ -28,7 +31,6 @@
         self.gateway_count = gateway_count
         self.is_verbose = is_verbose
         self.keys = [f"key-{number}" for number in range(6)]
-        self.version = 1
         self.started_at = time.monotonic()
 
     def log(self, text):
@@ -43,6 +45,7 @@
             for number in range(3):
                 await self._add_upstream(f"{zone}-e{number}", "engines", zone)
             await self._add_upstream(f"{zone}-d", "desk", zone)
+            await self._add_upstream(f"{zone}-a", "annex", zone)
         for number in range(self.gateway_count):
             gateway = Gateway(f"node-{number}", self.zones[number % 3], self.binary, self.folder, address, BOUNDS)
             self.gateways.append(gateway)
@@ -64,34 +67,34 @@
         return rewritten
 
     def put_manifest(self):
-        route = {"host": "soak.example", "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 0, "skipAuth": False}
-        routes = [
-            route | {"name": "stream", "pathPrefix": "/stream/", "routeType": "streaming", "service": "engines", "maxAttempts": 5, "streamResume": True, "targetGapMs": 700},
-            route | {"name": "read", "pathPrefix": "/read/", "routeType": "idempotent", "service": "desk", "maxAttempts": 3},
-            route | {"name": "book", "pathPrefix": "/book/", "routeType": "non_idempotent", "service": "desk", "maxAttempts": 1},
-        ]
-        engine = {"slots": 16, "kvCapacityTokens": 88000, "backups": True, "handleS": 4.0}
-        services = [{"name": "engines", "maxConnections": 300, "engine": engine}, {"name": "desk", "maxConnections": 300}]
-        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
-        tenants = [{"name": "account-" + key.split("-")[1], "apiKeys": [key]} for key in self.keys if key not in self.checker.revoked]
-        self.store.put("config", "main", {"version": self.version, "routes": routes, "services": services, "limits": limits, "tenants": tenants})
+        accounts = [{"name": "account-" + key.split("-")[1], "apiKeys": [key]} for key in self.keys if key not in self.checker.revoked]
+        self.store.put("config", "main", self.manifest.publish(accounts))
 
     def change_manifest(self):
-        self.version += self.random.randint(1, 3)
+        self.log(f"manifest {self.manifest.change()}")
         self.put_manifest()
 
+    def end_faults(self):
+        """Restores what the faults have changed."""
+        self.manifest.reset()
+        self.put_manifest()
+        for gateway in self.gateways:
+            gateway.store_proxy.clear_faults()
+            gateway.peer_proxy.clear_faults()
+            gateway.signal(signal.SIGCONT)
+
     def revoke(self, random):
         remaining_keys = [key for key in self.keys if key not in self.checker.revoked]
         if len(remaining_keys) > 3:
             key = random.choice(remaining_keys)
             # Recorded before the store has it. The bound counts from the acknowledgement, which comes later.
             self.checker.revoked[key] = time.monotonic() + 0.05
-            self.change_manifest()
+            self.put_manifest()
 
-    def choose_address(self):
-        """Returns the client address of a gateway that the platform's load balancer would choose."""
+    def choose_gateway_for_client(self):
+        """Returns a gateway that the platform's load balancer would choose."""
         running = [gateway for gateway in self.gateways if gateway.is_running and not gateway.is_stopping] or self.gateways
-        return f"127.0.0.1:{self.random.choice(running).client_port}"
+        return self.random.choice(running)
 
     async def restart_exited_gateways(self, stopping):
         """Restarts gateways whose process has exited."""
--- /dev/null
+++ b/tools/soak/exchange.py
@@ -0,0 +1,29 @@
+"""What a client did and saw for one request."""
+
+from dataclasses import dataclass
+from typing import Any, Optional
+
+
+@dataclass
+class Exchange:
+    attempt: str
+    kind: str
+    key: str
+    process: Any
+    # How long the connection was idle before the first byte of the request.
+    idle_seconds: float
+    began_at: float
+    header_bytes: int = 0
+    body_bytes: int = 0
+    # Time of the last byte of the request, or None if it was not sent completely.
+    sent_at: Optional[float] = None
+    ended_at: Optional[float] = None
+    # The gateway had closed the connection already when the client began to send.
+    was_closed_before: bool = False
+    is_head_received: bool = False
+    # The connection was to be closed after an earlier response, as its headers said.
+    is_close_announced: bool = False
+    was_pipelined: bool = False
+    # Another request was sent on the connection before the response was complete.
+    has_follower: bool = False
+    status: Any = None
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -9,7 +9,8 @@
         self.deployment = deployment
         self.random = random
         self.faults = [self.kill, self.terminate, self.rolling_terminate, self.freeze, self.store_reset, self.store_cut, self.store_one_way, self.store_slow, self.store_down, self.store_drops_history,
-                       self.peer_cut, self.peer_reset, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings]
+                       self.peer_cut, self.peer_reset, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
+                       self.manifest_series, self.manifest_series, self.repeated_signals]
 
     async def run(self, seconds):
         running = []
@@ -20,10 +21,7 @@
             running.append(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
         await asyncio.gather(*running)
-        for gateway in self.deployment.gateways:
-            gateway.store_proxy.clear_faults()
-            gateway.peer_proxy.clear_faults()
-            gateway.signal(signal.SIGCONT)
+        self.deployment.end_faults()
 
     def choose_gateway(self):
         return self.random.choice(self.deployment.gateways)
@@ -108,3 +106,22 @@
 
     async def reload_settings(self):
         self.choose_gateway().signal(signal.SIGHUP)
+
+    async def manifest_series(self):
+        """Changes the manifest several times in quick succession, with signals to gateways in between."""
+        for _ in range(self.random.randint(3, 8)):
+            self.deployment.change_manifest()
+            await asyncio.sleep(self.random.uniform(0.02, 0.8))
+            if self.random.random() < 0.3:
+                self.choose_gateway().signal(self.random.choice([signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGKILL]))
+
+    async def repeated_signals(self):
+        """Sends one gateway a series of signals around its stop."""
+        gateway = self.choose_gateway()
+        stop = asyncio.create_task(gateway.stop())
+        for _ in range(self.random.randint(1, 4)):
+            await asyncio.sleep(self.random.uniform(0.05, 1))
+            gateway.signal(self.random.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGSTOP]))
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+            gateway.signal(signal.SIGCONT)
+        await stop
--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -1,22 +1,37 @@
 """A gateway process with the proxies in front of its peer port and of the store."""
 
 import asyncio
-import os
 import signal
 import socket
 
+from gateway_process import GatewayProcess
 from proxy import Proxy
 
-TERMINATION_GRACE_SECONDS = 4
+TERMINATION_GRACE_SECONDS = 8
 
 
 # The ports are below the ephemeral range, so that no outgoing connection occupies a gateway's port. Soaks that run
-# concurrently use different slices of the ports.
+# concurrently use different slices of the ports, and hold the last port of theirs.
 FIRST_PORT = 12000
-PORTS_PER_SLICE = 500
-SLICE_COUNT = 40
+PORTS_PER_SLICE = 2000
+SLICE_COUNT = 10
 
-candidate_ports = iter(range(FIRST_PORT + os.getpid() % SLICE_COUNT * PORTS_PER_SLICE, FIRST_PORT + (os.getpid() % SLICE_COUNT + 1) * PORTS_PER_SLICE, 2))
+
+def reserve_slice():
+    """Returns the socket that holds a slice, and the slice's first port."""
+    for first_port in range(FIRST_PORT, FIRST_PORT + SLICE_COUNT * PORTS_PER_SLICE, PORTS_PER_SLICE):
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", first_port + PORTS_PER_SLICE - 1))
+            holder.listen()
+            return holder, first_port
+        except OSError:
+            holder.close()
+    raise RuntimeError(f"all {SLICE_COUNT} slices of ports from {FIRST_PORT} are in use")
+
+
+slice_holder, first_slice_port = reserve_slice()
+candidate_ports = iter(range(first_slice_port, first_slice_port + PORTS_PER_SLICE - 2, 2))
 
 
 def allocate_port_pair():
@@ -29,7 +44,7 @@
             except OSError:
                 continue
             return port
-    raise RuntimeError(f"no pair of free ports in the slice of {PORTS_PER_SLICE} ports from {FIRST_PORT + os.getpid() % SLICE_COUNT * PORTS_PER_SLICE}")
+    raise RuntimeError(f"no pair of free ports in the slice of {PORTS_PER_SLICE} ports from {first_slice_port}")
 
 
 class Gateway:
@@ -37,6 +52,7 @@
         self.name = name
         self.zone = zone
         self.binary = binary
+        self.folder = folder
         self.settings = folder / f"{name}.conf"
         self.log = open(folder / f"{name}.log", "ab")
         self.bounds = bounds
@@ -45,9 +61,8 @@
         self.first_internal_port = allocate_port_pair()
         self.store_proxy = Proxy(lambda: store_address)
         self.peer_proxy = Proxy(lambda: f"127.0.0.1:{self.first_internal_port + 1}")
-        self.process = None
-        self.is_stopping = False
-        self.is_disturbed = False
+        self.process = GatewayProcess(name)
+        self.processes = []
 
     async def prepare(self):
         await self.store_proxy.start()
@@ -57,12 +72,18 @@
         self.settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
 
     async def start(self):
-        self.is_stopping = False
-        self.process = await asyncio.create_subprocess_exec(self.binary, "--settings", str(self.settings), stdout=self.log, stderr=self.log)
+        process = GatewayProcess(self.name)
+        await process.start(self.binary, "--settings", str(self.settings), log=self.log)
+        self.process = process
+        self.processes.append(process)
 
     @property
     def is_running(self):
-        return self.process is not None and self.process.returncode is None
+        return self.process.is_running
+
+    @property
+    def is_stopping(self):
+        return self.process.terminated_at is not None
 
     async def is_ready(self):
         try:
@@ -75,15 +96,14 @@
             return False
 
     def signal(self, number):
-        if self.is_running:
-            self.process.send_signal(number)
+        self.process.signal(number)
 
     async def stop(self):
         """Sends SIGTERM, and SIGKILL if the process still runs after the grace period."""
-        self.is_stopping = True
-        self.signal(signal.SIGTERM)
+        process = self.process
+        process.signal(signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), TERMINATION_GRACE_SECONDS + 0.5)
+            await asyncio.wait_for(process.wait(), TERMINATION_GRACE_SECONDS + 0.5)
         except asyncio.TimeoutError:
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
+            process.signal(signal.SIGKILL)
+            await process.wait()
--- a/tools/soak/history_checker.py
+++ b/tools/soak/history_checker.py
@@ -2,13 +2,20 @@
 
 import time
 
+from connection_checker import ConnectionChecker
+
 
 class HistoryChecker:
-    def __init__(self, revoke_seconds):
+    def __init__(self, revoke_seconds, manifest):
         self.revoke_seconds = revoke_seconds
+        self.manifest = manifest
+        self.connections = ConnectionChecker(self, manifest)
         self.runs = {}
         self.responses = {}
         self.sent = {}
+        self.bodies = {}
+        # Attempts whose upstream stopped, fell silent or sent faulty bytes while it ran them.
+        self.broken_off = set()
         self.revoked = {}
         self.upstreams = []
         self.violations = []
@@ -19,8 +26,9 @@
     def record_violation(self, guarantee, detail):
         self.violations.append(f"{guarantee}: {detail}")
 
-    def record_sent(self, attempt, kind, key):
-        self.sent[attempt] = (time.monotonic(), kind, key)
+    def record_sent(self, request):
+        self.sent[request.attempt] = (time.monotonic(), request.kind, request.key)
+        self.bodies[request.attempt] = request.body
 
     def record_run(self, request, upstream):
         attempt = request.header("redwingseam-attempt-id")
@@ -28,6 +36,10 @@
         if attempt not in self.sent:
             return self.record_violation("unexpected run", f"{attempt} was run but not sent by any client")
         sent_at, kind, key = self.sent[attempt]
+        if request.body != self.bodies[attempt]:
+            self.record_violation("forwarding", f"{attempt}: ran with a body of {len(request.body)} bytes instead of {len(self.bodies[attempt])}, or with other bytes")
+        if upstream.service not in self.manifest.allowed_services.get(kind, {upstream.service}):
+            self.record_violation("route", f"{attempt} ({kind}) ran at {upstream.name}, of service {upstream.service}")
         if request.header("redwingseam-key"):
             self.record_violation("forwarding", f"{attempt}: the API key was forwarded to the upstream")
         if request.header("redwingseam-tenant") != "account-" + key.split("-")[1]:
@@ -37,11 +49,13 @@
         if key in self.revoked and sent_at > self.revoked[key] + self.revoke_seconds:
             self.record_violation("revoked key", f"{attempt} was sent {sent_at - self.revoked[key]:.2f} s after {key} was revoked")
 
-    def record_response(self, attempt, kind, status):
-        self.responses[attempt] = (kind, status)
+    def record_response(self, exchange):
+        self.responses[exchange.attempt] = (exchange.kind, exchange.status)
+        self.connections.exchanges.append(exchange)
 
-    def finish(self):
+    def finish(self, gateways):
         """Checks the guarantees that need the complete history."""
+        self.connections.finish(gateways)
         for attempt, (kind, status) in self.responses.items():
             if kind == "book" and status in (408, 421, 429, 503) and attempt in self.runs:
                 self.record_violation("refused after run", f"{attempt}: status {status}, but it ran at {self.runs[attempt]}")
--- a/tools/soak/http_messages.py
+++ b/tools/soak/http_messages.py
@@ -28,23 +28,27 @@
 
 
 async def read_head(reader):
-    """Reads the start line and the headers. Returns None at the end of the connection."""
+    """Reads the start line, the headers and their names in order. Returns None at the end of the connection."""
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     lines = raw.decode("latin-1").split("\r\n")
     headers = {}
+    names = []
     for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            headers[name.strip().lower()] = value.strip()
-    return lines[0], headers
+        name, _, value = line.partition(":")
+        names.append(name.strip().lower())
+        headers[names[-1]] = value.strip()
+    return lines[0], headers, names
 
 
 async def read_chunk(reader):
     """Reads one chunk of a chunked body. Returns empty bytes at the end of the body."""
-    size = int((await reader.readline()).strip() or b"x", 16)
+    line = await reader.readline()
+    if not line.endswith(b"\n"):
+        raise asyncio.IncompleteReadError(line, None)
+    size = int(line.strip() or b"x", 16)
     data = await reader.readexactly(size + 2)
     return data[:-2]
 
@@ -54,7 +58,7 @@
     head = await read_head(reader)
     if head is None:
         return None
-    start_line, headers = head
+    start_line, headers, _ = head
     body = b""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while chunk := await read_chunk(reader):
--- a/tools/soak/upstream.py
+++ b/tools/soak/upstream.py
@@ -10,6 +10,8 @@
 EVENT_INTERVAL_SECONDS = 0.03
 PREFILL_SECONDS = 0.15
 PLAIN_RESPONSE_SECONDS = 0.02
+# A comment line of an event stream, which is not progress.
+COMMENT = b":\n\n"
 
 
 def expected_body(attempt):
@@ -39,6 +41,8 @@
         self.is_hung = False
         self.kv_backups = set()
         self.instance_id = ""
+        # Attempts in progress, by connection. An attempt may come on two connections at once.
+        self.running = {}
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -61,6 +65,7 @@
             return
         port = int(self.address.split(":")[1])
         self.server.close()
+        self.checker.broken_off.update(self.running.values())
         self.kv_backups.clear()
         for writer in list(self.writers):
             writer.transport.abort()
@@ -72,19 +77,27 @@
     async def hang(self, seconds):
         """Sends nothing for the given time, then resets all open connections."""
         self.is_hung = True
+        self.checker.broken_off.update(self.running.values())
         await asyncio.sleep(seconds)
         self.is_hung = False
+        self.checker.broken_off.update(self.running.values())
         for writer in list(self.writers):
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        if not self.server.is_serving():
+            # Accepted just before the crash.
+            return writer.transport.abort()
         self.writers.add(writer)
         try:
             while request := await read_message(reader):
+                self.running[writer] = request.header("redwingseam-attempt-id")
                 await self._respond(request, writer)
+                del self.running[writer]
         except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self.running.pop(writer, None)
             self.writers.discard(writer)
             writer.close()
 
@@ -108,6 +121,8 @@
             return await writer.drain()
         self.checker.record_run(request, self)
         headers["Redwingseam-Upstream-Seal"] = "seal-" + attempt
+        if self.is_hung:
+            self.checker.broken_off.add(attempt)
         if "/stream/" in request.target:
             return await self._stream(request, headers, writer)
         await asyncio.sleep(PLAIN_RESPONSE_SECONDS * self.random.uniform(0.5, 2))
