--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -6,6 +6,7 @@
 import time
 
 from gateway import TERMINATION_GRACE_SECONDS, Gateway
+from gateway_log import GatewayLog
 from history_checker import HistoryChecker
 from manifest import Manifest
 from store import Store
@@ -83,6 +84,11 @@
             gateway.peer_proxy.clear_faults()
             gateway.signal(signal.SIGCONT)
 
+    def hub(self):
+        """Returns the gateway that calls itself the hub of the others, or any if none does."""
+        hubs = [gateway for gateway in self.gateways if GatewayLog(gateway.folder / f"{gateway.name}.log").is_hub]
+        return self.random.choice(hubs or self.gateways)
+
     def revoke(self, random):
         remaining_keys = [key for key in self.keys if key not in self.checker.revoked]
         if len(remaining_keys) > 3:
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+from answer_faults import ANSWER_FAULTS
+
 
 class FaultInjector:
     def __init__(self, deployment, random):
@@ -10,7 +12,7 @@
         self.random = random
         self.faults = [self.kill, self.terminate, self.rolling_terminate, self.freeze, self.store_reset, self.store_cut, self.store_one_way, self.store_slow, self.store_down, self.store_drops_history,
                        self.peer_cut, self.peer_reset, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
-                       self.manifest_series, self.manifest_series, self.repeated_signals]
+                       self.manifest_series, self.manifest_series, self.repeated_signals, self.freeze_hub, self.answer_fault, self.answer_fault]
 
     async def run(self, seconds):
         running = []
@@ -125,3 +127,16 @@
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
             gateway.signal(signal.SIGCONT)
         await stop
+
+    async def freeze_hub(self):
+        gateway = self.deployment.hub()
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(1, 5))
+        gateway.signal(signal.SIGCONT)
+
+    async def answer_fault(self):
+        upstream = self.choose_upstream()
+        upstream.answer_fault = self.random.choice(ANSWER_FAULTS)
+        self.deployment.log(f"{upstream.name} {upstream.answer_fault.__name__}")
+        await asyncio.sleep(self.random.uniform(0.2, 2))
+        upstream.answer_fault = None
--- a/tools/soak/gateway_log.py
+++ b/tools/soak/gateway_log.py
@@ -9,6 +9,7 @@
         self.arrived = set()
         # Pairs of the time on the monotonic clock and the manifest's version, in order of time.
         self.versions = []
+        self.is_hub = False
         offset = time.time() - time.monotonic()
         for line in path.read_text(errors="replace").splitlines():
             try:
@@ -20,6 +21,8 @@
                 self.arrived.add(entry.get("request"))
             elif event == "manifest_in_force":
                 self.versions.append((entry["time_ms"] / 1000 - offset, entry["version"]))
+            elif event == "hub_changed":
+                self.is_hub = entry.get("is_self") == "yes"
 
     def versions_in_force(self, start, end):
         """Returns the versions that were in force at some time between the two times."""
--- a/tools/soak/upstream.py
+++ b/tools/soak/upstream.py
@@ -43,6 +43,8 @@
         self.instance_id = ""
         # Attempts in progress, by connection. An attempt may come on two connections at once.
         self.running = {}
+        # Function that replaces the response, or None.
+        self.answer_fault = None
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -123,6 +125,8 @@
         headers["Redwingseam-Upstream-Seal"] = "seal-" + attempt
         if self.is_hung:
             self.checker.broken_off.add(attempt)
+        if self.answer_fault:
+            return await self.answer_fault(self, request, headers, writer)
         if "/stream/" in request.target:
             return await self._stream(request, headers, writer)
         await asyncio.sleep(PLAIN_RESPONSE_SECONDS * self.random.uniform(0.5, 2))
