Soak: a part of a prompt that crashes upstreams, beside sound requests

Upstreams die when they begin to answer a request whose prefix holds a given part, and come back after 1.5 to 3 s. Requests with the part come through all gateways, no two alike, on the streaming, the idempotent or the non-idempotent route; sound ones share their client account and their other parts. At most three may run later than 4 s after the fifth crash, and from 8 s after it sound ones must be served at least half as often as before.

The crash register knows a request by account, target and body, and no two of these are alike. The test process.deadly_part is red until the gateways recognise the part.

--- a/tools/soak/history_checker.py
+++ b/tools/soak/history_checker.py
@@ -16,6 +16,8 @@
         self.bodies = {}
         # Attempts whose upstream stopped, fell silent or sent faulty bytes while it ran them.
         self.broken_off = set()
+        # Times at which a request with a deadly part began to run.
+        self.deadly_runs = []
         self.revoked = {}
         self.upstreams = []
         self.violations = []
--- a/tools/soak/upstream.py
+++ b/tools/soak/upstream.py
@@ -45,6 +45,8 @@
         self.running = {}
         # Function that replaces the response, or None.
         self.answer_fault = None
+        # Parts of a prompt under which the upstream crashes, and the seconds until it is back.
+        self.deadly_parts = {}
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -125,6 +127,8 @@
         headers["Redwingseam-Upstream-Seal"] = "seal-" + attempt
         if self.is_hung:
             self.checker.broken_off.add(attempt)
+        if self._crash_if_deadly(request):
+            return
         if self.answer_fault:
             return await self.answer_fault(self, request, headers, writer)
         if "/stream/" in request.target:
@@ -137,6 +141,15 @@
             writer.write(format_response(200, headers, expected_body(attempt)))
         await writer.drain()
 
+    def _crash_if_deadly(self, request):
+        parts = {part.split(":")[0] for part in request.header("redwingseam-prompt-prefix").split(",")}
+        for part in parts & self.deadly_parts.keys():
+            self.checker.deadly_runs.append(time.monotonic())
+            self.checker.broken_off.add(request.header("redwingseam-attempt-id"))
+            asyncio.create_task(self.crash(self.deadly_parts[part]))
+            return True
+        return False
+
     async def _stream(self, request, headers, writer):
         first = int(request.header("last-event-id", "0")) + 1
         await asyncio.sleep(0.01 if request.header("kv-from") else PREFILL_SECONDS)
