Soak: clients respect the idle time that a response announces

A response may say with Keep-Alive how long its connection can be idle. Clients now stay within it, as the platform's do, and a close after that time counts as announced. A close before it is still reported unless the timeout in force is lower.

--- a/tools/soak/client.py
+++ b/tools/soak/client.py
@@ -11,6 +11,8 @@
 
 REQUEST_KINDS = ["read", "book", "stream", "read", "book", "stream", "extra"]
 SHORT_IDLE_SECONDS = 0.15
+# Leaves time for the request to arrive before the announced time is over.
+ANNOUNCED_IDLE_PART = 0.95
 AT_ONCE_SHARE = 0.35
 LONG_IDLE_SHARE = 0.1
 SLOW_BODY_SHARE = 0.15
@@ -82,6 +84,9 @@
             return await asyncio.sleep(seconds)
         if choice > 1 - LONG_IDLE_SHARE:
             seconds = self.random.uniform(0.2, IDLE_PART) * self.deployment.manifest.limits.idleTimeoutMs / 1000
+        announced = self.connection.announced_idle_seconds
+        if announced is not None:
+            seconds = min(seconds, ANNOUNCED_IDLE_PART * announced)
         if not await self.connection.wait_idle(seconds):
             self.checker.connections.record_idle_close(self.connection)
             self._close()
@@ -128,6 +133,7 @@
         now = time.monotonic()
         idle_seconds = 0.0 if is_pipelined else now - connection.idle_since
         exchange = Exchange(request.attempt, request.kind, request.key, connection.process, idle_seconds, now, len(request.head()), len(request.body), was_pipelined=is_pipelined)
+        exchange.announced_idle_seconds = connection.announced_idle_seconds
         exchange.was_closed_before = connection.is_end_pending()
         exchange.process.request_began()
         self.checker.record_sent(request)
--- a/tools/soak/connection.py
+++ b/tools/soak/connection.py
@@ -1,6 +1,7 @@
 """Client connection to a gateway, which reads responses strictly."""
 
 import asyncio
+import re
 import select
 import time
 
@@ -20,6 +21,8 @@
         self.reader = reader
         self.writer = writer
         self.idle_since = time.monotonic()
+        # How long the gateway keeps the connection idle, as its last response said, or None.
+        self.announced_idle_seconds = None
 
     @staticmethod
     async def open(gateway):
@@ -78,6 +81,8 @@
         else:
             message.body = await self.reader.readexactly(int(message.header("content-length", "0")))
         self.idle_since = time.monotonic()
+        timeout = re.search(r"timeout=(\d+)", message.header("keep-alive"))
+        self.announced_idle_seconds = int(timeout[1]) if timeout else None
         return message
 
     @staticmethod
--- a/tools/soak/connection_checker.py
+++ b/tools/soak/connection_checker.py
@@ -31,7 +31,7 @@
 
     def record_idle_close(self, connection):
         now = time.monotonic()
-        self.idle_closes.append((connection.process, now, now - connection.idle_since))
+        self.idle_closes.append((connection.process, now, now - connection.idle_since, connection.announced_idle_seconds))
 
     def finish(self, gateways):
         self.logs = {gateway.name: GatewayLog(gateway.folder / f"{gateway.name}.log") for gateway in gateways}
@@ -42,8 +42,8 @@
                 self._check_silence(exchange)
             elif exchange.status == "closed":
                 self._check_closed(exchange)
-        for process, closed_at, idle_seconds in self.idle_closes:
-            self._check_idle_close(process, closed_at, idle_seconds)
+        for idle_close in self.idle_closes:
+            self._check_idle_close(*idle_close)
         for gateway in gateways:
             for process in gateway.processes:
                 self._check_exit(process)
@@ -71,7 +71,9 @@
         versions = self.logs[process.name].versions_in_force(start - MANIFEST_SWITCH_SECONDS, end)
         return [self.manifest.limits_by_version[version] for version in versions if version in self.manifest.limits_by_version]
 
-    def _is_idle_allowed_to_end(self, process, moment, seconds):
+    def _is_idle_allowed_to_end(self, process, moment, seconds, announced):
+        if announced is not None and seconds >= announced:
+            return True
         limits = self._limits(process, moment, moment)
         return not limits or seconds >= IDLE_PART * min(limit.idleTimeoutMs for limit in limits) / 1000
 
@@ -112,17 +114,17 @@
         elif exchange.is_close_announced or (exchange.was_closed_before and self._closes_idle_connections(process, exchange.ended_at)):
             return
         elif exchange.sent_at is None:
-            if not self._is_idle_allowed_to_end(process, exchange.ended_at, exchange.ended_at - exchange.began_at):
+            if not self._is_idle_allowed_to_end(process, exchange.ended_at, exchange.ended_at - exchange.began_at, None):
                 is_crossing = exchange.ended_at <= exchange.began_at + LOSS_SLACK_SECONDS
                 self._violate("crossed close" if is_crossing else "lost", exchange, "closed without announcement while the client sent the body")
         elif exchange.ended_at > exchange.sent_at + LOSS_SLACK_SECONDS:
             self._violate("lost", exchange, "closed without an answer")
-        elif exchange.was_pipelined or not self._is_idle_allowed_to_end(process, exchange.ended_at, exchange.idle_seconds):
+        elif exchange.was_pipelined or not self._is_idle_allowed_to_end(process, exchange.ended_at, exchange.idle_seconds, exchange.announced_idle_seconds):
             self._violate("crossed close", exchange, "closed without announcement while the whole request was on its way")
 
-    def _check_idle_close(self, process, closed_at, idle_seconds):
+    def _check_idle_close(self, process, closed_at, idle_seconds, announced):
         is_stopping = process.terminated_at is not None and closed_at >= process.terminated_at
-        if is_stopping or self._was_ended(process, closed_at) or self._is_idle_allowed_to_end(process, closed_at, idle_seconds):
+        if is_stopping or self._was_ended(process, closed_at) or self._is_idle_allowed_to_end(process, closed_at, idle_seconds, announced):
             return
         if process.exited_at is None or closed_at < process.exited_at - 0.5:
             limits = [limit.idleTimeoutMs for limit in self._limits(process, closed_at, closed_at)]
--- a/tools/soak/exchange.py
+++ b/tools/soak/exchange.py
@@ -18,6 +18,8 @@
     # Time of the last byte of the request, or None if it was not sent completely.
     sent_at: Optional[float] = None
     ended_at: Optional[float] = None
+    # How long the connection could be idle, as the response before said, or None.
+    announced_idle_seconds: Optional[float] = None
     # The gateway had closed the connection already when the client began to send.
     was_closed_before: bool = False
     is_head_received: bool = False
