LOST: answer the requests that still run when the grace of a stop is over

The end says nothing about the upstream, so no suspicion or crash is recorded. PlannedStop.RequestsThatAreStillRunningAtTheEndOfTheGraceAreAnswered fails without the line that tells the workers (three sessions left, no byte sent).

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -156,15 +156,27 @@
     return { StepKind::Refuse, {}, code, m_policy.retryAfter };
 }
 
-Step Exchange::stopWaiting() const
+Step Exchange::refuseDraining() const
 {
-    if (m_placement || m_sends)
-        return {};
     auto step = refuse(ResultCode::Draining);
     step.retryAfter = m_policy.retryElsewhereAfter;
     return step;
 }
 
+Step Exchange::stopWaiting() const
+{
+    return m_placement || m_sends ? Step {} : refuseDraining();
+}
+
+Step Exchange::abandon() const
+{
+    bool isInFlight = m_placement && !m_isConnecting;
+    bool hasRun = m_mayHaveRun || isInFlight;
+    if (!hasRun && !m_areHeadersSent)
+        return refuseDraining();
+    return giveUp(AttemptOutcome::Silent);
+}
+
 static std::optional<fleet::SuspicionCause> suspicionCauseFor(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -308,7 +320,7 @@
 {
     if (m_hasFailureResponse && !m_areHeadersSent)
         return { StepKind::Deliver };
-    if (!m_mayHaveRun && !m_areHeadersSent)
+    if (!m_mayHaveRun && !mayHaveRun(outcome) && !m_areHeadersSent)
         return refuse(outcome == AttemptOutcome::NotRun ? ResultCode::QueueFull : ResultCode::NoUpstream);
     return { StepKind::Fail, {}, m_areHeadersSent ? ResultCode::StreamLost : ResultCode::OutcomeUnknown };
 }
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -36,6 +36,8 @@
     // Handles a stop of this node before which a response could not end if the request were sent only now. Refuses the
     // request if it still waits to be sent, because another node can serve it.
     Step stopWaiting() const;
+    // Returns the final step of the request, whatever its state. Makes no judgement of the current upstream.
+    Step abandon() const;
 
     // Records that a new connection is being established for the current attempt. Until it is, nothing is sent, so the
     // attempt cannot run.
@@ -89,6 +91,7 @@
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
+    Step refuseDraining() const;
     // Returns whether the request may be sent: none of its prompt parts is quarantined, or it is a trial.
     bool maySend(base::Instant now);
     bool isSuspect(base::Instant now);
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -63,6 +63,8 @@
     std::atomic<base::Instant> drainStartedAt { base::Instant {} };
     // Set when the node closes idle client connections on its own, at the end of a stop.
     std::atomic<bool> isClosingConnections { false };
+    // Set when the grace is nearly over: each request that is still running gets its final answer.
+    std::atomic<bool> isAbandoningRequests { false };
     // Accepted client connections that are not closed.
     std::atomic<uint32_t> openClients { 0 };
     std::atomic<uint32_t> activeSessions { 0 };
--- a/src/gateway/GracefulStop.h
+++ b/src/gateway/GracefulStop.h
@@ -11,8 +11,9 @@
 
 // Stops serving clients without cutting off a request that was read. First the node only stops to be ready and closes
 // each connection after its current response. Once it is idle, it takes over the connections that still wait in the
-// listen queue, closes the listener, and closes each connection that has no unread byte. `Listener::close` must return
-// only after all waiting connections have been handed over.
+// listen queue, closes the listener, and closes each connection that has no unread byte. Requests that are still running when
+// the grace is nearly over are abandoned with an answer. `Listener::close` must return only after all waiting connections
+// have been handed over.
 template<typename Listener>
 class GracefulStop {
 public:
@@ -28,10 +29,15 @@
     {
         m_startedAt = base::BootClock {}.now();
         m_state.drainStartedAt = m_startedAt;
-        bool isIdle = waitUntil([&] { return elapsed() > m_times.minimum && !m_state.activeSessions; });
+        auto exitAt = m_times.grace - m_times.exitReserve;
+        auto abandonAt = exitAt - m_times.answerReserve;
+        bool isIdle = waitUntil(abandonAt, [&] { return elapsed() > m_times.minimum && !m_state.activeSessions; });
         m_listener.close();
         m_state.isClosingConnections = true;
-        return waitUntil([&] { return !m_state.openClients && !m_state.activeSessions; }) && isIdle;
+        bool isComplete = waitUntil(abandonAt, [&] { return !m_state.openClients && !m_state.activeSessions; }) && isIdle;
+        m_state.isAbandoningRequests = true;
+        waitUntil(exitAt, [&] { return !m_state.activeSessions; });
+        return isComplete;
     }
 
 private:
@@ -39,14 +45,15 @@
 
     base::Duration elapsed() const { return base::BootClock {}.now() - m_startedAt; }
 
+    // Returns false if the predicate does not hold `latest` after the start of the stop.
     template<typename Predicate>
-    bool waitUntil(Predicate&& predicate)
+    bool waitUntil(base::Duration latest, Predicate&& predicate)
     {
         base::Mutex mutex;
         base::Condition condition;
         std::lock_guard guard(mutex);
         while (!predicate()) {
-            if (elapsed() >= m_times.grace - m_times.exitReserve)
+            if (elapsed() >= latest)
                 return false;
             condition.waitFor(mutex, checkInterval);
         }
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -33,6 +33,8 @@
     void clientDisconnected();
     // `pause` is the time before `now` in which the process did not run, or zero.
     void tick(base::Instant now, base::Duration pause);
+    // Gives the client its final answer, because the process is about to end.
+    void abandon();
     bool isEnded() const { return m_isEnded; }
     Client& client() { return m_client; }
 
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -260,6 +260,13 @@
     execute(std::move(step));
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::abandon()
+{
+    if (!m_isEnded && m_exchange)
+        execute(m_exchange->abandon());
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::matchReadingToClient(base::Instant at)
 {
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -80,8 +80,12 @@
     for (const auto& [client, session] : m_sessions)
         current.push_back(session.get());
     // A session that ends during this loop is deleted only after the loop.
-    for (auto* session : current)
-        session->tick(now, pause);
+    for (auto* session : current) {
+        if (m_state.isAbandoningRequests)
+            session->abandon();
+        else
+            session->tick(now, pause);
+    }
 }
 
 template<HeaderCodec Codec>
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -131,3 +131,23 @@
     LONGS_EQUAL(roomForStreams, engine.requests().size());
     stop.join();
 }
+
+TEST(PlannedStop, RequestsThatAreStillRunningAtTheEndOfTheGraceAreAnswered)
+{
+    ScriptedUpstream engine({});
+    ScriptedUpstream desk({});
+    gateway.addUpstream("e1", "engines", engine);
+    gateway.addUpstream("d1", "desk", desk);
+    fillEngine();
+    auto booking = gateway.connectClient();
+    auto request = GatewayFixture::post("/book/x", "b");
+    GatewayFixture::write(booking, request.replace(request.find("Ms: 2500"), 8, "Ms: 9000"));
+    auto stopTimes = times();
+    stopTimes.grace = milliseconds(900);
+    CHECK_FALSE(gateway::GracefulStop(gateway.state, gateway.acceptor(), stopTimes).run());
+    LONGS_EQUAL(0, gateway.state.activeSessions);
+    // They may have run, so they are not refused.
+    CHECK_TRUE(contains(GatewayFixture::read(booking, "OutcomeUnknown", 500), "HTTP/1.1 502 "));
+    for (const auto& client : running)
+        CHECK_TRUE(contains(GatewayFixture::read(client, "OutcomeUnknown", 500), "HTTP/1.1 502 "));
+}
