BUDGET: keep a prompt part in quarantine when one request's retries tie with it

Cause: crashes less than half a second apart count once for a part, while each request's own retries count fully, and of equal counts the request as a whole was blamed (class: a tie that is broken against the common cause). Of causes with equal counts, the one with more failures, counting those that happen together, now explains them.

--- a/src/forward/BlameAnalysis.cpp
+++ b/src/forward/BlameAnalysis.cpp
@@ -35,11 +35,14 @@
     // The failures that one cause can explain.
     struct Explanation {
         CrashBlame blame;
+        // All failures, including those that count as one.
+        unsigned failures = 0;
         size_t position = 0;
         base::UpstreamName lastUpstream;
 
         void add(const CrashEvent& event, base::Instant sentAt, bool isUnambiguous)
         {
+            ++failures;
             auto sinceLast = event.lostAt - blame.lastCrashAt;
             bool isLater = sentAt >= blame.lastCrashAt && sinceLast >= jointFailureSpan;
             bool isElsewhere = event.upstream != lastUpstream && sinceLast >= separateFailures;
@@ -51,7 +54,7 @@
             lastUpstream = event.upstream;
         }
 
-        auto rank() const { return std::tuple(blame.crashes, blame.cause.kind, position, blame.cause.value); }
+        auto rank() const { return std::tuple(blame.crashes, failures, blame.cause.kind, position, blame.cause.value); }
     };
 
 } // namespace
