LOST: end no process when a client resets its connection while it is answered

What callers could see: all requests that a node had accepted were lost at once, on whichever connections: the process ended with a segmentation fault when one client's reset and the upstream's response were handled in one batch of events, which a busy worker makes likely. The process starts again, so little is left to see but the lost requests. Cause: writing the body meets the reset and ends the session, which releases its exchange; the metrics of the response were then recorded from it (class: use after an operation that may end the object). The other places that write to a client ask whether the session has ended before they go on (read through).

--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -260,6 +260,9 @@
             length = std::to_string(chosen.body.size());
         writeResponseHeaders(chosen, "Content-Length: " + length + "\r\n");
         m_client.write(chosen.body);
+        // The client may have reset its connection, which ends the session.
+        if (m_isEnded)
+            return;
         m_state.metrics.record(LatencyKind::Response, now() - m_arrivedAt);
         m_state.recorder.recordFirstToken(m_requestSettings, now() - m_arrivedAt, m_exchange->possibleRuns() > 1, now());
     }
