Deliver a kept failure response whole, not the part of a later one

What callers saw: after one upstream had answered with a failure and the next one was still sending when the time was up, the client got a complete 200 with a part of the body, an empty stream that looks complete, or a response with the status 0. Cause: the kept failure was delivered only if no later response had begun; the state of that one was left from the attempt that did not end (class: state of an abandoned attempt that lives on). What has arrived of a response that is not complete is now discarded when its attempt ends, at the deadline, and when a stopping node abandons the request.

--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -82,6 +82,8 @@
     // Stops or continues to read the upstream as the client reads its response.
     void matchReadingToClient(base::Instant now);
     void writeResponseHeaders(const BufferedResponse&, std::string_view framing);
+    // Discards what has arrived of a response that is not complete.
+    void discardResponse();
     void deliverResponse();
     void sendLocalResponse(const LocalResponse&, SessionOutcome);
     void abortResponse(SessionOutcome, base::ResultCode);
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -124,12 +124,14 @@
             sendLocalResponse({ 502, step.code }, SessionOutcome::Failed);
         return;
     case forward::StepKind::TimeOut:
-        if (m_exchange->areHeadersSent())
+        if (m_exchange->areHeadersSent()) {
             abortResponse(SessionOutcome::TimedOut, step.code);
-        else if (m_failureResponse)
+        } else if (m_failureResponse) {
+            discardResponse();
             deliverResponse();
-        else
+        } else {
             sendLocalResponse({ 504, step.code }, SessionOutcome::TimedOut);
+        }
         return;
     }
 }
@@ -263,8 +265,10 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::abandon()
 {
-    if (!m_isEnded && m_exchange)
-        execute(m_exchange->abandon());
+    if (m_isEnded || !m_exchange)
+        return;
+    discardResponse();
+    execute(m_exchange->abandon());
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -217,11 +217,18 @@
 {
     recordAttempt(outcome, m_sendParameters.placement.target);
     closeUpstream();
-    m_response = {};
+    discardResponse();
     m_isResuming = m_exchange->areHeadersSent();
     execute(m_exchange->attemptEnded(outcome, now(), random()));
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::discardResponse()
+{
+    m_response = {};
+    m_isEventStream = false;
+}
+
 template<HeaderCodec Codec, typename Worker>
 bool Session<Codec, Worker>::decideClientConnection()
 {
