LOST: keep a connection open while its client reads the last response

What callers saw: a long response on a kept connection was cut off by the idle timeout, however steadily the client was reading it. Evidence: SlowClient.ResponseOnAKeptConnectionIsNotCutOffWhileTheClientKeepsReadingIt failed before. Accepted bytes now start the idle time again, so the announced time also counts from when the client has the response.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -90,7 +90,9 @@
         disconnect();
         return;
     }
-    if (m_isClosing && m_writeBuffer.size() < pendingBefore)
+    // The client is not idle while it reads the response.
+    bool isResponseComplete = !m_isServing && !m_hasRequestBytes;
+    if (isResponseComplete && m_writeBuffer.size() < pendingBefore)
         m_phaseStartedAt = base::BootClock {}.now();
     if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
         shutDownSending();
