Do not time out a body that the node itself held back

What callers could see: a pipelined request whose body began to arrive during the previous response was refused with 408 at the next tick, although the node had not read on meanwhile. The answer was true, but needless. Cause: the silence was counted from the bytes read ahead, not from when the node went on reading. Evidence: SlowClient.BodyThatWaitedBehindAnotherResponseIsRead failed before. The silence counts from the later of both, and never while input waits to be read.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -267,7 +267,9 @@
         return;
     }
     if (m_hasRequestBytes && m_parser->is_header_done()) {
-        if (now - m_lastInputAt > m_limits.idleTimeout)
+        // What was read ahead during the previous response does not count.
+        bool isStalled = now - std::max(m_lastInputAt, m_phaseStartedAt) > m_limits.idleTimeout;
+        if (isStalled && !hasUnreadInput())
             reject(408, base::ResultCode::RequestTimeout);
         return;
     }
--- a/tests/SlowClientTest.cpp
+++ b/tests/SlowClientTest.cpp
@@ -57,3 +57,16 @@
         CHECK_TRUE(connection->isOpen());
     }
 }
+
+TEST(SlowClient, BodyThatWaitedBehindAnotherResponseIsRead)
+{
+    write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'b'));
+    LONGS_EQUAL(1, server.requests.size());
+    poll(nullptr, 0, 300);
+    connection->finishResponse(true, base::BootClock {}.now());
+    connection->tick(base::BootClock {}.now());
+    LONGS_EQUAL(0, server.rejections.size());
+    for (int i = 0; i < 20 && server.requests.size() < 2; ++i)
+        loop.runOnce(milliseconds(100));
+    LONGS_EQUAL(2, server.requests.size());
+}
