LOST: refuse a request that has not run and waits for another upstream while its node stops

What callers could see: a request whose first upstream could not be reached, and which waited for another one, was kept by a stopping node until the grace was over, though another node could have served it. Cause: only a request that had never been handed over for sending was refused, not one that has certainly not run. Evidence: EndOfGrace.RequestThatWasNotRunAndWaitsForAnUpstreamIsRefused failed before.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -165,7 +165,8 @@
 
 Step Exchange::stopWaiting() const
 {
-    return m_placement || m_sends ? Step {} : refuseDraining();
+    bool isWaiting = !m_placement && !m_mayHaveRun && !m_areHeadersSent;
+    return isWaiting ? refuseDraining() : Step {};
 }
 
 Step Exchange::abandon() const
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -34,7 +34,7 @@
     Step tick(base::Instant now, uint64_t random);
 
     // Handles a stop of this node before which a response could not end if the request were sent only now. Refuses the
-    // request if it still waits to be sent, because another node can serve it.
+    // request if it waits to be sent and has not run, because another node can serve it.
     Step stopWaiting() const;
     // Returns the final step of the request, whatever its state. Makes no judgement of the current upstream.
     Step abandon() const;
