LOST: count the latest start of a request to when a stop abandons it, not to the kill

What callers could see: a call that a stopping node took in the last second of its grace had 0.55 s instead of its 1 s and was answered with 502, a stream likewise. Cause: the drain rule counted to the end of the grace, while the process ends 0.3 s earlier and answers what still runs 0.15 s before that. Evidence: EndOfGrace.LatestRequestHasItsExpectedDurationUntilTheProcessEnds failed before.

--- a/src/forward/DrainRule.h
+++ b/src/forward/DrainRule.h
@@ -7,7 +7,7 @@
 // Decides whether a draining node still admits a request, so that its response ends before the process is killed.
 class DrainRule {
 public:
-    // `grace`: time from the start of the drain until the process is killed.
+    // `grace`: time from the start of the drain until the requests that are still running are abandoned.
     explicit DrainRule(base::Duration grace)
         : m_grace(grace)
     {
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -10,6 +10,7 @@
 #include "gateway/BufferBudget.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/StopTimes.h"
 #include "manifest/ManifestHolder.h"
 #include "redwingseam/base/BootClock.h"
 #include "report/SloRecorder.h"
@@ -24,7 +25,7 @@
         : settings(given)
         , fleet(given.dataCentre)
         , admission(maxConfirmationAge(given.revocationBound))
-        , drain(given.terminationGrace)
+        , drain(StopTimes { given.terminationGrace }.abandonAt())
     {
     }
 
--- a/src/gateway/GracefulStop.h
+++ b/src/gateway/GracefulStop.h
@@ -30,7 +30,7 @@
         m_startedAt = base::BootClock {}.now();
         m_state.drainStartedAt = m_startedAt;
         auto exitAt = m_times.grace - m_times.exitReserve;
-        auto abandonAt = exitAt - m_times.answerReserve;
+        auto abandonAt = m_times.abandonAt();
         bool isIdle = waitUntil(abandonAt, [&] { return elapsed() > m_times.minimum && !m_state.activeSessions; });
         m_listener.close();
         m_state.isClosingConnections = true;
--- a/src/gateway/StopTimes.h
+++ b/src/gateway/StopTimes.h
@@ -15,6 +15,9 @@
     base::Duration exitReserve = std::chrono::milliseconds(300);
     // Part of the grace in which the requests that are still running are answered by the gateway itself.
     base::Duration answerReserve = std::chrono::milliseconds(150);
+
+    // Returns when the requests that are still running are abandoned, counted from the start of the stop.
+    base::Duration abandonAt() const { return grace - exitReserve - answerReserve; }
 };
 
 } // namespace redwingseam::gateway
--- a/tests/EndOfGraceTest.cpp
+++ b/tests/EndOfGraceTest.cpp
@@ -11,6 +11,14 @@
     fakes::GatewayFixture gateway;
 };
 
+TEST(EndOfGrace, LatestRequestHasItsExpectedDurationUntilTheProcessEnds)
+{
+    auto index = gateway.state.manifest.state().index;
+    const auto* route = index->route("h", "/book/x");
+    auto end = gateway.state.settings.terminationGrace - gateway::StopTimes {}.exitReserve;
+    CHECK_TRUE(gateway.state.drain.latestStart(*route, {}) + std::min<base::Duration>(milliseconds(1000), route->timeout) <= end);
+}
+
 TEST(EndOfGrace, RequestThatWasNotRunAndWaitsForAnUpstreamIsRefused)
 {
     fakes::FleetFixture fixture;
