--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -28,6 +28,8 @@
     // The status and content type of the response are known, so its headers can be sent.
     bool areHeadersReady = false;
     bool isEnded = false;
+    // The response ends early, so it must not look complete.
+    bool isBroken = false;
     bool isSuspended = false;
     unsigned status = 200;
     bool isEventStream = false;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Condition.h"
 #include "http/CallerConnection.h"
 #include "http/ClientKeyCodec.h"
 #include "http/SocketAddress.h"
@@ -42,7 +43,10 @@
 
     // Starts listening. Returns false if the server cannot be started, for example if the address is in use.
     bool start(const SocketAddress&);
-    // Closes all connections and stops the threads.
+    // Returns the port that the server listens on.
+    uint16_t port() const;
+    // Ends the responses that are not complete with an error, or as broken if they have begun, gives their callers a
+    // short time to receive it, closes all connections and stops the threads.
     void stop();
     // Returns the number of requests whose response has not been sent completely.
     size_t unfinishedRequests() const { return m_unfinishedRequests; }
@@ -70,12 +74,19 @@
     base::Error parseServiceRequest(CallerConnection&, node::CallerRequest&);
     ConnectionPointer find(base::RequestId);
     static void wake(CallerConnection&);
+    // Ends the response because the server stops. Returns false if it was complete.
+    static bool breakOff(CallerConnection&);
+    void awaitResponses();
 
     ClientKeyCodec m_keys;
     stream::ResumeTokenCodec m_resumeTokens;
     std::atomic<uint64_t> m_nextId;
     std::atomic<size_t> m_unfinishedRequests { 0 };
     base::Sharded<ConnectionMap> m_connections;
+    std::atomic<bool> m_isStopping { false };
+    base::Mutex m_stopMutex;
+    // Signalled when the last response has been sent during a stop.
+    base::Condition m_responsesSent;
     Handler& m_handler;
     MHD_Daemon* m_daemon = nullptr;
 };
--- a/src/http/CallerServerImpl.h
+++ b/src/http/CallerServerImpl.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "base/MonotonicClock.h"
 #include "http/CallerServer.h"
 #include "http/ErrorBody.h"
 
 #include "http/HttpStatus.h"
 #include "http/RequestParser.h"
+#include "log/LogLine.h"
 
 #include <algorithm>
 #include <cstring>
+#include <glog/logging.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +23,8 @@
 inline constexpr unsigned callerIdleTimeoutSeconds = 60;
 inline constexpr unsigned maxCallerConnections = 8192;
 inline constexpr size_t callerConnectionMemoryBytes = 8 * 1024;
+// A stop waits this long for callers to receive the last responses.
+inline constexpr base::Duration callerStopTimeout = std::chrono::milliseconds(500);
 
 template<CallerEventHandler Handler>
 CallerServer<Handler>::CallerServer(const std::string& secret, uint64_t firstRequestId, Handler& handler)
@@ -41,22 +46,57 @@
 {
     if (!m_daemon)
         return;
+    m_isStopping = true;
     // libmicrohttpd requires that no connection is suspended when the daemon stops.
-    m_connections.forEach([](ConnectionMap& connections) {
-        for (auto& [id, connection] : connections) {
-            std::lock_guard guard(connection->mutex);
-            connection->isEnded = true;
-            connection->areHeadersReady = true;
-            wake(*connection);
-        }
+    size_t unanswered = 0;
+    m_connections.forEach([&](ConnectionMap& connections) {
+        for (auto& [id, connection] : connections)
+            unanswered += breakOff(*connection);
     });
+    if (unanswered)
+        LOG(WARNING) << log::LogLine("responses_broken_off").with("requests", unanswered).text();
+    awaitResponses();
     MHD_stop_daemon(m_daemon);
     m_daemon = nullptr;
 }
 
+template<CallerEventHandler Handler>
+bool CallerServer<Handler>::breakOff(CallerConnection& connection)
+{
+    std::lock_guard guard(connection.mutex);
+    if (connection.isEnded)
+        return false;
+    if (connection.areHeadersReady) {
+        connection.isBroken = true;
+        connection.isEnded = true;
+    } else {
+        setErrorResponse(connection, { base::ResultCode::OutcomeUnknown, "this VM shut down before the response was complete" }, base::nameOf(node::RunState::Unknown));
+    }
+    wake(connection);
+    return true;
+}
+
+// Stopping the daemon closes connections whose responses have not been sent yet.
+template<CallerEventHandler Handler>
+void CallerServer<Handler>::awaitResponses()
+{
+    std::lock_guard guard(m_stopMutex);
+    auto until = base::MonotonicClock {}.now() + callerStopTimeout;
+    for (auto now = base::MonotonicClock {}.now(); m_unfinishedRequests && now < until; now = base::MonotonicClock {}.now())
+        m_responsesSent.waitFor(m_stopMutex, until - now);
+}
+
+template<CallerEventHandler Handler>
+uint16_t CallerServer<Handler>::port() const
+{
+    const auto* info = m_daemon ? MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT) : nullptr;
+    return info ? info->port : 0;
+}
+
 template<CallerEventHandler Handler>
 bool CallerServer<Handler>::start(const SocketAddress& address)
 {
+    m_isStopping = false;
     auto native = address.native();
     m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, address.port, nullptr, nullptr,
         &CallerServer<Handler>::onAccess, this,
@@ -119,8 +159,12 @@
     if (!request.seed && !request.resume)
         request.seed = request.id.value;
     connection->fingerprint = node::fingerprintOf(request);
-    m_connections.with(request.id.value, [&](ConnectionMap& connections) { connections.emplace(request.id, connection); });
-    m_handler.handle(request);
+    // Requests in the map before a stop visits it are ended by the stop, and later ones are refused here.
+    bool isAccepted = m_connections.with(request.id.value, [&](ConnectionMap& connections) { return !m_isStopping && connections.emplace(request.id, connection).second; });
+    if (isAccepted)
+        m_handler.handle(request);
+    else
+        setErrorResponse(*connection, { base::ResultCode::Draining, "this VM is shutting down" }, base::nameOf(node::RunState::NotRun));
     return queueResponse(connection);
 }
 
@@ -216,6 +260,8 @@
     }
     if (count)
         return static_cast<ssize_t>(count);
+    if (connection.isBroken)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
     if (connection.isEnded)
         return MHD_CONTENT_READER_END_OF_STREAM;
     connection.isSuspended = true;
@@ -239,7 +285,10 @@
     std::unique_ptr<ConnectionPointer> connection(static_cast<ConnectionPointer*>(*state));
     if (!connection || !(*connection)->hasStarted)
         return;
-    --server.m_unfinishedRequests;
+    if (!--server.m_unfinishedRequests && server.m_isStopping) {
+        std::lock_guard guard(server.m_stopMutex);
+        server.m_responsesSent.signal();
+    }
     auto id = (*connection)->id;
     if (!id.value)
         return;
