Lack of descriptors or memory at a node is no evidence against an upstream

What callers saw: while one node had no descriptor left, every connection it tried to open was taken for an unreachable upstream. The request went through the upstreams one by one, each was suspected as Unreachable, and the node shared this with all others, which then avoided healthy upstreams and suspected outages of their data centres. A probe that could not be opened did the same.

Cause: UpstreamConnection::connect returned only whether it had started, so EMFILE, ENFILE, ENOBUFS and ENOMEM of startConnect became AttemptOutcome::NotConnected or a failed probe.

Fix: connect returns ConnectStart, which tells a lack of resources from a failure. Exchange::attemptNotStarted releases the placement, makes no judgement of the upstream and does not count the attempt; the request waits as it does without a usable upstream, retries at each tick, and is refused with 503 NoUpstream as not run when the shortage outlasts that wait. A request that may have run, or a stream that has begun, ends as before when no upstream is left. Exchange::probeNotStarted leaves the state of the upstream as it is. Each session logs connect_without_resources once.

ConnectionPoolTest and LateResponseTest compare the result of connect with ConnectStart::Started, which is equally strict.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -133,6 +133,7 @@
     // A reused connection may break for unrelated reasons, which would count as another crash of the request.
     bool wasContacted = std::find(m_contacted.begin(), m_contacted.end(), placement.target.id) != m_contacted.end();
     parameters.allowsReusedConnection = !wasContacted && !isSuspect(now);
+    m_isFirstContact = !wasContacted;
     if (!wasContacted)
         m_contacted.push_back(placement.target.id);
     m_backupAddress.reset();
@@ -227,8 +228,25 @@
     return place(now, random);
 }
 
+Step Exchange::attemptNotStarted(base::Instant now)
+{
+    if (!m_placement)
+        return {};
+    release();
+    --m_sends;
+    if (m_isFirstContact)
+        m_contacted.pop_back();
+    if (m_noResourcesSince == base::Instant {})
+        m_noResourcesSince = now;
+    if (now - m_noResourcesSince >= scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare))
+        return giveUp(AttemptOutcome::NotConnected);
+    m_waitingSince = m_noResourcesSince;
+    return {};
+}
+
 void Exchange::recordAttemptEnd(AttemptOutcome outcome, base::Instant now)
 {
+    m_noResourcesSince = {};
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
         m_mayHaveRun = true;
@@ -329,6 +347,7 @@
 {
     m_isConnecting = false;
     m_isUnreachable = false;
+    m_noResourcesSince = {};
     m_lastActivity = now;
     if (m_placement)
         m_fleet.recordContact(m_placement->target, now);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -25,11 +25,16 @@
     Step begin(base::Instant now, uint64_t random);
     // Handles the end of the current attempt. Its connection must already be closed or released.
     Step attemptEnded(AttemptOutcome, base::Instant now, uint64_t random);
+    // Handles an attempt for which this node lacks the resources to connect: nothing was sent, and the upstream is not
+    // judged. The request waits for them as it waits for an upstream.
+    Step attemptNotStarted(base::Instant now);
     // Handles a request that was not run, possibly because the target could not reach the backup upstream. Sends it to
     // the same target again with another backup if the retry limits permit.
     Step backupRefused(base::Instant now, uint64_t random);
     // Handles the result of a probe of the current upstream. Returns Send if its attempt is abandoned for another one.
     Step probeEnded(bool isReachable, base::Instant now, uint64_t random);
+    // Handles a probe for which this node lacks the resources. It proves nothing.
+    void probeNotStarted() { m_isProbing = false; }
     // Handles timeouts. Must be called at least every few tens of milliseconds.
     Step tick(base::Instant now, uint64_t random);
 
@@ -139,6 +144,8 @@
     unsigned m_reachedAttempts = 0;
     bool m_areHeadersSent = false;
     bool m_isConnecting = false;
+    // Whether the current attempt is the first at its upstream.
+    bool m_isFirstContact = false;
     bool m_isProbing = false;
     // Whether the last probe of the current attempt failed and nothing was received since.
     bool m_isUnreachable = false;
@@ -154,6 +161,8 @@
     base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
+    // Since when this node lacks the resources to connect; zero if it has them.
+    base::Instant m_noResourcesSince {};
     base::Instant m_lastActivity {};
     // When the last event of the current attempt arrived, or when its first event began; zero before that.
     base::Instant m_lastProgress {};
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -73,6 +73,8 @@
     // Counts and logs that the current attempt was given up because its upstream is silent.
     void recordAbandonedAttempt();
     void endAttempt(forward::AttemptOutcome);
+    // Logs once that this node lacks the resources to connect.
+    void logNoResources();
     void finishBufferedResponse();
     void finishStream();
     forward::AttemptOutcome classifyResponse(const ResponseMetadata&) const;
@@ -132,6 +134,7 @@
     // Whether the connection to the upstream failed since the last event.
     bool m_isResuming = false;
     bool m_isPooledConnection = false;
+    bool m_isNoResourcesLogged = false;
     base::Instant m_firstSentAt {};
     base::Instant m_firstEventAt {};
     base::Instant m_lastEventAt {};
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -158,8 +158,18 @@
     m_upstream = std::make_unique<Upstream>(m_worker.loop(), parameters.placement.target);
     m_upstream->setOwner(this);
     m_exchange->recordConnecting();
-    if (!m_upstream->connect(now()))
+    switch (m_upstream->connect(now())) {
+    case ConnectStart::Started:
+        return;
+    case ConnectStart::Failed:
         endAttempt(forward::AttemptOutcome::NotConnected);
+        return;
+    case ConnectStart::NoResources:
+        logNoResources();
+        closeUpstream();
+        execute(m_exchange->attemptNotStarted(now()));
+        return;
+    }
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -201,8 +211,18 @@
 {
     m_probe = std::make_unique<Upstream>(m_worker.loop(), m_sendParameters.placement.target);
     m_probe->setOwner(this);
-    if (!m_probe->connect(now()))
+    switch (m_probe->connect(now())) {
+    case ConnectStart::Started:
+        return;
+    case ConnectStart::Failed:
         endFailedProbe();
+        return;
+    case ConnectStart::NoResources:
+        logNoResources();
+        m_worker.retire(std::move(m_probe));
+        m_exchange->probeNotStarted();
+        return;
+    }
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -7,6 +7,7 @@
 #include "log/LogLine.h"
 
 #include <glog/logging.h>
+#include <utility>
 
 namespace redwingseam::gateway {
 
@@ -66,6 +67,14 @@
     LOG(INFO) << line.text();
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::logNoResources()
+{
+    if (std::exchange(m_isNoResourcesLogged, true))
+        return;
+    LOG(WARNING) << log::LogLine("connect_without_resources").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).text();
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::recordAttempt(forward::AttemptOutcome outcome, const fleet::UpstreamInstance& upstream) const
 {
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -8,7 +8,8 @@
 
 namespace redwingseam::gateway {
 
-// Starts a non-blocking connect. Returns a closed socket if it fails immediately.
+// Starts a non-blocking connect. Returns a closed socket if it fails immediately; `isScarcity` tells from the value of
+// errno whether the process lacks the resources for it.
 base::FileDescriptor startConnect(const http::SocketAddress&);
 // Returns the error of a connect whose socket became writable; 0 if it is connected.
 int connectError(int descriptor);
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/ConnectStart.h"
 #include "gateway/ConnectionFailure.h"
 #include "gateway/EventLoop.h"
 #include "gateway/SocketCalls.h"
@@ -31,8 +32,8 @@
     UpstreamConnection(const UpstreamConnection&) = delete;
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
-    // Starts to connect. Returns false on an immediate failure.
-    bool connect(base::Instant now);
+    // Starts to connect.
+    ConnectStart connect(base::Instant now);
     // Writes a request once the connection is established. `headers` includes the request line. The response is reported
     // to the owner's callbacks.
     void send(std::string_view headers, std::string_view body, bool isHeadRequest);
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -2,21 +2,23 @@
 
 #include "gateway/UpstreamConnection.h"
 
+#include <cerrno>
+
 namespace redwingseam::gateway {
 
 template<typename Owner>
-bool UpstreamConnection<Owner>::connect(base::Instant now)
+ConnectStart UpstreamConnection<Owner>::connect(base::Instant now)
 {
     auto address = http::parseSocketAddress(m_instance.address);
     if (!address)
-        return false;
+        return ConnectStart::Failed;
     m_connectStartedAt = now;
     m_socket = startConnect(address.value());
     if (!m_socket.isOpen())
-        return false;
+        return isScarcity(errno) ? ConnectStart::NoResources : ConnectStart::Failed;
     m_eventHandler = { this, &UpstreamConnection::onEvents };
     m_loop.add(m_socket.descriptor(), m_eventHandler, EPOLLIN | EPOLLOUT);
-    return true;
+    return ConnectStart::Started;
 }
 
 template<typename Owner>
--- a/tests/ConnectionPoolTest.cpp
+++ b/tests/ConnectionPoolTest.cpp
@@ -58,7 +58,7 @@
     Listener upstream(4);
     auto idle = std::make_unique<Upstream>(loop, upstream.instance());
     auto now = base::BootClock {}.now();
-    CHECK_TRUE(idle->connect(now));
+    CHECK_TRUE(idle->connect(now) == gateway::ConnectStart::Started);
     base::FileDescriptor accepted(accept(upstream.socket.descriptor(), nullptr, nullptr));
     loop.runOnce(milliseconds(500));
     CHECK_TRUE(idle->isReusable());
@@ -77,7 +77,7 @@
     std::function<void()> replace = [&] {
         CHECK_TRUE(!pool.acquire(upstream.instance(), now));
         successor = std::make_unique<Upstream>(loop, full.instance());
-        CHECK_TRUE(successor->connect(now));
+        CHECK_TRUE(successor->connect(now) == gateway::ConnectStart::Started);
     };
     base::FileDescriptor trigger(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
     gateway::EventHandler handler { &replace, [](void* function, uint32_t) { (*static_cast<std::function<void()>*>(function))(); } };
--- a/tests/LateResponseTest.cpp
+++ b/tests/LateResponseTest.cpp
@@ -104,7 +104,7 @@
         auto connection = std::make_unique<gateway::UpstreamConnection<ConnectionOwner>>(loop, instance);
         connection->setOwner(&owner);
         owner.isConnected = false;
-        CHECK_TRUE(connection->connect(now));
+        CHECK_TRUE(connection->connect(now) == gateway::ConnectStart::Started);
         base::FileDescriptor peer(accept(listener.descriptor(), nullptr, nullptr));
         for (int i = 0; i < 100 && !owner.isConnected; ++i)
             loop.runOnce(std::chrono::milliseconds(10));
