BUDGET: let only an answered prompt clear its parts

Callers saw further upstreams crash on a part that had crashed one already: any response that could be delivered counted as progress, also an upstream's 4xx, which it may send before it reads the prompt, and a stream that ended without an event. A signed event stream without length or chunks that ended with its connection before any event was passed on as a complete, empty stream, although the engine may have crashed.

Now a 4xx ends an attempt with the outcome Rejected, which is delivered like Completed and clears the request but not its parts; on stream routes only an event clears parts; a stream cut off before any event is a loss, counted and retried.

Ruled out: taking any stream without an event for a loss. One with a length or chunks states its end itself.

--- a/src/forward/AttemptOutcome.h
+++ b/src/forward/AttemptOutcome.h
@@ -10,6 +10,8 @@
 enum class AttemptOutcome : uint8_t {
     // A complete response that can be delivered to the client.
     Completed,
+    // As Completed, but the response rejects the request, possibly before the upstream has read the prompt.
+    Rejected,
     // A complete response that reports a failure of the upstream. The request was run.
     UpstreamError,
     // No connection was established, so nothing was sent.
@@ -30,7 +32,7 @@
     Silent,
 };
 
-inline constexpr size_t attemptOutcomeCount = 10;
+inline constexpr size_t attemptOutcomeCount = 11;
 
 // Returns whether the request may have run in an attempt with this outcome.
 constexpr bool mayHaveRun(AttemptOutcome outcome)
@@ -42,6 +44,7 @@
     case AttemptOutcome::Misdirected:
         return false;
     case AttemptOutcome::Completed:
+    case AttemptOutcome::Rejected:
     case AttemptOutcome::UpstreamError:
     case AttemptOutcome::LostBeforeResponse:
     case AttemptOutcome::LostDuringResponse:
@@ -52,6 +55,12 @@
     return true;
 }
 
+// Returns whether the response can be delivered to the client.
+constexpr bool isDeliverable(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::Rejected;
+}
+
 } // namespace redwingseam::forward
 
 template<>
@@ -59,6 +68,7 @@
     using AttemptOutcome = redwingseam::forward::AttemptOutcome;
     static constexpr std::array entries {
         std::pair { AttemptOutcome::Completed, std::string_view { "answered" } },
+        std::pair { AttemptOutcome::Rejected, std::string_view { "answered-rejection" } },
         std::pair { AttemptOutcome::UpstreamError, std::string_view { "answered-failure" } },
         std::pair { AttemptOutcome::NotConnected, std::string_view { "not-connected" } },
         std::pair { AttemptOutcome::NotRun, std::string_view { "not-run" } },
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -194,6 +194,7 @@
     case AttemptOutcome::Silent:
         return fleet::SuspicionCause::Silent;
     case AttemptOutcome::Completed:
+    case AttemptOutcome::Rejected:
     case AttemptOutcome::UpstreamError:
     case AttemptOutcome::BackupMissing:
         break;
@@ -220,7 +221,7 @@
     if (outcome == AttemptOutcome::Silent)
         outcome = silentOutcome();
     recordAttemptEnd(outcome, now);
-    if (outcome == AttemptOutcome::Completed)
+    if (isDeliverable(outcome))
         return { StepKind::Deliver };
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
         return giveUp(outcome);
@@ -286,10 +287,11 @@
 
 void Exchange::updateCrashEvidence(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
 {
-    if (outcome == AttemptOutcome::Completed)
+    // An upstream may reject a request, or end its stream, before it reads a prompt part.
+    bool hasReadPrompt = outcome == AttemptOutcome::Completed && (!isStream() || m_hasEvent);
+    if (hasReadPrompt)
         recordProgress(now);
-    // An upstream may reject a request before it reads a prompt part.
-    if (outcome == AttemptOutcome::UpstreamError)
+    else if (isDeliverable(outcome) || outcome == AttemptOutcome::UpstreamError)
         m_crashes.requests.recordProgress(m_request.fingerprint);
     bool isLost = outcome == AttemptOutcome::LostBeforeResponse || outcome == AttemptOutcome::LostDuringResponse;
     if (!isLost || m_hasEvent)
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -127,6 +127,10 @@
     std::optional<BufferedResponse> m_failureResponse;
     forward::EventSplitter m_splitter;
     bool m_isEventStream = false;
+    // Whether the response states where it ends.
+    bool m_hasResponseLength = false;
+    // Whether the current attempt has brought an event, whether or not it was forwarded.
+    bool m_hasEventContent = false;
     bool m_keepsClientConnection = false;
     bool m_isEnded = false;
     // Whether the connection to the upstream failed since the last event.
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -146,6 +146,8 @@
     m_responseReservation.reset();
     m_isUpstreamPaused = false;
     m_isEventStream = false;
+    m_hasResponseLength = false;
+    m_hasEventContent = false;
     if (parameters.allowsReusedConnection)
         m_upstream = m_worker.connectionPool().acquire(parameters.placement.target, now());
     m_isPooledConnection = m_upstream != nullptr;
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -79,7 +79,7 @@
         line.with("backup", m_sendParameters.placement.backup->id.text);
     if (m_sendParameters.usesBackup)
         line.with("from_copy", 1);
-    if (m_exchange && outcome != forward::AttemptOutcome::Completed)
+    if (m_exchange && !forward::isDeliverable(outcome))
         line.with("fingerprint", m_exchange->request().fingerprint.value).with("parts", forward::formatParts(m_exchange->request().promptParts)).with("sent_ms", millisOf(now() - m_exchange->sentAt())).with("partial_bytes", m_response.body.size() + m_splitter.partialBytes());
     if (m_exchange && m_exchange->lastEventId())
         line.with("last_event", *m_exchange->lastEventId());
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -37,6 +37,7 @@
     m_responseMetadata = metadata;
     m_response.status = metadata.status;
     m_response.headers = headers;
+    m_hasResponseLength = hasLength;
     if (!hasLength)
         LOG(INFO) << log::LogLine("answer_without_length").with("request", m_requestMetadata.attempt.text).with("status", metadata.status).with("headers", serializeHeaders(headers)).text();
     m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned;
@@ -70,6 +71,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::forwardEvent(const forward::StreamEvent& event)
 {
+    m_hasEventContent = m_hasEventContent || event.hasContent;
     auto last = m_exchange->lastEventId();
     if (event.id && last && *event.id <= *last) {
         LOG(WARNING) << log::LogLine("event_repeated").with("request", m_requestMetadata.attempt.text).with("event_id", *event.id).with("last_event", *last).text();
@@ -127,7 +129,9 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::finishStream()
 {
-    if (m_splitter.hasPartial()) {
+    // The end of the connection alone does not tell a stream without events from a crash.
+    bool isCutOff = !m_hasResponseLength && !m_hasEventContent;
+    if (isCutOff || m_splitter.hasPartial()) {
         endAttempt(forward::AttemptOutcome::LostDuringResponse);
         return;
     }
@@ -164,7 +168,7 @@
     // Only events can continue a stream that the client is reading.
     if (m_exchange->areHeadersSent())
         return AttemptOutcome::Malformed;
-    return AttemptOutcome::Completed;
+    return metadata.status / 100 == 2 ? AttemptOutcome::Completed : AttemptOutcome::Rejected;
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -180,7 +184,7 @@
     // Only a complete response to this request may be delivered later.
     if (outcome == forward::AttemptOutcome::UpstreamError)
         m_failureResponse = std::move(m_response);
-    if (outcome != forward::AttemptOutcome::Completed)
+    if (!forward::isDeliverable(outcome))
         m_response = {};
     if (isPossibleBackupRefusal) {
         execute(m_exchange->backupRefused(now(), random()));
--- a/src/report/RequestTimeline.cpp
+++ b/src/report/RequestTimeline.cpp
@@ -114,7 +114,7 @@
 {
     std::string text;
     for (const auto& requestEvent : m_requestEvents) {
-        if (requestEvent.event != "attempt_ended" || requestEvent.outcome == "answered")
+        if (requestEvent.event != "attempt_ended" || requestEvent.outcome == "answered" || requestEvent.outcome == "answered-rejection")
             continue;
         text += (text.empty() ? "" : "; ") + requestEvent.upstream + " " + requestEvent.outcome;
         for (const auto& context : m_contextEvents) {
--- /dev/null
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -0,0 +1,55 @@
+#include "base/Hash.h"
+#include "fakes/GatewayFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace redwingseam;
+using fakes::FleetFixture;
+using fakes::GatewayFixture;
+using fakes::ScriptedUpstream;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(DeadlyPartEvidence) {
+    static std::vector<base::PromptPartHash> partOf(const std::string& service) {
+        return { { base::hashCombine(base::hashBytes("dead"), base::hashBytes(service)) } };
+}
+
+static void crash(GatewayFixture& gateway, const std::string& service, uint64_t number)
+{
+    auto now = base::BootClock {}.now();
+    gateway.state.crashes.parts.recordCrash({ 0, { number }, { "x" + std::to_string(number) }, partOf(service), now - milliseconds(50), now }, now);
+}
+}
+;
+
+// An upstream rejects a malformed request before it reads the prompt.
+TEST(DeadlyPartEvidence, RejectionByAnUpstreamDoesNotClearADeadlyPart)
+{
+    ScriptedUpstream upstream({ { "HTTP/1.1 400 Bad Request\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nContent-Length: 3\r\n\r\nbad" } });
+    GatewayFixture gateway;
+    gateway.addUpstream("d1", "desk", upstream);
+    crash(gateway, "desk", 1);
+    CHECK_TRUE(gateway.exchange(GatewayFixture::post("/book/x", "b", "Redwingseam-Prompt-Prefix: dead:7,cc:1\r\n")).find(" 400 ") != std::string::npos);
+    base::BootClock clock;
+    for (auto until = clock.now() + milliseconds(600); clock.now() < until;)
+        poll(nullptr, 0, 50);
+    crash(gateway, "desk", 2);
+    CHECK_TRUE(gateway.state.crashes.parts.isQuarantined(partOf("desk")));
+}
+
+// A stream without length or chunks whose engine crashes before the first event.
+TEST(DeadlyPartEvidence, StreamThatEndsWithoutAnEventDoesNotClearADeadlyPart)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    ScriptedUpstream upstream({ { head, true }, { head, true }, { head, true }, { head, true }, { head, true }, { head, true } });
+    GatewayFixture gateway;
+    gateway.addUpstream("e1", "engines", upstream);
+    crash(gateway, "engines", 1);
+    auto response = gateway.exchange(GatewayFixture::post("/stream/x", "b", "Redwingseam-Prompt-Prefix: dead:7,cc:1\r\n"));
+    base::BootClock clock;
+    for (auto until = clock.now() + milliseconds(600); clock.now() < until;)
+        poll(nullptr, 0, 50);
+    crash(gateway, "engines", 2);
+    CHECK_TRUE(gateway.state.crashes.parts.isQuarantined(partOf("engines")));
+}
