BUDGET: check the quarantine before a refused backup's resend

A stream whose upstream could not reach the backup was sent to it again even if one of its parts, or the request, had been quarantined meanwhile: callers could see one more upstream crash. Exchange::backupRefused checked the retry budget and the number of attempts only. It now asks isRetryAllowed like all other retries.

Evidence: RefusalOfABackupDoesNotSendAQuarantinedPartAgain fails on (StepKind::Send) and passes now. Ruled out: a resend by replaceSilentAttempt or attemptEnded; both ask isRetryAllowed already.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -312,8 +312,10 @@
     if (m_placement->backup)
         m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
     ++m_reachedAttempts;
-    if (!m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now) || m_reachedAttempts >= m_policy.maxReachedAttempts)
-        return giveUp(AttemptOutcome::NotRun);
+    // A part may have been quarantined while the upstream tried to reach the backup.
+    auto outcome = AttemptOutcome::NotRun;
+    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
+        return giveUp(outcome);
     m_fleet.replaceBackup(*m_placement, query(now, random));
     return send(*m_placement, now);
 }
--- a/tests/DeadlyPartEvidenceTest.cpp
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -10,18 +10,19 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_GROUP(DeadlyPartEvidence) {
-    static std::vector<base::PromptPartHash> partOf(const std::string& service) {
+TEST_GROUP(DeadlyPartEvidence)
+{
+    static std::vector<base::PromptPartHash> partOf(const std::string& service)
+    {
         return { { base::hashCombine(base::hashBytes("dead"), base::hashBytes(service)) } };
-}
+    }
 
-static void crash(GatewayFixture& gateway, const std::string& service, uint64_t number)
-{
-    auto now = base::BootClock {}.now();
-    gateway.state.crashes.parts.recordCrash({ 0, { number }, { "x" + std::to_string(number) }, partOf(service), now - milliseconds(50), now }, now);
-}
-}
-;
+    static void crash(GatewayFixture & gateway, const std::string& service, uint64_t number)
+    {
+        auto now = base::BootClock {}.now();
+        gateway.state.crashes.parts.recordCrash({ 0, { number }, { "x" + std::to_string(number) }, partOf(service), now - milliseconds(50), now }, now);
+    }
+};
 
 // An upstream rejects a malformed request before it reads the prompt.
 TEST(DeadlyPartEvidence, RejectionByAnUpstreamDoesNotClearADeadlyPart)
@@ -53,3 +54,21 @@
     crash(gateway, "engines", 2);
     CHECK_TRUE(gateway.state.crashes.parts.isQuarantined(partOf("engines")));
 }
+
+TEST(DeadlyPartEvidence, RefusalOfABackupDoesNotSendAQuarantinedPartAgain)
+{
+    FleetFixture fixture;
+    fixture.addEngines();
+    auto request = fixture.makeRequest("/stream/x");
+    request.promptParts = { { 100 }, { 200 } };
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    auto start = fixture.clock.now();
+    CHECK_TRUE(exchange.begin(start, 1).kind == forward::StepKind::Send);
+    forward::PartReports reports;
+    for (uint64_t i = 0; i < 3; ++i)
+        reports.crashes.push_back({ i + 1, { 500 + i }, { "x" + std::to_string(i) }, request.promptParts, start + milliseconds(200 * i), start + milliseconds(200 * i + 100) });
+    fixture.crashes.parts.apply(reports, start);
+    fixture.advance(milliseconds(1000));
+    CHECK_TRUE(fixture.crashes.parts.isQuarantined(request.promptParts));
+    CHECK_FALSE(exchange.backupRefused(fixture.clock.now(), 1).kind == forward::StepKind::Send);
+}
