BUDGET: clear parts on machines that booted after the crashes

Instants count from the boot of the machine, so a crash that another node reports can be before zero. A part without progress had the progress instant zero, which is later than such a crash, and a send before zero was taken for one at zero. A part with progress in a trial stayed quarantined: callers of a node on a new machine were refused although the part was sound again.

The instants of the last progress and of the last trial are optional now, and the latest send starts from the first one.

Ruled out: an offset for the clock; ages travel between the nodes and are right.

--- a/src/forward/BlameAnalysis.cpp
+++ b/src/forward/BlameAnalysis.cpp
@@ -76,7 +76,8 @@
     for (const auto& crash : event.lost) {
         size_t position = 0;
         for (auto cause : causesOf(crash)) {
-            sentAt[cause] = std::max(sentAt[cause], crash.sentAt);
+            auto& latest = sentAt.try_emplace(cause, crash.sentAt).first->second;
+            latest = std::max(latest, crash.sentAt);
             auto& explanation = explanations[cause];
             explanation.blame.cause = cause;
             explanation.position = std::max(explanation.position, position++);
--- a/src/forward/PartEvidence.cpp
+++ b/src/forward/PartEvidence.cpp
@@ -11,11 +11,10 @@
     std::vector<base::PromptPartHash> unproven;
     for (auto part : crash.parts) {
         auto progressAt = lastProgress(part);
-        bool hasProgress = progressAt != base::Instant {};
-        if (hasProgress && progressAt >= crash.lostAt)
+        if (progressAt >= crash.lostAt)
             continue;
         withoutProgressSince.push_back(part);
-        if (!hasProgress || crash.lostAt - progressAt > soundnessPeriod)
+        if (!progressAt || crash.lostAt - *progressAt > soundnessPeriod)
             unproven.push_back(part);
     }
     return unproven.empty() ? withoutProgressSince : unproven;
--- a/src/forward/PartEvidence.h
+++ b/src/forward/PartEvidence.h
@@ -3,11 +3,13 @@
 #include "forward/PartCrash.h"
 
 #include <functional>
+#include <optional>
 
 namespace redwingseam::forward {
 
-// Returns when a request with the part last made progress, or a zero Instant if none did.
-using LastProgress = std::function<base::Instant(base::PromptPartHash)>;
+// Returns when a request with the part last made progress, or nullopt if none did. A crash that another node reports may
+// precede the boot of this machine, from which the clock counts.
+using LastProgress = std::function<std::optional<base::Instant>(base::PromptPartHash)>;
 
 // Whether progress shortly before a crash, or after it, speaks for the part.
 inline constexpr base::Duration soundnessPeriod = std::chrono::seconds(60);
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -81,7 +81,7 @@
 {
     return withState(part, [&](States& states) {
         auto& state = stateIn(states, part);
-        state.lastProgressAt = std::max(state.lastProgressAt, at);
+        state.lastProgressAt = std::max(state.lastProgressAt, std::optional(at));
         return state.isPossibleCause;
     });
 }
@@ -132,7 +132,7 @@
         return until;
     for (auto part : parts) {
         if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
-            until = std::max(until.value_or(base::Instant {}), TrialSchedule::nextTrialAt(state));
+            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state)));
     }
     return until;
 }
@@ -171,7 +171,7 @@
 {
     withState(trial.part, [&](States& states) {
         if (auto found = states.find(trial.part); found != states.end())
-            found->second.lastTrialAt = std::max(found->second.lastTrialAt, trial.startedAt);
+            found->second.lastTrialAt = std::max(found->second.lastTrialAt, std::optional(trial.startedAt));
     });
 }
 
@@ -211,8 +211,8 @@
             reports.crashes.push_back(std::move(causes));
     }
     for (auto part : quarantined) {
-        if (auto state = stateOf(part); state.lastTrialAt != base::Instant {})
-            reports.trials.push_back({ part, state.lastTrialAt });
+        if (auto state = stateOf(part); state.lastTrialAt)
+            reports.trials.push_back({ part, *state.lastTrialAt });
     }
     return reports;
 }
@@ -223,7 +223,7 @@
     if (blame.cause.kind != CauseKind::PromptPart)
         return false;
     auto progressAt = stateOf({ blame.cause.value }).lastProgressAt;
-    bool isProven = progressAt != base::Instant {} && blame.lastCrashAt - progressAt <= soundnessPeriod;
+    bool isProven = progressAt && blame.lastCrashAt - *progressAt <= soundnessPeriod;
     if (isProven)
         return blame.crashes >= provenThreshold;
     return blame.crashes >= ambiguousThreshold || blame.unambiguousCrashes >= unambiguousThreshold;
@@ -239,7 +239,7 @@
         state.crashes = blame.crashes;
         state.lastCrashAt = blame.lastCrashAt;
         if (judgement.verdict != PartVerdict::Quarantined)
-            state.lastTrialAt = {};
+            state.lastTrialAt.reset();
         return previous;
     });
     bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
--- a/src/forward/PartState.h
+++ b/src/forward/PartState.h
@@ -3,19 +3,21 @@
 #include "forward/PartVerdict.h"
 #include "redwingseam/base/Instant.h"
 
+#include <optional>
+
 namespace redwingseam::forward {
 
 // What a node knows of one prompt part.
 struct PartState {
-    // When a request with the part last made progress on any node; zero if none is known.
-    base::Instant lastProgressAt {};
+    // When a request with the part last made progress on any node, if that is known.
+    std::optional<base::Instant> lastProgressAt;
     // Whether there was a crash of a request with the part since.
     bool isPossibleCause = false;
     PartVerdict verdict = PartVerdict::Sound;
     // The next fields are set only for a quarantined part.
     unsigned crashes = 0;
     base::Instant lastCrashAt {};
-    base::Instant lastTrialAt {};
+    std::optional<base::Instant> lastTrialAt;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/TrialSchedule.cpp
+++ b/src/forward/TrialSchedule.cpp
@@ -18,7 +18,7 @@
     static constexpr unsigned minCrashes = 2;
     for (auto crashes = minCrashes; crashes < state.crashes; ++crashes)
         interval *= growth;
-    return std::max(state.lastCrashAt, state.lastTrialAt) + interval;
+    return std::max(state.lastCrashAt, state.lastTrialAt.value_or(state.lastCrashAt)) + interval;
 }
 
 bool TrialSchedule::isTurn(base::PromptPartHash part, const PartState& state, base::Instant now) const
--- a/tests/DeadlyPartEvidenceTest.cpp
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -72,3 +72,20 @@
     CHECK_TRUE(fixture.crashes.parts.isQuarantined(request.promptParts));
     CHECK_FALSE(exchange.backupRefused(fixture.clock.now(), 1).kind == forward::StepKind::Send);
 }
+
+// The clock of a machine counts from its boot, so a crash before the boot has a negative time.
+TEST(DeadlyPartEvidence, MachineThatBootedAfterTheCrashesClearsAPartToo)
+{
+    forward::PartRegister parts;
+    base::Instant now { seconds(10) };
+    const std::vector<base::PromptPartHash> part { { 7 } };
+    forward::PartReports reports;
+    for (uint64_t i = 0; i < 3; ++i)
+        reports.crashes.push_back({ i + 1, { i + 1 }, { "e" + std::to_string(i) }, part, now - seconds(100 - static_cast<int>(i)), now - seconds(99 - static_cast<int>(i)) });
+    parts.apply(reports, now);
+    CHECK_TRUE(parts.isQuarantined(part));
+    now += seconds(60);
+    CHECK_TRUE(parts.tryBeginTrial(part, now));
+    parts.recordProgress(part, now + seconds(1));
+    CHECK_FALSE(parts.isQuarantined(part));
+}
