BUDGET: do not hold the lock of the reports across the analysis

PartRegister::recordCrash judged all parts anew while it held the mutex of the reports, so takeReports, which sends the notices to the other nodes, and the trials waited for it.

Found by reading. No test: the only effect is time on the wall clock. Ruled out: a deadlock; m_mutex is always locked before the other one.

--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -48,9 +48,11 @@
     if (!addCrash(crash, now))
         return;
     LOG(WARNING) << log::LogLine("prompt_parts_suspected").with("parts", formatParts(crash.parts)).with("upstream", crash.upstream.text).with("ran_ms", millis(crash.lostAt - crash.sentAt)).text();
-    std::lock_guard reportsGuard(m_reportsMutex);
-    if (m_reports.crashes.size() < maxReports)
-        m_reports.crashes.push_back(std::move(crash));
+    {
+        std::lock_guard reportsGuard(m_reportsMutex);
+        if (m_reports.crashes.size() < maxReports)
+            m_reports.crashes.push_back(std::move(crash));
+    }
     updateVerdicts();
 }
 
