BUDGET: let each wrong quarantine of a part end

A release that crashes on every request condemns the parts that all requests share. After seven crashes a part was never tried again, and the retention of 12 hours was applied only when another crash was recorded: callers were refused long after the release was rolled back. For a part that had been proven the interval grew without a bound too.

The intervals are a table now: 4 s to 4 min up to the fifth crash, then 8 min and 1 h, then past the retention, so that a deadly part has three trials after its fifth crash. A part that has made progress before is tried after 30 s at most. Crashes whose retention has passed are removed whenever a trial is considered or a reply of another node arrives, and are not taken over from another node.

--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -56,10 +56,18 @@
     updateVerdicts();
 }
 
+bool PartRegister::removeOldCrashes(base::Instant now)
+{
+    return std::erase_if(m_evidence.crashes, [&](const PartCrash& crash) { return now - crash.lostAt > retention; }) > 0;
+}
+
 bool PartRegister::addCrash(const PartCrash& crash, base::Instant now)
 {
+    // Another node may report a crash that this one has removed.
+    if (now - crash.lostAt > retention)
+        return false;
+    removeOldCrashes(now);
     auto& crashes = m_evidence.crashes;
-    std::erase_if(crashes, [&](const PartCrash& known) { return now - known.lostAt > retention; });
     if (std::any_of(crashes.begin(), crashes.end(), [&](const PartCrash& known) { return known.id == crash.id; }))
         return false;
     evictCrashIfFull();
@@ -141,6 +149,11 @@
 
 bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
 {
+    {
+        std::lock_guard guard(m_mutex);
+        if (removeOldCrashes(now))
+            updateVerdicts();
+    }
     std::vector<PartTrial> trials;
     for (auto part : parts) {
         auto verdict = PartVerdict::Sound;
@@ -179,9 +192,9 @@
 
 void PartRegister::apply(const PartReports& reports, base::Instant now)
 {
-    if (reports.isEmpty())
-        return;
     std::lock_guard guard(m_mutex);
+    if (!removeOldCrashes(now) && reports.isEmpty())
+        return;
     for (const auto& clearance : reports.clearances) {
         if (addProgress(clearance.part, clearance.progressAt))
             addClearance(clearance);
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -81,6 +81,8 @@
     }
 
     PartState stateOf(base::PromptPartHash);
+    // Removes the crashes whose retention has passed. Returns whether there were any.
+    bool removeOldCrashes(base::Instant now);
     // Returns whether the crash was not known before.
     bool addCrash(const PartCrash&, base::Instant now);
     // Returns whether the part was a possible cause of a crash until then.
--- a/src/forward/TrialSchedule.cpp
+++ b/src/forward/TrialSchedule.cpp
@@ -12,12 +12,9 @@
 
 base::Instant TrialSchedule::nextTrialAt(const PartState& state)
 {
-    if (state.crashes >= maxCrashes)
-        return base::Instant::max();
-    auto interval = firstInterval;
     static constexpr unsigned minCrashes = 2;
-    for (auto crashes = minCrashes; crashes < state.crashes; ++crashes)
-        interval *= growth;
+    auto step = std::min<size_t>(std::max(state.crashes, minCrashes) - minCrashes, intervals.size() - 1);
+    auto interval = state.lastProgressAt ? std::min(intervals[step], maxProvenInterval) : intervals[step];
     return std::max(state.lastCrashAt, state.lastTrialAt.value_or(state.lastCrashAt)) + interval;
 }
 
--- a/src/forward/TrialSchedule.h
+++ b/src/forward/TrialSchedule.h
@@ -3,13 +3,14 @@
 #include "forward/PartState.h"
 #include "redwingseam/base/Ids.h"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
 namespace redwingseam::forward {
 
 // Decides when and on which node one request with a quarantined part is tried again. The time between two trials grows
-// with each crash. One node after the other gets its turn, so that the nodes do not start trials at the same time.
+// with each crash, slowly for a part that has made progress before: upstreams may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials at the same time.
 // Thread-safe.
 class TrialSchedule {
 public:
@@ -19,13 +20,19 @@
     static base::Instant nextTrialAt(const PartState&);
     bool isTurn(base::PromptPartHash, const PartState&, base::Instant now) const;
 
-    // After this many crashes a part is not tried any more.
-    static constexpr unsigned maxCrashes = 7;
-
 private:
-    // An upstream that a part crashed needs about this long until it runs again.
-    static constexpr base::Duration firstInterval = std::chrono::seconds(4);
-    static constexpr unsigned growth = 4;
+    // The time to the next trial after two crashes, three and so on. An upstream that a part crashed needs about the first
+    // until it runs again. The last exceeds the retention of crashes, which then ends the quarantine.
+    static constexpr std::array<base::Duration, 7> intervals {
+        std::chrono::seconds(4),
+        std::chrono::seconds(16),
+        std::chrono::seconds(64),
+        std::chrono::minutes(4),
+        std::chrono::minutes(8),
+        std::chrono::hours(1),
+        std::chrono::hours(12),
+    };
+    static constexpr base::Duration maxProvenInterval = std::chrono::seconds(30);
     // The number of nodes that may start a trial doubles this often: at first one, which may receive no request with the
     // part. Longer than a report takes to reach all nodes.
     static constexpr base::Duration turnDuration = std::chrono::milliseconds(1000);
--- a/tests/DeadlyPartEvidenceTest.cpp
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -10,19 +10,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_GROUP(DeadlyPartEvidence)
-{
-    static std::vector<base::PromptPartHash> partOf(const std::string& service)
-    {
+TEST_GROUP(DeadlyPartEvidence) {
+    static std::vector<base::PromptPartHash> partOf(const std::string& service) {
         return { { base::hashCombine(base::hashBytes("dead"), base::hashBytes(service)) } };
-    }
+}
 
-    static void crash(GatewayFixture & gateway, const std::string& service, uint64_t number)
-    {
-        auto now = base::BootClock {}.now();
-        gateway.state.crashes.parts.recordCrash({ 0, { number }, { "x" + std::to_string(number) }, partOf(service), now - milliseconds(50), now }, now);
-    }
-};
+static void crash(GatewayFixture& gateway, const std::string& service, uint64_t number)
+{
+    auto now = base::BootClock {}.now();
+    gateway.state.crashes.parts.recordCrash({ 0, { number }, { "x" + std::to_string(number) }, partOf(service), now - milliseconds(50), now }, now);
+}
+}
+;
 
 // An upstream rejects a malformed request before it reads the prompt.
 TEST(DeadlyPartEvidence, RejectionByAnUpstreamDoesNotClearADeadlyPart)
