BUDGET: make trials without a result rarer

A trial whose client leaves before the upstream crashes records nothing, so the next one was due after the same interval: 15 trials in a minute of a part that had crashed two upstreams, each of which may crash one more. The interval counts the trials since the last crash as further steps now, to 1 h at most; a crash starts the count anew, since it moves the step itself. Reports of one trial by several nodes count once.

Evidence: TrialsWithoutAResultBecomeRarer fails on (15 trials in 60 s, 3 allowed) and passes now. Ruled out: counting a trial without a result as a crash; it would quarantine parts for good that clients merely cancel.

--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -165,6 +165,7 @@
             if (!m_trials.isTurn(part, found->second, now))
                 return false;
             found->second.lastTrialAt = now;
+            ++found->second.trials;
             return true;
         });
         if (!isTurn)
@@ -185,8 +186,14 @@
 void PartRegister::addTrial(const PartTrial& trial)
 {
     withState(trial.part, [&](States& states) {
-        if (auto found = states.find(trial.part); found != states.end())
-            found->second.lastTrialAt = std::max(found->second.lastTrialAt, std::optional(trial.startedAt));
+        auto found = states.find(trial.part);
+        if (found == states.end())
+            return;
+        auto& state = found->second;
+        bool isAfterCrash = trial.startedAt >= state.lastCrashAt;
+        bool isNew = !state.lastTrialAt || trial.startedAt - *state.lastTrialAt >= TrialSchedule::minInterval;
+        state.trials += isAfterCrash && isNew;
+        state.lastTrialAt = std::max(state.lastTrialAt, std::optional(trial.startedAt));
     });
 }
 
@@ -251,10 +258,14 @@
         auto& state = stateIn(states, part);
         auto previous = std::exchange(state.verdict, judgement.verdict);
         state.isPossibleCause = judgement.isPossibleCause;
+        if (blame.lastCrashAt != state.lastCrashAt)
+            state.trials = 0;
         state.crashes = blame.crashes;
         state.lastCrashAt = blame.lastCrashAt;
-        if (judgement.verdict != PartVerdict::Quarantined)
+        if (judgement.verdict != PartVerdict::Quarantined) {
             state.lastTrialAt.reset();
+            state.trials = 0;
+        }
         return previous;
     });
     bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
--- a/src/forward/PartState.h
+++ b/src/forward/PartState.h
@@ -18,6 +18,8 @@
     unsigned crashes = 0;
     base::Instant lastCrashAt {};
     std::optional<base::Instant> lastTrialAt;
+    // Trials since the last crash.
+    unsigned trials = 0;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/TrialSchedule.cpp
+++ b/src/forward/TrialSchedule.cpp
@@ -13,7 +13,8 @@
 base::Instant TrialSchedule::nextTrialAt(const PartState& state)
 {
     static constexpr unsigned minCrashes = 2;
-    auto step = std::min<size_t>(std::max(state.crashes, minCrashes) - minCrashes, intervals.size() - 1);
+    auto crashStep = std::min<size_t>(std::max(state.crashes, minCrashes) - minCrashes, intervals.size() - 1);
+    auto step = std::max(crashStep, std::min<size_t>(crashStep + state.trials, lastStepOfTrials));
     auto interval = state.lastProgressAt ? std::min(intervals[step], maxProvenInterval) : intervals[step];
     return std::max(state.lastCrashAt, state.lastTrialAt.value_or(state.lastCrashAt)) + interval;
 }
--- a/src/forward/TrialSchedule.h
+++ b/src/forward/TrialSchedule.h
@@ -10,7 +10,7 @@
 namespace redwingseam::forward {
 
 // Decides when and on which node one request with a quarantined part is tried again. The time between two trials grows
-// with each crash, slowly for a part that has made progress before: upstreams may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials at the same time.
+// with each crash, and with each trial that had no result, slowly for a part that has made progress before: upstreams may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials at the same time.
 // Thread-safe.
 class TrialSchedule {
 public:
@@ -20,6 +20,9 @@
     static base::Instant nextTrialAt(const PartState&);
     bool isTurn(base::PromptPartHash, const PartState&, base::Instant now) const;
 
+    // Two reports of trials of a part that are closer together are of the same trial: nodes differ a little about its time.
+    static constexpr base::Duration minInterval = std::chrono::seconds(2);
+
 private:
     // The time to the next trial after two crashes, three and so on. An upstream that a part crashed needs about the first
     // until it runs again. The last exceeds the retention of crashes, which then ends the quarantine.
@@ -32,6 +35,8 @@
         std::chrono::hours(1),
         std::chrono::hours(12),
     };
+    // Trials without a result delay the next one by no more than this step.
+    static constexpr size_t lastStepOfTrials = 5;
     static constexpr base::Duration maxProvenInterval = std::chrono::seconds(30);
     // The number of nodes that may start a trial doubles this often: at first one, which may receive no request with the
     // part. Longer than a report takes to reach all nodes.
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -69,6 +69,21 @@
     CHECK_FALSE(parts.isQuarantined(shared) && !parts.tryBeginTrial(shared, now));
 }
 
+// The client of a trial may leave before the upstream crashes, and no crash is recorded.
+TEST(PartQuarantineHealing, TrialsWithoutAResultBecomeRarer)
+{
+    PartRegister parts;
+    parts.recordProgress(Parts { { 1 } }, now);
+    for (uint64_t i = 0; i < 2; ++i)
+        crash(parts, "e" + std::to_string(i), { { 1 }, { 7 } });
+    unsigned trials = 0;
+    for (int step = 0; step < 600; ++step) {
+        now += milliseconds(100);
+        trials += parts.tryBeginTrial(Parts { { 7 } }, now);
+    }
+    CHECK_TRUE(trials <= 3);
+}
+
 // Requests that took two seconds to read were in flight when the third crash condemned the shared part.
 TEST(PartQuarantineHealing, SharedPartHealsWhenRequestsInFlightCrashToo)
 {
