BUDGET: begin a trial only when its request is sent

A request became the trial of a quarantined part before an upstream was chosen. If it then waited in the queue, was refused by a node that stops, found no upstream, could not connect, or its client left, the turn was used up: callers were refused for another interval although nothing had been tried.

A request that waits only asks whether a trial is due and begins it when it is sent. An attempt that did not connect, or that the upstream did not run, gives the turn back. Other nodes that have heard of it wait for their interval.

Ruled out: telling the other nodes of the withdrawal. It would need a new message, and this node tries again at once.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -21,6 +21,8 @@
 Exchange::~Exchange()
 {
     leaveQueue();
+    if (m_placement && m_isConnecting)
+        cancelTrial();
     release();
 }
 
@@ -81,10 +83,25 @@
 {
     if (!m_crashes.parts.isQuarantined(m_request.promptParts))
         return true;
-    if (m_sends)
+    return !m_sends && m_crashes.parts.isTrialDue(m_request.promptParts, now);
+}
+
+// A request that still waits to be sent does not hold up the trial of another one.
+bool Exchange::tryBeginTrial(base::Instant now)
+{
+    if (m_sends || !m_crashes.parts.isQuarantined(m_request.promptParts))
+        return true;
+    if (!m_crashes.parts.tryBeginTrial(m_request.promptParts, now))
         return false;
-    m_isTrial = m_isTrial || m_crashes.parts.tryBeginTrial(m_request.promptParts, now);
-    return m_isTrial;
+    m_trialAt = now;
+    return true;
+}
+
+void Exchange::cancelTrial()
+{
+    if (m_trialAt)
+        m_crashes.parts.cancelTrial(m_request.promptParts, *m_trialAt);
+    m_trialAt.reset();
 }
 
 bool Exchange::isSuspect(base::Instant now)
@@ -125,6 +142,11 @@
 
 Step Exchange::send(fleet::Placement placement, base::Instant now)
 {
+    if (!tryBeginTrial(now)) {
+        m_fleet.release(placement);
+        m_waitingSince = {};
+        return refuseQuarantined(now);
+    }
     SendParameters parameters;
     parameters.usesBackup = m_backupAddress && placement.target.address == *m_backupAddress;
     parameters.placement = placement;
@@ -233,6 +255,8 @@
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
         m_mayHaveRun = true;
+    } else if (!m_mayHaveRun) {
+        cancelTrial();
     }
     if (outcome == AttemptOutcome::UpstreamError)
         m_hasFailureResponse = true;
@@ -312,6 +336,8 @@
     if (m_placement->backup)
         m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
     ++m_reachedAttempts;
+    if (!m_mayHaveRun)
+        cancelTrial();
     // A part may have been quarantined while the upstream tried to reach the backup.
     auto outcome = AttemptOutcome::NotRun;
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -92,8 +92,12 @@
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
     Step refuseDraining() const;
-    // Returns whether the request may be sent: none of its prompt parts is quarantined, or it is a trial.
+    // Returns whether the request may be sent: none of its prompt parts is quarantined, or it may be sent as a trial.
     bool maySend(base::Instant now);
+    // As maySend, for a request that is about to be sent: begins the trial if it is one.
+    bool tryBeginTrial(base::Instant now);
+    // Lets another request be the trial if this one has not reached an upstream.
+    void cancelTrial();
     bool isSuspect(base::Instant now);
     Step refuseQuarantined(base::Instant now) const;
     void recordProgress(base::Instant now);
@@ -149,8 +153,8 @@
     bool m_hasFailureResponse = false;
     // Whether the current attempt has delivered an event.
     bool m_hasEvent = false;
-    // Whether the request tries a quarantined prompt part.
-    bool m_isTrial = false;
+    // When the request was sent to try a quarantined prompt part.
+    std::optional<base::Instant> m_trialAt;
     base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -147,13 +147,23 @@
     return until;
 }
 
-bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
+bool PartRegister::isTrialDue(Parts parts, base::Instant now)
 {
     {
         std::lock_guard guard(m_mutex);
         if (removeOldCrashes(now))
             updateVerdicts();
     }
+    return std::all_of(parts.begin(), parts.end(), [&](auto part) {
+        auto state = stateOf(part);
+        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, now);
+    });
+}
+
+bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
+{
+    if (!isTrialDue(parts, now))
+        return false;
     std::vector<PartTrial> trials;
     for (auto part : parts) {
         auto verdict = PartVerdict::Sound;
@@ -183,6 +193,23 @@
     return true;
 }
 
+void PartRegister::cancelTrial(Parts parts, base::Instant startedAt)
+{
+    for (auto part : parts) {
+        withState(part, [&](States& states) {
+            auto found = states.find(part);
+            if (found == states.end() || found->second.lastTrialAt != startedAt)
+                return;
+            found->second.lastTrialAt.reset();
+            found->second.trials -= std::min(1U, found->second.trials);
+        });
+    }
+    std::lock_guard guard(m_reportsMutex);
+    std::erase_if(m_reports.trials, [&](const PartTrial& trial) {
+        return trial.startedAt == startedAt && std::find(parts.begin(), parts.end(), trial.part) != parts.end();
+    });
+}
+
 void PartRegister::addTrial(const PartTrial& trial)
 {
     withState(trial.part, [&](States& states) {
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -33,8 +33,12 @@
     bool isQuarantined(Parts);
     // Returns when a request with the parts may be tried again, if one of them is quarantined.
     std::optional<base::Instant> quarantinedUntil(Parts);
-    // Returns whether this node may send a request with quarantined parts as a trial, and records the trial if so.
+    // Returns whether this node may send a request with quarantined parts as a trial.
+    bool isTrialDue(Parts, base::Instant now);
+    // As isTrialDue, and records the trial if it is due.
     bool tryBeginTrial(Parts, base::Instant now);
+    // Withdraws a trial that this node began at `startedAt` if the request was not sent after all.
+    void cancelTrial(Parts, base::Instant startedAt);
     TrialSchedule& trials() { return m_trials; }
 
     // Applies the reports of another node.
