--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -21,6 +21,8 @@
 Exchange::~Exchange()
 {
     leaveQueue();
+    if (m_placement && m_isConnecting)
+        cancelTrial();
     release();
 }
 
@@ -81,10 +83,25 @@
 {
     if (!m_crashes.parts.isQuarantined(m_request.promptParts))
         return true;
-    if (m_sends)
+    return !m_sends && m_crashes.parts.isTrialDue(m_request.promptParts, now);
+}
+
+// A request that still waits to be sent does not hold up the trial of another one.
+bool Exchange::tryBeginTrial(base::Instant now)
+{
+    if (m_sends || !m_crashes.parts.isQuarantined(m_request.promptParts))
+        return true;
+    if (!m_crashes.parts.tryBeginTrial(m_request.promptParts, now))
         return false;
-    m_isTrial = m_isTrial || m_crashes.parts.tryBeginTrial(m_request.promptParts, now);
-    return m_isTrial;
+    m_trialAt = now;
+    return true;
+}
+
+void Exchange::cancelTrial()
+{
+    if (m_trialAt)
+        m_crashes.parts.cancelTrial(m_request.promptParts, *m_trialAt);
+    m_trialAt.reset();
 }
 
 bool Exchange::isSuspect(base::Instant now)
@@ -125,6 +142,11 @@
 
 Step Exchange::send(fleet::Placement placement, base::Instant now)
 {
+    if (!tryBeginTrial(now)) {
+        m_fleet.release(placement);
+        m_waitingSince = {};
+        return refuseQuarantined(now);
+    }
     SendParameters parameters;
     parameters.usesBackup = m_backupAddress && placement.target.address == *m_backupAddress;
     parameters.placement = placement;
@@ -196,6 +218,7 @@
     case AttemptOutcome::Silent:
         return fleet::SuspicionCause::Silent;
     case AttemptOutcome::Completed:
+    case AttemptOutcome::Rejected:
     case AttemptOutcome::UpstreamError:
     case AttemptOutcome::BackupMissing:
         break;
@@ -222,7 +245,7 @@
     if (outcome == AttemptOutcome::Silent)
         outcome = silentOutcome();
     recordAttemptEnd(outcome, now);
-    if (outcome == AttemptOutcome::Completed)
+    if (isDeliverable(outcome))
         return { StepKind::Deliver };
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
         return giveUp(outcome);
@@ -251,6 +274,8 @@
     if (mayHaveRun(outcome)) {
         ++m_possibleRuns;
         m_mayHaveRun = true;
+    } else if (!m_mayHaveRun) {
+        cancelTrial();
     }
     if (outcome == AttemptOutcome::UpstreamError)
         m_hasFailureResponse = true;
@@ -305,10 +330,11 @@
 
 void Exchange::updateCrashEvidence(AttemptOutcome outcome, const fleet::UpstreamInstance& upstream, base::Instant now)
 {
-    if (outcome == AttemptOutcome::Completed)
+    // An upstream may reject a request, or end its stream, before it reads a prompt part.
+    bool hasReadPrompt = outcome == AttemptOutcome::Completed && (!isStream() || m_hasEvent);
+    if (hasReadPrompt)
         recordProgress(now);
-    // An upstream may reject a request before it reads a prompt part.
-    if (outcome == AttemptOutcome::UpstreamError)
+    else if (isDeliverable(outcome) || outcome == AttemptOutcome::UpstreamError)
         m_crashes.requests.recordProgress(m_request.fingerprint);
     bool isLost = outcome == AttemptOutcome::LostBeforeResponse || outcome == AttemptOutcome::LostDuringResponse;
     if (!isLost || m_hasEvent)
@@ -329,8 +355,12 @@
     if (m_placement->backup)
         m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
     ++m_reachedAttempts;
-    if (!m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now) || m_reachedAttempts >= m_policy.maxReachedAttempts)
-        return giveUp(AttemptOutcome::NotRun);
+    if (!m_mayHaveRun)
+        cancelTrial();
+    // A part may have been quarantined while the upstream tried to reach the backup.
+    auto outcome = AttemptOutcome::NotRun;
+    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
+        return giveUp(outcome);
     m_fleet.replaceBackup(*m_placement, query(now, random));
     return send(*m_placement, now);
 }
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -48,16 +48,26 @@
     if (!addCrash(crash, now))
         return;
     LOG(WARNING) << log::LogLine("prompt_parts_suspected").with("parts", formatParts(crash.parts)).with("upstream", crash.upstream.text).with("ran_ms", millis(crash.lostAt - crash.sentAt)).text();
-    std::lock_guard reportsGuard(m_reportsMutex);
-    if (m_reports.crashes.size() < maxReports)
-        m_reports.crashes.push_back(std::move(crash));
+    {
+        std::lock_guard reportsGuard(m_reportsMutex);
+        if (m_reports.crashes.size() < maxReports)
+            m_reports.crashes.push_back(std::move(crash));
+    }
     updateVerdicts();
 }
 
+bool PartRegister::removeOldCrashes(base::Instant now)
+{
+    return std::erase_if(m_evidence.crashes, [&](const PartCrash& crash) { return now - crash.lostAt > retention; }) > 0;
+}
+
 bool PartRegister::addCrash(const PartCrash& crash, base::Instant now)
 {
+    // Another node may report a crash that this one has removed.
+    if (now - crash.lostAt > retention)
+        return false;
+    removeOldCrashes(now);
     auto& crashes = m_evidence.crashes;
-    std::erase_if(crashes, [&](const PartCrash& known) { return now - known.lostAt > retention; });
     if (std::any_of(crashes.begin(), crashes.end(), [&](const PartCrash& known) { return known.id == crash.id; }))
         return false;
     evictCrashIfFull();
@@ -81,7 +91,7 @@
 {
     return withState(part, [&](States& states) {
         auto& state = stateIn(states, part);
-        state.lastProgressAt = std::max(state.lastProgressAt, at);
+        state.lastProgressAt = std::max(state.lastProgressAt, std::optional(at));
         return state.isPossibleCause;
     });
 }
@@ -132,13 +142,28 @@
         return until;
     for (auto part : parts) {
         if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
-            until = std::max(until.value_or(base::Instant {}), TrialSchedule::nextTrialAt(state));
+            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state)));
     }
     return until;
 }
 
+bool PartRegister::isTrialDue(Parts parts, base::Instant now)
+{
+    {
+        std::lock_guard guard(m_mutex);
+        if (removeOldCrashes(now))
+            updateVerdicts();
+    }
+    return std::all_of(parts.begin(), parts.end(), [&](auto part) {
+        auto state = stateOf(part);
+        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, now);
+    });
+}
+
 bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
 {
+    if (!isTrialDue(parts, now))
+        return false;
     std::vector<PartTrial> trials;
     for (auto part : parts) {
         auto verdict = PartVerdict::Sound;
@@ -150,6 +175,7 @@
             if (!m_trials.isTurn(part, found->second, now))
                 return false;
             found->second.lastTrialAt = now;
+            ++found->second.trials;
             return true;
         });
         if (!isTurn)
@@ -167,19 +193,42 @@
     return true;
 }
 
+void PartRegister::cancelTrial(Parts parts, base::Instant startedAt)
+{
+    for (auto part : parts) {
+        withState(part, [&](States& states) {
+            auto found = states.find(part);
+            if (found == states.end() || found->second.lastTrialAt != startedAt)
+                return;
+            found->second.lastTrialAt.reset();
+            found->second.trials -= std::min(1U, found->second.trials);
+        });
+    }
+    std::lock_guard guard(m_reportsMutex);
+    std::erase_if(m_reports.trials, [&](const PartTrial& trial) {
+        return trial.startedAt == startedAt && std::find(parts.begin(), parts.end(), trial.part) != parts.end();
+    });
+}
+
 void PartRegister::addTrial(const PartTrial& trial)
 {
     withState(trial.part, [&](States& states) {
-        if (auto found = states.find(trial.part); found != states.end())
-            found->second.lastTrialAt = std::max(found->second.lastTrialAt, trial.startedAt);
+        auto found = states.find(trial.part);
+        if (found == states.end())
+            return;
+        auto& state = found->second;
+        bool isAfterCrash = trial.startedAt >= state.lastCrashAt;
+        bool isNew = !state.lastTrialAt || trial.startedAt - *state.lastTrialAt >= TrialSchedule::minInterval;
+        state.trials += isAfterCrash && isNew;
+        state.lastTrialAt = std::max(state.lastTrialAt, std::optional(trial.startedAt));
     });
 }
 
 void PartRegister::apply(const PartReports& reports, base::Instant now)
 {
-    if (reports.isEmpty())
-        return;
     std::lock_guard guard(m_mutex);
+    if (!removeOldCrashes(now) && reports.isEmpty())
+        return;
     for (const auto& clearance : reports.clearances) {
         if (addProgress(clearance.part, clearance.progressAt))
             addClearance(clearance);
@@ -211,8 +260,8 @@
             reports.crashes.push_back(std::move(causes));
     }
     for (auto part : quarantined) {
-        if (auto state = stateOf(part); state.lastTrialAt != base::Instant {})
-            reports.trials.push_back({ part, state.lastTrialAt });
+        if (auto state = stateOf(part); state.lastTrialAt)
+            reports.trials.push_back({ part, *state.lastTrialAt });
     }
     return reports;
 }
@@ -223,7 +272,7 @@
     if (blame.cause.kind != CauseKind::PromptPart)
         return false;
     auto progressAt = stateOf({ blame.cause.value }).lastProgressAt;
-    bool isProven = progressAt != base::Instant {} && blame.lastCrashAt - progressAt <= soundnessPeriod;
+    bool isProven = progressAt && blame.lastCrashAt - *progressAt <= soundnessPeriod;
     if (isProven)
         return blame.crashes >= provenThreshold;
     return blame.crashes >= ambiguousThreshold || blame.unambiguousCrashes >= unambiguousThreshold;
@@ -236,10 +285,14 @@
         auto& state = stateIn(states, part);
         auto previous = std::exchange(state.verdict, judgement.verdict);
         state.isPossibleCause = judgement.isPossibleCause;
+        if (blame.lastCrashAt != state.lastCrashAt)
+            state.trials = 0;
         state.crashes = blame.crashes;
         state.lastCrashAt = blame.lastCrashAt;
-        if (judgement.verdict != PartVerdict::Quarantined)
-            state.lastTrialAt = {};
+        if (judgement.verdict != PartVerdict::Quarantined) {
+            state.lastTrialAt.reset();
+            state.trials = 0;
+        }
         return previous;
     });
     bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
--- a/src/forward/TrialSchedule.cpp
+++ b/src/forward/TrialSchedule.cpp
@@ -12,13 +12,11 @@
 
 base::Instant TrialSchedule::nextTrialAt(const PartState& state)
 {
-    if (state.crashes >= maxCrashes)
-        return base::Instant::max();
-    auto interval = firstInterval;
     static constexpr unsigned minCrashes = 2;
-    for (auto crashes = minCrashes; crashes < state.crashes; ++crashes)
-        interval *= growth;
-    return std::max(state.lastCrashAt, state.lastTrialAt) + interval;
+    auto crashStep = std::min<size_t>(std::max(state.crashes, minCrashes) - minCrashes, intervals.size() - 1);
+    auto step = std::max(crashStep, std::min<size_t>(crashStep + state.trials, lastStepOfTrials));
+    auto interval = state.lastProgressAt ? std::min(intervals[step], maxProvenInterval) : intervals[step];
+    return std::max(state.lastCrashAt, state.lastTrialAt.value_or(state.lastCrashAt)) + interval;
 }
 
 bool TrialSchedule::isTurn(base::PromptPartHash part, const PartState& state, base::Instant now) const
