--- a/tests/DeadlyPartEvidenceTest.cpp
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -88,3 +88,25 @@
     parts.recordProgress(part, now + seconds(1));
     CHECK_FALSE(parts.isQuarantined(part));
 }
+
+// One account sends requests that crash upstreams by their body, and names a part of another account.
+TEST(DeadlyPartEvidence, AccountCannotBlockAPartOfAnotherAccount)
+{
+    FleetFixture fixture;
+    fixture.addEngines();
+    for (int i = 0; i < 2; ++i) {
+        auto hostile = fixture.makeRequest("/stream/x");
+        hostile.client = { "hostile" };
+        hostile.promptParts = { { 300 } };
+        forward::Exchange exchange(hostile, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
+        fixture.advance(milliseconds(1600));
+        exchange.attemptEnded(forward::AttemptOutcome::LostDuringResponse, fixture.clock.now(), 1);
+        fixture.advance(milliseconds(100));
+    }
+    auto victim = fixture.makeRequest("/stream/x");
+    victim.client = { "victim" };
+    victim.promptParts = { { 300 } };
+    forward::Exchange exchange(victim, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
+}
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -1,4 +1,4 @@
-#include "forward/PartRegister.h"
+#include "fakes/FakePeerCluster.h"
 
 #include <CppUTest/TestHarness.h>
 #include <chrono>
@@ -108,3 +108,63 @@
     }
     CHECK_TRUE(isServed);
 }
+
+// A quiet node knows no progress of its own. The others had progress after each crash, and before its notice arrived.
+TEST(PartQuarantineHealing, QuietNodeDoesNotBlockAPartThatItsNeighboursServe)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2", "a3", "a4" })
+        cluster.add(name, "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts shared { { 1 } };
+    auto serveElsewhere = [&] {
+        for (size_t i : { 0, 3 })
+            cluster.nodes[i]->crashes.parts.recordProgress(shared, cluster.now);
+    };
+    for (uint64_t i = 0; i < 8; ++i) {
+        for (int step = 0; step < 30; ++step) {
+            serveElsewhere();
+            cluster.run(milliseconds(20));
+        }
+        // The notice waits for the next tick, up to 50 ms later, and the neighbours go on meanwhile.
+        serveElsewhere();
+        auto lostAt = cluster.now - milliseconds(30);
+        cluster.nodes[1]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, { { 1 }, { 70 + i % 3 } }, lostAt - milliseconds(300), lostAt }, lostAt);
+    }
+    for (int step = 0; step < 200; ++step) {
+        serveElsewhere();
+        cluster.run(milliseconds(20));
+    }
+    CHECK_FALSE(cluster.nodes[2]->crashes.parts.isQuarantined(shared));
+}
+
+// Nodes that disagree send each other their evidence with every query.
+TEST(PartQuarantineHealing, NodesAgreeOnAPartThatOneOfThemHasServed)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2", "a3", "a4" })
+        cluster.add(name, "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts part { { 1 } };
+    cluster.nodes[0]->crashes.parts.recordProgress(part, cluster.now);
+    for (uint64_t i = 0; i < 3; ++i) {
+        cluster.nodes[1]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, part, cluster.now, cluster.now + milliseconds(1) }, cluster.now);
+        cluster.run(milliseconds(700));
+    }
+    cluster.run(seconds(5));
+    bool first = cluster.nodes[0]->crashes.parts.isQuarantined(part);
+    for (const auto& node : cluster.nodes)
+        CHECK_TRUE(node->crashes.parts.isQuarantined(part) == first);
+}
+
+// Prompt affinity sends the requests of one session to the same broken upstream.
+TEST(PartQuarantineHealing, OneBrokenUpstreamDoesNotCondemnAPart)
+{
+    PartRegister parts;
+    parts.recordProgress(Parts { { 1 } }, now);
+    crash(parts, "broken", { { 1 }, { 7 } });
+    crash(parts, "broken", { { 1 }, { 7 } });
+    CHECK_FALSE(parts.isQuarantined(Parts { { 7 } }));
+}
