--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -21,6 +21,8 @@
 
 
 class Deployment:
+    started = []
+
     def __init__(self, gateway_zones):
         """`gateway_zones`: the zone of each gateway, in order."""
         self.gateway_zones = gateway_zones
@@ -29,7 +31,7 @@
         self.gateways = []
         self.store_proxies = {}
         self.version = 0
-        self.acknowledged = {}
+        Deployment.started.append(self)
         # A /24 of the loopback range for this run.
         self.net = "127.%d.%d" % (random.randint(10, 250), random.randint(0, 250))
 
