--- a/review/5/run.py
+++ b/review/5/run.py
@@ -69,7 +69,7 @@
             sent[attempt] = (time.monotonic(), gateway.name)
             answer = await client.request("GET", HOST, f"/lookup/{attempt}", attempt, KEY, 3000)
             by_status[answer.status] = by_status.get(answer.status, 0) + 1
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.04)
         client.close()
 
     async def replace_workers():
