--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -13,6 +13,7 @@
 
 #include <concepts>
 #include <map>
+#include <optional>
 
 namespace redwingseam::replication {
 
@@ -75,6 +76,10 @@
     OutgoingMessages receive(const FailureNotice&, base::Instant now);
     // Returns whether this hub may ask its neighbour about quarantined prompt parts, as it does after a restart.
     bool lacksQuarantine(const StateQuery&) const;
+    // A line for each manifest or full list that is sent or received, with its size.
+    static void logSentState(const StateQuery&, const StateReply&);
+    // `sinceQuery` is not set if the query has expired, so that the reply is not used.
+    static void logReceivedState(const StateReply&, std::optional<base::Duration> sinceQuery);
     void applyManifest(const StateReply&, base::Instant queriedAt);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -221,6 +221,7 @@
     if (query.quarantineHash != m_crashes.parts.quarantineHash())
         reply.parts = m_crashes.parts.evidence();
     reply.quarantined = m_crashes.requests.quarantinedRequests(now);
+    logSentState(query, reply);
     OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
     bool mayAskBack = m_role.isHub() && isSameDataCentre && now - m_lastNeighbourQuery >= hubQueryInterval;
     if (mayAskBack && (isNewerThanOwn(query, now) || lacksQuarantine(query))) {
@@ -274,6 +275,7 @@
 {
     m_directory.recordMessageFrom(reply.from, now);
     auto pending = m_pendingQueries.extract(reply.sequence);
+    logReceivedState(reply, pending.empty() ? std::nullopt : std::optional(now - pending.mapped()));
     if (pending.empty())
         return {};
     applyManifest(reply, pending.mapped());
@@ -290,6 +292,37 @@
     return {};
 }
 
+inline bool carriesState(const StateReply& reply)
+{
+    return !reply.manifestText.empty() || reply.list;
+}
+
+inline log::LogLine stateLine(const char* event, const char* peerField, const sync::NodeRecord& peer, const StateReply& reply)
+{
+    log::LogLine line(event);
+    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.manifestText.size());
+    line.with("upstreams", reply.list ? reply.list->upstreams.size() : 0);
+    return line;
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::logSentState(const StateQuery& query, const StateReply& reply)
+{
+    if (carriesState(reply))
+        LOG(INFO) << stateLine("peer_state_sent", "to", query.from, reply).with("version_held", query.manifestVersion).text();
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::logReceivedState(const StateReply& reply, std::optional<base::Duration> sinceQuery)
+{
+    if (!carriesState(reply))
+        return;
+    auto line = stateLine("peer_state_received", "from", reply.from, reply);
+    if (sinceQuery)
+        line.with("took_ms", static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(*sinceQuery).count()));
+    LOG(INFO) << line.with("is_expired", sinceQuery ? "no" : "yes").text();
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt)
 {
