--- a/tests/fakes/FakeManifestParser.h
+++ b/tests/fakes/FakeManifestParser.h
@@ -5,7 +5,7 @@
 
 namespace redwingseam::fakes {
 
-// Parses a text that holds only the version into a manifest of that version.
+// Parses a text that begins with the version into a manifest of that version.
 struct FakeManifestParser {
     static base::Result<manifest::Manifest> parse(const std::string& text)
     {
--- a/tests/fakes/FakePeerCluster.h
+++ b/tests/fakes/FakePeerCluster.h
@@ -3,18 +3,21 @@
 #include "fakes/PeerNode.h"
 #include "replication/MessageCodec.h"
 
+#include <algorithm>
 #include <deque>
+#include <map>
 #include <set>
 
 namespace redwingseam::fakes {
 
 // Simulates the exchange between nodes in virtual time. Messages pass through the codec and arrive
-// after `delay`.
+// after `delay`, or later over a link with a limited rate, which all messages to a node share equally.
 struct FakePeerCluster {
     struct MessageInTransit {
         base::Instant arrivesAt;
         std::string address;
         std::string bytes;
+        size_t bytesToTransfer = 0;
     };
 
     std::vector<std::unique_ptr<PeerNode>> nodes;
@@ -23,6 +26,10 @@
     base::Instant now { std::chrono::seconds(100) };
     base::Duration delay = std::chrono::milliseconds(1);
     size_t bytesSent = 0;
+    // Bytes per second of the links with a limited rate, by the address of the receiver.
+    std::map<std::string, size_t> linkRates;
+    // Messages to these addresses that are larger than the limit are lost.
+    std::map<std::string, size_t> lossLimits;
 
     PeerNode& add(const std::string& name, const std::string& dataCentre)
     {
@@ -42,8 +49,39 @@
     void send(const replication::OutgoingMessages& outgoing)
     {
         for (const auto& item : outgoing) {
-            messagesInTransit.push_back({ now + delay, item.address, replication::formatMessage(item.message, now) });
-            bytesSent += messagesInTransit.back().bytes.size();
+            auto bytes = replication::formatMessage(item.message, now);
+            bytesSent += bytes.size();
+            auto lossLimit = lossLimits.find(item.address);
+            if (lossLimit != lossLimits.end() && bytes.size() > lossLimit->second)
+                continue;
+            auto toTransfer = linkRates.count(item.address) ? bytes.size() : 0;
+            messagesInTransit.push_back({ now + delay, item.address, std::move(bytes), toTransfer });
+        }
+    }
+
+    // Moves the bytes of one millisecond over the links with a limited rate.
+    void transferBytes()
+    {
+        for (const auto& [address, rate] : linkRates) {
+            std::vector<MessageInTransit*> sharing;
+            for (auto& message : messagesInTransit) {
+                if (message.address == address && message.bytesToTransfer)
+                    sharing.push_back(&message);
+            }
+            for (auto* message : sharing)
+                message->bytesToTransfer -= std::min(message->bytesToTransfer, rate / 1000 / sharing.size() + 1);
+        }
+    }
+
+    bool hasArrived(const MessageInTransit& message) const { return !message.bytesToTransfer && message.arrivesAt <= now; }
+
+    void deliverArrived()
+    {
+        auto next = [&] { return std::find_if(messagesInTransit.begin(), messagesInTransit.end(), [&](const auto& message) { return hasArrived(message); }); };
+        for (auto found = next(); found != messagesInTransit.end(); found = next()) {
+            auto message = std::move(*found);
+            messagesInTransit.erase(found);
+            deliver(message);
         }
     }
 
@@ -51,11 +89,8 @@
     {
         auto end = now + duration;
         for (base::Instant nextTick = now; now < end; now += std::chrono::milliseconds(1)) {
-            while (!messagesInTransit.empty() && messagesInTransit.front().arrivesAt <= now) {
-                auto message = messagesInTransit.front();
-                messagesInTransit.pop_front();
-                deliver(message);
-            }
+            transferBytes();
+            deliverArrived();
             if (now < nextTick)
                 continue;
             nextTick += std::chrono::milliseconds(50);
--- a/tests/fakes/PeerNode.h
+++ b/tests/fakes/PeerNode.h
@@ -19,9 +19,14 @@
         return { { { "e1" }, { "engines" }, "127.0.0.1:1", { "dc-a" }, 1, 6, false }, { { "e2" }, { "engines" }, "127.0.0.1:2", { "dc-b" }, 1, 6, false } };
     }
 
-    void confirm(uint64_t version, base::Instant readBegan)
+    void confirm(uint64_t version, base::Instant readBegan) { confirm(std::to_string(version), readBegan); }
+    // `text` begins with the version.
+    void confirm(const std::string& text, base::Instant readBegan) { manifest.update(FakeManifestParser::parse(text).value(), text, readBegan); }
+
+    uint64_t manifestVersion() const
     {
-        manifest.update(FakeManifestParser::parse(std::to_string(version)).value(), std::to_string(version), readBegan);
+        auto state = manifest.state();
+        return state.index ? state.index->manifest().version : 0;
     }
 
     sync::NodeRecord record;
