PeerSync: request full state once at a time

Cause: a node asks its hub each 250 ms and says which version it holds, and each reply held the whole newer text again until it had arrived. A text of 0.86 MB takes 0.7 s on a link of 10 Mbit/s, so copies travelled side by side, each slower than the one before. Replies that took over 2 s were thrown away, so that the node asked for ever. The copies filled the links, on which clients' requests and upstreams' answers travel too, and the memory of both ends. Class of fault: a repetition that does not know what is on its way.

Change: replies to the usual queries hold versions and differences only. A node that sees that another one has newer state asks that one for it, one transfer at a time, from whichever node answered first; a transfer without a result is repeated after 2 s, 4 s, 8 s and so on, and a late one is used. Nodes that start follow the same path, which replaces the limit of 100 ms (a start behind a slow link was sent up to seven copies). The full list of upstreams had the same cause and has the same mend. State that cannot be read is not requested again with each query.

Ruled out: old manifests held by requests in flight, and parsing, as the cause of the growth: neither makes a hub send 10 MB/s. Nodes of the earlier release still send and are sent state with each reply.

--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -48,7 +48,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState });
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -208,6 +208,8 @@
     query.listAge = reader.hasMore() ? parseAge(reader) : base::Duration::max();
     if (reader.hasMore())
         query.quarantineHash = reader.number(UINT64_MAX);
+    // An older sender expects the full state whenever it wants state.
+    query.wantsFullState = reader.hasMore() ? reader.flag() : query.wantsState;
     return query;
 }
 
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -8,6 +8,8 @@
 #include "replication/NodeDirectory.h"
 #include "replication/OutgoingMessage.h"
 #include "replication/PeerLoadTable.h"
+#include "replication/PendingQuery.h"
+#include "replication/StateTransfer.h"
 #include "sync/NodeRole.h"
 #include "sync/UpstreamListCache.h"
 
@@ -58,10 +60,11 @@
     static constexpr base::Duration minFresherBy = std::chrono::milliseconds(500);
     // Longer than within a data centre, because traffic between data centres is billed.
     static constexpr base::Duration remoteQueryInterval = std::chrono::milliseconds(500);
-    // Applies until the node has a manifest and a list. A reply from the hub takes a few milliseconds.
+    // Applies until the node has a manifest and a list. A reply without state takes a few milliseconds.
     static constexpr base::Duration startupQueryInterval = std::chrono::milliseconds(100);
     static constexpr base::Duration silentNodeQueryInterval = std::chrono::milliseconds(2000);
-    // Later replies are ignored, since the reply to the next query contains everything that they do.
+    // Later replies are ignored unless they carry full state, since the reply to the next query contains everything that
+    // they do.
     static constexpr base::Duration replyTimeout = std::chrono::milliseconds(2000);
     // Entries expire only after several missed heartbeats, so no entry of a list that was confirmed more recently than
     // this can have expired.
@@ -80,7 +83,8 @@
     static void logSentState(const StateQuery&, const StateReply&);
     // `sinceQuery` is not set if the query has expired, so that the reply is not used.
     static void logReceivedState(const StateReply&, std::optional<base::Duration> sinceQuery);
-    void applyManifest(const StateReply&, base::Instant queriedAt);
+    // Returns false if the manifest's text cannot be read.
+    bool applyManifest(const StateReply&, base::Instant queriedAt);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
     void addListTo(const StateQuery&, StateReply&);
@@ -93,7 +97,12 @@
     OutgoingMessage makeQuery(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
     // Returns whether this node has both a manifest and a list of upstreams.
     bool hasState() const { return m_manifest.state().index && m_upstreamCache.snapshot(); }
-    bool shouldRequestState(const sync::NodeRecord&, base::Instant now);
+    // Returns whether the sender has a newer manifest or list that its reply does not include.
+    bool lacksStateOf(const StateReply&) const;
+    // Returns the load that a query to `node` reports.
+    fleet::LoadMap loadsFor(const sync::NodeRecord& node, base::Instant now);
+    fleet::LoadMap dataCentreLoads(base::Instant now);
+    OutgoingMessage makeFullStateQuery(const sync::NodeRecord&, base::Instant now);
     bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
     void updateRole(base::Instant now);
 
@@ -107,12 +116,12 @@
     PeerLoadTable m_peerLoads;
     std::map<base::DataCentreName, LoadFilter> m_loadFilters;
     uint64_t m_sequence = 0;
-    std::map<uint64_t, base::Instant> m_pendingQueries;
+    std::map<uint64_t, PendingQuery> m_pendingQueries;
+    StateTransfer m_stateTransfer;
     base::Instant m_lastTick {};
     base::Instant m_lastHubQuery {};
     base::Instant m_lastRemoteQuery {};
     base::Instant m_lastSilentNodeQuery {};
-    base::Instant m_lastStateRequest {};
     base::Instant m_lastNeighbourQuery {};
     bool m_hasNodeList = false;
 };
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -20,6 +20,19 @@
 {
 }
 
+inline bool carriesState(const StateReply& reply)
+{
+    return !reply.manifestText.empty() || reply.list;
+}
+
+inline log::LogLine stateLine(const char* event, const char* peerField, const sync::NodeRecord& peer, const StateReply& reply)
+{
+    log::LogLine line(event);
+    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.manifestText.size());
+    line.with("upstreams", reply.list ? reply.list->upstreams.size() : 0);
+    return line;
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::setNodes(const std::vector<sync::NodeRecord>& nodes)
 {
@@ -62,7 +75,7 @@
     OutgoingMessages outgoing;
     m_lastTick = now;
     updateRole(now);
-    std::erase_if(m_pendingQueries, [&](const auto& item) { return now - item.second > replyTimeout; });
+    std::erase_if(m_pendingQueries, [&](const auto& item) { return now - item.second.sentAt > item.second.timeout; });
     m_peerLoads.removeExpired(now);
     if (!notice.isEmpty())
         sendFailureNotice(outgoing, notice, now);
@@ -88,24 +101,40 @@
     query.listRevision = snapshot ? snapshot->list->revision : 0;
     query.listAge = snapshot ? now - snapshot->confirmedAt : base::Duration {};
     query.loads = std::move(loads);
-    query.wantsState = shouldRequestState(node, now);
     query.nodeCount = m_directory.size();
     query.quarantineHash = m_crashes.parts.quarantineHash();
-    m_pendingQueries[query.sequence] = now;
+    m_pendingQueries[query.sequence] = { now, replyTimeout };
     return { node.peerAddress, std::move(query) };
 }
 
 template<ManifestParser Parser>
-bool PeerSync<Parser>::shouldRequestState(const sync::NodeRecord& node, base::Instant now)
+OutgoingMessage PeerSync<Parser>::makeFullStateQuery(const sync::NodeRecord& node, base::Instant now)
 {
-    if (hasState())
-        return true;
-    // Without a limit, a node without state would receive the full state from each node that it queries.
-    bool isAwaitingState = now - m_lastStateRequest < startupQueryInterval;
-    if (isAwaitingState || (m_directory.hasLivePeer(now) && !m_directory.isLive(node.name, now)))
-        return false;
-    m_lastStateRequest = now;
-    return true;
+    auto message = makeQuery(node, loadsFor(node, now), now);
+    auto& query = std::get<StateQuery>(message.message);
+    query.wantsFullState = true;
+    m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
+    m_stateTransfer.begin(query.sequence, now);
+    return message;
+}
+
+template<ManifestParser Parser>
+fleet::LoadMap PeerSync<Parser>::loadsFor(const sync::NodeRecord& node, base::Instant now)
+{
+    if (isNeighbour(node))
+        return m_role.isHub() ? fleet::LoadMap {} : m_fleet.localLoads();
+    return m_role.isHub() ? filterLoads(dataCentreLoads(now), node.dataCentre) : fleet::LoadMap {};
+}
+
+// The load of this data centre is that of the hub itself and its neighbours.
+template<ManifestParser Parser>
+fleet::LoadMap PeerSync<Parser>::dataCentreLoads(base::Instant now)
+{
+    PeerLoadTable loads;
+    loads.set("self", m_fleet.localLoads(), now);
+    for (const auto& node : m_directory.liveNeighbours(now))
+        loads.set(node.name.text, m_peerLoads.reportOf(node.name.text), now);
+    return loads.sum(now);
 }
 
 template<ManifestParser Parser>
@@ -129,12 +158,7 @@
     // At startup every node considers itself a hub until it receives messages from others.
     if (!hasState() && !m_directory.isFirstKnownNodeOfDataCentre())
         return;
-    // The load of this data centre is that of the hub itself and its neighbours.
-    PeerLoadTable dataCentreLoads;
-    dataCentreLoads.set("self", m_fleet.localLoads(), now);
-    for (const auto& node : m_directory.liveNeighbours(now))
-        dataCentreLoads.set(node.name.text, m_peerLoads.reportOf(node.name.text), now);
-    auto loads = dataCentreLoads.sum(now);
+    auto loads = dataCentreLoads(now);
     for (const auto& dataCentre : m_directory.otherDataCentres()) {
         if (auto hub = m_directory.findHub(dataCentre, now))
             outgoing.push_back(makeQuery(*hub, filterLoads(loads, dataCentre), now));
@@ -198,7 +222,7 @@
     if (manifest.index) {
         reply.manifestVersion = manifest.index->manifest().version;
         reply.manifestAge = now - manifest.confirmedAt;
-        if (query.wantsState && reply.manifestVersion > query.manifestVersion && manifest.text)
+        if (query.wantsFullState && reply.manifestVersion > query.manifestVersion && manifest.text)
             reply.manifestText = *manifest.text;
     }
     if (auto snapshot = m_upstreamCache.snapshot()) {
@@ -256,7 +280,7 @@
     // it is, which is safe.
     if (reply.delta && reply.delta->toRevision != reply.listRevision)
         reply.delta.reset();
-    if (!reply.delta)
+    if (!reply.delta && query.wantsFullState)
         reply.list = *m_upstreamCache.snapshot()->list;
     if (reply.list)
         reply.listRevision = reply.list->revision;
@@ -275,11 +299,15 @@
 {
     m_directory.recordMessageFrom(reply.from, now);
     auto pending = m_pendingQueries.extract(reply.sequence);
-    logReceivedState(reply, pending.empty() ? std::nullopt : std::optional(now - pending.mapped()));
+    logReceivedState(reply, pending.empty() ? std::nullopt : std::optional(now - pending.mapped().sentAt));
     if (pending.empty())
         return {};
-    applyManifest(reply, pending.mapped());
-    applyList(reply, pending.mapped());
+    auto queriedAt = pending.mapped().sentAt;
+    bool isReadable = applyManifest(reply, queriedAt);
+    applyList(reply, queriedAt);
+    // State that cannot be read is not requested again at once.
+    if (isReadable)
+        m_stateTransfer.recordReply(reply.sequence, carriesState(reply));
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
     m_crashes.parts.apply(reply.parts, now);
@@ -289,20 +317,20 @@
         m_fleet.setPeerLoads(reply.loads);
         m_role.setDeputy(reply.isDeputy);
     }
-    return {};
-}
-
-inline bool carriesState(const StateReply& reply)
-{
-    return !reply.manifestText.empty() || reply.list;
+    OutgoingMessages outgoing;
+    if (lacksStateOf(reply) && !m_stateTransfer.isInProgress(now))
+        outgoing.push_back(makeFullStateQuery(reply.from, now));
+    return outgoing;
 }
 
-inline log::LogLine stateLine(const char* event, const char* peerField, const sync::NodeRecord& peer, const StateReply& reply)
+template<ManifestParser Parser>
+bool PeerSync<Parser>::lacksStateOf(const StateReply& reply) const
 {
-    log::LogLine line(event);
-    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.manifestText.size());
-    line.with("upstreams", reply.list ? reply.list->upstreams.size() : 0);
-    return line;
+    auto manifest = m_manifest.state();
+    auto snapshot = m_upstreamCache.snapshot();
+    bool lacksManifest = reply.manifestVersion > (manifest.index ? manifest.index->manifest().version : 0);
+    bool lacksList = reply.listRevision > (snapshot ? snapshot->list->revision : 0);
+    return lacksManifest || lacksList;
 }
 
 template<ManifestParser Parser>
@@ -324,22 +352,23 @@
 }
 
 template<ManifestParser Parser>
-void PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt)
+bool PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt)
 {
     if (!reply.manifestVersion)
-        return;
+        return true;
     auto confirmedAt = queriedAt - reply.manifestAge;
     if (reply.manifestText.empty()) {
         m_manifest.confirmUnchanged(reply.manifestVersion, confirmedAt);
-        return;
+        return true;
     }
     auto manifest = Parser::parse(reply.manifestText);
     if (!manifest) {
         LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", manifest.error().detail).text();
-        return;
+        return false;
     }
     if (m_manifest.update(std::move(manifest.value()), reply.manifestText, confirmedAt))
         LOG(INFO) << log::LogLine("manifest_in_force").with("version", reply.manifestVersion).with("from", reply.from.name.text).text();
+    return true;
 }
 
 // A node that alone lost its connection to the store mistakes this for an outage of the store, and reports a grace
--- /dev/null
+++ b/src/replication/PendingQuery.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+namespace redwingseam::replication {
+
+// A query whose reply has not arrived.
+struct PendingQuery {
+    base::Instant sentAt;
+    // How long the reply is awaited.
+    base::Duration timeout;
+};
+
+} // namespace redwingseam::replication
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -18,7 +18,7 @@
     uint64_t manifestVersion = 0;
     uint64_t listRevision = 0;
     fleet::LoadMap loads;
-    // Whether the reply should include the state, which is the manifest and the list, if they are newer.
+    // Whether the reply should include the difference to a newer list.
     bool wantsState = true;
     // Ages of the sender's manifest and list, meaningful only with versions other than 0.
     base::Duration manifestAge {};
@@ -27,6 +27,8 @@
     uint64_t nodeCount = 0;
     // See PartRegister::quarantineHash.
     uint64_t quarantineHash = 0;
+    // Whether the reply should include the text of a newer manifest, and a newer list whose difference is not known.
+    bool wantsFullState = false;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -22,15 +22,15 @@
     sync::NodeRecord from;
     uint64_t manifestVersion = 0;
     base::Duration manifestAge {};
-    // Set only if it is newer than the manifest of the querying node.
+    // Set only if the query asks for it and it is newer than the manifest of the querying node.
     std::string manifestText;
     uint64_t listRevision = 0;
     base::Duration listAge {};
     // How long an upstream that is missing from the list is still used.
     base::Duration missingEntryGrace {};
-    // Set only if it is newer than the list of the querying node and `delta` is not available.
+    // Set only if the query asks for it, it is newer than the list of the querying node and `delta` is not available.
     std::optional<sync::UpstreamList> list;
-    // The difference from the list of the querying node; null if it holds the newest list or `list` is set.
+    // The difference from the list of the querying node; null if it holds the newest list or the difference is not known.
     std::shared_ptr<const sync::UpstreamDelta> delta;
     // The load from all other nodes. Set only within a data centre.
     fleet::LoadMap loads;
--- /dev/null
+++ b/src/replication/StateTransfer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace redwingseam::replication {
+
+// The request of this node for the full state of another one. There is one at a time, because copies that travel side by
+// side delay each other and each is held in memory at both ends. A request without a result is repeated after
+// an interval that doubles, so that a slow link carries the state in the end. Not synchronised.
+class StateTransfer {
+public:
+    bool isInProgress(base::Instant now) const { return m_sequence && now - m_startedAt < m_timeout; }
+
+    void begin(uint64_t sequence, base::Instant now)
+    {
+        bool isRepeated = m_sequence.has_value();
+        m_timeout = isRepeated ? std::min(m_timeout * 2, maxTimeout) : initialTimeout;
+        m_sequence = sequence;
+        m_startedAt = now;
+    }
+
+    // Records a reply. Any reply with state ends the transfer, also that of an earlier request.
+    void recordReply(uint64_t sequence, bool hasState)
+    {
+        if (hasState || m_sequence == sequence)
+            m_sequence.reset();
+    }
+
+    // The longest time after which the reply to a request may still arrive.
+    static constexpr base::Duration maxTimeout = std::chrono::seconds(32);
+
+private:
+    static constexpr base::Duration initialTimeout = std::chrono::seconds(2);
+
+    std::optional<uint64_t> m_sequence;
+    base::Instant m_startedAt {};
+    base::Duration m_timeout = initialTimeout;
+};
+
+} // namespace redwingseam::replication
--- a/tests/LargeStateTest.cpp
+++ b/tests/LargeStateTest.cpp
@@ -85,6 +85,21 @@
     LONGS_EQUAL(2, node.manifestVersion());
 }
 
+// Otherwise a manifest that a node cannot read fills its link for ever.
+TEST(LargeState, UnreadableManifestIsNotRequestedWithEachQuery)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& node = cluster.add("a2", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    hub.manifest.update(fakes::FakeManifestParser::parse("2").value(), "unreadable " + largeText(2), cluster.now);
+    cluster.bytesSent = 0;
+    cluster.run(milliseconds(10'000));
+    LONGS_EQUAL(1, node.manifestVersion());
+    CHECK_TRUE_TEXT(cluster.bytesSent < 4 * textBytes, std::to_string(cluster.bytesSent).c_str());
+}
+
 // Each hub would otherwise receive the manifest from all others that have it already.
 TEST(LargeState, HubBehindASlowLinkReceivesALargeManifestFromOneOtherOnly)
 {
