Peer connections: small messages overtake large ones

On a link of 10 Mbit/s that is up to several seconds in which a node sends to upstreams that others know to be gone.

Change: the connection takes 32 KiB at a time from the HTTP/2 session, which shares its output among the streams, and the kernel is given at most 64 KiB that it has not sent. PeerConnection.SmallMessageOvertakesALargeOneThatIsBeingSent failed before (the large one arrived first) and with either half of the change alone the kernel's buffer still holds the large one back.

--- a/src/peer/Http2Transport.cpp
+++ b/src/peer/Http2Transport.cpp
@@ -31,20 +31,28 @@
 bool Http2Transport::writeAll()
 {
     while (true) {
+        if (!fillOutgoing())
+            return false;
+        if (m_outgoing.empty())
+            return true;
+        auto count = ::send(m_socket.descriptor(), m_outgoing.data(), m_outgoing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count < 0)
+            return errno == EAGAIN || errno == EINTR;
+        m_outgoing.erase(0, static_cast<size_t>(count));
+    }
+}
+
+bool Http2Transport::fillOutgoing()
+{
+    while (m_outgoing.size() < maxOutgoingBytes) {
         const uint8_t* bytes = nullptr;
         auto size = nghttp2_session_mem_send(m_session, &bytes);
         if (size < 0)
             return false;
         if (!size)
-            break;
+            return true;
         m_outgoing.append(reinterpret_cast<const char*>(bytes), static_cast<size_t>(size));
     }
-    while (!m_outgoing.empty()) {
-        auto count = ::send(m_socket.descriptor(), m_outgoing.data(), m_outgoing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        if (count < 0)
-            return errno == EAGAIN || errno == EINTR;
-        m_outgoing.erase(0, static_cast<size_t>(count));
-    }
     return true;
 }
 
--- a/src/peer/Http2Transport.h
+++ b/src/peer/Http2Transport.h
@@ -33,6 +33,11 @@
 private:
     bool readAll();
     bool writeAll();
+    // Takes output of the session, up to a limit. What the session keeps is still shared among its streams, so that a small
+    // message does not wait behind a large one.
+    bool fillOutgoing();
+
+    static constexpr size_t maxOutgoingBytes = 32 * 1024;
 
     base::FileDescriptor m_socket;
     nghttp2_session* m_session = nullptr;
--- a/src/peer/OutboundConnection.cpp
+++ b/src/peer/OutboundConnection.cpp
@@ -12,6 +12,8 @@
 // The kernel closes a connection whose sent data stays unacknowledged for this long; the next message
 // opens a new one.
 static constexpr unsigned acknowledgementTimeoutMillis = 2000;
+// What the kernel has accepted precedes every later message.
+static constexpr unsigned maxUnsentBytes = 64 * 1024;
 
 static base::FileDescriptor connectTo(const http::SocketAddress& address)
 {
@@ -19,6 +21,7 @@
     int noDelay = 1;
     setsockopt(result.descriptor(), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
     setsockopt(result.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &acknowledgementTimeoutMillis, sizeof acknowledgementTimeoutMillis);
+    setsockopt(result.descriptor(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxUnsentBytes, sizeof maxUnsentBytes);
     auto native = address.native();
     // The socket is non-blocking. It reports success or failure when it becomes ready.
     (void)connect(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native);
