PeerSync: send manifests compressed

A manifest with 4,200 routes has 0.86 MB, and each node receives it at each change, on links of 10 Mbit/s that carry the clients' requests as well. Bytes between regions are billed.

Change: the text goes out in the deflate format (zlib, level 3), compressed once a version and node, if the query says that the sender can read it; nodes of the earlier release are sent plain text. The receiver limits what a text may grow to.

--- a/src/replication/FieldReader.h
+++ b/src/replication/FieldReader.h
@@ -40,6 +40,17 @@
         return field->get<std::string>();
     }
 
+    std::string bytes()
+    {
+        const auto* field = next();
+        if (!field || !field->is_binary()) {
+            m_isValid = false;
+            return {};
+        }
+        const auto& bytes = field->get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
     bool flag()
     {
         const auto* field = next();
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -48,7 +48,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState, query.acceptsCompression });
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -97,11 +97,16 @@
     return Json::array({ delta.fromRevision, formatList(delta.changed), std::move(removed) });
 }
 
+static Json formatBytes(const std::string& bytes)
+{
+    return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
 static Json format(const StateReply& reply, base::Instant now)
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now) });
+        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json() });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -210,6 +215,8 @@
         query.quarantineHash = reader.number(UINT64_MAX);
     // An older sender expects the full state whenever it wants state.
     query.wantsFullState = reader.hasMore() ? reader.flag() : query.wantsState;
+    if (reader.hasMore())
+        query.acceptsCompression = reader.flag();
     return query;
 }
 
@@ -261,6 +268,10 @@
     if (reader.hasMore())
         reply.isDeputy = reader.flag();
     reply.parts = parsePartReports(reader, now);
+    if (reader.isNull())
+        reader.skip();
+    else if (reader.hasMore())
+        reply.compressedManifest = std::make_shared<const std::string>(reader.bytes());
     return reply;
 }
 
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -69,6 +69,8 @@
     // Entries expire only after several missed heartbeats, so no entry of a list that was confirmed more recently than
     // this can have expired.
     static constexpr base::Duration maxListAgeWithoutExpiry = std::chrono::milliseconds(2400);
+    // Limits the memory for the text of a manifest from another node.
+    static constexpr size_t maxManifestBytes = 4 * 1024 * 1024;
     // Older suspicions and crashes are neither applied nor forwarded.
     static constexpr base::Duration failureNoticeLifetime = std::chrono::milliseconds(1000);
 
@@ -88,6 +90,9 @@
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
     void addListTo(const StateQuery&, StateReply&);
+    void addManifestTo(const StateQuery&, const std::shared_ptr<const std::string>& text, StateReply&);
+    // Returns the text of the manifest in the reply, or nullopt if it is damaged.
+    static std::optional<std::string> manifestTextOf(const StateReply&);
     fleet::LoadMap filterLoads(const fleet::LoadMap&, const base::DataCentreName& receiver);
     void queryHub(OutgoingMessages&, base::Instant now);
     void queryRemoteHubs(OutgoingMessages&, base::Instant now);
@@ -118,6 +123,9 @@
     uint64_t m_sequence = 0;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     StateTransfer m_stateTransfer;
+    // The last text that was sent compressed, and its compressed form.
+    std::shared_ptr<const std::string> m_compressedText;
+    std::shared_ptr<const std::string> m_compressedManifest;
     base::Instant m_lastTick {};
     base::Instant m_lastHubQuery {};
     base::Instant m_lastRemoteQuery {};
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Compression.h"
 #include "log/LogLine.h"
 #include "replication/PeerSync.h"
 
@@ -20,15 +21,20 @@
 {
 }
 
+inline bool carriesManifest(const StateReply& reply)
+{
+    return !reply.manifestText.empty() || reply.compressedManifest;
+}
+
 inline bool carriesState(const StateReply& reply)
 {
-    return !reply.manifestText.empty() || reply.list;
+    return carriesManifest(reply) || reply.list;
 }
 
 inline log::LogLine stateLine(const char* event, const char* peerField, const sync::NodeRecord& peer, const StateReply& reply)
 {
     log::LogLine line(event);
-    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.manifestText.size());
+    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.compressedManifest ? reply.compressedManifest->size() : reply.manifestText.size());
     line.with("upstreams", reply.list ? reply.list->upstreams.size() : 0);
     return line;
 }
@@ -113,6 +119,7 @@
     auto message = makeQuery(node, loadsFor(node, now), now);
     auto& query = std::get<StateQuery>(message.message);
     query.wantsFullState = true;
+    query.acceptsCompression = true;
     m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
     m_stateTransfer.begin(query.sequence, now);
     return message;
@@ -223,7 +230,7 @@
         reply.manifestVersion = manifest.index->manifest().version;
         reply.manifestAge = now - manifest.confirmedAt;
         if (query.wantsFullState && reply.manifestVersion > query.manifestVersion && manifest.text)
-            reply.manifestText = *manifest.text;
+            addManifestTo(query, manifest.text, reply);
     }
     if (auto snapshot = m_upstreamCache.snapshot()) {
         reply.listRevision = snapshot->list->revision;
@@ -271,6 +278,20 @@
     return query.quarantineHash && query.quarantineHash != m_crashes.parts.quarantineHash();
 }
 
+template<ManifestParser Parser>
+void PeerSync<Parser>::addManifestTo(const StateQuery& query, const std::shared_ptr<const std::string>& text, StateReply& reply)
+{
+    if (!query.acceptsCompression) {
+        reply.manifestText = *text;
+        return;
+    }
+    if (m_compressedText != text) {
+        m_compressedManifest = std::make_shared<const std::string>(base::compress(*text));
+        m_compressedText = text;
+    }
+    reply.compressedManifest = m_compressedManifest;
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::addListTo(const StateQuery& query, StateReply& reply)
 {
@@ -351,22 +372,33 @@
     LOG(INFO) << line.with("is_expired", sinceQuery ? "no" : "yes").text();
 }
 
+template<ManifestParser Parser>
+std::optional<std::string> PeerSync<Parser>::manifestTextOf(const StateReply& reply)
+{
+    return reply.compressedManifest ? base::decompress(*reply.compressedManifest, maxManifestBytes) : reply.manifestText;
+}
+
 template<ManifestParser Parser>
 bool PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt)
 {
     if (!reply.manifestVersion)
         return true;
     auto confirmedAt = queriedAt - reply.manifestAge;
-    if (reply.manifestText.empty()) {
+    if (!carriesManifest(reply)) {
         m_manifest.confirmUnchanged(reply.manifestVersion, confirmedAt);
         return true;
     }
-    auto manifest = Parser::parse(reply.manifestText);
+    auto text = manifestTextOf(reply);
+    if (!text) {
+        LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", "damaged compressed text").text();
+        return false;
+    }
+    auto manifest = Parser::parse(*text);
     if (!manifest) {
         LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", manifest.error().detail).text();
         return false;
     }
-    if (m_manifest.update(std::move(manifest.value()), reply.manifestText, confirmedAt))
+    if (m_manifest.update(std::move(manifest.value()), *std::move(text), confirmedAt))
         LOG(INFO) << log::LogLine("manifest_in_force").with("version", reply.manifestVersion).with("from", reply.from.name.text).text();
     return true;
 }
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -29,6 +29,8 @@
     uint64_t quarantineHash = 0;
     // Whether the reply should include the text of a newer manifest, and a newer list whose difference is not known.
     bool wantsFullState = false;
+    // Whether the reply may hold the manifest in compressed form.
+    bool acceptsCompression = false;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -24,6 +24,8 @@
     base::Duration manifestAge {};
     // Set only if the query asks for it and it is newer than the manifest of the querying node.
     std::string manifestText;
+    // The text as of base::compress, instead of `manifestText`; null if it is not included.
+    std::shared_ptr<const std::string> compressedManifest;
     uint64_t listRevision = 0;
     base::Duration listAge {};
     // How long an upstream that is missing from the list is still used.
