StateTransfer: do not start a copy beside those that are on their way

Cause: a late reply to an earlier request ended the newer transfer, whose own reply was still on its way, and each new transfer was awaited for 2 s again no matter how long the last one took. So each version added a copy. Class of fault: a repetition that does not know what is on its way.

Change: only the reply to the newest request ends a transfer; the first interval is twice the time that the last transfers took, 2 s at least and 32 s at most, and the times of earlier ones fade by half with each reply.

Evidence: StateTransfer.VersionsThatFollowEachOtherFasterThanTheLinkCarriesThemDoNotPileUp (a copy takes 5 s, versions come each 2 s). Price: after a slow transfer, a reply that is lost is missed for longer than 2 s.

--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -328,7 +328,7 @@
     applyList(reply, queriedAt);
     // State that cannot be read is not requested again at once.
     if (isReadable)
-        m_stateTransfer.recordReply(reply.sequence, carriesState(reply));
+        m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
     m_crashes.parts.apply(reply.parts, now);
--- a/src/replication/StateTransfer.h
+++ b/src/replication/StateTransfer.h
@@ -10,7 +10,8 @@
 
 // The request of this node for the full state of another one. There is one at a time, because copies that travel side by
 // side delay each other and each is held in memory at both ends. A request without a result is repeated after
-// an interval that doubles, so that a slow link carries the state in the end. Not synchronised.
+// an interval that doubles, so that a slow link carries the state in the end. The first interval follows from the time that
+// earlier transfers took. Not synchronised.
 class StateTransfer {
 public:
     bool isInProgress(base::Instant now) const { return m_sequence && now - m_startedAt < m_timeout; }
@@ -18,15 +19,18 @@
     void begin(uint64_t sequence, base::Instant now)
     {
         bool isRepeated = m_sequence.has_value();
-        m_timeout = isRepeated ? std::min(m_timeout * 2, maxTimeout) : initialTimeout;
+        m_timeout = isRepeated ? std::min(m_timeout * 2, maxTimeout) : std::clamp(m_lastDuration * 2, initialTimeout, maxTimeout);
         m_sequence = sequence;
         m_startedAt = now;
     }
 
-    // Records a reply. Any reply with state ends the transfer, also that of an earlier request.
-    void recordReply(uint64_t sequence, bool hasState)
+    // Records a reply, which came `duration` after its request. A late reply to an earlier request does not end the transfer, since
+    // the reply to the newest request is on its way behind it.
+    void recordReply(uint64_t sequence, bool hasState, base::Duration duration)
     {
-        if (hasState || m_sequence == sequence)
+        if (hasState)
+            m_lastDuration = std::max(duration, m_lastDuration / 2);
+        if (m_sequence == sequence)
             m_sequence.reset();
     }
 
@@ -39,6 +43,8 @@
     std::optional<uint64_t> m_sequence;
     base::Instant m_startedAt {};
     base::Duration m_timeout = initialTimeout;
+    // How long the last replies with state took, with the longer ones fading.
+    base::Duration m_lastDuration {};
 };
 
 } // namespace redwingseam::replication
--- /dev/null
+++ b/tests/StateTransferTest.cpp
@@ -0,0 +1,52 @@
+#include "fakes/FakePeerCluster.h"
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+
+using namespace redwingseam;
+using fakes::FakePeerCluster;
+using fakes::PeerNode;
+using std::chrono::milliseconds;
+
+static constexpr size_t textBytes = 900 * 1000;
+
+// A text of `version` that does not compress.
+static std::string largeText(uint64_t version)
+{
+    std::mt19937_64 random(version);
+    auto text = std::to_string(version) + " ";
+    while (text.size() < textBytes)
+        text.push_back(static_cast<char>(' ' + random() % 95));
+    return text;
+}
+
+TEST_GROUP(StateTransfer)
+{
+    FakePeerCluster cluster;
+};
+
+// Each late reply would otherwise let another copy start beside those that are on their way.
+TEST(StateTransfer, VersionsThatFollowEachOtherFasterThanTheLinkCarriesThemDoNotPileUp)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& slow = cluster.add("a2", "dc-a");
+    cluster.linkRates["a2"] = textBytes / 5;
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    auto largeMessages = [&] { return std::count_if(cluster.messagesInTransit.begin(), cluster.messagesInTransit.end(), [&](const auto& message) { return message.bytes.size() > textBytes / 2; }); };
+    auto mostAtOnceDuring = [&](int seconds) {
+        int64_t most = 0;
+        for (int i = 0; i < seconds * 10; ++i) {
+            if (i % 20 == 0)
+                hub.confirm(largeText(hub.manifestVersion() + 1), cluster.now);
+            cluster.run(milliseconds(100));
+            most = std::max(most, int64_t(largeMessages()));
+        }
+        return most;
+    };
+    // Until the node knows how long a transfer takes, it repeats its requests after 2 s and 4 s more.
+    CHECK_TRUE(mostAtOnceDuring(20) <= 3);
+    LONGS_EQUAL(1, mostAtOnceDuring(60));
+    CHECK_TRUE(slow.manifestVersion() + 5 >= hub.manifestVersion());
+}
