Log lists and manifests of the store that are older than those in use

A list that the cache refuses and a manifest older than the one in force left no line: after a restore of the store, only the age of the list in the lines of requests told of trouble. Each is logged once per change of state.

--- a/src/sync/ManifestTask.h
+++ b/src/sync/ManifestTask.h
@@ -38,6 +38,7 @@
             LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.manifest").with("detail", read.error().detail).text();
         if (!read)
             return false;
+        logOlderVersion(read.value().version);
         if (!read.value().changed) {
             m_holder.confirmUnchanged(read.value().version, startedAt);
             return true;
@@ -48,11 +49,22 @@
     }
 
 private:
+    void logOlderVersion(uint64_t version)
+    {
+        auto state = m_holder.state();
+        bool isOlder = state.index && version < state.index->manifest().version;
+        if (isOlder && version != m_lastOlderVersion)
+            LOG(WARNING) << log::LogLine("store_manifest_older").with("version", version).with("in_force", state.index->manifest().version).text();
+        m_lastOlderVersion = isOlder ? version : 0;
+    }
+
     Client& m_store;
     manifest::ManifestHolder& m_holder;
     const NodeRole& m_role;
     base::Duration m_maxAge;
     OutageTracker m_outages;
+    // The version that the store returned last, if it was older than the one in force.
+    uint64_t m_lastOlderVersion = 0;
 };
 
 } // namespace redwingseam::sync
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -112,8 +112,20 @@
             all.push_back(instance);
         auto grace = m_outages.missingEntryGrace(now);
         auto list = std::make_shared<const UpstreamList>(UpstreamList { m_revision, std::move(all) });
-        if (m_upstreamCache.update({ list, confirmedAt, grace }))
+        bool isAccepted = m_upstreamCache.update({ list, confirmedAt, grace });
+        if (isAccepted)
             m_fleet.update(list->upstreams, confirmedAt, grace);
+        logAcceptance(isAccepted);
+    }
+
+    // A list that another node only confirmed later is no sign of trouble.
+    void logAcceptance(bool isAccepted)
+    {
+        auto current = m_upstreamCache.snapshot()->list->revision;
+        bool isRefused = !isAccepted && m_revision < current;
+        if (isRefused && !m_isListRefused)
+            LOG(WARNING) << log::LogLine("upstream_list_refused").with("revision", m_revision).with("current_revision", current).text();
+        m_isListRefused = isRefused;
     }
 
     void logStoreState(bool succeeded, const base::Error& error, base::Instant now)
@@ -143,6 +155,7 @@
     OutageTracker m_outages;
     InstanceMap m_upstreams;
     uint64_t m_revision = 0;
+    bool m_isListRefused = false;
     bool m_canResumeWatch = false;
     base::Instant m_lastFullListAt {};
 };
