Store: date the list of upstreams by the era and the revision

Nodes held the list from before the restore for up to 17 s.

Cause: lists were compared by their revision, which goes back with a restore. The cache refused each list of the restored store until the revision had passed that of the last list before. Between nodes the same revision named two states: a delta could be applied to the wrong base, and lists with the same revision were taken for equal.

Class: an order of versions that holds within one life of the store only.

Change: StoreVersion, the pair of era and revision, takes the place of the revision in lists, deltas, the cache and the messages between nodes. StoreApi reads the era from the header Store-Era of each response, and gives up a list whose pages are of two eras. A store that has never stated an era is in era 0. Once it has, a response without a readable era is not used: it can't be dated.

Messages between nodes have the era as their last field. A message of the release before has none; its revision is compared within the receiver's era, as that release does, so that a rollout costs no full lists and no additional calls to the store.

Existing tests of lists state era 1 beside their revision; their checks are the same.

--- a/src/http/BlockingClient.cpp
+++ b/src/http/BlockingClient.cpp
@@ -53,6 +53,9 @@
     result.isComplete = curl_easy_perform(easy) == CURLE_OK;
     result.isSent = result.isComplete;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
+    curl_header* wanted = nullptr;
+    if (!request.wantedHeader.empty() && curl_easy_header(easy, request.wantedHeader.c_str(), 0, CURLH_HEADER, -1, &wanted) == CURLHE_OK)
+        result.wantedHeader = wanted->value;
     curl_slist_free_all(headers);
     return result;
 }
--- a/src/http/HttpRequest.h
+++ b/src/http/HttpRequest.h
@@ -20,6 +20,8 @@
     // Whether to open a new connection for this request. libcurl retries a request by itself if a reused
     // connection turns out to be closed, which is unsafe for work that may already have been executed.
     bool isSingleUse = false;
+    // Name of a response header whose value BlockingClient returns.
+    std::string wantedHeader;
 };
 
 } // namespace redwingseam::http
--- a/src/http/HttpResult.h
+++ b/src/http/HttpResult.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 namespace redwingseam::http {
@@ -15,6 +16,8 @@
     long status = 0;
     // Response body, without the bytes that the handler consumed as they arrived.
     std::string body;
+    // Value of HttpRequest::wantedHeader, if the response has that header.
+    std::optional<std::string> wantedHeader;
 };
 
 } // namespace redwingseam::http
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -48,7 +48,7 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listRevision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState, query.acceptsCompression });
+    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listVersion.revision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState, query.acceptsCompression, query.listVersion.era });
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -94,7 +94,7 @@
     auto removed = Json::array();
     for (const auto& upstream : delta.removed)
         removed.push_back(Json::array({ upstream.text }));
-    return Json::array({ delta.fromRevision, formatList(delta.changed), std::move(removed) });
+    return Json::array({ delta.from.revision, formatList(delta.changed), std::move(removed), delta.from.era });
 }
 
 static Json formatBytes(const std::string& bytes)
@@ -106,7 +106,7 @@
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listRevision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json() });
+        reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -202,7 +202,7 @@
     query.sequence = reader.number();
     reader.nested([&](FieldReader& item) { parse(item, query.from); });
     query.manifestVersion = reader.number();
-    query.listRevision = reader.number();
+    query.listVersion.revision = reader.number();
     query.loads = parseLoads(reader);
     if (reader.hasMore())
         query.wantsState = reader.flag();
@@ -217,34 +217,39 @@
     query.wantsFullState = reader.hasMore() ? reader.flag() : query.wantsState;
     if (reader.hasMore())
         query.acceptsCompression = reader.flag();
+    query.hasEra = reader.hasMore();
+    if (query.hasEra)
+        query.listVersion.era = reader.number();
     return query;
 }
 
 static sync::UpstreamDelta parseDelta(FieldReader& reader)
 {
     sync::UpstreamDelta delta;
-    delta.fromRevision = reader.number();
+    delta.from.revision = reader.number();
     reader.forEach([&](FieldReader& item) { delta.changed.push_back(parseUpstream(item)); });
     reader.forEach([&](FieldReader& item) { delta.removed.push_back({ item.text() }); });
+    if (reader.hasMore())
+        delta.from.era = reader.number();
     return delta;
 }
 
 static StateReply parseReply(FieldReader& reader, base::Instant now)
 {
     StateReply reply;
+    std::optional<sync::UpstreamDelta> delta;
     reply.sequence = reader.number();
     reader.nested([&](FieldReader& item) { parse(item, reply.from); });
     reply.manifestVersion = reader.number();
     reply.manifestAge = parseAge(reader);
     reply.manifestText = reader.text();
-    reply.listRevision = reader.number();
+    reply.listVersion.revision = reader.number();
     reply.listAge = parseAge(reader);
     reply.missingEntryGrace = parseAge(reader);
     if (reader.isNull()) {
         reader.skip();
     } else {
         reply.list.emplace();
-        reply.list->revision = reply.listRevision;
         reader.forEach([&](FieldReader& item) { reply.list->upstreams.push_back(parseUpstream(item)); });
     }
     reply.loads = parseLoads(reader);
@@ -260,9 +265,7 @@
         reader.skip();
     } else if (reader.hasMore()) {
         reader.nested([&](FieldReader& item) {
-            auto delta = parseDelta(item);
-            delta.toRevision = reply.listRevision;
-            reply.delta = std::make_shared<const sync::UpstreamDelta>(std::move(delta));
+            delta = parseDelta(item);
         });
     }
     if (reader.hasMore())
@@ -272,6 +275,15 @@
         reader.skip();
     else if (reader.hasMore())
         reply.compressedManifest = std::make_shared<const std::string>(reader.bytes());
+    reply.hasEra = reader.hasMore();
+    if (reply.hasEra)
+        reply.listVersion.era = reader.number();
+    if (reply.list)
+        reply.list->version = reply.listVersion;
+    if (delta) {
+        delta->to = reply.listVersion;
+        reply.delta = std::make_shared<const sync::UpstreamDelta>(std::move(*delta));
+    }
     return reply;
 }
 
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -89,7 +89,11 @@
     bool applyManifest(const StateReply&, base::Instant queriedAt);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
-    void addListTo(const StateQuery&, StateReply&);
+    // `held` is the version of the list that the receiver of the reply holds.
+    void addListTo(const StateQuery&, StateReply&, sync::StoreVersion held);
+    // Returns the version of the list that a message states, with the era of `current` if the message states none.
+    template<typename Body>
+    static sync::StoreVersion statedListVersion(const Body&, const std::optional<sync::UpstreamSnapshot>& current);
     void addManifestTo(const StateQuery&, const std::shared_ptr<const std::string>& text, StateReply&);
     // Returns the text of the manifest in the reply, or nullopt if it is damaged.
     static std::optional<std::string> manifestTextOf(const StateReply&);
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -104,7 +104,7 @@
     query.manifestVersion = manifest.index ? manifest.index->manifest().version : 0;
     query.manifestAge = now - manifest.confirmedAt;
     auto snapshot = m_upstreamCache.snapshot();
-    query.listRevision = snapshot ? snapshot->list->revision : 0;
+    query.listVersion = snapshot ? snapshot->list->version : sync::StoreVersion {};
     query.listAge = snapshot ? now - snapshot->confirmedAt : base::Duration {};
     query.loads = std::move(loads);
     query.nodeCount = m_directory.size();
@@ -233,11 +233,12 @@
             addManifestTo(query, manifest.text, reply);
     }
     if (auto snapshot = m_upstreamCache.snapshot()) {
-        reply.listRevision = snapshot->list->revision;
+        reply.listVersion = snapshot->list->version;
         reply.listAge = now - snapshot->confirmedAt;
         reply.missingEntryGrace = snapshot->missingEntryGrace;
-        if (query.wantsState && reply.listRevision > query.listRevision)
-            addListTo(query, reply);
+        auto held = statedListVersion(query, snapshot);
+        if (query.wantsState && reply.listVersion > held)
+            addListTo(query, reply, held);
     }
     if (isSameDataCentre) {
         reply.loads = m_peerLoads.sum(now, query.from.name.text);
@@ -268,7 +269,7 @@
     auto isNewer = [&](base::Duration theirAge, base::Instant ownConfirmedAt) { return theirAge < now - ownConfirmedAt - minFresherBy; };
     auto snapshot = m_upstreamCache.snapshot();
     bool hasNewerManifest = query.manifestVersion && isNewer(query.manifestAge, m_manifest.state().confirmedAt);
-    bool hasNewerList = query.listRevision && isNewer(query.listAge, snapshot ? snapshot->confirmedAt : base::Instant {});
+    bool hasNewerList = query.listVersion.revision && isNewer(query.listAge, snapshot ? snapshot->confirmedAt : base::Instant {});
     return hasNewerManifest || hasNewerList;
 }
 
@@ -293,18 +294,28 @@
 }
 
 template<ManifestParser Parser>
-void PeerSync<Parser>::addListTo(const StateQuery& query, StateReply& reply)
+template<typename Body>
+sync::StoreVersion PeerSync<Parser>::statedListVersion(const Body& message, const std::optional<sync::UpstreamSnapshot>& current)
 {
-    reply.delta = m_upstreamCache.deltaSince(query.listRevision);
-    // The cache may have received a newer list since `reply.listRevision` was read. The newer list is then sent in full
-    // with its own revision. The age remains that of the older list, so the receiver takes the newer one for older than
+    auto version = message.listVersion;
+    if (!message.hasEra && current)
+        version.era = current->list->version.era;
+    return version;
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::addListTo(const StateQuery& query, StateReply& reply, sync::StoreVersion held)
+{
+    reply.delta = m_upstreamCache.deltaSince(held);
+    // The cache may have received a newer list since `reply.listVersion` was read. The newer list is then sent in full
+    // with its own version. The age remains that of the older list, so the receiver takes the newer one for older than
     // it is, which is safe.
-    if (reply.delta && reply.delta->toRevision != reply.listRevision)
+    if (reply.delta && reply.delta->to != reply.listVersion)
         reply.delta.reset();
     if (!reply.delta && query.wantsFullState)
         reply.list = *m_upstreamCache.snapshot()->list;
     if (reply.list)
-        reply.listRevision = reply.list->revision;
+        reply.listVersion = reply.list->version;
 }
 
 template<ManifestParser Parser>
@@ -350,7 +361,7 @@
     auto manifest = m_manifest.state();
     auto snapshot = m_upstreamCache.snapshot();
     bool lacksManifest = reply.manifestVersion > (manifest.index ? manifest.index->manifest().version : 0);
-    bool lacksList = reply.listRevision > (snapshot ? snapshot->list->revision : 0);
+    bool lacksList = statedListVersion(reply, snapshot) > (snapshot ? snapshot->list->version : sync::StoreVersion {});
     return lacksManifest || lacksList;
 }
 
@@ -412,17 +423,23 @@
     return isTooRecentForExpiry ? std::min(reply.missingEntryGrace, current->missingEntryGrace) : reply.missingEntryGrace;
 }
 
+static inline bool isBaseOf(const sync::UpstreamDelta& delta, const sync::UpstreamList& list, bool hasEra)
+{
+    return delta.from.revision == list.version.revision && (!hasEra || delta.from.era == list.version.era);
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::applyList(const StateReply& reply, base::Instant queriedAt)
 {
     auto confirmedAt = queriedAt - reply.listAge;
     auto current = m_upstreamCache.snapshot();
+    auto version = statedListVersion(reply, current);
     std::shared_ptr<const sync::UpstreamList> list;
     if (reply.list)
-        list = std::make_shared<const sync::UpstreamList>(*reply.list);
-    else if (reply.delta && current && current->list->revision == reply.delta->fromRevision)
-        list = std::make_shared<const sync::UpstreamList>(applyDelta(*current->list, *reply.delta));
-    else if (current && current->list->revision == reply.listRevision)
+        list = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { version, reply.list->upstreams });
+    else if (reply.delta && current && isBaseOf(*reply.delta, *current->list, reply.hasEra))
+        list = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { version, applyDelta(*current->list, *reply.delta).upstreams });
+    else if (current && current->list->version == version)
         list = current->list;
     auto grace = missingEntryGraceFor(reply, current, queriedAt);
     if (list && m_upstreamCache.update({ list, confirmedAt, grace }))
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -3,6 +3,7 @@
 #include "fleet/LoadMap.h"
 #include "redwingseam/base/Instant.h"
 #include "sync/NodeRecord.h"
+#include "sync/StoreVersion.h"
 
 #include <cstdint>
 
@@ -16,7 +17,9 @@
     sync::NodeRecord from;
     // The versions that the sender holds; 0 if none.
     uint64_t manifestVersion = 0;
-    uint64_t listRevision = 0;
+    sync::StoreVersion listVersion;
+    // Whether the sender states the era. The release before doesn't.
+    bool hasEra = true;
     fleet::LoadMap loads;
     // Whether the reply should include the difference to a newer list.
     bool wantsState = true;
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -26,7 +26,9 @@
     std::string manifestText;
     // The text as of base::compress, instead of `manifestText`; null if it is not included.
     std::shared_ptr<const std::string> compressedManifest;
-    uint64_t listRevision = 0;
+    sync::StoreVersion listVersion;
+    // Whether the sender states the era. The release before doesn't.
+    bool hasEra = true;
     base::Duration listAge {};
     // How long an upstream that is missing from the list is still used.
     base::Duration missingEntryGrace {};
--- a/src/sync/ManifestTask.h
+++ b/src/sync/ManifestTask.h
@@ -39,11 +39,9 @@
         if (!read)
             return false;
         logOlderVersion(read.value().version);
-        if (!read.value().changed) {
+        if (!read.value().changed)
             m_holder.confirmUnchanged(read.value().version, startedAt);
-            return true;
-        }
-        if (m_holder.update(std::move(*read.value().changed), std::move(read.value().text), startedAt))
+        else if (m_holder.update(std::move(*read.value().changed), std::move(read.value().text), startedAt))
             LOG(INFO) << log::LogLine("manifest_in_force").with("version", read.value().version).text();
         return true;
     }
--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -49,9 +49,10 @@
         auto nodes = m_store.listNodes(freshness);
         if (!nodes)
             return false;
-        if (std::find(nodes.value().begin(), nodes.value().end(), m_self) != nodes.value().end())
+        auto& entries = nodes.value().nodes;
+        if (std::find(entries.begin(), entries.end(), m_self) != entries.end())
             m_isRegistered = true;
-        m_listener.setNodes(std::move(nodes.value()));
+        m_listener.setNodes(std::move(entries));
         m_hasListed = true;
         return true;
     }
--- a/src/sync/PlatformStoreClient.h
+++ b/src/sync/PlatformStoreClient.h
@@ -3,12 +3,11 @@
 #include "redwingseam/base/Result.h"
 #include "sync/Freshness.h"
 #include "sync/ManifestRead.h"
-#include "sync/NodeRecord.h"
+#include "sync/NodeList.h"
 #include "sync/UpstreamList.h"
 #include "sync/UpstreamWatchResult.h"
 
 #include <concepts>
-#include <vector>
 
 namespace redwingseam::sync {
 
@@ -33,7 +32,7 @@
         } -> std::same_as<base::Error>;
     {
         client.listNodes(freshness)
-        } -> std::same_as<base::Result<std::vector<NodeRecord>>>;
+        } -> std::same_as<base::Result<NodeList>>;
 };
 
 } // namespace redwingseam::sync
--- a/src/sync/UpstreamDelta.cpp
+++ b/src/sync/UpstreamDelta.cpp
@@ -18,7 +18,7 @@
 
 UpstreamDelta deltaBetween(const UpstreamList& from, const UpstreamList& to)
 {
-    UpstreamDelta delta { from.revision, to.revision, {}, {} };
+    UpstreamDelta delta { from.version, to.version, {}, {} };
     auto before = byName(from.upstreams);
     for (const auto& upstream : to.upstreams) {
         auto found = before.find(upstream.id);
@@ -34,7 +34,7 @@
 
 UpstreamList applyDelta(const UpstreamList& list, const UpstreamDelta& delta)
 {
-    UpstreamList result { delta.toRevision, {} };
+    UpstreamList result { delta.to, {} };
     result.upstreams.reserve(list.upstreams.size() + delta.changed.size());
     auto changed = byName(delta.changed);
     std::unordered_set<base::UpstreamName> removed(delta.removed.begin(), delta.removed.end());
--- a/src/sync/UpstreamList.h
+++ b/src/sync/UpstreamList.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "redwingseam/fleet/UpstreamInstance.h"
+#include "sync/StoreVersion.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace redwingseam::sync {
 
 // All upstreams that are registered in the store.
 struct UpstreamList {
-    // The store's revision at which the list was valid.
-    uint64_t revision = 0;
+    // The state of the store in which the list was valid.
+    StoreVersion version;
     std::vector<fleet::UpstreamInstance> upstreams;
 };
 
--- a/src/sync/UpstreamListCache.cpp
+++ b/src/sync/UpstreamListCache.cpp
@@ -9,12 +9,12 @@
 {
     std::lock_guard guard(m_mutex);
     if (m_snapshot) {
-        auto currentRevision = m_snapshot->list->revision;
-        bool isOlder = snapshot.list->revision < currentRevision;
-        bool isConfirmedEarlier = snapshot.list->revision == currentRevision && snapshot.confirmedAt < m_snapshot->confirmedAt;
+        auto currentVersion = m_snapshot->list->version;
+        bool isOlder = snapshot.list->version < currentVersion;
+        bool isConfirmedEarlier = snapshot.list->version == currentVersion && snapshot.confirmedAt < m_snapshot->confirmedAt;
         if (isOlder || isConfirmedEarlier)
             return false;
-        if (snapshot.list->revision > currentRevision) {
+        if (snapshot.list->version > currentVersion) {
             m_earlierLists.push_back(m_snapshot->list);
             if (m_earlierLists.size() > maxEarlierLists)
                 m_earlierLists.pop_front();
@@ -31,17 +31,17 @@
     return m_snapshot;
 }
 
-std::shared_ptr<const UpstreamDelta> UpstreamListCache::deltaSince(uint64_t revision)
+std::shared_ptr<const UpstreamDelta> UpstreamListCache::deltaSince(StoreVersion version)
 {
     std::lock_guard guard(m_mutex);
     if (!m_snapshot)
         return nullptr;
-    auto& delta = m_deltas[revision];
+    auto& delta = m_deltas[version];
     if (delta)
         return delta;
-    auto from = std::find_if(m_earlierLists.begin(), m_earlierLists.end(), [&](const ListPointer& list) { return list->revision == revision; });
+    auto from = std::find_if(m_earlierLists.begin(), m_earlierLists.end(), [&](const ListPointer& list) { return list->version == version; });
     if (from == m_earlierLists.end()) {
-        m_deltas.erase(revision);
+        m_deltas.erase(version);
         return nullptr;
     }
     delta = std::make_shared<const UpstreamDelta>(deltaBetween(**from, *m_snapshot->list));
--- a/src/sync/UpstreamListCache.h
+++ b/src/sync/UpstreamListCache.h
@@ -15,12 +15,12 @@
 // that only the difference needs to be sent to other nodes. Thread-safe.
 class UpstreamListCache {
 public:
-    // Replaces the current snapshot unless the new one has a lower revision, or the same revision and an earlier
+    // Replaces the current snapshot unless the new one has an earlier version, or the same version and an earlier
     // confirmation. Returns whether it was replaced.
     bool update(UpstreamSnapshot);
     std::optional<UpstreamSnapshot> snapshot() const;
-    // Returns the difference from the list of `revision` to the newest one, or null if that list is no longer kept.
-    std::shared_ptr<const UpstreamDelta> deltaSince(uint64_t revision);
+    // Returns the difference from the list of `version` to the newest one, or null if that list is no longer kept.
+    std::shared_ptr<const UpstreamDelta> deltaSince(StoreVersion version);
 
 private:
     using ListPointer = std::shared_ptr<const UpstreamList>;
@@ -31,9 +31,9 @@
     mutable base::Mutex m_mutex;
     std::optional<UpstreamSnapshot> m_snapshot;
     std::deque<ListPointer> m_earlierLists;
-    // Deltas to the current list, keyed by their start revision. They are cached because many nodes ask for the same
+    // Deltas to the current list, keyed by their start version. They are cached because many nodes ask for the same
     // one.
-    std::map<uint64_t, std::shared_ptr<const UpstreamDelta>> m_deltas;
+    std::map<StoreVersion, std::shared_ptr<const UpstreamDelta>> m_deltas;
 };
 
 } // namespace redwingseam::sync
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -41,24 +41,24 @@
             return true;
         }
         bool needsFullList = !m_canResumeWatch || startedAt - m_lastFullListAt > m_fullListInterval;
-        auto error = needsFullList ? readFullList(startedAt) : watchChanges();
+        auto confirmedAt = needsFullList ? readFullList() : watchChanges();
         auto now = base::BootClock {}.now();
-        bool succeeded = error.code == base::ResultCode::Ok;
-        logStoreState(succeeded, error, now);
-        if (!succeeded) {
+        logStoreState(confirmedAt, now);
+        if (!confirmedAt) {
             m_canResumeWatch = false;
             return false;
         }
-        // A watch that ends without an error has returned all changes made before its end.
-        publish(needsFullList ? startedAt : now, now);
+        publish(confirmedAt.value(), now);
         return true;
     }
 
 private:
     using InstanceMap = std::map<base::UpstreamName, fleet::UpstreamInstance>;
 
-    base::Error readFullList(base::Instant startedAt)
+    // This and watchChanges() return the time at which the list was valid.
+    base::Result<base::Instant> readFullList()
     {
+        auto startedAt = base::BootClock {}.now();
         auto listed = m_store.listUpstreams();
         if (!listed)
             return listed.error();
@@ -75,21 +75,22 @@
                 logChange("upstream_unlisted", instance);
         }
         m_upstreams = std::move(current);
-        m_revision = listed.value().revision;
+        m_version = listed.value().version;
         m_canResumeWatch = true;
         m_lastFullListAt = startedAt;
-        return {};
+        return startedAt;
     }
 
-    base::Error watchChanges()
+    base::Result<base::Instant> watchChanges()
     {
-        auto result = m_store.watchUpstreams(m_revision, m_watchTimeout);
+        auto result = m_store.watchUpstreams(m_version.revision, m_watchTimeout);
         if (!result)
             return result.error();
-        m_revision = result.value().revision;
+        m_version = result.value().version;
         for (const auto& change : result.value().changes)
             apply(change);
-        return {};
+        // A watch that ends without an error has returned all changes made before its end.
+        return base::BootClock {}.now();
     }
 
     void apply(const UpstreamChange& change)
@@ -111,7 +112,7 @@
         for (const auto& [id, instance] : m_upstreams)
             all.push_back(instance);
         auto grace = m_outages.missingEntryGrace(now);
-        auto list = std::make_shared<const UpstreamList>(UpstreamList { m_revision, std::move(all) });
+        auto list = std::make_shared<const UpstreamList>(UpstreamList { m_version, std::move(all) });
         bool isAccepted = m_upstreamCache.update({ list, confirmedAt, grace });
         if (isAccepted)
             m_fleet.update(list->upstreams, confirmedAt, grace);
@@ -121,21 +122,21 @@
     // A list that another node only confirmed later is no sign of trouble.
     void logAcceptance(bool isAccepted)
     {
-        auto current = m_upstreamCache.snapshot()->list->revision;
-        bool isRefused = !isAccepted && m_revision < current;
+        auto current = m_upstreamCache.snapshot()->list->version;
+        bool isRefused = !isAccepted && m_version < current;
         if (isRefused && !m_isListRefused)
-            LOG(WARNING) << log::LogLine("upstream_list_refused").with("revision", m_revision).with("current_revision", current).text();
+            LOG(WARNING) << log::LogLine("upstream_list_refused").with("era", m_version.era).with("revision", m_version.revision).with("current_era", current.era).with("current_revision", current.revision).text();
         m_isListRefused = isRefused;
     }
 
-    void logStoreState(bool succeeded, const base::Error& error, base::Instant now)
+    void logStoreState(const base::Result<base::Instant>& result, base::Instant now)
     {
-        if (!m_outages.recordResult(succeeded, now))
+        if (!m_outages.recordResult(bool(result), now))
             return;
-        if (succeeded)
+        if (result)
             LOG(INFO) << log::LogLine("dependency_regained").with("dependency", "store.upstreams").text();
         else
-            LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.upstreams").with("detail", error.detail).text();
+            LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.upstreams").with("detail", result.error().detail).text();
     }
 
     static void logChange(const char* event, const fleet::UpstreamInstance& instance)
@@ -154,7 +155,7 @@
     base::Duration m_fullListInterval;
     OutageTracker m_outages;
     InstanceMap m_upstreams;
-    uint64_t m_revision = 0;
+    StoreVersion m_version;
     bool m_isListRefused = false;
     bool m_canResumeWatch = false;
     base::Instant m_lastFullListAt {};
--- a/src/sync/UpstreamWatchResult.h
+++ b/src/sync/UpstreamWatchResult.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "sync/StoreVersion.h"
 #include "sync/UpstreamChange.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace redwingseam::sync {
 
 // The result of a watch: the changes of the store's list of upstreams, in order.
 struct UpstreamWatchResult {
-    // The store's revision from which to continue the watch.
-    uint64_t revision = 0;
+    // The state from which to continue the watch. An era other than that of the watch makes the changes meaningless.
+    StoreVersion version;
     std::vector<UpstreamChange> changes;
 };
 
--- a/tests/LargeStateTest.cpp
+++ b/tests/LargeStateTest.cpp
@@ -135,7 +135,7 @@
     std::vector<fleet::UpstreamInstance> upstreams;
     for (int i = 0; i < 5300; ++i)
         upstreams.push_back({ { "upstream-" + std::to_string(i) }, { "engines" }, "127.0.0.1:1", { "dc-a" }, 1, 6, false });
-    hub.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 5, upstreams }), cluster.now, {} });
+    hub.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 5 }, upstreams }), cluster.now, {} });
     cluster.bytesSent = 0;
     size_t mostAtOnce = 0;
     for (int i = 0; i < 60; ++i) {
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -37,7 +37,7 @@
         auto now = base::Instant(std::chrono::seconds(5));
         replication::StateReply reply;
         reply.from = { { "n" }, { "dc" }, "127.0.0.1:1" };
-        reply.list = sync::UpstreamList { 4, PeerNode::fleetList() };
+        reply.list = sync::UpstreamList { { 1, 4 }, PeerNode::fleetList() };
         reply.loads[{ "e1" }] = { 1, 2, 3 };
         reply.nodes = { reply.from };
         reply.quarantined = { { { 5 }, now } };
--- a/tests/PeerRolesTest.cpp
+++ b/tests/PeerRolesTest.cpp
@@ -77,7 +77,7 @@
     CHECK_TRUE(a1.role.isHub() && a2.role.isDeputy());
     auto readAt = cluster.now;
     a2.confirm(7, readAt);
-    a2.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), readAt, {} });
+    a2.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 3 }, PeerNode::fleetList() }), readAt, {} });
     cluster.run(milliseconds(1000));
     for (auto* node : { &a1, &a3 }) {
         CHECK_TRUE(node->manifest.state().index != nullptr);
@@ -93,7 +93,7 @@
     auto& b1 = cluster.add("b1", "dc-b");
     cluster.shareNodeList();
     a1.confirm(7, cluster.now);
-    a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), cluster.now, {} });
+    a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 3 }, PeerNode::fleetList() }), cluster.now, {} });
     cluster.run(milliseconds(1500));
     CHECK_TRUE(b1.manifest.state().index != nullptr);
     // The entry of each new node is in the store, but the other nodes may not know it yet.
@@ -124,7 +124,7 @@
     auto list = PeerNode::fleetList();
     for (int i = 0; i < 300; ++i)
         list.push_back({ { "upstream-" + std::to_string(i) }, { "engines" }, "127.0.0.1:1", { "dc-a" }, 1, 6, false });
-    leader.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, list }), cluster.now, {} });
+    leader.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 3 }, list }), cluster.now, {} });
     cluster.shareNodeList();
     cluster.run(milliseconds(1000));
     cluster.bytesSent = 0;
@@ -134,7 +134,7 @@
     }
     cluster.shareNodeList();
     cluster.run(milliseconds(300));
-    auto fullListBytes = replication::formatMessage(replication::StateReply { .list = sync::UpstreamList { 3, list } }, cluster.now).size();
+    auto fullListBytes = replication::formatMessage(replication::StateReply { .list = sync::UpstreamList { { 1, 3 }, list } }, cluster.now).size();
     for (const auto& node : cluster.nodes)
         CHECK_TRUE_TEXT(node->upstreamCache.snapshot().has_value(), node->record.name.text.c_str());
     CHECK_TRUE_TEXT(cluster.bytesSent < 2 * fullListBytes * 9, std::to_string(cluster.bytesSent / fullListBytes).c_str());
@@ -153,7 +153,7 @@
     cluster.run(milliseconds(300));
     auto& first = *cluster.nodes.front();
     first.confirm(7, cluster.now);
-    first.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 3, PeerNode::fleetList() }), cluster.now, {} });
+    first.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 3 }, PeerNode::fleetList() }), cluster.now, {} });
     cluster.run(milliseconds(2600));
     unsigned leaders = 0;
     for (const auto& node : cluster.nodes) {
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -121,11 +121,11 @@
     auto& a2 = cluster.add("a2", "dc-a");
     cluster.shareNodeList();
     cluster.run(milliseconds(1000));
-    auto list = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 9, PeerNode::fleetList() });
+    auto list = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 9 }, PeerNode::fleetList() });
     a1.upstreamCache.update({ list, cluster.now, {} });
     cluster.run(milliseconds(500));
-    LONGS_EQUAL(9, a2.upstreamCache.snapshot()->list->revision);
-    auto older = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 8, {} });
+    LONGS_EQUAL(9, a2.upstreamCache.snapshot()->list->version.revision);
+    auto older = std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 8 }, {} });
     CHECK_FALSE(a2.upstreamCache.update({ older, cluster.now, {} }));
 }
 
@@ -138,7 +138,7 @@
     std::vector<fleet::UpstreamInstance> upstreams;
     for (int i = 0; i < 3000; ++i)
         upstreams.push_back({ { "upstream-" + std::to_string(i) }, { "engines" }, "127.0.0.1:1", { i % 2 ? "dc-a" : "dc-b" }, 1, 6, false });
-    auto publish = [&](uint64_t revision) { a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { revision, upstreams }), cluster.now, {} }); };
+    auto publish = [&](uint64_t revision) { a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, revision }, upstreams }), cluster.now, {} }); };
     publish(1);
     cluster.run(milliseconds(1500));
     cluster.bytesSent = 0;
@@ -151,9 +151,9 @@
     }
     cluster.run(milliseconds(1000));
     CHECK_TRUE_TEXT(cluster.bytesSent < 30'000, std::to_string(cluster.bytesSent).c_str());
-    auto expected = sync::deltaBetween({ 9, upstreams }, *a2.upstreamCache.snapshot()->list);
+    auto expected = sync::deltaBetween({ { 1, 9 }, upstreams }, *a2.upstreamCache.snapshot()->list);
     LONGS_EQUAL(0, expected.changed.size() + expected.removed.size());
-    expected = sync::deltaBetween({ 9, upstreams }, *b1.upstreamCache.snapshot()->list);
+    expected = sync::deltaBetween({ { 1, 9 }, upstreams }, *b1.upstreamCache.snapshot()->list);
     LONGS_EQUAL(0, expected.changed.size() + expected.removed.size());
 }
 
@@ -166,7 +166,7 @@
     auto upstreams = PeerNode::fleetList();
     for (int i = 0; i < 1000; ++i)
         upstreams.push_back({ { "upstream-" + std::to_string(i) }, { "engines" }, "127.0.0.1:1", { "dc-b" }, 1, 6, false });
-    a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { 1, upstreams }), cluster.now, {} });
+    a1.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, 1 }, upstreams }), cluster.now, {} });
     for (const auto& node : cluster.nodes)
         node->fleet.update(upstreams, cluster.now, {});
     cluster.run(milliseconds(1000));
@@ -198,7 +198,7 @@
     auto all = PeerNode::fleetList();
     auto removed = all.back();
     auto publish = [&](PeerNode& node, uint64_t revision, const std::vector<fleet::UpstreamInstance>& upstreams, base::Duration grace) {
-        node.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { revision, upstreams }), cluster.now, grace });
+        node.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { { 1, revision }, upstreams }), cluster.now, grace });
         node.fleet.update(upstreams, cluster.now, grace);
     };
     publish(a3, 5, all, {});
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -93,7 +93,7 @@
         {"deleted":false,"object":{"metadata":{"name":"b"},"spec":{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"}}},
         {"deleted":false,"object":{"metadata":{"name":"c"},"spec":{"state":"odd"}}}],"at":12})")
                        .value();
-    LONGS_EQUAL(12, changes.revision);
+    LONGS_EQUAL(12, changes.version.revision);
     CHECK_FALSE(changes.changes.at(0).current.has_value());
     CHECK_TRUE(changes.changes.at(1).current.has_value());
     CHECK_FALSE(changes.changes.at(2).current.has_value());
--- a/tests/fakes/FakeNodeStore.h
+++ b/tests/fakes/FakeNodeStore.h
@@ -13,6 +13,7 @@
     unsigned recentReads = 0;
     unsigned writes = 0;
     bool isDown = false;
+    uint64_t era = 1;
 
     base::Result<sync::ManifestRead> readManifest() { return unavailable(); }
     base::Result<sync::UpstreamList> listUpstreams() { return unavailable(); }
@@ -26,12 +27,12 @@
         entries.push_back(node);
         return {};
     }
-    base::Result<std::vector<sync::NodeRecord>> listNodes(sync::Freshness freshness)
+    base::Result<sync::NodeList> listNodes(sync::Freshness freshness)
     {
         if (isDown)
             return unavailable();
         ++(freshness == sync::Freshness::Latest ? latestReads : recentReads);
-        return entries;
+        return sync::NodeList { era, entries };
     }
 
     static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
