Store: a watch doesn't go on in another era, and late responses are dropped

What callers would see: an upstream that left after a restore is used until the next full list (6 s), or one that joined is not used.

Cause: a watch goes on from a revision. A restored store gives revisions out again, so if it has passed that revision it doesn't answer 410, and the changes between the copy and that revision are missed. And a response of an earlier era that arrives late, at this node or through another, undid what had been read since.

A watch that ends in another era is discarded and the full list read at once; a node that knows of a restore reads the full list without a watch. Lists, manifests and node lists of an earlier era are dropped as failed calls.

Evidence: without the check after the watch, RestoredStore.WatchFromARevisionThatWasGivenOutAgainMissesNoChange fails; without the one before it, NodeThatLearnsOfARestoreReadsTheFullList; with obsolete responses accepted, ResponseOfAnEarlierEraIsNotUsed.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -11,6 +11,7 @@
 #include "replication/PendingQuery.h"
 #include "replication/StateTransfer.h"
 #include "sync/NodeRole.h"
+#include "sync/StoreEra.h"
 #include "sync/UpstreamListCache.h"
 
 #include <concepts>
@@ -40,7 +41,7 @@
 template<ManifestParser Parser>
 class PeerSync {
 public:
-    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashEvidence&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&);
+    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashEvidence&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&, sync::StoreEra&);
 
     // Sets the store's list of nodes. After the first list, the node queries the others at its next tick.
     void setNodes(const std::vector<sync::NodeRecord>&);
@@ -94,6 +95,8 @@
     // Returns the version of the list that a message states, with the era of `current` if the message states none.
     template<typename Body>
     static sync::StoreVersion statedListVersion(const Body&, const std::optional<sync::UpstreamSnapshot>& current);
+    template<typename Body>
+    void learnEra(const Body&, base::Instant now);
     void addManifestTo(const StateQuery&, const std::shared_ptr<const std::string>& text, StateReply&);
     // Returns the text of the manifest in the reply, or nullopt if it is damaged.
     static std::optional<std::string> manifestTextOf(const StateReply&);
@@ -120,6 +123,7 @@
     manifest::ManifestHolder& m_manifest;
     sync::UpstreamListCache& m_upstreamCache;
     sync::NodeRole& m_role;
+    sync::StoreEra& m_era;
     base::Mutex m_mutex;
     NodeDirectory m_directory;
     PeerLoadTable m_peerLoads;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -11,12 +11,13 @@
 namespace redwingseam::replication {
 
 template<ManifestParser Parser>
-PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, forward::CrashEvidence& crashes, manifest::ManifestHolder& manifest, sync::UpstreamListCache& upstreamCache, sync::NodeRole& role)
+PeerSync<Parser>::PeerSync(sync::NodeRecord self, fleet::Fleet& fleet, forward::CrashEvidence& crashes, manifest::ManifestHolder& manifest, sync::UpstreamListCache& upstreamCache, sync::NodeRole& role, sync::StoreEra& era)
     : m_fleet(fleet)
     , m_crashes(crashes)
     , m_manifest(manifest)
     , m_upstreamCache(upstreamCache)
     , m_role(role)
+    , m_era(era)
     , m_directory(std::move(self))
 {
 }
@@ -220,6 +221,7 @@
 OutgoingMessages PeerSync<Parser>::receive(const StateQuery& query, base::Instant now)
 {
     m_directory.recordMessageFrom(query.from, now);
+    learnEra(query, now);
     bool isSameDataCentre = isNeighbour(query.from);
     m_peerLoads.set(isSameDataCentre ? query.from.name.text : query.from.dataCentre.text, query.loads, now);
     StateReply reply;
@@ -303,6 +305,14 @@
     return version;
 }
 
+template<ManifestParser Parser>
+template<typename Body>
+void PeerSync<Parser>::learnEra(const Body& message, base::Instant now)
+{
+    if (message.hasEra && message.listVersion.revision)
+        m_era.learn(message.listVersion.era, now);
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::addListTo(const StateQuery& query, StateReply& reply, sync::StoreVersion held)
 {
@@ -334,6 +344,7 @@
     logReceivedState(reply, pending.empty() ? std::nullopt : std::optional(now - pending.mapped().sentAt));
     if (pending.empty())
         return {};
+    learnEra(reply, now);
     auto queriedAt = pending.mapped().sentAt;
     bool isReadable = applyManifest(reply, queriedAt);
     applyList(reply, queriedAt);
--- a/src/sync/ManifestTask.h
+++ b/src/sync/ManifestTask.h
@@ -6,6 +6,7 @@
 #include "sync/NodeRole.h"
 #include "sync/OutageTracker.h"
 #include "sync/PlatformStoreClient.h"
+#include "sync/StoreEra.h"
 
 #include <glog/logging.h>
 
@@ -16,10 +17,11 @@
 class ManifestTask {
 public:
     // `maxAge` is the time within which this node must know a change of the manifest.
-    ManifestTask(Client& client, manifest::ManifestHolder& holder, const NodeRole& role, base::Duration maxAge)
+    ManifestTask(Client& client, manifest::ManifestHolder& holder, const NodeRole& role, StoreEra& era, base::Duration maxAge)
         : m_store(client)
         , m_holder(holder)
         , m_role(role)
+        , m_era(era)
         , m_maxAge(maxAge)
     {
     }
@@ -38,6 +40,8 @@
             LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.manifest").with("detail", read.error().detail).text();
         if (!read)
             return false;
+        if (!m_era.learn(read.value().era, base::BootClock {}.now()))
+            return false;
         logOlderVersion(read.value().version);
         if (!read.value().changed)
             m_holder.confirmUnchanged(read.value().version, startedAt);
@@ -59,6 +63,7 @@
     Client& m_store;
     manifest::ManifestHolder& m_holder;
     const NodeRole& m_role;
+    StoreEra& m_era;
     base::Duration m_maxAge;
     OutageTracker m_outages;
     // The version that the store returned last, if it was older than the one in force.
--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "log/LogLine.h"
+#include "redwingseam/base/BootClock.h"
 #include "sync/NodeRole.h"
 #include "sync/PlatformStoreClient.h"
+#include "sync/StoreEra.h"
 
 #include <algorithm>
 #include <atomic>
@@ -14,10 +16,11 @@
 template<PlatformStoreClient Client, typename Listener>
 class NodesTask {
 public:
-    NodesTask(Client& client, Listener& listener, const NodeRole& role, NodeRecord self)
+    NodesTask(Client& client, Listener& listener, const NodeRole& role, StoreEra& era, NodeRecord self)
         : m_store(client)
         , m_listener(listener)
         , m_role(role)
+        , m_era(era)
         , m_self(std::move(self))
     {
     }
@@ -47,7 +50,7 @@
     bool readNodes(Freshness freshness)
     {
         auto nodes = m_store.listNodes(freshness);
-        if (!nodes)
+        if (!nodes || !m_era.learn(nodes.value().era, base::BootClock {}.now()))
             return false;
         auto& entries = nodes.value().nodes;
         if (std::find(entries.begin(), entries.end(), m_self) != entries.end())
@@ -69,6 +72,7 @@
     Client& m_store;
     Listener& m_listener;
     const NodeRole& m_role;
+    StoreEra& m_era;
     NodeRecord m_self;
     bool m_isRegistered = false;
     std::atomic<bool> m_hasListed { false };
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -6,6 +6,7 @@
 #include "sync/NodeRole.h"
 #include "sync/OutageTracker.h"
 #include "sync/PlatformStoreClient.h"
+#include "sync/StoreEra.h"
 #include "sync/UpstreamListCache.h"
 
 #include <glog/logging.h>
@@ -19,11 +20,12 @@
 class UpstreamListTask {
 public:
     // `maxAge` is the time within which this node must know a change in the store.
-    UpstreamListTask(Client& client, fleet::Fleet& fleet, UpstreamListCache& upstreamCache, const NodeRole& role, base::Duration maxAge)
+    UpstreamListTask(Client& client, fleet::Fleet& fleet, UpstreamListCache& upstreamCache, const NodeRole& role, StoreEra& era, base::Duration maxAge)
         : m_store(client)
         , m_fleet(fleet)
         , m_upstreamCache(upstreamCache)
         , m_role(role)
+        , m_era(era)
         , m_maxAge(maxAge)
         , m_watchTimeout(maxAge / 3)
         , m_fullListInterval(maxAge * 2)
@@ -40,7 +42,9 @@
             m_canResumeWatch = false;
             return true;
         }
-        bool needsFullList = !m_canResumeWatch || startedAt - m_lastFullListAt > m_fullListInterval;
+        // After a restore the revision may name another state, and a watch from it would miss changes.
+        bool isRevisionValid = m_canResumeWatch && m_version.era == m_era.current();
+        bool needsFullList = !isRevisionValid || startedAt - m_lastFullListAt > m_fullListInterval;
         auto confirmedAt = needsFullList ? readFullList() : watchChanges();
         auto now = base::BootClock {}.now();
         logStoreState(confirmedAt, now);
@@ -55,6 +59,8 @@
 private:
     using InstanceMap = std::map<base::UpstreamName, fleet::UpstreamInstance>;
 
+    static base::Error obsoleteResponse(uint64_t era) { return { base::ResultCode::PlatformUnavailable, "response of the earlier era " + std::to_string(era) }; }
+
     // This and watchChanges() return the time at which the list was valid.
     base::Result<base::Instant> readFullList()
     {
@@ -62,6 +68,8 @@
         auto listed = m_store.listUpstreams();
         if (!listed)
             return listed.error();
+        if (!m_era.learn(listed.value().version.era, base::BootClock {}.now()))
+            return obsoleteResponse(listed.value().version.era);
         InstanceMap current;
         for (const auto& instance : listed.value().upstreams)
             current.emplace(instance.id, instance);
@@ -86,11 +94,17 @@
         auto result = m_store.watchUpstreams(m_version.revision, m_watchTimeout);
         if (!result)
             return result.error();
-        m_version = result.value().version;
+        auto now = base::BootClock {}.now();
+        auto version = result.value().version;
+        if (!m_era.learn(version.era, now))
+            return obsoleteResponse(version.era);
+        if (version.era != m_version.era)
+            return readFullList();
+        m_version = version;
         for (const auto& change : result.value().changes)
             apply(change);
         // A watch that ends without an error has returned all changes made before its end.
-        return base::BootClock {}.now();
+        return now;
     }
 
     void apply(const UpstreamChange& change)
@@ -148,6 +162,7 @@
     fleet::Fleet& m_fleet;
     UpstreamListCache& m_upstreamCache;
     const NodeRole& m_role;
+    StoreEra& m_era;
     base::Duration m_maxAge;
     // Several watches end within `m_maxAge`, and each confirms that the list is up to date.
     base::Duration m_watchTimeout;
--- a/tests/NodesTaskTest.cpp
+++ b/tests/NodesTaskTest.cpp
@@ -14,8 +14,9 @@
     FakeNodeStore store;
     RecordingNodeListener listener;
     sync::NodeRole role;
+    sync::StoreEra era;
     sync::NodeRecord self { { "a1" }, { "dc-a" }, "10.0.0.1:1" };
-    sync::NodesTask<FakeNodeStore, RecordingNodeListener> task { store, listener, role, self };
+    sync::NodesTask<FakeNodeStore, RecordingNodeListener> task { store, listener, role, era, self };
 };
 
 TEST(NodesTask, NodeRegistersOnce)
--- a/tests/RestoredStorePeersTest.cpp
+++ b/tests/RestoredStorePeersTest.cpp
@@ -94,4 +94,15 @@
         CHECK_TRUE(readReply.has_value());
         CHECK_FALSE(std::get<replication::StateReply>(*readReply).hasEra);
     }
+    CHECK_TRUE(hub.era.current() == std::nullopt);
+}
+
+TEST(RestoredStorePeers, NodesLearnOfARestoreFromEachOther)
+{
+    publish(hub, { 1, 9 }, all);
+    cluster.run(milliseconds(500));
+    publish(neighbour, { 2, 4 }, all);
+    cluster.run(milliseconds(500));
+    CHECK_TRUE(hub.era.current() == 2U);
+    CHECK_TRUE(hub.era.restoredAt() > cluster.now - milliseconds(500));
 }
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -17,8 +17,9 @@
     sync::UpstreamListCache cache;
     manifest::ManifestHolder manifest;
     sync::NodeRole role;
-    sync::UpstreamListTask<RestorableStore> listTask { store, fleet, cache, role, seconds(3) };
-    sync::ManifestTask<RestorableStore> manifestTask { store, manifest, role, seconds(3) };
+    sync::StoreEra era;
+    sync::UpstreamListTask<RestorableStore> listTask { store, fleet, cache, role, era, seconds(3) };
+    sync::ManifestTask<RestorableStore> manifestTask { store, manifest, role, era, seconds(3) };
 
     bool isUsed(const std::string& name, base::Duration later = {})
     {
@@ -64,3 +65,50 @@
     STRCMP_EQUAL("e1 ", listed().c_str());
     CHECK_TRUE(fleet.listedAt() > before);
 }
+
+// Guards against a watch whose revision was given out again, so that the store doesn't answer 410.
+TEST(RestoredStore, WatchFromARevisionThatWasGivenOutAgainMissesNoChange)
+{
+    store.put("e1");
+    store.put("e2");
+    auto copy = store.content;
+    store.put("e3");
+    readList();
+    store.restore(copy);
+    store.remove("e2");
+    store.put("e4");
+    readList();
+    STRCMP_EQUAL("e1 e4 ", listed().c_str());
+}
+
+// Guards against a watch from a revision that the store no longer has after peers have told of the restore.
+TEST(RestoredStore, NodeThatLearnsOfARestoreReadsTheFullList)
+{
+    store.put("e1");
+    readList();
+    auto copy = store.content;
+    store.put("e2");
+    store.put("e4");
+    readList();
+    store.restore(copy);
+    store.put("e3");
+    era.learn(store.era, base::BootClock {}.now());
+    CHECK_TRUE(listTask.poll());
+    STRCMP_EQUAL("e1 e3 ", listed().c_str());
+}
+
+// Guards against a late response that undoes what was read after the restore.
+TEST(RestoredStore, ResponseOfAnEarlierEraIsNotUsed)
+{
+    store.put("e1");
+    readList();
+    manifestTask.poll();
+    era.learn(2, base::BootClock {}.now() - seconds(10));
+    store.put("e2");
+    store.content.manifestVersion = 2;
+    CHECK_FALSE(listTask.poll());
+    CHECK_FALSE(listTask.poll());
+    CHECK_FALSE(manifestTask.poll());
+    STRCMP_EQUAL("e1 ", listed().c_str());
+    LONGS_EQUAL(1, manifest.state().index->manifest().version);
+}
--- a/tests/fakes/PeerNode.h
+++ b/tests/fakes/PeerNode.h
@@ -9,7 +9,7 @@
 struct PeerNode {
     explicit PeerNode(const std::string& name, const std::string& dataCentre)
         : record { { name }, { dataCentre }, name }
-        , sync(record, fleet, crashes, manifest, upstreamCache, role)
+        , sync(record, fleet, crashes, manifest, upstreamCache, role, era)
     {
         fleet.update(fleetList(), base::Instant(std::chrono::seconds(1)), {});
     }
@@ -35,6 +35,7 @@
     manifest::ManifestHolder manifest;
     sync::UpstreamListCache upstreamCache;
     sync::NodeRole role;
+    sync::StoreEra era;
     replication::PeerSync<FakeManifestParser> sync;
 };
 
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -53,6 +53,7 @@
 
     gateway::GatewayState m_state;
     sync::NodeRole m_role;
+    sync::StoreEra m_storeEra;
     sync::UpstreamListCache m_upstreamCache;
     PeerSync m_peerSync;
     replication::PeerTransport<PeerSync> m_peers;
