Upstreams: the grace for missing entries follows a restore, however short the outage

What callers would see: for up to two seconds after a restore, requests wait or are refused although the upstreams run, because their entries are newer than the copy and not written again yet.

Cause: the grace began only after an outage of over 1.5 s, and a node whose own list was younger than 2.4 s limited the grace of the node that reads the store to its own. Both rest on entries expiring by missed heartbeats, which a restore doesn't wait for.

Class: a bound derived from one way in which entries vanish, applied to all.

Change: the grace runs from the moment at which the node learned of the restore, not from its own first read, so that a node that takes over the reading later gives none anew. A receiver adopts it in full if the list is of another era than its own.

Evidence: without it, RestoredStore.EntryMissingAfterARestoreIsUsedUntilItCanBeBack and RestoredStorePeers.GraceForMissingEntriesIsAdoptedAfterARestore fail. RestoredStore.EntryMissingLongAfterARestoreIsGone guards the other side.

--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -426,11 +426,13 @@
 }
 
 // A node that alone lost its connection to the store mistakes this for an outage of the store, and reports a grace
-// period for entries that really expired. A receiver whose own list is recent limits the grace period to its own.
+// period for entries that really expired. A receiver whose own list is recent limits the grace period to its own, except
+// after a restore, which may remove entries at any time.
 template<ManifestParser Parser>
 base::Duration PeerSync<Parser>::missingEntryGraceFor(const StateReply& reply, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt)
 {
-    bool isTooRecentForExpiry = current && queriedAt - current->confirmedAt < maxListAgeWithoutExpiry;
+    bool isSameEra = current && statedListVersion(reply, current).era == current->list->version.era;
+    bool isTooRecentForExpiry = isSameEra && queriedAt - current->confirmedAt < maxListAgeWithoutExpiry;
     return isTooRecentForExpiry ? std::min(reply.missingEntryGrace, current->missingEntryGrace) : reply.missingEntryGrace;
 }
 
--- a/src/sync/OutageTracker.cpp
+++ b/src/sync/OutageTracker.cpp
@@ -1,5 +1,7 @@
 #include "sync/OutageTracker.h"
 
+#include <algorithm>
+
 namespace redwingseam::sync {
 
 bool OutageTracker::recordResult(bool succeeded, base::Instant now)
@@ -15,6 +17,11 @@
     return wasUnreachable;
 }
 
+void OutageTracker::recordRestore(base::Instant restoredAt)
+{
+    m_recoveredAt = std::max(m_recoveredAt, restoredAt);
+}
+
 base::Duration OutageTracker::missingEntryGrace(base::Instant now) const
 {
     if (m_recoveredAt == base::Instant {} || now - m_recoveredAt >= recoveryGrace)
--- a/src/sync/OutageTracker.h
+++ b/src/sync/OutageTracker.h
@@ -10,6 +10,8 @@
 public:
     // Records the result of a call. Returns whether it changed the state between reachable and unreachable.
     bool recordResult(bool succeeded, base::Instant now);
+    // Records that the store was restored at `restoredAt`, so that entries may be missing however short the outage was.
+    void recordRestore(base::Instant restoredAt);
     bool isUnreachable() const { return m_isUnreachable; }
     // Returns how much longer a missing entry is kept.
     base::Duration missingEntryGrace(base::Instant now) const;
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -125,6 +125,7 @@
         all.reserve(m_upstreams.size());
         for (const auto& [id, instance] : m_upstreams)
             all.push_back(instance);
+        m_outages.recordRestore(m_era.restoredAt());
         auto grace = m_outages.missingEntryGrace(now);
         auto list = std::make_shared<const UpstreamList>(UpstreamList { m_version, std::move(all) });
         bool isAccepted = m_upstreamCache.update({ list, confirmedAt, grace });
--- a/tests/RestoredStorePeersTest.cpp
+++ b/tests/RestoredStorePeersTest.cpp
@@ -97,6 +97,20 @@
     CHECK_TRUE(hub.era.current() == std::nullopt);
 }
 
+// Guards against upstreams that a node gives up after a restore since its own list is too young for entries to have expired.
+TEST(RestoredStorePeers, GraceForMissingEntriesIsAdoptedAfterARestore)
+{
+    publish(hub, { 1, 9 }, all);
+    cluster.run(milliseconds(500));
+    publish(hub, { 2, 4 }, { all.front() }, milliseconds(2400));
+    cluster.run(milliseconds(500));
+    CHECK_TRUE(neighbour.fleet.takesWork(all.back(), cluster.now));
+    cluster.run(milliseconds(1200));
+    publish(hub, { 2, 5 }, { all.front() }, milliseconds(700));
+    cluster.run(milliseconds(1200));
+    CHECK_FALSE(neighbour.fleet.takesWork(all.back(), cluster.now));
+}
+
 TEST(RestoredStorePeers, NodesLearnOfARestoreFromEachOther)
 {
     publish(hub, { 1, 9 }, all);
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -112,3 +112,28 @@
     STRCMP_EQUAL("e1 ", listed().c_str());
     LONGS_EQUAL(1, manifest.state().index->manifest().version);
 }
+
+// Guards against upstreams that are given up although their entries are only not written again yet.
+TEST(RestoredStore, EntryMissingAfterARestoreIsUsedUntilItCanBeBack)
+{
+    auto copy = store.content;
+    store.put("e1");
+    readList();
+    store.restore(copy);
+    readList();
+    STRCMP_EQUAL("", listed().c_str());
+    CHECK_TRUE(isUsed("e1", milliseconds(1500)));
+    CHECK_FALSE(isUsed("e1", milliseconds(2500)));
+}
+
+// Guards against a grace that begins anew with each node that reads the list.
+TEST(RestoredStore, EntryMissingLongAfterARestoreIsGone)
+{
+    store.put("e1");
+    readList();
+    store.restore(store.content);
+    era.learn(store.era, base::BootClock {}.now() - milliseconds(2500));
+    store.remove("e1");
+    readList();
+    CHECK_FALSE(isUsed("e1"));
+}
