Manifest: what a restored store returns at first is no confirmation

What callers would see: with strict revocation, a key that was taken away is accepted for up to the revocation bound longer, by a node that still holds the version before.

Cause: a read that returns the node's own version confirmed it as the newest. A restored store may have lost a version that was acknowledged, until the operator has written it again, so the read proves nothing then.

Class: a proof of currency taken from a source that may itself have gone back.

Change: reads in the first second after the node has learned of a restore take newer versions and confirm none. Nodes on which others rely ask again soon, so that the age of the manifest grows by little more than that second. A node that starts after the restore doesn't know of it; it asks its peers first, as before. Weighed: a longer time covers an operator who writes later, and turns clients away with 503 as soon as outage and wait exceed the revocation bound.

A version that goes back, or an older one that counts as confirmation of the newer, was looked for and not found: ManifestHolder takes neither.

--- a/src/sync/ManifestTask.h
+++ b/src/sync/ManifestTask.h
@@ -43,14 +43,23 @@
         if (!m_era.learn(read.value().era, base::BootClock {}.now()))
             return false;
         logOlderVersion(read.value().version);
+        // Replaces nothing as a time of confirmation.
+        auto confirmedAt = mayLackVersions(startedAt) ? base::Instant {} : startedAt;
         if (!read.value().changed)
-            m_holder.confirmUnchanged(read.value().version, startedAt);
-        else if (m_holder.update(std::move(*read.value().changed), std::move(read.value().text), startedAt))
+            m_holder.confirmUnchanged(read.value().version, confirmedAt);
+        else if (m_holder.update(std::move(*read.value().changed), std::move(read.value().text), confirmedAt))
             LOG(INFO) << log::LogLine("manifest_in_force").with("version", read.value().version).text();
-        return true;
+        // Nodes on which others rely ask again soon.
+        return !mayLackVersions(startedAt) || !m_role.isResponsible();
     }
 
 private:
+    // Versions that a restored store lost are written again, and peers may know them, so what it returns first need not be
+    // the newest version.
+    static constexpr base::Duration versionRecoveryTime = std::chrono::seconds(1);
+
+    bool mayLackVersions(base::Instant readBegan) const { return readBegan - m_era.restoredAt() < versionRecoveryTime; }
+
     void logOlderVersion(uint64_t version)
     {
         auto state = m_holder.state();
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -137,3 +137,53 @@
     readList();
     CHECK_FALSE(isUsed("e1"));
 }
+
+// Guards against a version that goes back, and against an older one that proves the newer one current.
+TEST(RestoredStore, OlderManifestIsNeitherTakenNorAConfirmation)
+{
+    store.content.manifestVersion = 5;
+    auto copy = store.content;
+    store.content.manifestVersion = 9;
+    CHECK_TRUE(manifestTask.poll());
+    auto confirmedAt = manifest.state().confirmedAt;
+    store.restore(copy);
+    era.learn(store.era, base::BootClock {}.now() - seconds(10));
+    CHECK_TRUE(manifestTask.poll());
+    LONGS_EQUAL(9, manifest.state().index->manifest().version);
+    CHECK_TRUE(manifest.state().confirmedAt == confirmedAt);
+    store.content.manifestVersion = 9;
+    CHECK_TRUE(manifestTask.poll());
+    CHECK_TRUE(manifest.state().confirmedAt > confirmedAt);
+}
+
+// Guards against revoked keys that are accepted because the store has lost the version that revoked them.
+TEST(RestoredStore, ReadRightAfterARestoreIsNoConfirmation)
+{
+    CHECK_TRUE(manifestTask.poll());
+    auto confirmedAt = manifest.state().confirmedAt;
+    store.restore(store.content);
+    CHECK_FALSE(manifestTask.poll());
+    CHECK_TRUE(manifest.state().confirmedAt == confirmedAt);
+    role.setHub(false);
+    CHECK_TRUE(manifestTask.poll());
+    CHECK_TRUE(manifest.state().confirmedAt == confirmedAt);
+}
+
+TEST(RestoredStore, ReadSomeTimeAfterARestoreIsAConfirmation)
+{
+    CHECK_TRUE(manifestTask.poll());
+    auto confirmedAt = manifest.state().confirmedAt;
+    store.restore(store.content);
+    era.learn(store.era, base::BootClock {}.now() - seconds(2));
+    CHECK_TRUE(manifestTask.poll());
+    CHECK_TRUE(manifest.state().confirmedAt > confirmedAt);
+}
+
+// A node that starts after the restore doesn't know of it, and must have state at once.
+TEST(RestoredStore, FirstReadOfANodeIsAConfirmation)
+{
+    store.restore(store.content);
+    CHECK_TRUE(manifestTask.poll());
+    CHECK_TRUE(manifest.state().confirmedAt != base::Instant {});
+    CHECK_TRUE(era.restoredAt() == base::Instant {});
+}
