Nodes register in the store again after it was restored

What callers would see: nothing at once. A node whose entry the restore removed was missing from the store's list for the rest of its life; nodes that started later knew it only once it had asked them, and took themselves for the leader until then.

Cause: whether the node is registered was decided once.

Class: a state that another party holds, taken for lasting.

Change: the era in which the entry was last seen is kept with it. In a later era each node reads the list once more and writes its entry if it is missing. The read is one that may be old (a tenth of the price, outside the rate), made 5 s after the restore or later, so that it doesn't return the entry from before; the usual pause between polls spreads the nodes.

Where else: the nodes' entries are all that the system writes to the store.

Evidence: without it NodesTask.NodeRegistersAgainAfterARestore fails; with old reads taken as proof, EntryReadRightAfterARestoreProvesNothing.

--- a/src/sync/NodesTask.h
+++ b/src/sync/NodesTask.h
@@ -9,10 +9,12 @@
 #include <algorithm>
 #include <atomic>
 #include <glog/logging.h>
+#include <optional>
 
 namespace redwingseam::sync {
 
-// Registers this node in the store and reads the list of nodes. Each list is passed to `Listener::setNodes`.
+// Registers this node in the store, again after a restore, and reads the list of nodes. Each list is passed to
+// `Listener::setNodes`.
 template<PlatformStoreClient Client, typename Listener>
 class NodesTask {
 public:
@@ -28,6 +30,8 @@
     // Returns false if a call to the store failed.
     bool poll()
     {
+        if (mayBeUnregistered())
+            m_isRegistered = false;
         if (m_isRegistered && !m_role.isLeader())
             return true;
         // A list that is some seconds old suffices: the entry outlives the process, so most starts find it, and nodes
@@ -47,6 +51,11 @@
     bool hasListed() const { return m_hasListed; }
 
 private:
+    // A restored store may lack the entry. Reads that may be old could still return it from before the restore, and no
+    // node needs the entry at once.
+    bool mayPrecedeRestore() const { return base::BootClock {}.now() - m_era.restoredAt() <= maxReadAge; }
+    bool mayBeUnregistered() const { return m_era.current() != m_registeredIn && !mayPrecedeRestore(); }
+
     bool readNodes(Freshness freshness)
     {
         auto nodes = m_store.listNodes(freshness);
@@ -54,7 +63,7 @@
             return false;
         auto& entries = nodes.value().nodes;
         if (std::find(entries.begin(), entries.end(), m_self) != entries.end())
-            m_isRegistered = true;
+            recordEntry(nodes.value().era, freshness);
         m_listener.setNodes(std::move(entries));
         m_hasListed = true;
         return true;
@@ -69,12 +78,24 @@
         return false;
     }
 
+    void recordEntry(uint64_t era, Freshness freshness)
+    {
+        m_isRegistered = true;
+        if (freshness == Freshness::Latest || !mayPrecedeRestore())
+            m_registeredIn = era;
+    }
+
+    // Results of reads with Freshness::Recent are younger than this.
+    static constexpr base::Duration maxReadAge = std::chrono::seconds(5);
+
     Client& m_store;
     Listener& m_listener;
     const NodeRole& m_role;
     StoreEra& m_era;
     NodeRecord m_self;
     bool m_isRegistered = false;
+    // The era in which the entry was last seen in the store.
+    std::optional<uint64_t> m_registeredIn;
     std::atomic<bool> m_hasListed { false };
 };
 
--- a/tests/NodesTaskTest.cpp
+++ b/tests/NodesTaskTest.cpp
@@ -1,9 +1,11 @@
 #include "sync/NodesTask.h"
 
+#include "base/Condition.h"
 #include "fakes/FakeNodeStore.h"
 #include "fakes/RecordingNodeListener.h"
 
 #include <CppUTest/TestHarness.h>
+#include <mutex>
 
 using namespace redwingseam;
 using fakes::FakeNodeStore;
@@ -57,3 +59,49 @@
     CHECK_TRUE(task.poll());
     LONGS_EQUAL(1, store.writes);
 }
+
+// Guards against nodes whose entries are gone for ever after the store was restored from a copy.
+TEST(NodesTask, NodeRegistersAgainAfterARestore)
+{
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    store.entries.clear();
+    ++store.era;
+    era.learn(store.era, base::BootClock {}.now() - std::chrono::seconds(6));
+    CHECK_TRUE(task.poll());
+    CHECK_TRUE(task.poll());
+    LONGS_EQUAL(1, store.entries.size());
+    LONGS_EQUAL(2, store.writes);
+}
+
+TEST(NodesTask, EntryThatSurvivedARestoreIsNotWrittenAgain)
+{
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    ++store.era;
+    era.learn(store.era, base::BootClock {}.now() - std::chrono::seconds(6));
+    CHECK_TRUE(task.poll());
+    CHECK_TRUE(task.poll());
+    LONGS_EQUAL(1, store.writes);
+    LONGS_EQUAL(2, store.recentReads);
+}
+
+// Guards against a read from before the restore that proves the entry to be there.
+TEST(NodesTask, EntryReadRightAfterARestoreProvesNothing)
+{
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    ++store.era;
+    auto restoredAt = base::BootClock {}.now() - std::chrono::milliseconds(4900);
+    era.learn(store.era, restoredAt);
+    role.setLeader(true);
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    store.entries.clear();
+    base::Mutex mutex;
+    base::Condition condition;
+    std::lock_guard guard(mutex);
+    condition.waitFor(mutex, std::chrono::milliseconds(150));
+    CHECK_TRUE(task.poll());
+    LONGS_EQUAL(1, store.entries.size());
+}
