StateTransfer: ask another node when the peer that was asked is dead

Cause: the interval until a request is repeated belonged to the node, not to the peer, and doubles with each loss. Class of fault: a wait for something that cannot come any more.

Change: the transfer knows its peer. If the peer is not live, the node asks the next one that offers newer state 2 s after the request at the latest, and that one's interval begins anew. Not sooner than 2 s, since peers behind a full link seem dead at times and copies must not start side by side.

Evidence: StateTransfer.StateOfAPeerThatDiedIsRequestedFromAnother failed before: the version was not in force 2.5 s after the hub had ended (interval of 8 s). LargeState, PeerSync and PeerRoles hold. Not covered: several replies of a live peer lost in a row, after which the second repetition comes 6 s after the first request.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -111,6 +111,8 @@
     bool hasState() const { return m_manifest.state().index && m_upstreamCache.snapshot(); }
     // Returns whether the sender has a newer manifest or list that its reply does not include.
     bool lacksStateOf(const StateReply&) const;
+    // Returns whether the reply to a request for full state may still arrive.
+    bool isAwaitingState(base::Instant now) const;
     // Returns the load that a query to `node` reports.
     fleet::LoadMap loadsFor(const sync::NodeRecord& node, base::Instant now);
     fleet::LoadMap dataCentreLoads(base::Instant now);
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -122,7 +122,7 @@
     query.wantsFullState = true;
     query.acceptsCompression = true;
     m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
-    m_stateTransfer.begin(query.sequence, now);
+    m_stateTransfer.begin(query.sequence, node.name, now);
     return message;
 }
 
@@ -361,11 +361,17 @@
         m_role.setDeputy(reply.isDeputy);
     }
     OutgoingMessages outgoing;
-    if (lacksStateOf(reply) && !m_stateTransfer.isInProgress(now))
+    if (lacksStateOf(reply) && !isAwaitingState(now))
         outgoing.push_back(makeFullStateQuery(reply.from, now));
     return outgoing;
 }
 
+template<ManifestParser Parser>
+bool PeerSync<Parser>::isAwaitingState(base::Instant now) const
+{
+    return m_stateTransfer.isInProgress(now, m_directory.isLive(m_stateTransfer.peer(), now));
+}
+
 template<ManifestParser Parser>
 bool PeerSync<Parser>::lacksStateOf(const StateReply& reply) const
 {
--- a/src/replication/StateTransfer.h
+++ b/src/replication/StateTransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 
 #include <algorithm>
@@ -14,16 +15,23 @@
 // earlier transfers took. Not synchronised.
 class StateTransfer {
 public:
-    bool isInProgress(base::Instant now) const { return m_sequence && now - m_startedAt < m_timeout; }
+    // Returns whether the reply may still arrive. A peer that seems dead, which one behind a full link does at times, is given
+    // the shortest interval.
+    bool isInProgress(base::Instant now, bool isPeerLive) const { return m_sequence && now - m_startedAt < (isPeerLive ? m_timeout : initialTimeout); }
 
-    void begin(uint64_t sequence, base::Instant now)
+    void begin(uint64_t sequence, const base::VmName& peer, base::Instant now)
     {
-        bool isRepeated = m_sequence.has_value();
+        // The wait for a peer that died says nothing about the next one.
+        bool isRepeated = m_sequence && now - m_startedAt >= m_timeout;
         m_timeout = isRepeated ? std::min(m_timeout * 2, maxTimeout) : std::clamp(m_lastDuration * 2, initialTimeout, maxTimeout);
         m_sequence = sequence;
         m_startedAt = now;
+        m_peer = peer;
     }
 
+    // The node that the newest request went to.
+    const base::VmName& peer() const { return m_peer; }
+
     // Records a reply, which came `duration` after its request. A late reply to an earlier request does not end the transfer, since
     // the reply to the newest request is on its way behind it.
     void recordReply(uint64_t sequence, bool hasState, base::Duration duration)
@@ -41,6 +49,7 @@
     static constexpr base::Duration initialTimeout = std::chrono::seconds(2);
 
     std::optional<uint64_t> m_sequence;
+    base::VmName m_peer;
     base::Instant m_startedAt {};
     base::Duration m_timeout = initialTimeout;
     // How long the last replies with state took, with the longer ones fading.
--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -50,3 +50,23 @@
     LONGS_EQUAL(1, mostAtOnceDuring(60));
     CHECK_TRUE(slow.manifestVersion() + 5 >= hub.manifestVersion());
 }
+
+// A node that waits for a dead peer keeps an old manifest while its neighbours have the new one.
+TEST(StateTransfer, StateOfAPeerThatDiedIsRequestedFromAnother)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& deputy = cluster.add("a2", "dc-a");
+    auto& node = cluster.add("a3", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    cluster.lossLimits["a3"] = textBytes / 2;
+    hub.confirm(largeText(2), cluster.now);
+    cluster.run(milliseconds(6600));
+    LONGS_EQUAL(2, deputy.manifestVersion());
+    LONGS_EQUAL(1, node.manifestVersion());
+    cluster.stoppedNodes.insert("a1");
+    cluster.lossLimits.clear();
+    cluster.run(milliseconds(2500));
+    LONGS_EQUAL(2, node.manifestVersion());
+}
