PeerSync: an unreadable manifest holds up neither the next one nor the list

Cause: an unreadable reply left the transfer open, and with it everything that transfers carry. Class of fault: one transfer that holds up everything else.

Change: a reply ends its transfer, readable or not. The version that could not be read is remembered (UnreadableManifest) and not requested again until an interval has passed that doubles from 2 s to 32 s, as before. Other versions and the list are requested at once; such a query names that version as held, so that it is not sent along.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -10,6 +10,7 @@
 #include "replication/PeerLoadTable.h"
 #include "replication/PendingQuery.h"
 #include "replication/StateTransfer.h"
+#include "replication/UnreadableManifest.h"
 #include "sync/NodeRole.h"
 #include "sync/StoreEra.h"
 #include "sync/UpstreamListCache.h"
@@ -86,8 +87,7 @@
     static void logSentState(const StateQuery&, const StateReply&);
     // `sinceQuery` is not set if the query has expired, so that the reply is not used.
     static void logReceivedState(const StateReply&, std::optional<base::Duration> sinceQuery);
-    // Returns false if the manifest's text cannot be read.
-    bool applyManifest(const StateReply&, base::Instant queriedAt);
+    void applyManifest(const StateReply&, base::Instant queriedAt, base::Instant now);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
     // `held` is the version of the list that the receiver of the reply holds.
@@ -100,6 +100,9 @@
     void addManifestTo(const StateQuery&, const std::shared_ptr<const std::string>& text, StateReply&);
     // Returns the text of the manifest in the reply, or nullopt if it is damaged.
     static std::optional<std::string> manifestTextOf(const StateReply&);
+    void recordUnreadableManifest(const StateReply&, const std::string& detail, base::Instant now);
+    // Returns the version of the manifest in force, or that of a newer one that is not to be requested.
+    uint64_t manifestVersionNotLacking(base::Instant now) const;
     fleet::LoadMap filterLoads(const fleet::LoadMap&, const base::DataCentreName& receiver);
     void queryHub(OutgoingMessages&, base::Instant now);
     void queryRemoteHubs(OutgoingMessages&, base::Instant now);
@@ -110,7 +113,7 @@
     // Returns whether this node has both a manifest and a list of upstreams.
     bool hasState() const { return m_manifest.state().index && m_upstreamCache.snapshot(); }
     // Returns whether the sender has a newer manifest or list that its reply does not include.
-    bool lacksStateOf(const StateReply&) const;
+    bool lacksStateOf(const StateReply&, base::Instant now) const;
     // Returns whether the reply to a request for full state may still arrive.
     bool isAwaitingState(base::Instant now) const;
     // Returns the load that a query to `node` reports.
@@ -133,6 +136,7 @@
     uint64_t m_sequence = 0;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     StateTransfer m_stateTransfer;
+    UnreadableManifest m_unreadableManifest;
     // The last text that was sent compressed, and its compressed form.
     std::shared_ptr<const std::string> m_compressedText;
     std::shared_ptr<const std::string> m_compressedManifest;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -119,6 +119,7 @@
 {
     auto message = makeQuery(node, loadsFor(node, now), now);
     auto& query = std::get<StateQuery>(message.message);
+    query.manifestVersion = manifestVersionNotLacking(now);
     query.wantsFullState = true;
     query.acceptsCompression = true;
     m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
@@ -346,11 +347,9 @@
         return {};
     learnEra(reply, now);
     auto queriedAt = pending.mapped().sentAt;
-    bool isReadable = applyManifest(reply, queriedAt);
+    applyManifest(reply, queriedAt, now);
     applyList(reply, queriedAt);
-    // State that cannot be read is not requested again at once.
-    if (isReadable)
-        m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
+    m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
     m_crashes.parts.apply(reply.parts, now);
@@ -361,7 +360,7 @@
         m_role.setDeputy(reply.isDeputy);
     }
     OutgoingMessages outgoing;
-    if (lacksStateOf(reply) && !isAwaitingState(now))
+    if (lacksStateOf(reply, now) && !isAwaitingState(now))
         outgoing.push_back(makeFullStateQuery(reply.from, now));
     return outgoing;
 }
@@ -373,13 +372,18 @@
 }
 
 template<ManifestParser Parser>
-bool PeerSync<Parser>::lacksStateOf(const StateReply& reply) const
+uint64_t PeerSync<Parser>::manifestVersionNotLacking(base::Instant now) const
 {
     auto manifest = m_manifest.state();
+    return std::max(manifest.index ? manifest.index->manifest().version : 0, m_unreadableManifest.versionToSkip(now));
+}
+
+template<ManifestParser Parser>
+bool PeerSync<Parser>::lacksStateOf(const StateReply& reply, base::Instant now) const
+{
     auto snapshot = m_upstreamCache.snapshot();
-    bool lacksManifest = reply.manifestVersion > (manifest.index ? manifest.index->manifest().version : 0);
     bool lacksList = statedListVersion(reply, snapshot) > (snapshot ? snapshot->list->version : sync::StoreVersion {});
-    return lacksManifest || lacksList;
+    return lacksList || reply.manifestVersion > manifestVersionNotLacking(now);
 }
 
 template<ManifestParser Parser>
@@ -407,28 +411,34 @@
 }
 
 template<ManifestParser Parser>
-bool PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt)
+void PeerSync<Parser>::recordUnreadableManifest(const StateReply& reply, const std::string& detail, base::Instant now)
+{
+    m_unreadableManifest.record(reply.manifestVersion, now);
+    LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("version", reply.manifestVersion).with("detail", detail).text();
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::applyManifest(const StateReply& reply, base::Instant queriedAt, base::Instant now)
 {
     if (!reply.manifestVersion)
-        return true;
+        return;
     auto confirmedAt = queriedAt - reply.manifestAge;
     if (!carriesManifest(reply)) {
         m_manifest.confirmUnchanged(reply.manifestVersion, confirmedAt);
-        return true;
+        return;
     }
     auto text = manifestTextOf(reply);
     if (!text) {
-        LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", "damaged compressed text").text();
-        return false;
+        recordUnreadableManifest(reply, "damaged compressed text", now);
+        return;
     }
     auto manifest = Parser::parse(*text);
     if (!manifest) {
-        LOG(WARNING) << log::LogLine("peer_manifest_unreadable").with("from", reply.from.name.text).with("detail", manifest.error().detail).text();
-        return false;
+        recordUnreadableManifest(reply, manifest.error().detail, now);
+        return;
     }
     if (m_manifest.update(std::move(manifest.value()), *std::move(text), confirmedAt))
         LOG(INFO) << log::LogLine("manifest_in_force").with("version", reply.manifestVersion).with("from", reply.from.name.text).text();
-    return true;
 }
 
 // A node that alone lost its connection to the store mistakes this for an outage of the store, and reports a grace
--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -20,6 +20,23 @@
     return text;
 }
 
+static void confirmUnreadable(PeerNode& node, uint64_t version, base::Instant now)
+{
+    node.manifest.update(fakes::FakeManifestParser::parse(std::to_string(version)).value(), "unreadable " + largeText(version), now);
+}
+
+static void confirmList(PeerNode& node, uint64_t revision, base::Instant now)
+{
+    sync::UpstreamList list { revision, PeerNode::fleetList() };
+    node.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(std::move(list)), now, {} });
+}
+
+static uint64_t listRevision(const PeerNode& node)
+{
+    auto snapshot = node.upstreamCache.snapshot();
+    return snapshot ? snapshot->list->revision : 0;
+}
+
 TEST_GROUP(StateTransfer)
 {
     FakePeerCluster cluster;
@@ -70,3 +87,33 @@
     cluster.run(milliseconds(2500));
     LONGS_EQUAL(2, node.manifestVersion());
 }
+
+// A version that cannot be read must not hold up the one that repairs it.
+TEST(StateTransfer, ReadableManifestAfterAnUnreadableOneIsInForceInTime)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& node = cluster.add("a2", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    confirmUnreadable(hub, 2, cluster.now);
+    cluster.run(milliseconds(6600));
+    hub.confirm(3, cluster.now);
+    cluster.run(milliseconds(1000));
+    LONGS_EQUAL(3, node.manifestVersion());
+}
+
+// A node with an old list sends requests to upstreams that are gone.
+TEST(StateTransfer, UnreadableManifestDoesNotHoldUpTheList)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& node = cluster.add("a2", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    confirmUnreadable(hub, 2, cluster.now);
+    cluster.run(milliseconds(6600));
+    confirmList(hub, 5, cluster.now);
+    cluster.run(milliseconds(1000));
+    LONGS_EQUAL(5, listRevision(node));
+}
