Lists of the store: an entry that cannot be read hides no other

What callers saw: after another writer had put one odd entry among those of the workers, gateways followed the list no longer. They went on sending to workers that had left (DRAIN), and gateways that started did not become ready.

Cause: platform/UpstreamCodec parsed the whole answer of the store with one call and dropped it if that failed. Half of a surrogate pair, bytes that are no UTF-8, a control character, a number beyond a double or NaN anywhere in one entry fail that call. Class of fault: one bad element spoils the whole document.

Entries passed over are logged as `entries_skipped`, once for each change.

BootSettings reads line by line and was sound. Ruled out: the parser's and the destructor's stack, since nlohmann 3.11.2 does both without recursion for text. Not covered: a store whose body is not JSON by its brackets and quotes; such an answer fails as a whole, as before.

--- a/src/sync/PlatformStoreClient.h
+++ b/src/sync/PlatformStoreClient.h
@@ -4,7 +4,7 @@
 #include "sync/Freshness.h"
 #include "sync/ManifestRead.h"
 #include "sync/NodeList.h"
-#include "sync/UpstreamList.h"
+#include "sync/UpstreamListRead.h"
 #include "sync/UpstreamWatchResult.h"
 
 #include <concepts>
@@ -20,7 +20,7 @@
         } -> std::same_as<base::Result<ManifestRead>>;
     {
         client.listUpstreams()
-        } -> std::same_as<base::Result<UpstreamList>>;
+        } -> std::same_as<base::Result<UpstreamListRead>>;
     // Waits up to `wait` for a change after `revision`. Fails with PlatformNotFound if the store no longer holds the
     // changes since `revision`.
     {
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -6,6 +6,7 @@
 #include "sync/NodeRole.h"
 #include "sync/OutageTracker.h"
 #include "sync/PlatformStoreClient.h"
+#include "sync/SkippedEntries.h"
 #include "sync/StoreEra.h"
 #include "sync/UpstreamListCache.h"
 
@@ -52,6 +53,8 @@
             m_canResumeWatch = false;
             return false;
         }
+        if (m_skipped.takeChange())
+            LOG(WARNING) << log::LogLine("entries_skipped").with("count", m_skipped.count()).with("names", m_skipped.summary()).text();
         publish(confirmedAt.value(), now);
         return true;
     }
@@ -68,10 +71,10 @@
         auto listed = m_store.listUpstreams();
         if (!listed)
             return listed.error();
-        if (!m_era.learn(listed.value().version.era, base::BootClock {}.now()))
-            return obsoleteResponse(listed.value().version.era);
+        if (!m_era.learn(listed.value().list.version.era, base::BootClock {}.now()))
+            return obsoleteResponse(listed.value().list.version.era);
         InstanceMap current;
-        for (const auto& instance : listed.value().upstreams)
+        for (const auto& instance : listed.value().list.upstreams)
             current.emplace(instance.id, instance);
         for (const auto& [id, instance] : current) {
             auto before = m_upstreams.find(id);
@@ -83,7 +86,8 @@
                 logChange("upstream_unlisted", instance);
         }
         m_upstreams = std::move(current);
-        m_version = listed.value().version;
+        m_skipped.replace(listed.value().skipped);
+        m_version = listed.value().list.version;
         m_canResumeWatch = true;
         m_lastFullListAt = startedAt;
         return startedAt;
@@ -109,6 +113,10 @@
 
     void apply(const UpstreamChange& change)
     {
+        if (change.isSkipped)
+            m_skipped.add(change.id);
+        else
+            m_skipped.remove(change.id);
         auto before = m_upstreams.find(change.id);
         if (change.current) {
             logChange(change.current->isDraining ? "upstream_draining" : "upstream_listed", *change.current);
@@ -171,6 +179,7 @@
     base::Duration m_fullListInterval;
     OutageTracker m_outages;
     InstanceMap m_upstreams;
+    SkippedEntries m_skipped;
     StoreVersion m_version;
     bool m_isListRefused = false;
     bool m_canResumeWatch = false;
--- a/tests/StoreApiTest.cpp
+++ b/tests/StoreApiTest.cpp
@@ -26,7 +26,7 @@
 {
     ScriptedUpstream server({ page("store-era: 3\r\n"), response(R"({"events":[],"at":9})", "Store-Era: 4\r\n"), page("Store-Era: 5\r\n") });
     auto store = client(server);
-    CHECK_TRUE(store.listUpstreams().value().version == (sync::StoreVersion { 3, 7 }));
+    CHECK_TRUE(store.listUpstreams().value().list.version == (sync::StoreVersion { 3, 7 }));
     CHECK_TRUE(store.watchUpstreams(7, {}).value().version == (sync::StoreVersion { 4, 9 }));
     LONGS_EQUAL(5, store.listNodes(sync::Freshness::Recent).value().era);
 }
@@ -44,7 +44,7 @@
 {
     ScriptedUpstream server({ page(""), page("") });
     auto store = client(server);
-    CHECK_TRUE(store.listUpstreams().value().version == (sync::StoreVersion { 0, 7 }));
+    CHECK_TRUE(store.listUpstreams().value().list.version == (sync::StoreVersion { 0, 7 }));
     CHECK_TRUE(store.listUpstreams().has_value());
 }
 
--- a/tests/fakes/FakeNodeStore.h
+++ b/tests/fakes/FakeNodeStore.h
@@ -16,7 +16,7 @@
     uint64_t era = 1;
 
     base::Result<sync::ManifestRead> readManifest() { return unavailable(); }
-    base::Result<sync::UpstreamList> listUpstreams() { return unavailable(); }
+    base::Result<sync::UpstreamListRead> listUpstreams() { return unavailable(); }
     base::Result<sync::UpstreamWatchResult> watchUpstreams(uint64_t, base::Duration) { return unavailable(); }
     base::Error registerNode(const sync::NodeRecord& node)
     {
--- /dev/null
+++ b/tests/fakes/FakeUpstreamStore.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "sync/PlatformStoreClient.h"
+
+namespace redwingseam::fakes {
+
+// Store that returns the given list and changes of upstreams; its other calls fail as unavailable.
+struct FakeUpstreamStore {
+    sync::UpstreamListRead list;
+    std::vector<sync::UpstreamChange> changes;
+
+    base::Result<sync::ManifestRead> readManifest() { return unavailable(); }
+    base::Result<sync::UpstreamListRead> listUpstreams() { return list; }
+    base::Result<sync::UpstreamWatchResult> watchUpstreams(uint64_t revision, base::Duration)
+    {
+        return sync::UpstreamWatchResult { { 1, revision + 1 }, std::move(changes) };
+    }
+    base::Error registerNode(const sync::NodeRecord&) { return unavailable(); }
+    base::Result<sync::NodeList> listNodes(sync::Freshness) { return unavailable(); }
+
+    static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
+};
+
+} // namespace redwingseam::fakes
--- a/tests/fakes/RestorableStore.h
+++ b/tests/fakes/RestorableStore.h
@@ -46,12 +46,12 @@
         auto text = std::to_string(content.manifestVersion);
         return sync::ManifestRead { content.manifestVersion, era, FakeManifestParser::parse(text).value(), text };
     }
-    base::Result<sync::UpstreamList> listUpstreams()
+    base::Result<sync::UpstreamListRead> listUpstreams()
     {
-        sync::UpstreamList list { version(), {} };
+        sync::UpstreamListRead read { { version(), {} }, {} };
         for (const auto& [id, instance] : content.upstreams)
-            list.upstreams.push_back(instance);
-        return list;
+            read.list.upstreams.push_back(instance);
+        return read;
     }
     base::Result<sync::UpstreamWatchResult> watchUpstreams(uint64_t revision, base::Duration)
     {
