Upstreams: an entry that is not a whole worker's names no upstream

What callers saw: an entry of another writer, readable but without `version`, `coldLeftMs` and `seq`, was used as a worker. The server at its address is none, and its 404 went to clients (DENIED).

Cause: parseUpstream asked for five of the eight fields that each worker's entry has. Class of fault: a check that asks only for what the code uses takes foreign data for its own. Also accepted were port 0, an IP address followed by a null byte (inet_pton stops there), 2^32 slots (kept as 0), and any name, though the name is sent in a header: one with a line break would add headers, one over 64 KB would throw in Boost.Beast.

Evidence: EntryThatLacksAFieldNamesNoUpstream, AddressOutOfRangeNamesNoUpstream, NumberOutOfRangeNamesNoUpstream and NameThatIsNoHeaderValueNamesNoUpstream failed on the code before.

Tests changed: three of PlatformCodec used entries without the three fields; the fields were added, so that each invalid entry there is still invalid for its own reason alone.

--- a/src/http/SocketAddress.cpp
+++ b/src/http/SocketAddress.cpp
@@ -24,7 +24,8 @@
     auto digits = text.substr(colon + 1);
     auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
     in_addr parsed {};
-    bool isValid = failure == std::errc {} && end == digits.data() + digits.size() && inet_pton(AF_INET, address.ip.c_str(), &parsed) == 1;
+    // inet_pton reads up to the first null byte.
+    bool isValid = address.ip.find('\0') == std::string::npos && failure == std::errc {} && end == digits.data() + digits.size() && inet_pton(AF_INET, address.ip.c_str(), &parsed) == 1;
     if (!isValid)
         return invalid;
     return address;
--- a/tests/ForeignEntryTest.cpp
+++ b/tests/ForeignEntryTest.cpp
@@ -86,6 +86,41 @@
     }
 }
 
+TEST(ForeignEntry, EntryThatLacksAFieldNamesNoUpstream)
+{
+    for (const char* field : { "service", "address", "zone", "version", "slots", "state", "coldLeftMs", "seq" }) {
+        for (const char* value : { "", "null", "[]", "true" }) {
+            auto page = platform::parseUpstreamPage(R"({"items":[)" + entry("odd", specWith(field, value)) + R"(],"at":9})");
+            CHECK_TRUE_TEXT(page.has_value() && page.value().upstreams.empty(), (std::string(field) + " " + value).c_str());
+        }
+    }
+}
+
+TEST(ForeignEntry, AddressOutOfRangeNamesNoUpstream)
+{
+    for (const char* address : { "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999999999999", "10.0.0.1:80x", "10.0.0.1:+80", "10.0.0.1\\u0000x:80", "" }) {
+        auto page = platform::parseUpstreamPage(R"({"items":[)" + entry("odd", specWith("address", "\"" + std::string(address) + "\"")) + R"(],"at":9})");
+        CHECK_TRUE_TEXT(page.has_value() && page.value().upstreams.empty(), address);
+    }
+}
+
+TEST(ForeignEntry, NumberOutOfRangeNamesNoUpstream)
+{
+    for (const char* slots : { "0", "-1", "1.5", "4294967296", "9223372036854775808", "1e300" }) {
+        auto page = platform::parseUpstreamPage(R"({"items":[)" + entry("odd", specWith("slots", slots)) + R"(],"at":9})");
+        CHECK_TRUE_TEXT(page.has_value() && page.value().upstreams.empty(), slots);
+    }
+}
+
+TEST(ForeignEntry, NameThatIsNoHeaderValueNamesNoUpstream)
+{
+    // The name is sent to the upstream in a header.
+    for (const std::string& name : { std::string("a\\r\\nX: 1"), std::string("a b"), std::string("\\u00e9"), repeated("a", 70000) }) {
+        auto page = platform::parseUpstreamPage(R"({"items":[)" + entry(name, goodSpec) + R"(],"at":9})");
+        CHECK_TRUE_TEXT(page.has_value() && page.value().upstreams.empty(), name.substr(0, 20).c_str());
+    }
+}
+
 TEST(ForeignEntry, PageThatEndsWithAnEntryWithoutNameContinuesAfterTheOneBefore)
 {
     // Guards against taking such a page for the last one, as if the workers after it were gone.
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -61,7 +61,7 @@
 
 TEST(PlatformCodec, UpstreamEntriesAreParsed)
 {
-    auto page = platform::parseUpstreamPage(pageWithSpec(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"draining","born":1790266325356.0,"seq":4})")).value();
+    auto page = platform::parseUpstreamPage(pageWithSpec(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"draining","born":1790266325356.0,"seq":4,"version":"v1","coldLeftMs":1200.5})")).value();
     LONGS_EQUAL(9, page.revision);
     const auto& upstream = page.upstreams.at(0);
     STRCMP_EQUAL("i-1", upstream.id.text.c_str());
@@ -71,10 +71,10 @@
 
 TEST(PlatformCodec, InvalidUpstreamEntriesAreSkipped)
 {
-    for (const char* spec : { "null", "7", "{}", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"resting"})",
-             R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready"})", R"({"service":"s","address":"nowhere","zone":"z","slots":64,"state":"ready"})",
-             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"many","state":"ready"})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":0,"state":"ready"})",
-             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":1.5})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":"x"})" }) {
+    for (const char* spec : { "null", "7", "{}", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"resting","version":"v1","coldLeftMs":0,"seq":4})",
+             R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","version":"v1","coldLeftMs":0,"seq":4})", R"({"service":"s","address":"nowhere","zone":"z","slots":64,"state":"ready","version":"v1","coldLeftMs":0,"seq":4})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"many","state":"ready","version":"v1","coldLeftMs":0,"seq":4})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":0,"state":"ready","version":"v1","coldLeftMs":0,"seq":4})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":1.5,"version":"v1","coldLeftMs":0,"seq":4})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":"x","version":"v1","coldLeftMs":0,"seq":4})" }) {
         auto page = platform::parseUpstreamPage(pageWithSpec(spec));
         CHECK_TRUE_TEXT(page.has_value() && page.value().upstreams.empty(), spec);
     }
@@ -90,7 +90,7 @@
 TEST(PlatformCodec, UpstreamChangesKeepTheirOrder)
 {
     auto changes = platform::parseUpstreamChanges(R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a"}}},
-        {"deleted":false,"object":{"metadata":{"name":"b"},"spec":{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"}}},
+        {"deleted":false,"object":{"metadata":{"name":"b"},"spec":{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","version":"v1","coldLeftMs":0,"seq":4}}},
         {"deleted":false,"object":{"metadata":{"name":"c"},"spec":{"state":"odd"}}}],"at":12})")
                        .value();
     LONGS_EQUAL(12, changes.version.revision);
