--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -1,3 +1,5 @@
+#include "base/NamedThread.h"
+
 #include "PropertyCheck.h"
 #include "fakes/FakePeerCluster.h"
 
@@ -31,6 +33,15 @@
     CHECK_FALSE(replication::parseMessage({}, now).has_value());
 }
 
+TEST(PeerMessage, StringsOfPartsInPartsAreRejected)
+{
+    // Guards against a crash: the parser recursed into strings of indefinite length that begin within one another.
+    std::optional<replication::Message> message;
+    for (char head : { '\x7f', '\x5f' })
+        base::NamedThread("parser", [&] { message = replication::parseMessage(std::string(4 * 1024 * 1024, head), base::Instant(std::chrono::hours(1))); }).join();
+    CHECK_FALSE(message.has_value());
+}
+
 TEST(PeerMessage, CorruptMessagesAreParsedOrRejected)
 {
     CHECK_PROPERTY("a corrupt message is parsed or rejected, and a truncated one is rejected", [](uint16_t position, uint8_t byte) {
