redwingseamd's store: an object that cannot be read hides no other

One object nested some ten thousand deep in redwingseamd's store ends the daemon with SIGSEGV; one that holds a number beyond a double hides all others.

Cause: store/StoreResponseParser parsed the whole answer with one call, and wrote each value out again to parse it a second time. Writing recurses, and the threads have 512 KB of stack. Class of fault: one bad element spoils the whole document.

Objects that cannot be read are omitted, as those of unknown types were.

Evidence: Codec.DeeplyNestedStoreObjectHidesNoOther failed on the code before (the list was dropped), and ended the test program with SIGSEGV when only the nested object was in the list. Other text parsers of outside bytes (requests, engines' answers, settings, reports, log lines) were read: none writes out or copies what it parsed, and requests have a limit of their own. `redwingseam status` throws if a node's status has a member of another type; it is a command by hand, and was left.

--- a/src/base/JsonText.h
+++ b/src/base/JsonText.h
@@ -16,6 +16,7 @@
     {
     }
 
+    std::string_view text() const { return m_text; }
     // Returns the value of a member, the last one if several have this name. Returns nullopt if there is none, or if the
     // text is not a whole object.
     std::optional<JsonText> member(std::string_view name) const;
--- a/src/codec/ObjectCodec.cpp
+++ b/src/codec/ObjectCodec.cpp
@@ -1,5 +1,6 @@
 #include "codec/ObjectCodec.h"
 
+#include "base/JsonText.h"
 #include "codec/ClaimCodec.h"
 #include "codec/GossipEntryCodec.h"
 #include "codec/JsonReader.h"
@@ -112,14 +113,14 @@
 
 std::optional<store::ObjectValue> parseObject(std::string_view text)
 {
-    auto document = json::parse(text, nullptr, false);
-    if (document.is_discarded())
+    auto document = base::JsonText(text).parse();
+    if (!document)
         return std::nullopt;
-    JsonReader reader(document);
+    JsonReader reader(*document);
     auto type = reader.enumValue<ObjectType>("type");
     if (!reader.isGood())
         return std::nullopt;
-    return parseAs(type, document);
+    return parseAs(type, *document);
 }
 
 } // namespace redwingseam::codec
--- a/src/store/StoreResponseParser.h
+++ b/src/store/StoreResponseParser.h
@@ -11,7 +11,8 @@
 
 namespace redwingseam::store {
 
-// Parse the store's JSON. Return nullopt if it is malformed. Changes omit objects of unknown types.
+// Parse the store's JSON. Return nullopt if it is malformed. Changes omit objects of unknown types and
+// objects that cannot be read.
 std::optional<StoredObject> parseStoredObject(std::string_view json);
 std::optional<StoreChanges> parseStoreChanges(std::string_view json);
 
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -1,3 +1,4 @@
+#include "base/NamedThread.h"
 #include "codec/ObjectCodec.h"
 #include "codec/PeerCodec.h"
 #include "daemon/VmConfig.h"
@@ -87,6 +88,21 @@
     });
 }
 
+TEST(Codec, DeeplyNestedStoreObjectHidesNoOther)
+{
+    // Guards against a crash: the value was written out again by recursion. Threads have small stacks.
+    static constexpr size_t depth = 1000000;
+    auto sound = R"({"key":"k","version":3,"value":)" + codec::formatObject(store::Lease { { "vm" }, 1, 2, 3, 4 }) + "}";
+    auto odd = R"({"key":"odd","version":3,"value":{"type":)" + std::string(depth, '[') + std::string(depth, ']') + "}}";
+    std::optional<store::StoreChanges> changes;
+    base::NamedThread("parser", [&] { changes = store::parseStoreChanges(R"({"revision":4,"objects":[)" + sound + "," + odd + R"(,{"key":"n","version":1e400},7,)" + sound + "]}"); }).join();
+    CHECK_TRUE(changes.has_value());
+    LONGS_EQUAL(2, changes->changes.size());
+    std::optional<store::StoredObject> object;
+    base::NamedThread("parser", [&] { object = store::parseStoredObject(odd); }).join();
+    CHECK_FALSE(object && object->value);
+}
+
 TEST(Codec, RequestErrorsNameTheJsonPointer)
 {
     auto error = [](const char* json) { return http::parseCompletion(json).error(); };
