Sessions: a response without an id is not used where late ones may come

What callers saw (report of operators): a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a worker had run (REFUSED), or these ran at a second one (TWICE).

Here: a copy that bears the earlier id is skipped, and one without id was not trusted on a pooled connection. Two ways were open. A new connection that has brought an answer to another request counted as one that brings none: a refusal without id after it was believed, and a request that may not be repeated was sent to a second worker. And a stream without id on a pooled connection was not judged at all, so the client got another request's events (MIXED).

Cause: the question "may this be another request's answer?" was put at the end of buffered responses only, and asked only where the connection came from. Class of fault: a check that sits on one of several paths.

Change: it is put when the headers arrive, for all responses, and includes what the connection has brought. The attempt ends there as garbled and its connection is closed; before, it went back to the pool, where the next request could have waited behind the answer that was still due.

Evidence: RepeatedRefusal.WithoutAnIdIsNotTrustedAfterALateAnswerOnANewConnection failed before (the second worker ran the request), as did StreamWithoutAnIdIsNotTrustedOnAKeptConnection (the foreign event reached the client). The other five tests of the group held before and stay as proof: 400, 408, 421, 429, 503, with and without body and length, with the earlier id, without id, with the own id, before, together with and after the answer, once and twice; and a request that is sent again to the worker that refused it uses a new connection each time. Each runs at one worker only.

--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -140,6 +140,8 @@
     // Whether the connection to the upstream failed since the last event.
     bool m_isResuming = false;
     bool m_isPooledConnection = false;
+    // Whether the current attempt's connection has brought a response to another request.
+    bool m_hasLateResponse = false;
     bool m_isNoResourcesLogged = false;
     base::Instant m_firstSentAt {};
     base::Instant m_firstEventAt {};
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -153,6 +153,7 @@
     if (parameters.allowsReusedConnection)
         m_upstream = m_worker.connectionPool().acquire(parameters.placement.target, now());
     m_isPooledConnection = m_upstream != nullptr;
+    m_hasLateResponse = false;
     m_state.metrics.countConnection(!m_isPooledConnection);
     if (m_upstream) {
         m_upstream->setOwner(this);
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -30,9 +30,16 @@
     auto metadata = Codec::readResponse(responseHeader.result_int(), headers);
     // This is a late response to an earlier request; the expected response follows it.
     if (!metadata.attempt.empty() && metadata.attempt != m_requestMetadata.attempt) {
+        m_hasLateResponse = true;
         connection.skipResponse();
         return;
     }
+    // A response that does not name its request may be a late one to an earlier request.
+    if (metadata.attempt.empty() && (m_isPooledConnection || m_hasLateResponse)) {
+        LOG(WARNING) << log::LogLine("answer_without_id").with("request", m_requestMetadata.attempt.text).with("upstream", connection.instance().id.text).with("status", metadata.status).text();
+        endAttempt(forward::AttemptOutcome::Malformed);
+        return;
+    }
     m_exchange->recordActivity(now());
     m_responseMetadata = metadata;
     m_response.status = metadata.status;
@@ -152,14 +159,11 @@
 forward::AttemptOutcome Session<Codec, Worker>::classifyResponse(const ResponseMetadata& metadata) const
 {
     using forward::AttemptOutcome;
-    // On a reused connection, a response that does not name its request may be a late one to an earlier request.
-    bool isUnidentified = metadata.attempt.empty() && m_isPooledConnection;
-    bool isRefusal = metadata.isNotExecuted && !isUnidentified;
-    if (metadata.isMisdirected && isRefusal)
+    if (metadata.isMisdirected && metadata.isNotExecuted)
         return AttemptOutcome::Misdirected;
-    if (isRefusal)
+    if (metadata.isNotExecuted)
         return m_sendParameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
-    if (isUnidentified || promisesNotRun(metadata.status))
+    if (promisesNotRun(metadata.status))
         return AttemptOutcome::Malformed;
     if (metadata.status >= 500)
         return AttemptOutcome::UpstreamError;
