--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -34,7 +34,7 @@
 static uint64_t listRevision(const PeerNode& node)
 {
     auto snapshot = node.upstreamCache.snapshot();
-    return snapshot ? snapshot->list->revision : 0;
+    return snapshot ? snapshot->list->version.revision : 0;
 }
 
 TEST_GROUP(StateTransfer)
