Gateway: parse the next pipelined request in the next turn of the loop

Cause: parse -> onRequest -> Session::begin -> sendLocalResponse -> finishResponse -> parse. Class: recursion whose depth the input decides, on threads with 512 KB of stack. finishResponse now only notes that the buffer may hold a request; the event loop calls the connection in its next turn, which doesn't wait. So a connection gets one request in each turn, and others of the loop have theirs in between. A connection with such a request counts neither as idle nor as timed out.

Ruled out: a larger stack (the buffer holds over 600 requests, and its size is a setting of the manifest), and a count of requests in one call (the recursion would stay). Not found: the loops of UpstreamConnection (interim and skipped responses), EventSplitter, the pool, AsyncHttpClient, src/peer (nghttp2), CallerServer (libmicrohttpd).

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -31,7 +31,8 @@
     base::Duration announceIdleTimeout();
     // Appends bytes to the current response.
     void write(std::string_view);
-    // Marks the current response as complete. The connection continues with the next request. If `keepsAlive` is false, it
+    // Marks the current response as complete. The connection continues with the next request, in the next turn of the loop
+    // if that has arrived already. If `keepsAlive` is false, it
     // sends no more and closes once the client has closed its side, or has sent nothing for a moment.
     void finishResponse(bool keepsAlive, base::Instant now);
     // Closes the connection immediately, so that the client sees a truncated response if one is in progress, and reports
@@ -44,7 +45,7 @@
     // Whether a request has been read whose response is not complete.
     bool isServing() const { return m_isServing; }
     // Whether the last response has been written and no byte of another request has arrived.
-    bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && m_writeBuffer.isEmpty(); }
+    bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && !m_isParseDeferred && m_writeBuffer.isEmpty(); }
     // Whether bytes of the client, or the end of its input, wait to be read.
     bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
     // Closes the connection if the client takes too long to send a request, after a response with status 408 if a part of
@@ -65,7 +66,9 @@
     static constexpr size_t maxDiscardedBytes = 16 * 1024 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<ClientConnection*>(self)->handle(events); }
+    static void onDeferred(void* self, uint32_t) { static_cast<ClientConnection*>(self)->continueParsing(); }
     void handle(uint32_t events);
+    void continueParsing();
     void close();
     void flush();
     void read();
@@ -94,6 +97,7 @@
     // The idle timeout that the client was last told. It may still go by it after it was lowered.
     base::Duration m_idleTimeout {};
     EventHandler m_eventHandler;
+    EventHandler m_deferredHandler;
     uint32_t m_interestEvents = EPOLLIN;
     WriteBuffer m_writeBuffer;
     boost::beast::flat_buffer m_buffer;
@@ -102,6 +106,8 @@
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
     bool m_isContinueSent = false;
+    // The buffer may hold requests, and the next turn of the loop parses them.
+    bool m_isParseDeferred = false;
     // The last response is complete; further input is discarded.
     bool m_isClosing = false;
     bool m_isSendingShutDown = false;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -19,6 +19,7 @@
     , m_limits(server.clientLimits())
     , m_idleTimeout(m_limits.idleTimeout)
     , m_eventHandler { this, &ClientConnection::onEvents }
+    , m_deferredHandler { this, &ClientConnection::onDeferred }
     , m_bodyReservation(server.bufferedBodies())
     , m_phaseStartedAt(now)
 {
@@ -50,6 +51,8 @@
     if (!m_socket.isOpen())
         return;
     m_loop.remove(m_socket.descriptor());
+    m_loop.cancelDeferred(m_deferredHandler);
+    m_isParseDeferred = false;
     m_socket = {};
 }
 
@@ -118,10 +121,17 @@
         updateInterest(m_writeBuffer.isEmpty() ? EPOLLRDHUP : EPOLLRDHUP | EPOLLOUT);
         return;
     }
-    if (!m_isServing)
+    if (!m_isServing && !m_isParseDeferred)
         parse();
 }
 
+template<typename Server>
+void ClientConnection<Server>::continueParsing()
+{
+    m_isParseDeferred = false;
+    parse();
+}
+
 template<typename Server>
 void ClientConnection<Server>::shutDownSending()
 {
@@ -239,8 +249,12 @@
     }
     beginRequest();
     updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
-    // The buffer may already hold pipelined requests.
-    parse();
+    if (!m_buffer.size())
+        return;
+    // The server answers some requests while they are reported, so parsing the next one here would recurse once for each
+    // pipelined request.
+    m_isParseDeferred = true;
+    m_loop.defer(m_deferredHandler);
 }
 
 template<typename Server>
@@ -255,7 +269,7 @@
 template<typename Server>
 void ClientConnection<Server>::tick(base::Instant now)
 {
-    if (!isOpen() || m_isServing)
+    if (!isOpen() || m_isServing || m_isParseDeferred)
         return;
     if (m_isClosing) {
         tickClosing(now);
--- a/src/gateway/EventLoop.cpp
+++ b/src/gateway/EventLoop.cpp
@@ -36,10 +36,22 @@
     control(EPOLL_CTL_DEL, descriptor, nullptr, 0);
 }
 
+void EventLoop::defer(EventHandler& handler)
+{
+    m_deferred.push_back(&handler);
+}
+
+void EventLoop::cancelDeferred(EventHandler& handler)
+{
+    std::erase(m_deferred, &handler);
+}
+
 void EventLoop::runOnce(base::Duration timeout)
 {
     std::array<epoll_event, 128> events {};
-    auto millis = std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
+    // Calls that are deferred from here on belong to the next turn.
+    auto deferredCount = m_deferred.size();
+    auto millis = deferredCount ? 0 : std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
     int count = epoll_wait(m_epoll.descriptor(), events.data(), static_cast<int>(events.size()), static_cast<int>(millis));
     for (int i = 0; i < count; ++i) {
         const auto& event = events[static_cast<size_t>(i)];
@@ -50,6 +62,11 @@
         else
             eventfd_read(m_wakeEvent.descriptor(), &ignored);
     }
+    for (; deferredCount && !m_deferred.empty(); --deferredCount) {
+        auto* handler = m_deferred.front();
+        m_deferred.pop_front();
+        handler->notify(handler->owner, 0);
+    }
 }
 
 void EventLoop::wake()
--- /dev/null
+++ b/tests/fakes/AnsweringClientServer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "gateway/ClientConnection.h"
+
+namespace redwingseam::fakes {
+
+// Server side of a ClientConnection in a test that answers each request while it is reported.
+struct AnsweringClientServer {
+    using Connection = gateway::ClientConnection<AnsweringClientServer>;
+
+    gateway::BufferBudget budget { 16 * 1024 * 1024 };
+    manifest::ClientLimits limits;
+    unsigned served = 0;
+
+    gateway::BufferBudget& bufferedBodies() { return budget; }
+    manifest::ClientLimits clientLimits() const { return limits; }
+    void onRequest(Connection& connection, Connection::Request)
+    {
+        ++served;
+        connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        connection.finishResponse(true, base::BootClock {}.now());
+    }
+    void onRejected(Connection&, unsigned, base::ResultCode) { }
+    void onClientDisconnected(Connection&) { }
+};
+
+} // namespace redwingseam::fakes
