Gateway: report a connect that fails at once in a later turn of the loop

Callers would see the end of the process when many upstreams of a service cannot be connected at once (no route, no local address): execute -> startAttempt -> endAttempt -> Exchange::attemptEnded -> place -> execute, one round for each upstream. Class: recursion whose depth the input decides, here the number of listed upstreams.

UpstreamConnection::connect now reports such a failure like any other, in the next turn of the loop, so that a session makes one attempt in each turn and other connections have theirs.

Evidence: before, UpstreamsThatCannotBeConnectedAtOnceDoNotUseUpTheStack (5,300 upstreams without a usable address) ended the test program with SIGSEGV (status 139). After: passes; another client's 404 comes within 500 ms meanwhile. The request itself got 504 at its deadline of 1.2 s: the deadline comes before the last upstream, because the choice of an upstream takes longer the more are excluded. That cost is not mended here. Also looked at: probes (one for each attempt, no chain) and attempts without resources (wait for the tick).

--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -166,9 +166,6 @@
     switch (m_upstream->connect(now())) {
     case ConnectStart::Started:
         return;
-    case ConnectStart::Failed:
-        endAttempt(forward::AttemptOutcome::NotConnected);
-        return;
     case ConnectStart::NoResources:
         logNoResources();
         closeUpstream();
@@ -219,9 +216,6 @@
     switch (m_probe->connect(now())) {
     case ConnectStart::Started:
         return;
-    case ConnectStart::Failed:
-        endFailedProbe();
-        return;
     case ConnectStart::NoResources:
         logNoResources();
         m_worker.retire(std::move(m_probe));
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -32,7 +32,7 @@
     UpstreamConnection(const UpstreamConnection&) = delete;
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
-    // Starts to connect.
+    // Starts to connect. The owner is told of the result in a later turn of the loop.
     ConnectStart connect(base::Instant now);
     // Writes a request once the connection is established. `headers` includes the request line. The response is reported
     // to the owner's callbacks.
@@ -72,6 +72,7 @@
     static constexpr size_t maxSkippedBytes = 256 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<UpstreamConnection*>(self)->handle(events); }
+    static void onDeferred(void* self, uint32_t) { static_cast<UpstreamConnection*>(self)->fail(ConnectionFailure::NotConnected); }
     void handle(uint32_t events);
     bool finishConnect();
     void flush();
@@ -93,6 +94,7 @@
     Owner* m_owner = nullptr;
     base::FileDescriptor m_socket;
     EventHandler m_eventHandler;
+    EventHandler m_deferredHandler { this, &UpstreamConnection::onDeferred };
     WriteBuffer m_writeBuffer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -9,13 +9,17 @@
 template<typename Owner>
 ConnectStart UpstreamConnection<Owner>::connect(base::Instant now)
 {
-    auto address = http::parseSocketAddress(m_instance.address);
-    if (!address)
-        return ConnectStart::Failed;
     m_connectStartedAt = now;
-    m_socket = startConnect(address.value());
-    if (!m_socket.isOpen())
-        return isScarcity(errno) ? ConnectStart::NoResources : ConnectStart::Failed;
+    auto address = http::parseSocketAddress(m_instance.address);
+    if (address)
+        m_socket = startConnect(address.value());
+    if (address && !m_socket.isOpen() && isScarcity(errno))
+        return ConnectStart::NoResources;
+    if (!m_socket.isOpen()) {
+        // An owner that were told here would start its next attempt here, and recurse once for each upstream.
+        m_loop.defer(m_deferredHandler);
+        return ConnectStart::Started;
+    }
     m_eventHandler = { this, &UpstreamConnection::onEvents };
     m_loop.add(m_socket.descriptor(), m_eventHandler, EPOLLIN | EPOLLOUT);
     return ConnectStart::Started;
@@ -53,6 +57,7 @@
 template<typename Owner>
 void UpstreamConnection<Owner>::close()
 {
+    m_loop.cancelDeferred(m_deferredHandler);
     if (!m_socket.isOpen())
         return;
     m_loop.remove(m_socket.descriptor());
--- a/tests/PipelinedRequestsTest.cpp
+++ b/tests/PipelinedRequestsTest.cpp
@@ -45,6 +45,27 @@
     CHECK_TRUE(received.ends_with("<closed>"));
 }
 
+// Each connect that failed at once used to call for the next attempt, until the stack was used up.
+TEST(PipelinedRequests, UpstreamsThatCannotBeConnectedAtOnceDoNotUseUpTheStack)
+{
+    std::vector<fleet::UpstreamInstance> instances;
+    for (unsigned i = 0; i < 5300; ++i)
+        instances.push_back({ { "u" + std::to_string(i) }, { "desk" }, "no address", { "dc-a" }, 1, 6, false });
+    gateway.state.fleet.update(instances, base::BootClock {}.now(), {});
+    auto client = gateway.connectClient();
+    fakes::GatewayFixture::write(client, fakes::GatewayFixture::get("/book/1"));
+    // Meanwhile other clients are served.
+    auto other = gateway.connectClient();
+    fakes::GatewayFixture::write(other, fakes::GatewayFixture::get("/none/x"));
+    auto start = base::BootClock {}.now();
+    CHECK_TRUE(fakes::GatewayFixture::read(other, "<never>").starts_with("HTTP/1.1 404 "));
+    CHECK_TRUE(base::BootClock {}.now() - start < milliseconds(500));
+    auto received = fakes::GatewayFixture::read(client, "<never>");
+    // The deadline of the request may come before the last upstream.
+    CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 503 ") || received.starts_with("HTTP/1.1 504 "), received.c_str());
+    CHECK_TRUE(received.ends_with("<closed>"));
+}
+
 // One event loop and connections of it whose requests are answered at once.
 TEST_GROUP(PipelinedRequestsTurn)
 {
