Node: refuse queued copies of a harmful request without recursion

Callers would see the end of redwingseamd when many copies of a request wait that was quarantined meanwhile, and many slots become free at once: dispatchQueued -> dispatchOne -> tryStart -> refuse -> cancelAttempts -> dispatchQueued, one round for each copy and free slot. Class: recursion whose depth the input decides (the queue and the free slots).

The dispatch goes on by itself after a refusal, so the refusal there no longer starts another one. cancelAttempts only cancels; cancelAttemptsAndDispatch is used everywhere else, as before.

Evidence: before, ManyCopiesOfAHarmfulRequestDoNotUseUpTheStack (3,000 copies, a thread with the stack of our threads) ended the test program with SIGSEGV (status 139); with one free slot only it passed. After: passes, each copy is refused. Looked at: claims (handleConflictingClaim calls itself once at most), suspects, gossip (a VM's own entry is merged once more at most).

--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -80,6 +80,8 @@
     template<typename Function>
     void withRequest(const base::RequestId&, Function&&);
     void cancelAttempts(const State&, CallContext&);
+    // As cancelAttempts, and gives the freed slots to queued work.
+    void cancelAttemptsAndDispatch(const State&, CallContext&);
     void abandonClaim(const State&, CallContext&);
     base::Duration retryAfter(const base::PoolName&);
 
@@ -89,6 +91,7 @@
     bool preemptForQueued(const base::PoolName&, std::vector<CancelAttempt>&, CallContext&);
     bool preemptStream(const base::PoolName&, base::RequestId, std::vector<CancelAttempt>&);
     bool tryStart(const Placement&, CallContext&);
+    void refuseHarmful(base::RequestId, CallContext&);
     bool startAttempt(const Placement&, CallContext&);
     void release(const base::PoolName&, const base::UpstreamName&, base::RequestId);
     template<typename Function>
--- a/src/node/NodeCoreDispatch.h
+++ b/src/node/NodeCoreDispatch.h
@@ -55,7 +55,7 @@
 {
     auto quarantineState = m_crashAttribution.quarantineState(placement.work.fingerprint);
     if (quarantineState == route::QuarantineState::Quarantined) {
-        refuse(placement.work.request, { base::ResultCode::HarmfulRequest, "this request crashed the upstreams that ran it" }, RunState::Partial, context);
+        refuseHarmful(placement.work.request, context);
         return false;
     }
     if (quarantineState == route::QuarantineState::Suspected) {
@@ -69,6 +69,18 @@
     return hasStarted;
 }
 
+// Refuses a request that the dispatch has taken from the queue. The dispatch goes on by itself afterwards: to start another
+// one here would recurse once for each queued copy of the request.
+template<typename Rules>
+void NodeCore<Rules>::refuseHarmful(base::RequestId id, CallContext& context)
+{
+    auto state = removeRequest(id);
+    if (!state)
+        return;
+    refuse(*state, { base::ResultCode::HarmfulRequest, "this request crashed the upstreams that ran it" }, RunState::Partial, context);
+    cancelAttempts(*state, context);
+}
+
 template<typename Rules>
 bool NodeCore<Rules>::startAttempt(const Placement& placement, CallContext& context)
 {
--- a/src/node/NodeCoreRequests.h
+++ b/src/node/NodeCoreRequests.h
@@ -173,7 +173,7 @@
     if (!state)
         return;
     refuse(*state, std::move(error), runState, context);
-    cancelAttempts(*state, context);
+    cancelAttemptsAndDispatch(*state, context);
 }
 
 template<typename Rules>
@@ -196,6 +196,12 @@
         release(state.pool, (*attempt)->upstream, state.request.id);
     }
     withPool(state.pool, [&](FairPool& pool) { pool.remove(state.request.id); });
+}
+
+template<typename Rules>
+void NodeCore<Rules>::cancelAttemptsAndDispatch(const State& state, CallContext& context)
+{
+    cancelAttempts(state, context);
     dispatchQueued(state.pool, context);
 }
 
@@ -229,7 +235,7 @@
     if (!state)
         return;
     abandonClaim(*state, context);
-    cancelAttempts(*state, context);
+    cancelAttemptsAndDispatch(*state, context);
 }
 
 template<typename Rules>
--- a/src/node/NodeCoreStreams.h
+++ b/src/node/NodeCoreStreams.h
@@ -85,7 +85,7 @@
     });
     if (isDetached) {
         if (auto state = removeRequest(event.request))
-            cancelAttempts(*state, context);
+            cancelAttemptsAndDispatch(*state, context);
     } else if (!mayRepeat) {
         refuse(event.request, { base::ResultCode::OutcomeUnknown, "the call was sent and its outcome is not known; retry with the same Idempotency-Key to look it up" }, RunState::Unknown, context);
     } else {
@@ -115,7 +115,7 @@
     bool isShorterThanDelivered = state->isGeneration() && event.totalTokens < state->deliveredBeforeResume;
     if (isShorterThanDelivered) {
         refuse(*state, { base::ResultCode::StreamLost, "the regenerated answer has " + std::to_string(event.totalTokens) + " tokens, but " + std::to_string(state->deliveredBeforeResume) + " were already delivered" }, RunState::Partial, context);
-        cancelAttempts(*state, context);
+        cancelAttemptsAndDispatch(*state, context);
         return;
     }
     if (state->hasClaim && state->request.key)
@@ -131,7 +131,7 @@
             attempt->reset();
         }
     }
-    cancelAttempts(*state, context);
+    cancelAttemptsAndDispatch(*state, context);
 }
 
 template<typename Rules>
