--- a/src/daemon/AdminHandler.cpp
+++ b/src/daemon/AdminHandler.cpp
@@ -1,40 +1,11 @@
 #include "daemon/AdminHandler.h"
 
 #include "daemon/MetricsText.h"
+#include "daemon/StatusCodec.h"
 #include "report/ReportCodec.h"
 
-#include <nlohmann/json.hpp>
-
 namespace redwingseam::daemon {
 
-static nlohmann::json formatStatus(const node::NodeStatus& status)
-{
-    auto dataCentres = nlohmann::json::array();
-    for (const auto& name : status.dataCentresSeen)
-        dataCentres.push_back(name.text);
-    auto degraded = nlohmann::json::array();
-    if (!status.isPlatformReachable)
-        degraded.push_back("platform");
-    if (!status.upstreamsLive)
-        degraded.push_back("upstreams");
-    return {
-        { "vm", status.vm.text },
-        { "data_centre", status.dataCentre.text },
-        { "settings_version", status.settingsVersion.value },
-        { "branches", status.branches },
-        { "requests", status.requests },
-        { "queued", status.queued },
-        { "upstreams_live", status.upstreamsLive },
-        { "upstreams_down", status.upstreamsDown },
-        { "vms_live", status.vmsLive },
-        { "claims_pending", status.claimsPending },
-        { "facts", status.gossipEntries },
-        { "draining", status.isDraining },
-        { "degraded", std::move(degraded) },
-        { "other_data_centres", std::move(dataCentres) },
-    };
-}
-
 AdminHandler::Response AdminHandler::handle(const http::ServerRequest& request)
 {
     if (request.method != "GET")
@@ -44,7 +15,7 @@
     if (request.path == "/readyz")
         return readiness();
     if (request.path == "/status")
-        return { 200, formatStatus(m_node.node().status()).dump() };
+        return { 200, formatStatus(m_node.node().status()) };
     if (request.path == "/report")
         return { 200, report::formatVmReport(m_node.node().burn(), m_node.node().counters()) };
     if (request.path == "/metrics")
--- a/src/gateway/AdminHandler.cpp
+++ b/src/gateway/AdminHandler.cpp
@@ -57,7 +57,7 @@
         document["settings_age_ms"] = millisSince(manifestState.confirmedAt, now);
     if (m_state.fleet.listedAt() != base::Instant {})
         document["upstreams_age_ms"] = millisSince(m_state.fleet.listedAt(), now);
-    return document.dump();
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace redwingseam::gateway
