Gateway: stop serving a client that does not read its responses

Class: a buffer whose size the peer decides. Now a connection with more than 64 KB of responses unread is neither read nor served until half of that has been read; the loop waits for that without spinning, and the idle timeout ends the connection of a client that reads nothing at all.

After: at most 80 KB are pending, and all 2,000 are served once the client reads.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -58,6 +58,8 @@
     // Limit on the pipelined bytes that are buffered while a request is being served.
     static constexpr size_t maxReadAhead = 64 * 1024;
     static constexpr size_t minBufferedBytes = 32 * 1024;
+    // A client that leaves more than this of its responses unread gets no further ones until it has read half of it.
+    static constexpr size_t maxPendingResponseBytes = 64 * 1024;
     static constexpr double announcedIdleShare = 0.8;
     // Time allowed for the next bytes of the last response to be accepted, and again for the client's input after them.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
@@ -88,6 +90,9 @@
     // The parser needs the headers in one piece.
     size_t maxBufferedBytes() const { return std::max<size_t>(minBufferedBytes, m_limits.maxHeaderBytes); }
     void updateInterest(uint32_t events);
+    void watchInput();
+    // Continues with what the buffer holds, in the next turn of the loop.
+    void deferParsing();
 
     EventLoop& m_loop;
     Server& m_server;
@@ -108,6 +113,8 @@
     bool m_isContinueSent = false;
     // The buffer may hold requests, and the next turn of the loop parses them.
     bool m_isParseDeferred = false;
+    // The client does not read its responses, so its requests are not read.
+    bool m_isInputPaused = false;
     // The last response is complete; further input is discarded.
     bool m_isClosing = false;
     bool m_isSendingShutDown = false;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -72,6 +72,13 @@
     m_loop.change(m_socket.descriptor(), m_eventHandler, events);
 }
 
+template<typename Server>
+void ClientConnection<Server>::watchInput()
+{
+    uint32_t events = m_isInputPaused ? EPOLLRDHUP : EPOLLIN;
+    updateInterest(m_writeBuffer.isEmpty() ? events : events | EPOLLOUT);
+}
+
 template<typename Server>
 void ClientConnection<Server>::handle(uint32_t events)
 {
@@ -99,7 +106,11 @@
         m_phaseStartedAt = base::BootClock {}.now();
     if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
         shutDownSending();
-    updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    if (m_isInputPaused && m_writeBuffer.size() <= maxPendingResponseBytes / 2) {
+        m_isInputPaused = false;
+        deferParsing();
+    }
+    watchInput();
 }
 
 template<typename Server>
@@ -248,7 +259,15 @@
         return;
     }
     beginRequest();
-    updateInterest(m_writeBuffer.isEmpty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
+    m_isInputPaused = m_writeBuffer.size() > maxPendingResponseBytes;
+    watchInput();
+    if (!m_isInputPaused)
+        deferParsing();
+}
+
+template<typename Server>
+void ClientConnection<Server>::deferParsing()
+{
     if (!m_buffer.size())
         return;
     // The server answers some requests while they are reported, so parsing the next one here would recurse once for each
@@ -287,8 +306,8 @@
             reject(408, base::ResultCode::RequestTimeout);
         return;
     }
-    // Input that waits is read before the next tick.
-    if (isIdleTooLong(waited) && !hasUnreadInput()) {
+    // Input that waits is read before the next tick, unless the client does not read its responses.
+    if (isIdleTooLong(waited) && (m_isInputPaused || !hasUnreadInput())) {
         logIdleClose(waited);
         disconnect();
     }
--- a/tests/PipelinedRequestsTest.cpp
+++ b/tests/PipelinedRequestsTest.cpp
@@ -132,3 +132,35 @@
     loop.runOnce(milliseconds(1));
     LONGS_EQUAL(1, server.served);
 }
+
+// The responses used to be buffered without bound.
+TEST(PipelinedRequestsTurn, ResponsesThatTheClientDoesNotReadAreBounded)
+{
+    server.body = std::string(2000, 'r');
+    send(2000);
+    for (unsigned turn = 0; turn < 2000; ++turn)
+        loop.runOnce(milliseconds(0));
+    CHECK_TRUE(server.served < 1000);
+    CHECK_TRUE(connection->pendingBytes() < 80 * 1024);
+    auto start = base::BootClock {}.now();
+    loop.runOnce(milliseconds(60));
+    CHECK_TRUE(base::BootClock {}.now() - start >= milliseconds(50));
+    std::string buffer(64 * 1024, ' ');
+    for (unsigned turn = 0; turn < 4000 && server.served < 2000; ++turn) {
+        recv(client.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        loop.runOnce(milliseconds(0));
+    }
+    LONGS_EQUAL(2000, server.served);
+}
+
+TEST(PipelinedRequestsTurn, ClientThatReadsNoResponsesIsDisconnected)
+{
+    server.body = std::string(2000, 'r');
+    send(2000);
+    for (unsigned turn = 0; turn < 2000; ++turn)
+        loop.runOnce(milliseconds(0));
+    CHECK_TRUE(connection->isOpen());
+    connection->tick(base::BootClock {}.now() + server.limits.idleTimeout + seconds(1));
+    CHECK_FALSE(connection->isOpen());
+    LONGS_EQUAL(1, server.disconnects);
+}
--- a/tests/fakes/AnsweringClientServer.h
+++ b/tests/fakes/AnsweringClientServer.h
@@ -11,17 +11,19 @@
     gateway::BufferBudget budget { 16 * 1024 * 1024 };
     manifest::ClientLimits limits;
     unsigned served = 0;
+    std::string body;
+    unsigned disconnects = 0;
 
     gateway::BufferBudget& bufferedBodies() { return budget; }
     manifest::ClientLimits clientLimits() const { return limits; }
     void onRequest(Connection& connection, Connection::Request)
     {
         ++served;
-        connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         connection.finishResponse(true, base::BootClock {}.now());
     }
     void onRejected(Connection&, unsigned, base::ResultCode) { }
-    void onClientDisconnected(Connection&) { }
+    void onClientDisconnected(Connection&) { ++disconnects; }
 };
 
 } // namespace redwingseam::fakes
