Gateway: reject requests whose framing parsers may read differently

Cause: the parser of the library reports the end of the message after the head if the coding is not "chunked". Class: framing that two parsers may read differently. The gateway now checks the head before it reads the body: at most one field states the framing (RFC 9112, section 6), as a plain number, or as "chunked" alone in HTTP/1.1. All else gets 400, and the connection closes. That is stricter than the RFC for equal lengths that are repeated or listed (it allows either). "gzip, chunked" gets 400 too: the gateway cannot pass it on unchanged, since it sends the body with a length. CONNECT gets 400, because a success of it would be read as a tunnel.

Ruled out: checking in Session::begin, since the body has been parsed by then. Folded lines are joined by the parser, as the RFC allows, and leave as one line.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -75,6 +75,8 @@
     void flush();
     void read();
     void parse();
+    // Checks the headers of the current request once they are complete. Returns false if it rejects them.
+    bool acceptHeaders();
     void beginRequest();
     // Applies the newest limits to the request whose first byte has arrived.
     void applyLimits();
@@ -111,6 +113,7 @@
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
     bool m_isContinueSent = false;
+    bool m_areHeadersAccepted = false;
     // The buffer may hold requests, and the next turn of the loop parses them.
     bool m_isParseDeferred = false;
     // The client does not read its responses, so its requests are not read.
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -3,6 +3,7 @@
 #include "base/ScaledDuration.h"
 #include "gateway/ClientConnection.h"
 #include "gateway/LocalResponse.h"
+#include "gateway/MessageFraming.h"
 #include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
 
@@ -32,9 +33,9 @@
 {
     m_parser.emplace();
     m_bodyReservation.reset();
-    m_parser->eager(true);
     m_hasRequestBytes = false;
     m_isContinueSent = false;
+    m_areHeadersAccepted = false;
 }
 
 template<typename Server>
@@ -184,6 +185,8 @@
                 reject(400, base::ResultCode::MalformedRequest);
             return;
         }
+        if (!acceptHeaders())
+            return;
         if (!reserveBody()) {
             reject(503, base::ResultCode::BuffersExhausted);
             return;
@@ -211,6 +214,24 @@
     }
 }
 
+template<typename Server>
+bool ClientConnection<Server>::acceptHeaders()
+{
+    namespace http = boost::beast::http;
+    if (m_areHeadersAccepted || !m_parser->is_header_done())
+        return true;
+    m_areHeadersAccepted = true;
+    const auto& request = m_parser->get();
+    // A success of CONNECT would turn the connection into a tunnel.
+    bool isAmbiguous = !isFramingClear(request, request.version()) || request.method() == http::verb::connect;
+    if (isAmbiguous) {
+        reject(400, base::ResultCode::MalformedRequest);
+        return false;
+    }
+    m_parser->eager(true);
+    return true;
+}
+
 template<typename Server>
 bool ClientConnection<Server>::reserveBody()
 {
