Gateway: take a response with odd framing for a malformed one

Callers would get a response in another form than its worker sent: a body with a transfer coding was delivered without the field that names it, and "chunked" beside another coding was decoded or not, as the parser of the library chose.

--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/MessageFraming.h"
 #include "gateway/UpstreamConnection.h"
 
 #include <cerrno>
@@ -184,6 +185,10 @@
     }
     if (!m_parser->is_header_done())
         return true;
+    if (!m_areHeadersReceived && !isFramingClear(m_parser->get(), m_parser->get().version())) {
+        fail(ConnectionFailure::Malformed);
+        return false;
+    }
     bool isInterim = m_parser->get().result_int() / 100 == 1;
     if (isInterim) {
         beginResponse();
