Gateway: bound what the parser's containers and buffers are asked for

Callers would see the end of the process in three cases. Two need a manifest with large limits: a header field of more than 65,533 bytes (the container throws std::length_error), and a stated length beyond all memory (the parser reserves it at the first byte of the body: std::bad_alloc). The third needs none: an answer of a worker with a damaged head that states such a length. Class: an exception of a library that nothing catches at a thread's top.

The parser no longer goes on to the body before the head has been checked. A request with a field of more than 60 KB gets 431, which leaves room for what the gateway adds to a field it passes on; the exception of a longer one is caught where the parser is called. A length beyond the budget of buffered bodies gets 413. An answer that states more than 64 MB is malformed.

Ruled out: lowering the limit of the head itself, since the manifest may allow several long fields. Suspected and not mended: the names of workers and client accounts, which the store gives, are set as fields without a limit on their length.

--- a/src/gateway/BufferBudget.h
+++ b/src/gateway/BufferBudget.h
@@ -23,6 +23,7 @@
         return false;
     }
     void release(size_t bytes) { m_used -= bytes; }
+    size_t limitBytes() const { return m_limit; }
     size_t usedBytes() const { return m_used; }
 
 private:
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -75,6 +75,7 @@
     void flush();
     void read();
     void parse();
+    size_t put(boost::beast::error_code&);
     // Checks the headers of the current request once they are complete. Returns false if it rejects them.
     bool acceptHeaders();
     void beginRequest();
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -2,12 +2,14 @@
 
 #include "base/ScaledDuration.h"
 #include "gateway/ClientConnection.h"
+#include "gateway/HeaderUtils.h"
 #include "gateway/LocalResponse.h"
 #include "gateway/MessageFraming.h"
 #include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
 
 #include <glog/logging.h>
+#include <stdexcept>
 #include <sys/socket.h>
 
 namespace redwingseam::gateway {
@@ -174,7 +176,7 @@
             applyLimits();
         }
         boost::beast::error_code error;
-        auto count = m_parser->put(m_buffer.data(), error);
+        auto count = put(error);
         m_buffer.consume(count);
         if (error && error != http::error::need_more) {
             if (error == http::error::header_limit)
@@ -214,6 +216,18 @@
     }
 }
 
+template<typename Server>
+size_t ClientConnection<Server>::put(boost::beast::error_code& error)
+{
+    try {
+        return m_parser->put(m_buffer.data(), error);
+    } catch (const std::length_error&) {
+        // A field is longer than the parser's container takes.
+        error = boost::beast::http::error::header_limit;
+        return 0;
+    }
+}
+
 template<typename Server>
 bool ClientConnection<Server>::acceptHeaders()
 {
@@ -222,12 +236,22 @@
         return true;
     m_areHeadersAccepted = true;
     const auto& request = m_parser->get();
+    if (hasOversizedField(request)) {
+        reject(431, base::ResultCode::HeadersTooLarge);
+        return false;
+    }
     // A success of CONNECT would turn the connection into a tunnel.
     bool isAmbiguous = !isFramingClear(request, request.version()) || request.method() == http::verb::connect;
     if (isAmbiguous) {
         reject(400, base::ResultCode::MalformedRequest);
         return false;
     }
+    // The parser reserves memory for the whole body.
+    auto length = m_parser->content_length();
+    if (length && *length > m_server.bufferedBodies().limitBytes()) {
+        reject(413, base::ResultCode::RequestTooLarge);
+        return false;
+    }
     m_parser->eager(true);
     return true;
 }
--- a/src/gateway/HeaderUtils.cpp
+++ b/src/gateway/HeaderUtils.cpp
@@ -1,5 +1,6 @@
 #include "gateway/HeaderUtils.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
 #include <vector>
@@ -25,6 +26,12 @@
         headers.erase(field);
 }
 
+bool hasOversizedField(const http::fields& headers)
+{
+    static constexpr size_t maxFieldBytes = 60 * 1024;
+    return std::any_of(headers.begin(), headers.end(), [](const http::fields::value_type& line) { return line.name_string().size() > maxFieldBytes || line.value().size() > maxFieldBytes; });
+}
+
 std::string serializeHeaders(const http::fields& headers)
 {
     std::string text;
--- a/src/gateway/HeaderUtils.h
+++ b/src/gateway/HeaderUtils.h
@@ -12,6 +12,10 @@
 // `Content-Length` and `Expect`.
 void removeHopByHopHeaders(boost::beast::http::fields&);
 
+// Returns whether a field is so long that it could not be passed on, with what the gateway adds, in the container of the
+// fields, which throws for a name or value of more than 65,533 bytes.
+bool hasOversizedField(const boost::beast::http::fields&);
+
 // Returns the header lines as sent, without the terminating empty line.
 std::string serializeHeaders(const boost::beast::http::fields&);
 
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -65,6 +65,8 @@
     static constexpr uint32_t maxResponseHeaderBytes = 24 * 1024;
     // The parser needs the headers in one piece.
     static constexpr size_t maxBufferedBytes = maxResponseHeaderBytes + 8 * 1024;
+    // A stated length of more than this is damage. The parser reserves memory for the whole body.
+    static constexpr uint64_t maxStatedBytes = 64 * 1024 * 1024;
     // Interim (1xx) responses before one response.
     static constexpr unsigned maxInterimResponses = 8;
     // Late responses to earlier requests that are skipped before one response, and the size of their bodies.
@@ -80,6 +82,8 @@
     void parse(ReadStatus);
     // Returns false once the connection has closed or changed its owner.
     bool parseNext();
+    // Whether the length of the response is beyond doubt and may be true.
+    bool isFramingSound() const;
     bool forwardBody();
     bool finishResponse();
     void handleEof(ReadStatus);
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -47,7 +47,6 @@
     m_parser.emplace();
     m_parser->header_limit(maxResponseHeaderBytes);
     m_parser->body_limit(boost::none);
-    m_parser->eager(true);
     if (m_isHeadRequest)
         m_parser->skip(true);
     m_areHeadersReceived = false;
@@ -185,7 +184,7 @@
     }
     if (!m_parser->is_header_done())
         return true;
-    if (!m_areHeadersReceived && !isFramingClear(m_parser->get(), m_parser->get().version())) {
+    if (!m_areHeadersReceived && !isFramingSound()) {
         fail(ConnectionFailure::Malformed);
         return false;
     }
@@ -200,12 +199,22 @@
         m_owner->onUpstreamHeaders(*this, m_parser->get(), hasLength);
         if (!isOpen() || !m_parser)
             return false;
+        // Not before the length has been checked.
+        m_parser->eager(true);
     }
     if (!forwardBody())
         return false;
     return m_parser->is_done() ? finishResponse() : true;
 }
 
+template<typename Owner>
+bool UpstreamConnection<Owner>::isFramingSound() const
+{
+    auto length = m_parser->content_length();
+    bool hasBody = !m_parser->is_done();
+    return isFramingClear(m_parser->get(), m_parser->get().version()) && (!hasBody || !length || *length <= maxStatedBytes);
+}
+
 template<typename Owner>
 bool UpstreamConnection<Owner>::forwardBody()
 {
--- a/tests/ResponseFramingTest.cpp
+++ b/tests/ResponseFramingTest.cpp
@@ -70,3 +70,15 @@
         LONGS_EQUAL_TEXT(1, upstream.closedConnections(), odd.c_str());
     }
 }
+
+// The parser used to reserve memory for the stated length, and the process ended.
+TEST(ResponseFraming, HugeLengthMakesTheAttemptMalformed)
+{
+    for (const char* length : { "99999999999999", "4611686018427387903", "9223372036854775807", "18446744073709551615", "100000000" }) {
+        GatewayFixture gateway;
+        ScriptedUpstream upstream({ { response(std::string("Content-Length: ") + length + "\r\n", "abc") } });
+        gateway.addUpstream("d1", "desk", upstream);
+        auto received = gateway.exchange(GatewayFixture::post("/book/x", "b"));
+        CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 502 "), (length + received).c_str());
+    }
+}
