Gateway: answer HEAD without a body

Callers saw (review, also seen): the gateway's own answers to HEAD (400, 401, 404, 431, 502, 503, 504) carried a body, which a client on a kept channel reads as the start of the next answer. Class: bytes after a response that has no body. The same held for HEAD on a stream route, whose answer ended in an empty chunk; it is delivered like any other HEAD now.

Evidence: before, OwnAnswersToHeadHaveNoBody failed at its first check (404 with a body). After: it passes for the seven statuses and the stream route. Looked at: answers of workers to HEAD (their body is skipped already), 204 and 304 (delivered without a body; they state a length of 0, which is unchanged).

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -267,7 +267,9 @@
 {
     m_isServing = true;
     m_server.onRejected(*this, status, code);
-    write(serializeLocalResponse({ status, code }));
+    LocalResponse response { status, code };
+    response.isHeadRequest = m_parser->get().method() == boost::beast::http::verb::head;
+    write(serializeLocalResponse(response));
     if (isOpen())
         finishResponse(false, base::BootClock {}.now());
 }
--- a/src/gateway/LocalResponse.cpp
+++ b/src/gateway/LocalResponse.cpp
@@ -23,7 +23,8 @@
     text.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size())).append("\r\n");
     if (response.retryAfter)
         text.append("Retry-After: ").append(formatSeconds(*response.retryAfter)).append("\r\n");
-    return text.append(persistenceHeaders(response.idleTimeout)).append("\r\n").append(body);
+    text.append(persistenceHeaders(response.idleTimeout)).append("\r\n");
+    return response.isHeadRequest ? text : text.append(body);
 }
 
 } // namespace redwingseam::gateway
--- a/src/gateway/LocalResponse.h
+++ b/src/gateway/LocalResponse.h
@@ -16,9 +16,11 @@
     std::optional<base::Duration> retryAfter;
     // How long the client may leave the connection idle before its next request; empty if the connection closes.
     std::optional<base::Duration> idleTimeout {};
+    // The answer to HEAD states the length of the body and leaves it out.
+    bool isHeadRequest = false;
 };
 
-// Returns the complete response, head and body, as sent to the client.
+// Returns the complete response, with its body unless it answers HEAD, as sent to the client.
 std::string serializeLocalResponse(const LocalResponse&);
 
 } // namespace redwingseam::gateway
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -104,6 +104,7 @@
     base::Instant now() const { return base::BootClock {}.now(); }
     uint64_t random() { return m_worker.random(); }
     bool isEventStream() const { return m_isEventStream; }
+    bool isHeadRequest() const { return m_clientRequest.method() == boost::beast::http::verb::head; }
 
     Worker& m_worker;
     GatewayState& m_state;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -204,8 +204,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::writeRequest()
 {
-    bool isHeadRequest = m_clientRequest.method() == boost::beast::http::verb::head;
-    m_upstream->send(serializeRequestHeaders(m_sendParameters), m_clientRequest.body(), isHeadRequest);
+    m_upstream->send(serializeRequestHeaders(m_sendParameters), m_clientRequest.body(), isHeadRequest());
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -47,7 +47,7 @@
     m_hasResponseLength = hasLength;
     if (!hasLength)
         LOG(INFO) << log::LogLine("answer_without_length").with("request", m_requestMetadata.attempt.text).with("status", metadata.status).with("headers", serializeHeaders(headers)).text();
-    m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned;
+    m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned && !isHeadRequest();
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -269,9 +269,8 @@
         // The buffered failure response is delivered if no later attempt returned a response.
         const auto& chosen = m_response.status || !m_failureResponse ? m_response : *m_failureResponse;
         status = chosen.status;
-        bool isHeadRequest = m_clientRequest.method() == boost::beast::http::verb::head;
         std::string length(chosen.headers[boost::beast::http::field::content_length]);
-        if (!isHeadRequest || length.empty())
+        if (!isHeadRequest() || length.empty())
             length = std::to_string(chosen.body.size());
         writeResponseHeaders(chosen, "Content-Length: " + length + "\r\n");
         m_client.write(chosen.body);
@@ -293,6 +292,7 @@
 {
     m_errorCode = response.code;
     auto complete = response;
+    complete.isHeadRequest = isHeadRequest();
     if (decideClientConnection())
         complete.idleTimeout = m_client.announceIdleTimeout();
     m_client.write(serializeLocalResponse(complete));
--- a/tests/RequestFieldsTest.cpp
+++ b/tests/RequestFieldsTest.cpp
@@ -55,3 +55,33 @@
     auto response = gateway.exchange("POST /book/x HTTP/1.1\r\nHost: h\r\nRedwingseam-Key: key\r\nContent-Length: 4503599627370495\r\n\r\nabc");
     CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 413 "), response.c_str());
 }
+
+// A response to HEAD has no body, so the bytes used to be read as the next response.
+TEST(RequestFields, OwnAnswersToHeadHaveNoBody)
+{
+    auto headOf = [](const std::string& path, const std::string& key) {
+        return "HEAD " + path + " HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a1\r\nRedwingseam-Deadline-Ms: 300\r\nRedwingseam-Key: " + key + "\r\nConnection: close\r\n\r\n";
+    };
+    ScriptedUpstream silent({});
+    ScriptedUpstream lost({ { "", true } });
+    auto check = [&](const char* status, const std::string& response) {
+        CHECK_TRUE_TEXT(response.starts_with(std::string("HTTP/1.1 ") + status), response.c_str());
+        CHECK_TRUE_TEXT(response.ends_with("\r\n\r\n<closed>"), response.c_str());
+        CHECK_TRUE_TEXT(contains(response, "\r\nContent-Length: "), response.c_str());
+    };
+    check("404 ", gateway.exchange(headOf("/none/x", "key")));
+    check("401 ", gateway.exchange(headOf("/read/x", "other")));
+    check("503 ", gateway.exchange(headOf("/book/x", "key")));
+    gateway.addUpstream("d1", "desk", silent);
+    check("504 ", gateway.exchange(headOf("/book/x", "key")));
+    GatewayFixture second;
+    second.addUpstream("d1", "desk", lost);
+    check("502 ", second.exchange(headOf("/book/x", "key")));
+    ScriptedUpstream engine({ { GatewayFixture::streamHead() } });
+    gateway.addUpstream("e1", "engines", engine);
+    auto streamed = gateway.exchange(headOf("/stream/x", "key"));
+    CHECK_TRUE_TEXT(streamed.starts_with("HTTP/1.1 200 ") && streamed.ends_with("\r\n\r\n<closed>") && !contains(streamed, "\r\n0\r\n"), streamed.c_str());
+    check("400 ", gateway.exchange("HEAD /read/x HTTP/1.1\r\nHost: h\r\nbad field\r\n\r\n"));
+    limitHeaders(500);
+    check("431 ", gateway.exchange("HEAD /read/x HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"));
+}
