Gateway: drop the trailer fields of requests and responses

Callers saw (review, also seen): the fields of a trailer became header fields of the request at the worker, the attempt id among them, and so did those of a worker's answer. Worse, the gateway itself went by them: the key in a trailer authenticated a request, a signature in a trailer made an unsigned answer a success, and "not executed" in a trailer turned a served request into a refusal that says it did not run. Class: fields that arrive after the head are merged into it by the parser of the library.

Requests keep the fields of the head as it was checked. A response's head is reported before the parser goes on to the body, which the check of its length brought already; the tests pin that.

Evidence: before the two changes, RequestFields.TrailerFieldsAreDropped (the second id reached the upstream), RequestFields.TrailerFieldsDoNotAuthenticate (503 instead of 401), ResponseFraming.TrailerFieldsAreDropped (503 instead of 200) and ResponseFraming.TrailerFieldsProveNothing (200 instead of 502) failed. After: all pass. Ruled out: passing trailers on, since a request leaves with a length, which has none.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -78,6 +78,7 @@
     size_t put(boost::beast::error_code&);
     // Checks the headers of the current request once they are complete. Returns false if it rejects them.
     bool acceptHeaders();
+    Request takeRequest();
     void beginRequest();
     // Applies the newest limits to the request whose first byte has arrived.
     void applyLimits();
@@ -110,6 +111,8 @@
     WriteBuffer m_writeBuffer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    // The headers of a request in chunks, whose parser adds the fields of the trailer to them.
+    std::optional<Request::header_type> m_chunkedHeaders;
     BufferReservation m_bodyReservation;
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -35,6 +35,7 @@
 {
     m_parser.emplace();
     m_bodyReservation.reset();
+    m_chunkedHeaders.reset();
     m_hasRequestBytes = false;
     m_isContinueSent = false;
     m_areHeadersAccepted = false;
@@ -206,7 +207,7 @@
     if (m_parser->is_done()) {
         m_isServing = true;
         m_hasRequestBytes = false;
-        m_server.onRequest(*this, m_parser->release());
+        m_server.onRequest(*this, takeRequest());
         return;
     }
     bool expectsContinue = m_parser->is_header_done() && !m_isContinueSent && m_parser->get()[http::field::expect] == "100-continue";
@@ -252,10 +253,21 @@
         reject(413, base::ResultCode::RequestTooLarge);
         return false;
     }
+    if (m_parser->chunked())
+        m_chunkedHeaders = request.base();
     m_parser->eager(true);
     return true;
 }
 
+template<typename Server>
+typename ClientConnection<Server>::Request ClientConnection<Server>::takeRequest()
+{
+    auto request = m_parser->release();
+    if (m_chunkedHeaders)
+        request.base() = std::move(*m_chunkedHeaders);
+    return request;
+}
+
 template<typename Server>
 bool ClientConnection<Server>::reserveBody()
 {
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -199,7 +199,7 @@
         m_owner->onUpstreamHeaders(*this, m_parser->get(), hasLength);
         if (!isOpen() || !m_parser)
             return false;
-        // Not before the length has been checked.
+        // Until here, so that the owner did not see the fields of a trailer.
         m_parser->eager(true);
     }
     if (!forwardBody())
--- a/tests/RequestFieldsTest.cpp
+++ b/tests/RequestFieldsTest.cpp
@@ -85,3 +85,25 @@
     limitHeaders(500);
     check("431 ", gateway.exchange("HEAD /read/x HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"));
 }
+
+// Trailer fields used to become header fields of the request that the upstream gets.
+TEST(RequestFields, TrailerFieldsAreDropped)
+{
+    ScriptedUpstream upstream({ { GatewayFixture::ok("1") } });
+    gateway.addUpstream("d1", "desk", upstream);
+    auto response = gateway.exchange("POST /book/x HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a1\r\nRedwingseam-Key: key\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                     "3\r\nabc\r\n0\r\nRedwingseam-Attempt-Id: a9\r\nRedwingseam-Model: m\r\nX-Trailer: 1\r\n\r\n");
+    CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 200 "), response.c_str());
+    auto request = upstream.requests().at(0);
+    CHECK_TRUE_TEXT(contains(request, "Redwingseam-Attempt-Id: a1\r\n"), request.c_str());
+    CHECK_TRUE_TEXT(contains(request, "Content-Length: 3\r\n\r\nabc"), request.c_str());
+    for (const char* field : { "a9", "Redwingseam-Model", "X-Trailer" })
+        CHECK_FALSE_TEXT(contains(request, field), request.c_str());
+}
+
+// The key of a trailer used to authenticate the request.
+TEST(RequestFields, TrailerFieldsDoNotAuthenticate)
+{
+    auto response = gateway.exchange("POST /book/x HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nRedwingseam-Key: key\r\n\r\n");
+    CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 401 "), response.c_str());
+}
--- a/tests/ResponseFramingTest.cpp
+++ b/tests/ResponseFramingTest.cpp
@@ -82,3 +82,26 @@
         CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 502 "), (length + received).c_str());
     }
 }
+
+// Trailer fields used to become header fields of the response.
+TEST(ResponseFraming, TrailerFieldsAreDropped)
+{
+    GatewayFixture gateway;
+    ScriptedUpstream upstream({ { response("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\nX-Trailer: 1\r\nRedwingseam-Not-Executed: 1\r\n\r\n") } });
+    gateway.addUpstream("d1", "desk", upstream);
+    auto received = gateway.exchange(GatewayFixture::post("/book/x", "b"));
+    CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 200 "), received.c_str());
+    CHECK_TRUE_TEXT(contains(received, "\r\n\r\nabc"), received.c_str());
+    CHECK_FALSE_TEXT(contains(received, "X-Trailer"), received.c_str());
+    CHECK_FALSE_TEXT(contains(received, "Not-Executed"), received.c_str());
+}
+
+// A signature in the trailer used to make an unsigned response a success.
+TEST(ResponseFraming, TrailerFieldsProveNothing)
+{
+    GatewayFixture gateway;
+    ScriptedUpstream upstream({ { "HTTP/1.1 200 OK\r\nRedwingseam-Attempt-Id: $ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nRedwingseam-Upstream-Seal: s\r\n\r\n" } });
+    gateway.addUpstream("d1", "desk", upstream);
+    auto received = gateway.exchange(GatewayFixture::post("/book/x", "b"));
+    CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 502 "), received.c_str());
+}
