Gateway: compare hosts without regard to case, serve absolute targets

Callers saw (review, also seen): 404 for "Host: A.EXAMPLE" and for a target like "http://a.example/b/1", both of which RFC 9110 and 9112 ask servers to accept. Class: two spellings of one route. Hosts of the manifest and of requests are compared in lower case, with what follows the last colon taken for the port only if it is a number.

An absolute target is passed on in the form that the RFC asks for towards an origin server: its path and query, byte for byte, and its authority as Host, which replaces the field of the client. Weighed: passing the target on as sent; a worker that knows the usual form only would take it for another path, while method, path and query are the same in both. Targets of other schemes, without an authority or with a user name match no route, as before. Two Host fields get 400 (RFC 9112, section 3.2): gateway and worker could go by different ones. A request without Host gets 404 as before.

Evidence: before, HostIsComparedWithoutRegardToCase and AbsoluteTargetIsServed got 404, and SeveralHostsAreRejected got 503, the answer of a route without upstreams. After: all pass.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -242,7 +242,7 @@
         return false;
     }
     // A success of CONNECT would turn the connection into a tunnel.
-    bool isAmbiguous = !isFramingClear(request, request.version()) || request.method() == http::verb::connect;
+    bool isAmbiguous = !isFramingClear(request, request.version()) || request.count(http::field::host) > 1 || request.method() == http::verb::connect;
     if (isAmbiguous) {
         reject(400, base::ResultCode::MalformedRequest);
         return false;
--- a/src/gateway/HeaderUtils.cpp
+++ b/src/gateway/HeaderUtils.cpp
@@ -1,5 +1,7 @@
 #include "gateway/HeaderUtils.h"
 
+#include "base/AsciiCase.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
@@ -54,7 +56,9 @@
 std::string hostOf(const http::fields& headers)
 {
     std::string_view host = headers[http::field::host];
-    return std::string(host.substr(0, host.find(':')));
+    auto colon = host.rfind(':');
+    bool hasPort = colon != std::string_view::npos && std::all_of(host.begin() + static_cast<long>(colon) + 1, host.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
+    return base::lowerCase(hasPort ? host.substr(0, colon) : host);
 }
 
 std::string pathOf(std::string_view target)
--- a/src/gateway/HeaderUtils.h
+++ b/src/gateway/HeaderUtils.h
@@ -23,7 +23,7 @@
 // may be idle before the next request; empty if it closes.
 std::string persistenceHeaders(std::optional<base::Duration> idleTimeout);
 
-// Returns the value of `Host` without the port.
+// Returns the value of `Host` without the port, in lower case.
 std::string hostOf(const boost::beast::http::fields&);
 
 // Returns the path of a request target without the query.
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -4,6 +4,7 @@
 #include "gateway/HeaderUtils.h"
 #include "gateway/HttpStatusFor.h"
 #include "gateway/LocalResponse.h"
+#include "gateway/RequestTarget.h"
 #include "gateway/Session.h"
 #include "log/LogLine.h"
 
@@ -23,6 +24,7 @@
     , m_lastTickAt(arrivedAt)
     , m_responseReservation(m_state.bufferedBodies)
 {
+    convertAbsoluteTarget(m_clientRequest);
 }
 
 // The priority of an account overrides the priority of its route.
--- a/src/manifest/ManifestIndex.cpp
+++ b/src/manifest/ManifestIndex.cpp
@@ -1,5 +1,7 @@
 #include "manifest/ManifestIndex.h"
 
+#include "base/AsciiCase.h"
+
 #include <algorithm>
 
 namespace redwingseam::manifest {
@@ -8,7 +10,7 @@
     : m_manifest(std::move(manifest))
 {
     for (const auto& route : m_manifest.routes)
-        m_routesByHost[route.host].push_back(&route);
+        m_routesByHost[base::lowerCase(route.host)].push_back(&route);
     for (auto& [host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
             return left->prefix.size() > right->prefix.size();
@@ -22,7 +24,7 @@
 
 const Route* ManifestIndex::route(std::string_view host, std::string_view path) const
 {
-    auto found = m_routesByHost.find(std::string(host));
+    auto found = m_routesByHost.find(base::lowerCase(host));
     if (found == m_routesByHost.end())
         return nullptr;
     for (const auto* route : found->second) {
