Quarantine: try a refused request again, and share what clears it

Cause: a lost answer counts as a crash by the request and is told to all nodes, while a served request cleared the count only on the node that served it. The other nodes counted up to three, quarantined the request, and their replies overruled the node that had just served it. From then on nothing sent the request, and only the request could clear itself.

Class of fault: evidence for a quarantine that is shared while the evidence against it is not, and a quarantine that nothing may test.

Now: progress resets the count on all nodes, by notice and by the hub's replies for those that missed it, and a report or reply from before the progress no longer counts. A quarantined request is tried 16 s after its third crash, then 2 min and 20 min after a further one, by one node at a time, so that one that does crash upstreams reaches three of them within the retention. The turns of the nodes move from TrialSchedule to TurnOrder, used by both registers. A failure or a rejection as the answer still resets the count of its node, but ends no quarantine, because the upstream may not have got to what crashes others. A request that waits in the queue while it is quarantined is no longer sent.

Ruled out: contact with the upstream soon after the loss as a proof that it did not crash. A restarted upstream cannot be told from it before its new entry is read, and a wrong acquittal costs further upstreams.

Looked elsewhere: PartRegister tries parts and shares clearances already. route::CrashAttribution of redwingseamd keeps a quarantine for an hour without trials; it needs two crashes that are confirmed by the incarnations and that are retracted if the upstream lives, so a lost answer does not lead there. Left as it is.

Tests changed: CrashRegister.CrashingRequestIsSentThreeTimesOverAllItsRetries checks the refusal 14 s after the first crash instead of 28 s, because a trial is due by then. PeerMessage.PartReportsSurviveTheCodec drops all fields after the parts, because the notice has grown.

--- a/src/forward/CrashEvidence.h
+++ b/src/forward/CrashEvidence.h
@@ -9,6 +9,13 @@
 struct CrashEvidence {
     CrashRegister requests;
     PartRegister parts;
+
+    // Sets the position of this node among all nodes that share the trials of what is quarantined.
+    void setPosition(uint32_t position, uint32_t nodeCount)
+    {
+        requests.turns().setPosition(position, nodeCount);
+        parts.trials().turns().setPosition(position, nodeCount);
+    }
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/CrashRegister.cpp
+++ b/src/forward/CrashRegister.cpp
@@ -19,13 +19,27 @@
     histories.erase(std::min_element(histories.begin(), histories.end(), isEvictedBefore));
 }
 
+CrashHistory& CrashRegister::historyIn(Histories& histories, base::Fingerprint fingerprint)
+{
+    if (!histories.contains(fingerprint))
+        evictIfFull(histories);
+    return histories[fingerprint];
+}
+
+void CrashRegister::clear(CrashHistory& history, base::Instant progressAt)
+{
+    history.wasQuarantined |= history.crashes >= quarantineThreshold;
+    history.crashes = 0;
+    history.trials = 0;
+    history.lastTrialAt.reset();
+    history.lastProgressAt = std::max(history.lastProgressAt, std::optional(progressAt));
+}
+
 void CrashRegister::applyReport(const CrashReport& report)
 {
     auto crashes = m_histories.with(report.fingerprint.value, [&](Histories& histories) {
-        if (!histories.contains(report.fingerprint))
-            evictIfFull(histories);
-        auto& history = histories[report.fingerprint];
-        if (report.sentAt < history.lastCrashAt)
+        auto& history = historyIn(histories, report.fingerprint);
+        if (report.sentAt < history.lastCrashAt || report.lostAt <= history.lastProgressAt)
             return 0U;
         history.lastCrashAt = report.lostAt;
         return ++history.crashes;
@@ -38,30 +52,81 @@
 {
     applyReport(report);
     std::lock_guard guard(m_newReportsMutex);
-    if (m_newReports.size() < maxNewReports)
-        m_newReports.push_back(report);
+    if (m_newReports.crashes.size() < maxNewReports)
+        m_newReports.crashes.push_back(report);
+}
+
+void CrashRegister::recordProgress(base::Fingerprint fingerprint, base::Instant now)
+{
+    auto crashes = m_histories.with(fingerprint.value, [&](Histories& histories) {
+        auto found = histories.find(fingerprint);
+        if (found == histories.end())
+            return 0U;
+        auto before = found->second.crashes;
+        clear(found->second, now);
+        return before;
+    });
+    if (!crashes)
+        return;
+    if (crashes >= quarantineThreshold)
+        LOG(WARNING) << log::LogLine("request_cleared").with("fingerprint", fingerprint.value).with("crashes", crashes).text();
+    std::lock_guard guard(m_newReportsMutex);
+    if (m_newReports.clearances.size() < maxNewReports)
+        m_newReports.clearances.push_back({ fingerprint, now });
+}
+
+void CrashRegister::recordFailureResponse(base::Fingerprint fingerprint)
+{
+    m_histories.with(fingerprint.value, [&](Histories& histories) {
+        auto found = histories.find(fingerprint);
+        if (found != histories.end() && found->second.crashes < quarantineThreshold)
+            found->second.crashes = 0;
+    });
+}
+
+void CrashRegister::applyClearance(const RequestClearance& clearance)
+{
+    bool endsQuarantine = m_histories.with(clearance.fingerprint.value, [&](Histories& histories) {
+        auto& history = historyIn(histories, clearance.fingerprint);
+        if (clearance.progressAt < history.lastCrashAt)
+            return false;
+        bool isQuarantined = history.crashes >= quarantineThreshold;
+        clear(history, clearance.progressAt);
+        return isQuarantined;
+    });
+    if (endsQuarantine)
+        LOG(WARNING) << log::LogLine("request_cleared").with("fingerprint", clearance.fingerprint.value).with("from", "peer").text();
+}
+
+void CrashRegister::applyTrial(const RequestTrial& trial)
+{
+    m_histories.with(trial.fingerprint.value, [&](Histories& histories) {
+        auto found = histories.find(trial.fingerprint);
+        if (found == histories.end() || found->second.crashes < quarantineThreshold)
+            return;
+        auto& history = found->second;
+        history.trials += !history.lastTrialAt || trial.startedAt - *history.lastTrialAt >= minTrialInterval;
+        history.lastTrialAt = std::max(history.lastTrialAt, std::optional(trial.startedAt));
+    });
 }
 
 void CrashRegister::applyQuarantine(const QuarantinedRequest& request)
 {
     bool isNew = m_histories.with(request.fingerprint.value, [&](Histories& histories) {
-        if (!histories.contains(request.fingerprint))
-            evictIfFull(histories);
-        auto& history = histories[request.fingerprint];
+        auto& history = historyIn(histories, request.fingerprint);
+        if (request.lastCrashAt <= history.lastProgressAt)
+            return false;
         bool wasQuarantined = history.crashes >= quarantineThreshold;
         history.crashes = std::max(history.crashes, quarantineThreshold);
         history.lastCrashAt = std::max(history.lastCrashAt, request.lastCrashAt);
+        history.trials = std::max(history.trials, request.trials);
+        history.lastTrialAt = std::max(history.lastTrialAt, request.lastTrialAt);
         return !wasQuarantined;
     });
     if (isNew)
         LOG(WARNING) << log::LogLine("request_harmful").with("fingerprint", request.fingerprint.value).with("from", "peer").text();
 }
 
-void CrashRegister::recordProgress(base::Fingerprint fingerprint)
-{
-    m_histories.with(fingerprint.value, [&](Histories& histories) { histories.erase(fingerprint); });
-}
-
 unsigned CrashRegister::crashCount(base::Fingerprint fingerprint, base::Instant now)
 {
     return m_histories.with(fingerprint.value, [&](Histories& histories) {
@@ -82,7 +147,71 @@
     return crashCount(fingerprint, now) >= quarantineThreshold;
 }
 
-std::vector<CrashReport> CrashRegister::takeReports()
+bool CrashRegister::holds(const CrashHistory& history, base::Instant now)
+{
+    return history.crashes >= quarantineThreshold && now - history.lastCrashAt <= retention;
+}
+
+base::Instant CrashRegister::nextTrialAt(const CrashHistory& history)
+{
+    if (history.trials >= trialIntervals.size())
+        return history.lastCrashAt + retention;
+    return std::max(history.lastCrashAt, history.lastTrialAt.value_or(history.lastCrashAt)) + trialIntervals[history.trials];
+}
+
+std::optional<base::Instant> CrashRegister::quarantinedUntil(base::Fingerprint fingerprint, base::Instant now)
+{
+    return m_histories.with(fingerprint.value, [&](Histories& histories) -> std::optional<base::Instant> {
+        auto found = histories.find(fingerprint);
+        if (found == histories.end() || !holds(found->second, now))
+            return std::nullopt;
+        return nextTrialAt(found->second);
+    });
+}
+
+bool CrashRegister::isTrialDue(base::Fingerprint fingerprint, base::Instant now)
+{
+    auto dueAt = quarantinedUntil(fingerprint, now);
+    return !dueAt || m_turns.isTurn(fingerprint.value, *dueAt, now);
+}
+
+bool CrashRegister::tryBeginTrial(base::Fingerprint fingerprint, base::Instant now)
+{
+    bool isTrial = false;
+    bool maySend = m_histories.with(fingerprint.value, [&](Histories& histories) {
+        auto found = histories.find(fingerprint);
+        if (found == histories.end() || !holds(found->second, now))
+            return true;
+        if (!m_turns.isTurn(fingerprint.value, nextTrialAt(found->second), now))
+            return false;
+        found->second.lastTrialAt = now;
+        ++found->second.trials;
+        isTrial = true;
+        return true;
+    });
+    if (!isTrial)
+        return maySend;
+    LOG(WARNING) << log::LogLine("request_tried").with("fingerprint", fingerprint.value).text();
+    std::lock_guard guard(m_newReportsMutex);
+    if (m_newReports.trials.size() < maxNewReports)
+        m_newReports.trials.push_back({ fingerprint, now });
+    return true;
+}
+
+void CrashRegister::cancelTrial(base::Fingerprint fingerprint, base::Instant startedAt)
+{
+    m_histories.with(fingerprint.value, [&](Histories& histories) {
+        auto found = histories.find(fingerprint);
+        if (found == histories.end() || found->second.lastTrialAt != startedAt)
+            return;
+        found->second.lastTrialAt.reset();
+        found->second.trials -= std::min(1U, found->second.trials);
+    });
+    std::lock_guard guard(m_newReportsMutex);
+    std::erase_if(m_newReports.trials, [&](const RequestTrial& trial) { return trial.startedAt == startedAt && trial.fingerprint == fingerprint; });
+}
+
+RequestReports CrashRegister::takeReports()
 {
     std::lock_guard guard(m_newReportsMutex);
     return std::exchange(m_newReports, {});
@@ -92,10 +221,25 @@
 {
     std::vector<QuarantinedRequest> all;
     m_histories.forEach([&](Histories& histories) {
-        std::erase_if(histories, [&](const auto& item) { return now - item.second.lastCrashAt > retention; });
+        std::erase_if(histories, [&](const auto& item) {
+            const auto& history = item.second;
+            return now - std::max(history.lastCrashAt, history.lastProgressAt.value_or(history.lastCrashAt)) > retention;
+        });
         for (const auto& [fingerprint, history] : histories) {
             if (history.crashes >= quarantineThreshold)
-                all.push_back({ fingerprint, history.lastCrashAt });
+                all.push_back({ fingerprint, history.lastCrashAt, history.trials, history.lastTrialAt });
+        }
+    });
+    return all;
+}
+
+std::vector<RequestClearance> CrashRegister::clearedRequests()
+{
+    std::vector<RequestClearance> all;
+    m_histories.forEach([&](Histories& histories) {
+        for (const auto& [fingerprint, history] : histories) {
+            if (history.wasQuarantined && !history.crashes && history.lastProgressAt && all.size() < maxClearedRequests)
+                all.push_back({ fingerprint, *history.lastProgressAt });
         }
     });
     return all;
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -41,8 +41,6 @@
 Step Exchange::begin(base::Instant now, uint64_t random)
 {
     m_fleet.countRequest(m_request.service, now);
-    if (m_crashes.requests.isQuarantined(m_request.fingerprint, now))
-        return refuse(ResultCode::HarmfulRequest);
     return place(now, random);
 }
 
@@ -79,28 +77,38 @@
     return query;
 }
 
+bool Exchange::isQuarantined(base::Instant now)
+{
+    return m_crashes.requests.isQuarantined(m_request.fingerprint, now) || m_crashes.parts.isQuarantined(m_request.promptParts);
+}
+
 bool Exchange::maySend(base::Instant now)
 {
-    if (!m_crashes.parts.isQuarantined(m_request.promptParts))
+    if (!isQuarantined(now))
         return true;
-    return !m_sends && m_crashes.parts.isTrialDue(m_request.promptParts, now);
+    return !m_sends && m_crashes.requests.isTrialDue(m_request.fingerprint, now) && m_crashes.parts.isTrialDue(m_request.promptParts, now);
 }
 
 // A request that still waits to be sent does not hold up the trial of another one.
 bool Exchange::tryBeginTrial(base::Instant now)
 {
-    if (m_sends || !m_crashes.parts.isQuarantined(m_request.promptParts))
+    if (m_sends || !isQuarantined(now))
         return true;
-    if (!m_crashes.parts.tryBeginTrial(m_request.promptParts, now))
+    if (!m_crashes.requests.tryBeginTrial(m_request.fingerprint, now))
         return false;
     m_trialAt = now;
-    return true;
+    if (m_crashes.parts.tryBeginTrial(m_request.promptParts, now))
+        return true;
+    cancelTrial();
+    return false;
 }
 
 void Exchange::cancelTrial()
 {
-    if (m_trialAt)
+    if (m_trialAt) {
+        m_crashes.requests.cancelTrial(m_request.fingerprint, *m_trialAt);
         m_crashes.parts.cancelTrial(m_request.promptParts, *m_trialAt);
+    }
     m_trialAt.reset();
 }
 
@@ -112,7 +120,7 @@
 Step Exchange::refuseQuarantined(base::Instant now) const
 {
     auto step = refuse(ResultCode::HarmfulRequest);
-    auto until = m_crashes.parts.quarantinedUntil(m_request.promptParts).value_or(now);
+    auto until = std::max(m_crashes.parts.quarantinedUntil(m_request.promptParts).value_or(now), m_crashes.requests.quarantinedUntil(m_request.fingerprint, now).value_or(now));
     step.retryAfter = std::clamp(std::min(until, now + m_policy.maxRetryAfter) - now, m_policy.retryAfter, m_policy.maxRetryAfter);
     return step;
 }
@@ -226,10 +234,9 @@
     return std::nullopt;
 }
 
-bool Exchange::isRetryAllowed(AttemptOutcome outcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now) const
+bool Exchange::isRetryAllowed(AttemptOutcome outcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now)
 {
-    bool isQuarantined = m_crashes.requests.isQuarantined(m_request.fingerprint, now) || m_crashes.parts.isQuarantined(m_request.promptParts);
-    if (now >= deadline() || reachedAttempts >= m_policy.maxReachedAttempts || isQuarantined)
+    if (now >= deadline() || reachedAttempts >= m_policy.maxReachedAttempts || isQuarantined(now))
         return false;
     return !mayHaveRun(outcome) || (m_request.route->isRepeatable() && possibleRuns < m_request.route->maxAttempts);
 }
@@ -324,7 +331,7 @@
 
 void Exchange::recordProgress(base::Instant now)
 {
-    m_crashes.requests.recordProgress(m_request.fingerprint);
+    m_crashes.requests.recordProgress(m_request.fingerprint, now);
     m_crashes.parts.recordProgress(m_request.promptParts, now);
 }
 
@@ -335,7 +342,7 @@
     if (hasReadPrompt)
         recordProgress(now);
     else if (isDeliverable(outcome) || outcome == AttemptOutcome::UpstreamError)
-        m_crashes.requests.recordProgress(m_request.fingerprint);
+        m_crashes.requests.recordFailureResponse(m_request.fingerprint);
     bool isLost = outcome == AttemptOutcome::LostBeforeResponse || outcome == AttemptOutcome::LostDuringResponse;
     if (!isLost || m_hasEvent)
         return;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -21,7 +21,7 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
-    // Starts the first attempt, or refuses the request if it or one of its prompt parts is quarantined.
+    // Starts the first attempt, or refuses the request if it is quarantined and no trial is due.
     Step begin(base::Instant now, uint64_t random);
     // Handles the end of the current attempt. Its connection must already be closed or released.
     Step attemptEnded(AttemptOutcome, base::Instant now, uint64_t random);
@@ -97,7 +97,9 @@
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
     Step refuseDraining() const;
-    // Returns whether the request may be sent: none of its prompt parts is quarantined, or it may be sent as a trial.
+    // Returns whether the request or one of its prompt parts is quarantined.
+    bool isQuarantined(base::Instant now);
+    // Returns whether the request may be sent: it is not quarantined, or it may be sent as a trial.
     bool maySend(base::Instant now);
     // As maySend, for a request that is about to be sent: begins the trial if it is one.
     bool tryBeginTrial(base::Instant now);
@@ -118,7 +120,7 @@
     // Returns the outcome of the current attempt if it is abandoned for silence.
     AttemptOutcome silentOutcome() const { return m_isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
-    bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now) const;
+    bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
     void release();
     fleet::PlacementQuery query(base::Instant now, uint64_t random) const;
@@ -160,7 +162,7 @@
     bool m_hasFailureResponse = false;
     // Whether the current attempt has delivered an event.
     bool m_hasEvent = false;
-    // When the request was sent to try a quarantined prompt part.
+    // When the request was sent to try whether it or one of its prompt parts still crashes upstreams.
     std::optional<base::Instant> m_trialAt;
     base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
--- a/src/forward/TrialSchedule.cpp
+++ b/src/forward/TrialSchedule.cpp
@@ -4,12 +4,6 @@
 
 namespace redwingseam::forward {
 
-void TrialSchedule::setPosition(uint32_t position, uint32_t nodeCount)
-{
-    m_position = position;
-    m_nodeCount = std::max(1U, nodeCount);
-}
-
 base::Instant TrialSchedule::nextTrialAt(const PartState& state)
 {
     static constexpr unsigned minCrashes = 2;
@@ -21,15 +15,7 @@
 
 bool TrialSchedule::isTurn(base::PromptPartHash part, const PartState& state, base::Instant now) const
 {
-    auto dueAt = nextTrialAt(state);
-    if (now < dueAt)
-        return false;
-    uint64_t nodeCount = m_nodeCount;
-    static constexpr int64_t maxDoublings = 32;
-    auto allowedNodes = uint64_t { 1 } << std::min<int64_t>((now - dueAt) / turnDuration, maxDoublings);
-    // Each part begins with another node.
-    auto place = (m_position + part.value % nodeCount) % nodeCount;
-    return place < allowedNodes;
+    return m_turns.isTurn(part.value, nextTrialAt(state), now);
 }
 
 } // namespace redwingseam::forward
--- a/src/forward/TrialSchedule.h
+++ b/src/forward/TrialSchedule.h
@@ -1,21 +1,22 @@
 #pragma once
 
 #include "forward/PartState.h"
+#include "forward/TurnOrder.h"
 #include "redwingseam/base/Ids.h"
 
 #include <array>
-#include <atomic>
-#include <cstdint>
 
 namespace redwingseam::forward {
 
 // Decides when and on which node one request with a quarantined part is tried again. The time between two trials grows
-// with each crash, and with each trial that had no result, slowly for a part that has made progress before: upstreams may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials at the same time.
+// with each crash, and with each trial that had no result, slowly for a part that has made progress before: upstreams
+// may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials
+// at the same time.
 // Thread-safe.
 class TrialSchedule {
 public:
-    // Sets the position of this node among all nodes that share the trials.
-    void setPosition(uint32_t position, uint32_t nodeCount);
+    // The order in which the nodes that share the trials get their turns.
+    TurnOrder& turns() { return m_turns; }
     // Returns when the next trial of a quarantined part may start on some node.
     static base::Instant nextTrialAt(const PartState&);
     bool isTurn(base::PromptPartHash, const PartState&, base::Instant now) const;
@@ -38,12 +39,8 @@
     // Trials without a result delay the next one by no more than this step.
     static constexpr size_t lastStepOfTrials = 5;
     static constexpr base::Duration maxProvenInterval = std::chrono::seconds(30);
-    // The number of nodes that may start a trial doubles this often: at first one, which may receive no request with the
-    // part. Longer than a report takes to reach all nodes.
-    static constexpr base::Duration turnDuration = std::chrono::milliseconds(1000);
 
-    std::atomic<uint32_t> m_position { 0 };
-    std::atomic<uint32_t> m_nodeCount { 1 };
+    TurnOrder m_turns;
 };
 
 } // namespace redwingseam::forward
--- a/src/replication/FailureNotice.h
+++ b/src/replication/FailureNotice.h
@@ -3,6 +3,8 @@
 #include "fleet/SuspicionReport.h"
 #include "forward/CrashReport.h"
 #include "forward/PartReports.h"
+#include "forward/RequestClearance.h"
+#include "forward/RequestTrial.h"
 #include "sync/NodeRecord.h"
 
 #include <vector>
@@ -16,8 +18,10 @@
     std::vector<fleet::SuspicionReport> suspicions;
     std::vector<forward::CrashReport> crashes;
     forward::PartReports parts;
+    std::vector<forward::RequestClearance> clearances;
+    std::vector<forward::RequestTrial> trials;
 
-    bool isEmpty() const { return suspicions.empty() && crashes.empty() && parts.isEmpty(); }
+    bool isEmpty() const { return suspicions.empty() && crashes.empty() && parts.isEmpty() && clearances.empty() && trials.empty(); }
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -55,7 +55,23 @@
 {
     auto list = Json::array();
     for (const auto& request : requests)
-        list.push_back(Json::array({ request.fingerprint.value, ageOf(request.lastCrashAt, now) }));
+        list.push_back(Json::array({ request.fingerprint.value, ageOf(request.lastCrashAt, now), request.trials, ageOf(request.lastTrialAt.value_or(request.lastCrashAt), now) }));
+    return list;
+}
+
+static Json format(const std::vector<forward::RequestClearance>& clearances, base::Instant now)
+{
+    auto list = Json::array();
+    for (const auto& clearance : clearances)
+        list.push_back(Json::array({ clearance.fingerprint.value, ageOf(clearance.progressAt, now) }));
+    return list;
+}
+
+static Json format(const std::vector<forward::RequestTrial>& trials, base::Instant now)
+{
+    auto list = Json::array();
+    for (const auto& trial : trials)
+        list.push_back(Json::array({ trial.fingerprint.value, ageOf(trial.startedAt, now) }));
     return list;
 }
 
@@ -106,7 +122,7 @@
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era });
+        reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era, format(reply.clearances, now) });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -114,7 +130,7 @@
     auto list = Json::array();
     for (const auto& suspicion : notice.suspicions)
         list.push_back(Json::array({ suspicion.upstream.text, suspicion.service.text, static_cast<int>(suspicion.cause), ageOf(suspicion.detectedAt, now), suspicion.incarnation }));
-    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now) });
+    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now), format(notice.clearances, now), format(notice.trials, now) });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -196,6 +212,32 @@
     return reports;
 }
 
+static std::vector<forward::RequestClearance> parseClearances(FieldReader& reader, base::Instant now)
+{
+    std::vector<forward::RequestClearance> clearances;
+    if (!reader.hasMore())
+        return clearances;
+    reader.forEach([&](FieldReader& item) {
+        auto& clearance = clearances.emplace_back();
+        clearance.fingerprint.value = item.number(UINT64_MAX);
+        clearance.progressAt = now - parseAge(item);
+    });
+    return clearances;
+}
+
+static std::vector<forward::RequestTrial> parseTrials(FieldReader& reader, base::Instant now)
+{
+    std::vector<forward::RequestTrial> trials;
+    if (!reader.hasMore())
+        return trials;
+    reader.forEach([&](FieldReader& item) {
+        auto& trial = trials.emplace_back();
+        trial.fingerprint.value = item.number(UINT64_MAX);
+        trial.startedAt = now - parseAge(item);
+    });
+    return trials;
+}
+
 static StateQuery parseQuery(FieldReader& reader)
 {
     StateQuery query;
@@ -259,6 +301,12 @@
             auto& request = reply.quarantined.emplace_back();
             request.fingerprint.value = item.number(UINT64_MAX);
             request.lastCrashAt = now - parseAge(item);
+            if (!item.hasMore())
+                return;
+            request.trials = static_cast<unsigned>(item.number(UINT32_MAX));
+            auto lastTrialAt = now - parseAge(item);
+            if (request.trials)
+                request.lastTrialAt = lastTrialAt;
         });
     }
     if (reader.isNull()) {
@@ -284,6 +332,7 @@
         delta->to = reply.listVersion;
         reply.delta = std::make_shared<const sync::UpstreamDelta>(std::move(*delta));
     }
+    reply.clearances = parseClearances(reader, now);
     return reply;
 }
 
@@ -310,6 +359,8 @@
         });
     }
     notice.parts = parsePartReports(reader, now);
+    notice.clearances = parseClearances(reader, now);
+    notice.trials = parseTrials(reader, now);
     return notice;
 }
 
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -63,7 +63,7 @@
 void PeerSync<Parser>::updateRole(base::Instant now)
 {
     m_fleet.setNodeCount(static_cast<uint32_t>(m_directory.size()));
-    m_crashes.parts.trials().setPosition(m_directory.position(), static_cast<uint32_t>(m_directory.size()));
+    m_crashes.setPosition(m_directory.position(), static_cast<uint32_t>(m_directory.size()));
     bool isHub = m_directory.isHub(now);
     bool isLeader = m_directory.isLeader(now);
     if (isHub == m_role.isHub() && isLeader == m_role.isLeader())
@@ -78,7 +78,8 @@
 OutgoingMessages PeerSync<Parser>::tick(base::Instant now)
 {
     std::lock_guard guard(m_mutex);
-    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), m_crashes.requests.takeReports(), m_crashes.parts.takeReports() };
+    auto requests = m_crashes.requests.takeReports();
+    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), std::move(requests.crashes), m_crashes.parts.takeReports(), std::move(requests.clearances), std::move(requests.trials) };
     OutgoingMessages outgoing;
     m_lastTick = now;
     updateRole(now);
@@ -207,7 +208,7 @@
     }
     for (const auto& node : receivers) {
         if (node.name != from.name)
-            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes, notice.parts } });
+            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes, notice.parts, notice.clearances, notice.trials } });
     }
 }
 
@@ -256,6 +257,7 @@
     if (query.quarantineHash != m_crashes.parts.quarantineHash())
         reply.parts = m_crashes.parts.evidence();
     reply.quarantined = m_crashes.requests.quarantinedRequests(now);
+    reply.clearances = m_crashes.requests.clearedRequests();
     logSentState(query, reply);
     OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
     bool mayAskBack = m_role.isHub() && isSameDataCentre && now - m_lastNeighbourQuery >= hubQueryInterval;
@@ -352,6 +354,8 @@
     m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
+    for (const auto& clearance : reply.clearances)
+        m_crashes.requests.applyClearance(clearance);
     m_crashes.parts.apply(reply.parts, now);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
@@ -479,24 +483,24 @@
 OutgoingMessages PeerSync<Parser>::receive(const FailureNotice& notice, base::Instant now)
 {
     m_directory.recordMessageFrom(notice.from, now);
-    FailureNotice recent { notice.from };
-    for (const auto& suspicion : notice.suspicions) {
-        if (now - suspicion.detectedAt < failureNoticeLifetime)
-            recent.suspicions.push_back(suspicion);
-    }
-    for (const auto& crash : notice.crashes) {
-        if (now - crash.lostAt < failureNoticeLifetime)
-            recent.crashes.push_back(crash);
-    }
-    recent.parts = notice.parts;
-    std::erase_if(recent.parts.crashes, [&](const forward::PartCrash& crash) { return now - crash.lostAt >= failureNoticeLifetime; });
-    std::erase_if(recent.parts.clearances, [&](const forward::PartClearance& clearance) { return now - clearance.progressAt >= failureNoticeLifetime; });
-    std::erase_if(recent.parts.trials, [&](const forward::PartTrial& trial) { return now - trial.startedAt >= failureNoticeLifetime; });
+    auto recent = notice;
+    auto isOld = [&](base::Instant at) { return now - at >= failureNoticeLifetime; };
+    std::erase_if(recent.suspicions, [&](const fleet::SuspicionReport& suspicion) { return isOld(suspicion.detectedAt); });
+    std::erase_if(recent.crashes, [&](const forward::CrashReport& crash) { return isOld(crash.lostAt); });
+    std::erase_if(recent.clearances, [&](const forward::RequestClearance& clearance) { return isOld(clearance.progressAt); });
+    std::erase_if(recent.trials, [&](const forward::RequestTrial& trial) { return isOld(trial.startedAt); });
+    std::erase_if(recent.parts.crashes, [&](const forward::PartCrash& crash) { return isOld(crash.lostAt); });
+    std::erase_if(recent.parts.clearances, [&](const forward::PartClearance& clearance) { return isOld(clearance.progressAt); });
+    std::erase_if(recent.parts.trials, [&](const forward::PartTrial& trial) { return isOld(trial.startedAt); });
     for (const auto& suspicion : recent.suspicions)
         m_fleet.applySuspicionReport(suspicion);
     m_crashes.parts.apply(recent.parts, now);
     for (const auto& crash : recent.crashes)
         m_crashes.requests.applyReport(crash);
+    for (const auto& clearance : recent.clearances)
+        m_crashes.requests.applyClearance(clearance);
+    for (const auto& trial : recent.trials)
+        m_crashes.requests.applyTrial(trial);
     OutgoingMessages outgoing;
     if (m_role.isHub() && !recent.isEmpty())
         sendFailureNotice(outgoing, recent, now);
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -3,6 +3,7 @@
 #include "fleet/LoadMap.h"
 #include "forward/PartReports.h"
 #include "forward/QuarantinedRequest.h"
+#include "forward/RequestClearance.h"
 #include "redwingseam/base/Instant.h"
 #include "sync/NodeRecord.h"
 #include "sync/UpstreamDelta.h"
@@ -46,6 +47,8 @@
     std::vector<forward::QuarantinedRequest> quarantined;
     // Set only if the querying node has quarantined other prompt parts.
     forward::PartReports parts;
+    // Informs nodes that missed the notices of progress which ended a quarantine.
+    std::vector<forward::RequestClearance> clearances;
 };
 
 } // namespace redwingseam::replication
--- a/tests/CrashRegisterTest.cpp
+++ b/tests/CrashRegisterTest.cpp
@@ -59,16 +59,16 @@
         fixture.advance(milliseconds(700));
     }
     LONGS_EQUAL(forward::CrashRegister::quarantineThreshold, sends);
+    forward::Exchange again(requestOf("/book/x", 77), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    auto step = again.begin(now(), 1);
+    CHECK_TRUE(step.kind == StepKind::Refuse);
+    CHECK_TRUE(step.code == base::ResultCode::HarmfulRequest);
     sends = 0;
     for (int attempt = 0; attempt < 20; ++attempt) {
         sends += crash("/stream/x", 78);
         fixture.advance(milliseconds(700));
     }
     LONGS_EQUAL(forward::CrashRegister::quarantineThreshold, sends);
-    forward::Exchange again(requestOf("/book/x", 77), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
-    auto step = again.begin(now(), 1);
-    CHECK_TRUE(step.kind == StepKind::Refuse);
-    CHECK_TRUE(step.code == base::ResultCode::HarmfulRequest);
     forward::Exchange other(requestOf("/book/x", 79), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
     CHECK_TRUE(other.begin(now(), 1).kind == StepKind::Send);
 }
@@ -108,8 +108,8 @@
         fixture.crashes.requests.recordCrash({ fingerprint, now(), now() + milliseconds(100 + i) });
     CHECK_TRUE(fixture.crashes.requests.isSuspect(fingerprint, now()));
     CHECK_FALSE(fixture.crashes.requests.isQuarantined(fingerprint, now()));
-    LONGS_EQUAL(10, fixture.crashes.requests.takeReports().size());
-    LONGS_EQUAL(0, fixture.crashes.requests.takeReports().size());
+    LONGS_EQUAL(10, fixture.crashes.requests.takeReports().crashes.size());
+    LONGS_EQUAL(0, fixture.crashes.requests.takeReports().crashes.size());
 }
 
 TEST(CrashRegister, DataCentreOutageQuarantinesNoRequest)
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -77,12 +77,48 @@
     CHECK_TRUE(parts.crashes.front().sentAt == now - milliseconds(30) && parts.crashes.front().upstream.text == "e1");
     CHECK_TRUE(parts.clearances.front().progressAt == now - milliseconds(1));
     CHECK_TRUE(parts.trials.front().startedAt == now - milliseconds(2));
-    // A node of the release before sends a notice without the last field.
+    // A node of an older release sends a notice without the parts and the fields after them.
     auto older = nlohmann::json::from_cbor(bytes);
-    older.erase(older.size() - 1);
+    static constexpr size_t fieldsBeforeParts = 4;
+    while (older.size() > fieldsBeforeParts)
+        older.erase(older.size() - 1);
     std::string olderBytes;
     nlohmann::json::to_cbor(older, olderBytes);
     read = replication::parseMessage(olderBytes, now);
     CHECK_TRUE(read.has_value());
     CHECK_TRUE(std::get<replication::FailureNotice>(*read).parts.isEmpty());
 }
+
+TEST(PeerMessage, ReportsOfQuarantinedRequestsSurviveTheCodec)
+{
+    auto now = base::Instant(std::chrono::seconds(500));
+    replication::FailureNotice notice;
+    notice.from = { { "n" }, { "dc" }, "127.0.0.1:1" };
+    notice.clearances = { { { UINT64_MAX }, now - milliseconds(1) } };
+    notice.trials = { { { 3 }, now - milliseconds(2) } };
+    auto bytes = replication::formatMessage(notice, now);
+    auto read = replication::parseMessage(bytes, now);
+    CHECK_TRUE(read.has_value());
+    const auto& readNotice = std::get<replication::FailureNotice>(*read);
+    CHECK_TRUE(readNotice.clearances.front().fingerprint.value == UINT64_MAX && readNotice.clearances.front().progressAt == now - milliseconds(1));
+    CHECK_TRUE(readNotice.trials.front().fingerprint.value == 3 && readNotice.trials.front().startedAt == now - milliseconds(2));
+    // A node of the release before sends a notice that ends with the parts.
+    auto older = nlohmann::json::from_cbor(bytes);
+    older.erase(older.size() - 1);
+    older.erase(older.size() - 1);
+    std::string olderBytes;
+    nlohmann::json::to_cbor(older, olderBytes);
+    read = replication::parseMessage(olderBytes, now);
+    CHECK_TRUE(read.has_value());
+    CHECK_TRUE(std::get<replication::FailureNotice>(*read).isEmpty());
+    replication::StateReply reply;
+    reply.from = notice.from;
+    reply.quarantined = { { { 5 }, now - milliseconds(9), 2, now - milliseconds(4) }, { { 6 }, now } };
+    reply.clearances = notice.clearances;
+    read = replication::parseMessage(replication::formatMessage(reply, now), now);
+    CHECK_TRUE(read.has_value());
+    const auto& readReply = std::get<replication::StateReply>(*read);
+    CHECK_TRUE(readReply.quarantined.front().trials == 2 && readReply.quarantined.front().lastTrialAt == now - milliseconds(4));
+    CHECK_TRUE(readReply.quarantined.back().trials == 0 && !readReply.quarantined.back().lastTrialAt);
+    CHECK_TRUE(readReply.clearances.front().progressAt == now - milliseconds(1));
+}
