Leaving upstreams: heed what their responses say

What callers would see: requests sent to an upstream that has said in its answers that it leaves (Server-Leaving: 1) are cut off when it exits, because its entry says that it is ready for seconds more, or says so again after an outage of the store or a restored copy (DRAIN).

Now: from the first response with the header, whatever its status, the incarnation gets no request, backup or resumption, and is no last resort; its runs end, and its connections are not kept. WorkRefusals holds this apart from the list, until a later start time is known. The other nodes are told by the failure notice, in a field of its own that older releases pass over. Requests of a service whose upstreams are all leaving are refused at once as not run. A stream that was refused together with its backup is not sent to the upstream again. The header is forwarded like any other.

A late response comes from the same upstream and counts; a 421 comes from another instance and does not. An upstream without a start time is used again once its entry has gone and come back, since it may be another one.

Looked elsewhere: the mark of a replaced upstream (421) goes with its entry too, but requests to it get 421 and do not count. A list that still names the incarnation before the one that is leaving does not bring the upstream back either.

Not done: a request that is connecting when the header arrives is still sent, within the 350 ms that a connection may take.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -1,6 +1,9 @@
 #include "fleet/Fleet.h"
 
+#include "log/LogLine.h"
+
 #include <algorithm>
+#include <glog/logging.h>
 #include <mutex>
 #include <utility>
 
@@ -51,7 +54,6 @@
     withPool(instance.service, [&](UpstreamPool& pool) { pool.suspect(instance.id, cause, now); });
     if (!isShared(cause))
         return;
-    static constexpr size_t maxReports = 256;
     std::lock_guard guard(m_reportsMutex);
     if (m_reports.size() < maxReports)
         m_reports.push_back({ instance.id, instance.service, cause, now, instance.incarnation });
@@ -62,6 +64,41 @@
     withPool(instance.service, [&](UpstreamPool& pool) { pool.clearSuspicion(instance.id); });
 }
 
+void Fleet::recordLeaving(const UpstreamInstance& instance, base::Instant now)
+{
+    if (!withPool(instance.service, [&](UpstreamPool& pool) { return pool.recordLeaving(instance.id, instance.incarnation, now); }))
+        return;
+    LOG(INFO) << log::LogLine("upstream_leaving").with("upstream", instance.id.text).with("incarnation", instance.incarnation).with("from", "upstream").text();
+    std::lock_guard guard(m_reportsMutex);
+    if (m_leavingReports.size() < maxReports)
+        m_leavingReports.push_back({ instance.id, instance.service, instance.incarnation });
+}
+
+void Fleet::applyLeavingReport(const LeavingReport& report, base::Instant now)
+{
+    if (withPool(report.service, [&](UpstreamPool& pool) { return pool.recordLeaving(report.upstream, report.incarnation, now); }))
+        LOG(INFO) << log::LogLine("upstream_leaving").with("upstream", report.upstream.text).with("incarnation", report.incarnation).with("from", "peer").text();
+}
+
+std::vector<LeavingReport> Fleet::takeLeavingReports()
+{
+    std::lock_guard guard(m_reportsMutex);
+    return std::exchange(m_leavingReports, {});
+}
+
+bool Fleet::acceptsRequests(const UpstreamInstance& instance, base::Instant now)
+{
+    return withPool(instance.service, [&](UpstreamPool& pool) {
+        const auto* entry = pool.find(instance.id);
+        return entry && entry->instance.incarnation == instance.incarnation && entry->isEligible(now);
+    });
+}
+
+bool Fleet::areAllLeaving(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.areAllLeaving(now); });
+}
+
 void Fleet::recordContact(const UpstreamInstance& instance, base::Instant now)
 {
     withPool(instance.service, [&](UpstreamPool& pool) { pool.recordContact(instance.id, now); });
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/LeavingReport.h"
 #include "fleet/LoadMap.h"
 #include "fleet/SuspicionReport.h"
 #include "fleet/UpstreamPool.h"
@@ -36,6 +37,17 @@
     void suspect(const UpstreamInstance&, SuspicionCause, base::Instant now);
     // Ends the ejection after the upstream has responded to a request.
     void clearSuspicion(const UpstreamInstance&);
+    // Records that the upstream has said that it is leaving: it gets no new work until it starts again, even if the list
+    // says that it is ready. Queues a report for the other nodes.
+    void recordLeaving(const UpstreamInstance&, base::Instant now);
+    // Applies what another node was told by an upstream.
+    void applyLeavingReport(const LeavingReport&, base::Instant now);
+    // Returns and clears the reports of this node since the last call.
+    std::vector<LeavingReport> takeLeavingReports();
+    // Returns whether the upstream may get another request. A suspected upstream may.
+    bool acceptsRequests(const UpstreamInstance&, base::Instant now);
+    // Returns whether the service has upstreams and all of them are leaving.
+    bool areAllLeaving(const base::ServiceName&, base::Instant now);
     // Records that the upstream accepted a connection or sent bytes.
     void recordContact(const UpstreamInstance&, base::Instant now);
     // Returns when the upstream last accepted a connection or sent bytes, or a zero Instant if it never did.
@@ -81,10 +93,14 @@
         return m_pools.with(std::hash<base::ServiceName> {}(service), [&](PoolMap& pools) -> decltype(auto) { return function(pools[service]); });
     }
 
+    // The reports of each kind that wait to be sent; more are dropped.
+    static constexpr size_t maxReports = 256;
+
     base::DataCentreName m_localDataCentre;
     base::Sharded<PoolMap> m_pools;
     base::Mutex m_reportsMutex;
     std::vector<SuspicionReport> m_reports;
+    std::vector<LeavingReport> m_leavingReports;
     // The high initial value keeps the share of retries low until the number of nodes is known.
     std::atomic<uint32_t> m_nodeCount { 32 };
     std::atomic<base::Instant> m_listedAt { base::Instant {} };
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -3,6 +3,7 @@
 #include "fleet/PlacementQuery.h"
 #include "fleet/Suspicion.h"
 #include "fleet/UpstreamLoad.h"
+#include "fleet/WorkRefusal.h"
 #include "redwingseam/fleet/UpstreamInstance.h"
 
 namespace redwingseam::fleet {
@@ -15,6 +16,7 @@
     // Load booked by the other nodes, as last reported.
     UpstreamLoad peerLoad;
     Suspicion suspicion;
+    WorkRefusal refusal;
     // When the upstream last accepted a connection or sent bytes, for any request or probe of this node.
     base::Instant lastContactAt {};
     bool isListed = true;
@@ -33,9 +35,13 @@
     bool hasRoom(const PlacementQuery&) const;
     // Returns whether the engine can keep a backup and still has most of its KV cache for requests of its own.
     bool hasRoomForBackup(const PlacementQuery&) const;
-    // Returns whether the upstream is listed or in its grace period, and neither superseded, draining nor replaced. A
+    // Returns whether the upstream is listed or in its grace period, and neither superseded, leaving nor replaced. A
     // suspected upstream may be eligible.
-    bool isEligible(base::Instant now) const { return (isListed || now < graceEndsAt) && !isSuperseded && !instance.isDraining && !suspicion.isReplaced(); }
+    bool isEligible(base::Instant now) const { return isPresent(now) && !isLeaving() && !suspicion.isReplaced(); }
+    // Returns whether the upstream is listed or in its grace period, and not superseded.
+    bool isPresent(base::Instant now) const { return (isListed || now < graceEndsAt) && !isSuperseded; }
+    // Returns whether the list or the upstream's own responses say that it is draining.
+    bool isLeaving() const { return instance.isDraining || refusal.isLeaving; }
 };
 
 } // namespace redwingseam::fleet
--- a/src/fleet/PromptAffinity.cpp
+++ b/src/fleet/PromptAffinity.cpp
@@ -11,7 +11,7 @@
     m_discount = query.isResumption ? resumptionDiscount : newRequestDiscount;
     std::array<uint64_t, 2> highest {};
     for (const auto& entry : entries) {
-        if (!entry.isListed || entry.instance.isDraining || entry.instance.dataCentre != localDataCentre)
+        if (!entry.isListed || entry.isLeaving() || entry.instance.dataCentre != localDataCentre)
             continue;
         auto score = base::hashBytes(entry.instance.id.text, *query.promptKey);
         if (!m_preferred[0] || score > highest[0]) {
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -7,17 +7,57 @@
 void UpstreamPool::update(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace)
 {
     applyListing(listed, readBegan, grace);
-    // An unlisted entry stays until its booked load is released.
-    std::erase_if(m_entries, [&](const PoolEntry& entry) { return !entry.isListed && readBegan >= entry.graceEndsAt && entry.localLoad == UpstreamLoad {}; });
+    removeUnlisted(readBegan);
     rebuildIndex();
     for (const auto& instance : listed) {
         if (m_index.emplace(instance.id, m_entries.size()).second)
             m_entries.push_back(PoolEntry { instance });
     }
+    applyRefusals(readBegan);
     markSuperseded();
     countDataCentres(readBegan);
 }
 
+void UpstreamPool::removeUnlisted(base::Instant readBegan)
+{
+    std::erase_if(m_entries, [&](const PoolEntry& entry) {
+        // An unlisted entry stays until its booked load is released.
+        bool isGone = !entry.isListed && readBegan >= entry.graceEndsAt && entry.localLoad == UpstreamLoad {};
+        if (isGone)
+            m_refusals.recordRemoval(entry.instance);
+        return isGone;
+    });
+}
+
+void UpstreamPool::applyRefusals(base::Instant now)
+{
+    m_refusals.removeOld(now);
+    for (auto& entry : m_entries)
+        entry.refusal = m_refusals.refusalOf(entry.instance, now);
+}
+
+bool UpstreamPool::recordLeaving(const base::UpstreamName& id, uint64_t incarnation, base::Instant now)
+{
+    if (!m_refusals.recordLeaving(id, incarnation, now))
+        return false;
+    if (auto* entry = findEntry(id))
+        entry->refusal = m_refusals.refusalOf(entry->instance, now);
+    return true;
+}
+
+bool UpstreamPool::areAllLeaving(base::Instant now) const
+{
+    bool hasPresent = false;
+    for (const auto& entry : m_entries) {
+        if (!entry.isPresent(now))
+            continue;
+        if (!entry.isLeaving())
+            return false;
+        hasPresent = true;
+    }
+    return hasPresent;
+}
+
 void UpstreamPool::applyListing(const std::vector<UpstreamInstance>& listed, base::Instant readBegan, base::Duration grace)
 {
     std::unordered_map<base::UpstreamName, const UpstreamInstance*> byName;
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -8,6 +8,7 @@
 #include "fleet/PromptAffinity.h"
 #include "fleet/RetryBudget.h"
 #include "fleet/SuspicionReport.h"
+#include "fleet/WorkRefusals.h"
 
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,11 @@
     void replaceBackup(Placement&, const PlacementQuery&, const base::DataCentreName& localDataCentre);
     void suspect(const base::UpstreamName&, SuspicionCause, base::Instant now);
     void clearSuspicion(const base::UpstreamName&);
+    // Records that an incarnation takes no new work until it starts again, whatever the lists say. Returns whether this
+    // is news.
+    bool recordLeaving(const base::UpstreamName&, uint64_t incarnation, base::Instant now);
+    // Returns whether there are upstreams and all of them are leaving.
+    bool areAllLeaving(base::Instant now) const;
     void setPeerLoads(const LoadMap&);
     void applySuspicionReport(const SuspicionReport&);
     void recordContact(const base::UpstreamName&, base::Instant now);
@@ -52,7 +58,9 @@
     PoolEntry* chooseAny(const PlacementQuery&, Predicate&&);
     PoolEntry* findPreferred(const PlacementQuery&);
     void applyListing(const std::vector<UpstreamInstance>&, base::Instant readBegan, base::Duration grace);
+    void removeUnlisted(base::Instant readBegan);
     void rebuildIndex();
+    void applyRefusals(base::Instant now);
     void markSuperseded();
     void countDataCentres(base::Instant now);
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& localDataCentre);
@@ -63,6 +71,7 @@
     // Index of each upstream in `m_entries`. Every event of a stream does a lookup.
     std::unordered_map<base::UpstreamName, size_t> m_index;
     std::unordered_map<base::DataCentreName, DataCentreHealth> m_dataCentres;
+    WorkRefusals m_refusals;
     RetryBudget m_retryBudget;
 };
 
--- /dev/null
+++ b/src/fleet/WorkRefusal.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace redwingseam::fleet {
+
+// What an upstream itself has said against new work in its responses. Unlike a suspicion it is no guess, so neither
+// contact nor a success ends it.
+struct WorkRefusal {
+    // The upstream is leaving and takes no new work until it starts again.
+    bool isLeaving = false;
+};
+
+} // namespace redwingseam::fleet
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -140,6 +140,8 @@
     auto placement = m_fleet.place(query(now, random));
     if (placement)
         return send(std::move(*placement), now);
+    if (m_fleet.areAllLeaving(m_request.service, now))
+        return giveUp(AttemptOutcome::NotConnected);
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
     if (now - m_waitingSince < scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare))
@@ -359,6 +361,9 @@
 {
     if (!m_placement)
         return {};
+    // The upstream says that it takes no more work, so the refusal is its own.
+    if (!m_fleet.acceptsRequests(m_placement->target, now))
+        return attemptEnded(AttemptOutcome::NotRun, now, random);
     if (m_placement->backup)
         m_fleet.suspect(*m_placement->backup, fleet::SuspicionCause::Unreachable, now);
     ++m_reachedAttempts;
--- a/src/gateway/ResponseMetadata.h
+++ b/src/gateway/ResponseMetadata.h
@@ -18,6 +18,8 @@
     bool isMisdirected = false;
     // The response carries the upstream's signature. A success without it is treated as invalid.
     bool isSigned = false;
+    // The upstream states that it is leaving and takes no new requests.
+    bool isLeaving = false;
     // Time for which the upstream keeps an idle connection open; empty if it did not state one.
     std::optional<base::Duration> keepAlive;
 };
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -325,7 +325,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::releaseUpstream(std::unique_ptr<Upstream> connection)
 {
-    if (!connection->isReusable()) {
+    if (!connection->isReusable() || m_responseMetadata.isLeaving) {
         connection->close();
         m_worker.retire(std::move(connection));
         return;
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -28,6 +28,9 @@
 {
     const auto& responseHeader = static_cast<const boost::beast::http::response_header<>&>(headers);
     auto metadata = Codec::readResponse(responseHeader.result_int(), headers);
+    // Responses of another upstream at the address say nothing of this one.
+    if (metadata.isLeaving && !metadata.isMisdirected)
+        m_state.fleet.recordLeaving(connection.instance(), now());
     // This is a late response to an earlier request; the expected response follows it.
     if (!metadata.attempt.empty() && metadata.attempt != m_requestMetadata.attempt) {
         m_hasLateResponse = true;
--- a/src/replication/FailureNotice.h
+++ b/src/replication/FailureNotice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/LeavingReport.h"
 #include "fleet/SuspicionReport.h"
 #include "forward/CrashReport.h"
 #include "forward/PartReports.h"
@@ -11,7 +12,7 @@
 
 namespace redwingseam::replication {
 
-// Reports upstreams that a node suspects to be down and requests and prompt parts during which upstreams
+// Reports upstreams that a node suspects to be down or that are leaving, and requests and prompt parts during which upstreams
 // crashed. Hubs forward it.
 struct FailureNotice {
     sync::NodeRecord from;
@@ -20,8 +21,9 @@
     forward::PartReports parts;
     std::vector<forward::RequestClearance> clearances;
     std::vector<forward::RequestTrial> trials;
+    std::vector<fleet::LeavingReport> leaving;
 
-    bool isEmpty() const { return suspicions.empty() && crashes.empty() && parts.isEmpty() && clearances.empty() && trials.empty(); }
+    bool isEmpty() const { return suspicions.empty() && crashes.empty() && parts.isEmpty() && clearances.empty() && trials.empty() && leaving.empty(); }
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -37,6 +37,11 @@
     return Json::array({ upstream.id.text, upstream.service.text, upstream.address, upstream.dataCentre.text, upstream.incarnation, upstream.slots, upstream.isDraining });
 }
 
+static Json format(const fleet::LeavingReport& report)
+{
+    return Json::array({ report.upstream.text, report.service.text, report.incarnation });
+}
+
 template<typename List>
 static Json formatList(const List& items)
 {
@@ -130,7 +135,7 @@
     auto list = Json::array();
     for (const auto& suspicion : notice.suspicions)
         list.push_back(Json::array({ suspicion.upstream.text, suspicion.service.text, static_cast<int>(suspicion.cause), ageOf(suspicion.detectedAt, now), suspicion.incarnation }));
-    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now), format(notice.clearances, now), format(notice.trials, now) });
+    return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now), format(notice.clearances, now), format(notice.trials, now), formatList(notice.leaving) });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -361,6 +366,14 @@
     notice.parts = parsePartReports(reader, now);
     notice.clearances = parseClearances(reader, now);
     notice.trials = parseTrials(reader, now);
+    if (reader.hasMore()) {
+        reader.forEach([&](FieldReader& item) {
+            auto& report = notice.leaving.emplace_back();
+            report.upstream.text = item.text();
+            report.service.text = item.text();
+            report.incarnation = item.number();
+        });
+    }
     return notice;
 }
 
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -79,7 +79,7 @@
 {
     std::lock_guard guard(m_mutex);
     auto requests = m_crashes.requests.takeReports();
-    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), std::move(requests.crashes), m_crashes.parts.takeReports(), std::move(requests.clearances), std::move(requests.trials) };
+    FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), std::move(requests.crashes), m_crashes.parts.takeReports(), std::move(requests.clearances), std::move(requests.trials), m_fleet.takeLeavingReports() };
     OutgoingMessages outgoing;
     m_lastTick = now;
     updateRole(now);
@@ -208,7 +208,7 @@
     }
     for (const auto& node : receivers) {
         if (node.name != from.name)
-            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes, notice.parts, notice.clearances, notice.trials } });
+            outgoing.push_back({ node.peerAddress, FailureNotice { self, notice.suspicions, notice.crashes, notice.parts, notice.clearances, notice.trials, notice.leaving } });
     }
 }
 
@@ -494,6 +494,8 @@
     std::erase_if(recent.parts.trials, [&](const forward::PartTrial& trial) { return isOld(trial.startedAt); });
     for (const auto& suspicion : recent.suspicions)
         m_fleet.applySuspicionReport(suspicion);
+    for (const auto& report : recent.leaving)
+        m_fleet.applyLeavingReport(report, now);
     m_crashes.parts.apply(recent.parts, now);
     for (const auto& crash : recent.crashes)
         m_crashes.requests.applyReport(crash);
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -102,10 +102,11 @@
     const auto& readNotice = std::get<replication::FailureNotice>(*read);
     CHECK_TRUE(readNotice.clearances.front().fingerprint.value == UINT64_MAX && readNotice.clearances.front().progressAt == now - milliseconds(1));
     CHECK_TRUE(readNotice.trials.front().fingerprint.value == 3 && readNotice.trials.front().startedAt == now - milliseconds(2));
-    // A node of the release before sends a notice that ends with the parts.
+    // A node of an older release sends a notice that ends with the parts.
     auto older = nlohmann::json::from_cbor(bytes);
-    older.erase(older.size() - 1);
-    older.erase(older.size() - 1);
+    static constexpr size_t fieldsUpToParts = 5;
+    while (older.size() > fieldsUpToParts)
+        older.erase(older.size() - 1);
     std::string olderBytes;
     nlohmann::json::to_cbor(older, olderBytes);
     read = replication::parseMessage(olderBytes, now);
