StateTransfer: do not wait for a process that has restarted

Cause: a transfer's end was seen only by its reply. Class of fault: a wait for something that cannot come any more.

Change: a transfer remembers the versions that its peer offered. If the peer answers a later query with older ones, its process is another one and the transfer ends.

Evidence: StateTransfer.StateOfAPeerThatRestartedIsRequestedFromAnother failed before: the version was not in force 3 s after the restart (interval of 8 s). Not seen this way: a process that has fetched the newest state again before it answers the first query; then the interval still decides.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -119,7 +119,8 @@
     // Returns the load that a query to `node` reports.
     fleet::LoadMap loadsFor(const sync::NodeRecord& node, base::Instant now);
     fleet::LoadMap dataCentreLoads(base::Instant now);
-    OutgoingMessage makeFullStateQuery(const sync::NodeRecord&, base::Instant now);
+    // Requests the state that the sender of the reply holds.
+    OutgoingMessage makeFullStateQuery(const StateReply&, base::Instant now);
     bool isNeighbour(const sync::NodeRecord& node) const { return node.dataCentre == m_directory.self().dataCentre; }
     void updateRole(base::Instant now);
 
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -116,15 +116,16 @@
 }
 
 template<ManifestParser Parser>
-OutgoingMessage PeerSync<Parser>::makeFullStateQuery(const sync::NodeRecord& node, base::Instant now)
+OutgoingMessage PeerSync<Parser>::makeFullStateQuery(const StateReply& reply, base::Instant now)
 {
+    const auto& node = reply.from;
     auto message = makeQuery(node, loadsFor(node, now), now);
     auto& query = std::get<StateQuery>(message.message);
     query.manifestVersion = manifestVersionNotLacking(now);
     query.wantsFullState = true;
     query.acceptsCompression = true;
     m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
-    m_stateTransfer.begin(query.sequence, node.name, now);
+    m_stateTransfer.begin(query.sequence, node.name, { reply.manifestVersion, reply.listRevision }, now);
     return message;
 }
 
@@ -351,6 +352,7 @@
     auto queriedAt = pending.mapped().sentAt;
     applyManifest(reply, queriedAt, now);
     applyList(reply, queriedAt);
+    m_stateTransfer.recordOffer(reply.sequence, reply.from.name, { reply.manifestVersion, reply.listRevision });
     m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
@@ -365,7 +367,7 @@
     }
     OutgoingMessages outgoing;
     if (lacksStateOf(reply, now) && !isAwaitingState(now))
-        outgoing.push_back(makeFullStateQuery(reply.from, now));
+        outgoing.push_back(makeFullStateQuery(reply, now));
     return outgoing;
 }
 
--- a/src/replication/StateTransfer.h
+++ b/src/replication/StateTransfer.h
@@ -2,6 +2,7 @@
 
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
+#include "replication/OfferedState.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -19,7 +20,8 @@
     // the shortest interval.
     bool isInProgress(base::Instant now, bool isPeerLive) const { return m_sequence && now - m_startedAt < (isPeerLive ? m_timeout : initialTimeout); }
 
-    void begin(uint64_t sequence, const base::VmName& peer, base::Instant now)
+    // `offered` are the versions that the peer holds.
+    void begin(uint64_t sequence, const base::VmName& peer, OfferedState offered, base::Instant now)
     {
         // The wait for a peer that died says nothing about the next one.
         bool isRepeated = m_sequence && now - m_startedAt >= m_timeout;
@@ -27,6 +29,16 @@
         m_sequence = sequence;
         m_startedAt = now;
         m_peer = peer;
+        m_offered = offered;
+    }
+
+    // Ends the transfer if the peer now holds older state in a reply to a later request: it has restarted, and what it was
+    // sending is lost.
+    void recordOffer(uint64_t sequence, const base::VmName& peer, OfferedState offered)
+    {
+        bool isLater = m_sequence && sequence > *m_sequence && peer == m_peer;
+        if (isLater && (offered.manifestVersion < m_offered.manifestVersion || offered.listRevision < m_offered.listRevision))
+            m_sequence.reset();
     }
 
     // The node that the newest request went to.
@@ -50,6 +62,7 @@
 
     std::optional<uint64_t> m_sequence;
     base::VmName m_peer;
+    OfferedState m_offered;
     base::Instant m_startedAt {};
     base::Duration m_timeout = initialTimeout;
     // How long the last replies with state took, with the longer ones fading.
--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -117,3 +117,24 @@
     cluster.run(milliseconds(1000));
     LONGS_EQUAL(5, listRevision(node));
 }
+
+// A node that waits for a process that is gone keeps an old manifest, also if the next process answers at once.
+TEST(StateTransfer, StateOfAPeerThatRestartedIsRequestedFromAnother)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& deputy = cluster.add("a2", "dc-a");
+    auto& node = cluster.add("b1", "dc-b");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    cluster.lossLimits["b1"] = textBytes / 2;
+    hub.confirm(largeText(2), cluster.now);
+    cluster.run(milliseconds(6800));
+    LONGS_EQUAL(2, deputy.manifestVersion());
+    LONGS_EQUAL(1, node.manifestVersion());
+    cluster.nodes.front() = std::make_unique<PeerNode>("a1", "dc-a");
+    cluster.shareNodeList();
+    cluster.lossLimits.clear();
+    cluster.run(milliseconds(3000));
+    LONGS_EQUAL(2, node.manifestVersion());
+}
