StateTransfer: compare what a peer offers by era and revision

Joins the review of the transfers with the eras of the store: a revision that goes back with a restore is not the restart of the peer, and a peer that restarted is not hidden by one. The tests' lists are of era 1; their checks are the same.

--- a/src/replication/OfferedState.h
+++ b/src/replication/OfferedState.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sync/StoreVersion.h"
+
 #include <cstdint>
 
 namespace redwingseam::replication {
@@ -7,7 +9,7 @@
 // The versions of the state that another node holds; 0 if none.
 struct OfferedState {
     uint64_t manifestVersion = 0;
-    uint64_t listRevision = 0;
+    sync::StoreVersion listVersion;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -125,7 +125,7 @@
     query.wantsFullState = true;
     query.acceptsCompression = true;
     m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
-    m_stateTransfer.begin(query.sequence, node.name, { reply.manifestVersion, reply.listRevision }, now);
+    m_stateTransfer.begin(query.sequence, node.name, { reply.manifestVersion, reply.listVersion }, now);
     return message;
 }
 
@@ -352,7 +352,7 @@
     auto queriedAt = pending.mapped().sentAt;
     applyManifest(reply, queriedAt, now);
     applyList(reply, queriedAt);
-    m_stateTransfer.recordOffer(reply.sequence, reply.from.name, { reply.manifestVersion, reply.listRevision });
+    m_stateTransfer.recordOffer(reply.sequence, reply.from.name, { reply.manifestVersion, reply.listVersion });
     m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
--- a/src/replication/StateTransfer.h
+++ b/src/replication/StateTransfer.h
@@ -37,7 +37,7 @@
     void recordOffer(uint64_t sequence, const base::VmName& peer, OfferedState offered)
     {
         bool isLater = m_sequence && sequence > *m_sequence && peer == m_peer;
-        if (isLater && (offered.manifestVersion < m_offered.manifestVersion || offered.listRevision < m_offered.listRevision))
+        if (isLater && (offered.manifestVersion < m_offered.manifestVersion || offered.listVersion < m_offered.listVersion))
             m_sequence.reset();
     }
 
--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -27,7 +27,7 @@
 
 static void confirmList(PeerNode& node, uint64_t revision, base::Instant now)
 {
-    sync::UpstreamList list { revision, PeerNode::fleetList() };
+    sync::UpstreamList list { { 1, revision }, PeerNode::fleetList() };
     node.upstreamCache.update({ std::make_shared<const sync::UpstreamList>(std::move(list)), now, {} });
 }
 
