PeerSync: ask hubs of the earlier release for state once at a time

Cause: a hub of the earlier release sends newer state with each reply to a query that wants state, and the usual queries of the new release want it (for differences of lists). Class of fault: a repetition that does not know what is on its way.

Change: a node remembers which nodes sent it full state unasked, as the first reply at its start shows, and asks those only by requests for full state. A compressed manifest, which the earlier release cannot send, ends this. Price: after a hub is replaced, differences of lists take one round trip more until the next manifest.

The fake cluster now plays nodes of the earlier release (queries without the new fields); no earlier binary was run.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -18,6 +18,7 @@
 #include <concepts>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace redwingseam::replication {
 
@@ -114,6 +115,7 @@
     bool hasState() const { return m_manifest.state().index && m_upstreamCache.snapshot(); }
     // Returns whether the sender has a newer manifest or list that its reply does not include.
     bool lacksStateOf(const StateReply&, base::Instant now) const;
+    void recordUnaskedState(const StateReply&, const PendingQuery&);
     // Returns whether the reply to a request for full state may still arrive.
     bool isAwaitingState(base::Instant now) const;
     // Returns the load that a query to `node` reports.
@@ -137,6 +139,8 @@
     uint64_t m_sequence = 0;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     StateTransfer m_stateTransfer;
+    // Nodes of the earlier release, which send full state unasked. They are asked for state only by requests for full state.
+    std::set<base::VmName> m_unaskedSenders;
     UnreadableManifest m_unreadableManifest;
     // The last text that was sent compressed, and its compressed form.
     std::shared_ptr<const std::string> m_compressedText;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -111,6 +111,7 @@
     query.loads = std::move(loads);
     query.nodeCount = m_directory.size();
     query.quarantineHash = m_crashes.parts.quarantineHash();
+    query.wantsState = !m_unaskedSenders.count(node.name);
     m_pendingQueries[query.sequence] = { now, replyTimeout };
     return { node.peerAddress, std::move(query) };
 }
@@ -122,9 +123,10 @@
     auto message = makeQuery(node, loadsFor(node, now), now);
     auto& query = std::get<StateQuery>(message.message);
     query.manifestVersion = manifestVersionNotLacking(now);
+    query.wantsState = true;
     query.wantsFullState = true;
     query.acceptsCompression = true;
-    m_pendingQueries[query.sequence].timeout = StateTransfer::maxTimeout;
+    m_pendingQueries[query.sequence] = { now, StateTransfer::maxTimeout, true };
     m_stateTransfer.begin(query.sequence, node.name, { reply.manifestVersion, reply.listVersion }, now);
     return message;
 }
@@ -350,6 +352,7 @@
         return {};
     learnEra(reply, now);
     auto queriedAt = pending.mapped().sentAt;
+    recordUnaskedState(reply, pending.mapped());
     applyManifest(reply, queriedAt, now);
     applyList(reply, queriedAt);
     m_stateTransfer.recordOffer(reply.sequence, reply.from.name, { reply.manifestVersion, reply.listVersion });
@@ -371,6 +374,15 @@
     return outgoing;
 }
 
+template<ManifestParser Parser>
+void PeerSync<Parser>::recordUnaskedState(const StateReply& reply, const PendingQuery& query)
+{
+    if (reply.compressedManifest)
+        m_unaskedSenders.erase(reply.from.name);
+    else if (carriesState(reply) && !query.wantsFullState)
+        m_unaskedSenders.insert(reply.from.name);
+}
+
 template<ManifestParser Parser>
 bool PeerSync<Parser>::isAwaitingState(base::Instant now) const
 {
--- a/src/replication/PendingQuery.h
+++ b/src/replication/PendingQuery.h
@@ -9,6 +9,7 @@
     base::Instant sentAt;
     // How long the reply is awaited.
     base::Duration timeout;
+    bool wantsFullState = false;
 };
 
 } // namespace redwingseam::replication
--- a/tests/fakes/FakePeerCluster.h
+++ b/tests/fakes/FakePeerCluster.h
@@ -23,6 +23,8 @@
     std::vector<std::unique_ptr<PeerNode>> nodes;
     std::deque<MessageInTransit> messagesInTransit;
     std::set<std::string> stoppedNodes;
+    // Nodes of the earlier release: they send state whenever it is newer, and never ask for full state.
+    std::set<std::string> olderNodes;
     base::Instant now { std::chrono::seconds(100) };
     base::Duration delay = std::chrono::milliseconds(1);
     size_t bytesSent = 0;
@@ -49,7 +51,9 @@
     void send(const replication::OutgoingMessages& outgoing)
     {
         for (const auto& item : outgoing) {
-            auto bytes = replication::formatMessage(item.message, now);
+            if (isUnknownToOlderNodes(item.message))
+                continue;
+            auto bytes = replication::formatMessage(asSeenByOlderNodes(item), now);
             bytesSent += bytes.size();
             auto lossLimit = lossLimits.find(item.address);
             if (lossLimit != lossLimits.end() && bytes.size() > lossLimit->second)
@@ -59,6 +63,24 @@
         }
     }
 
+    bool isUnknownToOlderNodes(const replication::Message& message) const
+    {
+        const auto* query = std::get_if<replication::StateQuery>(&message);
+        return query && query->wantsFullState && olderNodes.count(query->from.name.text);
+    }
+
+    // A query without the fields that the earlier release lacks.
+    replication::Message asSeenByOlderNodes(const replication::OutgoingMessage& item) const
+    {
+        auto message = item.message;
+        auto* query = std::get_if<replication::StateQuery>(&message);
+        if (query && (olderNodes.count(query->from.name.text) || olderNodes.count(item.address))) {
+            query->wantsFullState = query->wantsState;
+            query->acceptsCompression = false;
+        }
+        return message;
+    }
+
     // Moves the bytes of one millisecond over the links with a limited rate.
     void transferBytes()
     {
