PeerSync: send state to nodes of the earlier release once at a time

Cause: a node of the earlier release asks for newer state with each query until it has arrived, and the hub sent it each time. Class of fault: a repetition that does not know what is on its way.

Change: the hub remembers what it last sent to such a node (StateOnItsWay) and sends state again only when that has arrived, when the node's process is another one, or after an interval that doubles from 2 s, after which the earlier release ignores a reply.

The fake cluster's nodes of the earlier release now want state with each query, as that release does. No earlier binary was run. Not mended: a copy that takes over 2 s is ignored by the earlier release; it gets such a version from the store.

--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -9,6 +9,7 @@
 #include "replication/OutgoingMessage.h"
 #include "replication/PeerLoadTable.h"
 #include "replication/PendingQuery.h"
+#include "replication/StateOnItsWay.h"
 #include "replication/StateTransfer.h"
 #include "replication/UnreadableManifest.h"
 #include "sync/NodeRole.h"
@@ -91,6 +92,10 @@
     void applyManifest(const StateReply&, base::Instant queriedAt, base::Instant now);
     void applyList(const StateReply&, base::Instant queriedAt);
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
+    // Returns whether the reply may hold full state.
+    bool mayIncludeFullState(const StateQuery&, base::Instant now);
+    // Records what a node of the earlier release is sent.
+    void recordSentState(const StateQuery&, const StateReply&, base::Instant now);
     // `held` is the version of the list that the receiver of the reply holds.
     void addListTo(const StateQuery&, StateReply&, sync::StoreVersion held);
     // Returns the version of the list that a message states, with the era of `current` if the message states none.
@@ -142,6 +147,7 @@
     // Nodes of the earlier release, which send full state unasked. They are asked for state only by requests for full state.
     std::set<base::VmName> m_unaskedSenders;
     UnreadableManifest m_unreadableManifest;
+    std::map<base::VmName, StateOnItsWay> m_stateToOlderNodes;
     // The last text that was sent compressed, and its compressed form.
     std::shared_ptr<const std::string> m_compressedText;
     std::shared_ptr<const std::string> m_compressedManifest;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -223,8 +223,26 @@
 }
 
 template<ManifestParser Parser>
-OutgoingMessages PeerSync<Parser>::receive(const StateQuery& query, base::Instant now)
+bool PeerSync<Parser>::mayIncludeFullState(const StateQuery& query, base::Instant now)
 {
+    auto sent = m_stateToOlderNodes.find(query.from.name);
+    return query.wantsFullState && (query.acceptsCompression || sent == m_stateToOlderNodes.end() || !sent->second.covers(query, now));
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::recordSentState(const StateQuery& query, const StateReply& reply, base::Instant now)
+{
+    if (query.acceptsCompression)
+        m_stateToOlderNodes.erase(query.from.name);
+    else if (carriesState(reply))
+        m_stateToOlderNodes[query.from.name].record(query, reply, now);
+}
+
+template<ManifestParser Parser>
+OutgoingMessages PeerSync<Parser>::receive(const StateQuery& received, base::Instant now)
+{
+    auto query = received;
+    query.wantsFullState = mayIncludeFullState(received, now);
     m_directory.recordMessageFrom(query.from, now);
     learnEra(query, now);
     bool isSameDataCentre = isNeighbour(query.from);
@@ -261,6 +279,7 @@
         reply.parts = m_crashes.parts.evidence();
     reply.quarantined = m_crashes.requests.quarantinedRequests(now);
     reply.clearances = m_crashes.requests.clearedRequests();
+    recordSentState(query, reply, now);
     logSentState(query, reply);
     OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
     bool mayAskBack = m_role.isHub() && isSameDataCentre && now - m_lastNeighbourQuery >= hubQueryInterval;
--- a/tests/ReleaseMixTest.cpp
+++ b/tests/ReleaseMixTest.cpp
@@ -52,3 +52,9 @@
     cluster.olderNodes.insert("a1");
     LONGS_EQUAL(1, mostCopiesAtOnce(cluster));
 }
+
+TEST(ReleaseMix, NodeOfTheEarlierReleaseIsSentAManifestOnce)
+{
+    cluster.olderNodes.insert("a2");
+    LONGS_EQUAL(1, mostCopiesAtOnce(cluster));
+}
--- a/tests/fakes/FakePeerCluster.h
+++ b/tests/fakes/FakePeerCluster.h
@@ -75,6 +75,7 @@
         auto message = item.message;
         auto* query = std::get_if<replication::StateQuery>(&message);
         if (query && (olderNodes.count(query->from.name.text) || olderNodes.count(item.address))) {
+            query->wantsState = query->wantsState || olderNodes.count(query->from.name.text);
             query->wantsFullState = query->wantsState;
             query->acceptsCompression = false;
         }
