InboundConnection: end connections of peers that vanished

Across a link that is cut, the receiver never learns of it and held the old connection with its partial messages, up to the 8 MB that a sender queues, for ever.

Cause: accepted connections had neither keepalive nor a timeout. Class of fault: a transfer that never ends is held for ever.

Change: keepalive (25 s until a silent connection ends) and TCP_USER_TIMEOUT of 25 s on accepted connections.

Evidence: PeerConnection.ConnectionFromAPeerThatVanishedEnds failed before (SO_KEEPALIVE was off). It checks the socket's options only; no cut link was played.

--- a/src/peer/InboundConnection.cpp
+++ b/src/peer/InboundConnection.cpp
@@ -1,12 +1,31 @@
 #include "peer/InboundConnection.h"
 
 #include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace redwingseam::peer {
 
 static constexpr size_t maxMessageBytes = 4 * 1024 * 1024;
 static constexpr uint32_t maxConcurrentStreams = 256;
 
+// Makes the kernel close the connection of a peer that vanished. Such a peer opens a new one, and the partial messages on this
+// one would be held for ever. Longer than the sender's timeout, which alone decides about slow links.
+static void detectVanishedPeer(int descriptor)
+{
+    static constexpr int isEnabled = 1;
+    static constexpr int idleSeconds = 10;
+    static constexpr int intervalSeconds = 5;
+    static constexpr int maxProbes = 3;
+    static constexpr unsigned acknowledgementTimeoutMillis = 25'000;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &isEnabled, sizeof isEnabled);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &maxProbes, sizeof maxProbes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &acknowledgementTimeoutMillis, sizeof acknowledgementTimeoutMillis);
+}
+
 InboundConnection::InboundConnection(base::FileDescriptor socket)
 {
     nghttp2_session_callbacks* callbacks = nullptr;
@@ -24,6 +43,7 @@
     nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
     // The connection's window must also be large enough for a message of the maximum size.
     nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, maxMessageBytes);
+    detectVanishedPeer(socket.descriptor());
     m_transport.open(std::move(socket), session);
 }
 
--- a/tests/PeerConnectionTest.cpp
+++ b/tests/PeerConnectionTest.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -58,3 +59,20 @@
     LONGS_EQUAL(small.size(), sizes.front());
     LONGS_EQUAL(large.size(), sizes.back());
 }
+
+// A peer whose link was cut opens a new connection. What it had sent on the old one would be held for ever.
+TEST(PeerConnection, ConnectionFromAPeerThatVanishedEnds)
+{
+    peer::OutboundConnection sender(listen());
+    auto descriptor = accept4(listener.descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    peer::InboundConnection receiver { base::FileDescriptor(descriptor) };
+    auto option = [&](int level, int name) {
+        int value = 0;
+        socklen_t size = sizeof value;
+        LONGS_EQUAL(0, getsockopt(descriptor, level, name, &value, &size));
+        return value;
+    };
+    LONGS_EQUAL(1, option(SOL_SOCKET, SO_KEEPALIVE));
+    CHECK_TRUE(option(IPPROTO_TCP, TCP_KEEPIDLE) + option(IPPROTO_TCP, TCP_KEEPINTVL) * option(IPPROTO_TCP, TCP_KEEPCNT) <= 30);
+    CHECK_TRUE(option(IPPROTO_TCP, TCP_USER_TIMEOUT) > 0 && option(IPPROTO_TCP, TCP_USER_TIMEOUT) <= 30'000);
+}
