StateTransfer: two lost replies delay a version beyond its bound (known red)

A live peer whose replies are lost twice (connections reset twice in a row) is asked again 2 s and 6 s after the first request, so that a version is not in force after 4 s. The node can't tell a lost reply from one that is still on its way, so a shorter interval would let copies start side by side on a slow link again. Not mended here: it takes news of what a connection dropped, or of the progress of partial messages.

--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -138,3 +138,19 @@
     cluster.run(milliseconds(3000));
     LONGS_EQUAL(2, node.manifestVersion());
 }
+
+// Connections that are reset twice in a row lose two replies. The bound counts from the change, not from the last reset.
+TEST(StateTransfer, VersionIsInForceInTimeAfterTwoRepliesWereLost)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& node = cluster.add("a2", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    cluster.lossLimits["a2"] = textBytes / 2;
+    hub.confirm(largeText(2), cluster.now);
+    cluster.run(milliseconds(2500));
+    cluster.lossLimits.clear();
+    cluster.run(milliseconds(1500));
+    LONGS_EQUAL(2, node.manifestVersion());
+}
