Deferred upstreams: send nothing until the time that they ask for

What callers would see: an upstream that turns requests away with 503 and Retry-After got the next ones 100 ms later, and each of these was lost time and a retry of the budget (BUDGET: more than two requests reach it within the time).

Now: the time keeps this node from choosing the incarnation, for requests, backups, resumptions and as a last resort. Contact, the success of an earlier request and further lists do not end it; a restart does. The other nodes are not told, since the upstream asked only this one. A later statement extends the time and never shortens it: answers on different connections overtake each other, and the upstream counts from each. Dates and other text are logged (retry_after_unreadable) and not applied, because the interface knows seconds only; more than 10 minutes counts as 10, as a wrong unit must not take an upstream away for good.

If all upstreams of a service ask to wait for longer than a request may wait, it is refused at once as not run. Its Retry-After is one to seven quarters of the shortest wait, by rank and spread, and at most a third of the client's time, because another node may serve it sooner. The spread is that of refusals for lack of room, shared in spreadReturn.

The runs of exchanges with random events (ExchangeRun) now include upstreams that ask to wait and that leave.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -80,6 +80,18 @@
         LOG(INFO) << log::LogLine("upstream_leaving").with("upstream", report.upstream.text).with("incarnation", report.incarnation).with("from", "peer").text();
 }
 
+void Fleet::deferRequests(const UpstreamInstance& instance, base::Duration wait, base::Instant now)
+{
+    auto bounded = withPool(instance.service, [&](UpstreamPool& pool) { return pool.deferRequests(instance, wait, now); });
+    auto millis = [](base::Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); };
+    LOG(INFO) << log::LogLine("upstream_defers_requests").with("upstream", instance.id.text).with("incarnation", instance.incarnation).with("wait_ms", millis(bounded)).with("asked_ms", millis(wait)).text();
+}
+
+std::optional<base::Instant> Fleet::deferredUntil(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.deferredUntil(now); });
+}
+
 std::vector<LeavingReport> Fleet::takeLeavingReports()
 {
     std::lock_guard guard(m_reportsMutex);
@@ -90,7 +102,7 @@
 {
     return withPool(instance.service, [&](UpstreamPool& pool) {
         const auto* entry = pool.find(instance.id);
-        return entry && entry->instance.incarnation == instance.incarnation && entry->isEligible(now);
+        return entry && entry->instance.incarnation == instance.incarnation && entry->acceptsRequests(now);
     });
 }
 
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -44,6 +44,12 @@
     void applyLeavingReport(const LeavingReport&, base::Instant now);
     // Returns and clears the reports of this node since the last call.
     std::vector<LeavingReport> takeLeavingReports();
+    // Records that the upstream has turned a request away and wants none from this node for `wait`, whatever clears
+    // other suspicions. The other nodes are not concerned.
+    void deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
+    // Returns when the first upstream of the service accepts requests again if all that are eligible have asked this node
+    // to wait.
+    std::optional<base::Instant> deferredUntil(const base::ServiceName&, base::Instant now);
     // Returns whether the upstream may get another request. A suspected upstream may.
     bool acceptsRequests(const UpstreamInstance&, base::Instant now);
     // Returns whether the service has upstreams and all of them are leaving.
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -25,11 +25,11 @@
     // Whether a later incarnation is known at the same address.
     bool isSuperseded = false;
 
-    // Returns whether the upstream is eligible and not suspected.
-    bool takesWork(base::Instant now) const
-    {
-        return isEligible(now) && !suspicion.isActive(now);
-    }
+    // Returns whether the upstream accepts requests and is not suspected.
+    bool takesWork(base::Instant now) const { return acceptsRequests(now) && !suspicion.isActive(now); }
+    // Returns whether the upstream is eligible and has not asked this node to wait. A suspected upstream may accept
+    // requests.
+    bool acceptsRequests(base::Instant now) const { return isEligible(now) && !refusal.isDeferred(now); }
     // Returns whether the engine can begin with the request soon: it has few prompts to read before it, and room in its KV
     // cache, so that no running request is preempted. True for an upstream without an engine.
     bool hasRoom(const PlacementQuery&) const;
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -45,6 +45,27 @@
     return true;
 }
 
+base::Duration UpstreamPool::deferRequests(const UpstreamInstance& instance, base::Duration wait, base::Instant now)
+{
+    auto bounded = m_refusals.recordDeferral(instance.id, instance.incarnation, wait, now);
+    if (auto* entry = findEntry(instance.id))
+        entry->refusal = m_refusals.refusalOf(entry->instance, now);
+    return bounded;
+}
+
+std::optional<base::Instant> UpstreamPool::deferredUntil(base::Instant now) const
+{
+    std::optional<base::Instant> until;
+    for (const auto& entry : m_entries) {
+        if (!entry.isEligible(now))
+            continue;
+        if (!entry.refusal.isDeferred(now))
+            return std::nullopt;
+        until = until ? std::min(*until, entry.refusal.deferredUntil) : entry.refusal.deferredUntil;
+    }
+    return until;
+}
+
 bool UpstreamPool::areAllLeaving(base::Instant now) const
 {
     bool hasPresent = false;
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -38,6 +38,10 @@
     // Records that an incarnation takes no new work until it starts again, whatever the lists say. Returns whether this
     // is news.
     bool recordLeaving(const base::UpstreamName&, uint64_t incarnation, base::Instant now);
+    // Records that the upstream wants no request from this node for `wait`. Returns the time that counts.
+    base::Duration deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
+    // Returns when the first upstream accepts requests again if all that are eligible have asked to wait.
+    std::optional<base::Instant> deferredUntil(base::Instant now) const;
     // Returns whether there are upstreams and all of them are leaving.
     bool areAllLeaving(base::Instant now) const;
     void setPeerLoads(const LoadMap&);
--- a/src/fleet/UpstreamPoolSelection.cpp
+++ b/src/fleet/UpstreamPoolSelection.cpp
@@ -90,7 +90,7 @@
     if (query.requiresRoom && isFull(query))
         return nullptr;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
-    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.isEligible(query.now); });
+    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.acceptsRequests(query.now); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
--- a/src/fleet/WorkRefusals.cpp
+++ b/src/fleet/WorkRefusals.cpp
@@ -24,6 +24,14 @@
     return record && !std::exchange(record->refusal.isLeaving, true);
 }
 
+base::Duration WorkRefusals::recordDeferral(const base::UpstreamName& upstream, uint64_t incarnation, base::Duration wait, base::Instant now)
+{
+    auto bounded = std::min(wait, maxDeferral);
+    if (auto* record = recordFor(upstream, incarnation, now))
+        record->refusal.deferredUntil = std::max(record->refusal.deferredUntil, now + bounded);
+    return bounded;
+}
+
 WorkRefusal WorkRefusals::refusalOf(const UpstreamInstance& instance, base::Instant now)
 {
     auto found = m_records.find(instance.id);
--- a/src/fleet/WorkRefusals.h
+++ b/src/fleet/WorkRefusals.h
@@ -16,6 +16,9 @@
 public:
     // Returns whether it is news that this incarnation, or a later one, is leaving.
     bool recordLeaving(const base::UpstreamName&, uint64_t incarnation, base::Instant now);
+    // Records that the upstream wants no request from this node for `wait`, which is bounded. Earlier statements stand, so
+    // a later one never shortens the time. Returns the time that counts.
+    base::Duration recordDeferral(const base::UpstreamName&, uint64_t incarnation, base::Duration wait, base::Instant now);
     // Returns the refusal of a listed upstream, and keeps it for as long as the upstream is listed.
     WorkRefusal refusalOf(const UpstreamInstance&, base::Instant now);
     // Removes the refusals of upstreams that have not been listed for long.
@@ -36,6 +39,8 @@
 
     // Longer than an outage of the store after which entries come back.
     static constexpr base::Duration retention = std::chrono::hours(1);
+    // An upstream that states a longer time, such as one in another unit, is tried again after this.
+    static constexpr base::Duration maxDeferral = std::chrono::minutes(10);
     static constexpr size_t maxRecords = 2048;
 
     std::unordered_map<base::UpstreamName, Record> m_records;
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -144,7 +144,12 @@
         return giveUp(AttemptOutcome::NotConnected);
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
-    if (now - m_waitingSince < scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare))
+    auto waitsUntil = m_waitingSince + scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
+    auto deferredUntil = m_fleet.deferredUntil(m_request.service, now);
+    bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
+    if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
+        return refuseWhileDeferred(*deferredUntil - now, now, random);
+    if (now < waitsUntil)
         return {};
     // No attempt was made. A request that has not run is refused with NoUpstream.
     return giveUp(AttemptOutcome::NotConnected);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -93,6 +93,10 @@
     // Returns a refusal that asks the client to come back when room is expected, spread so that the clients do not
     // return together, and more urgent ones first.
     Step refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const;
+    // Returns a refusal that asks the client to come back after all upstreams have asked this node to wait.
+    Step refuseWhileDeferred(base::Duration wait, base::Instant now, uint64_t random) const;
+    // Returns when a refused client should come back: after `firstShare` of the wait or later, by rank and spread.
+    base::Duration spreadReturn(base::Duration wait, double firstShare, base::Instant now, uint64_t random) const;
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
--- a/src/forward/ExchangeQueueing.cpp
+++ b/src/forward/ExchangeQueueing.cpp
@@ -73,19 +73,32 @@
     m_queuedWork.reset();
 }
 
-Step Exchange::refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const
+base::Duration Exchange::spreadReturn(base::Duration wait, double firstShare, base::Instant now, uint64_t random) const
 {
-    // The most urgent clients return after half of the wait, the others later, each spread over a quarter.
-    static constexpr double firstReturnShare = 0.5;
+    // More urgent clients return first, each spread over a quarter of the wait.
     static constexpr double shareStep = 0.25;
     static constexpr uint64_t spreadSteps = 1024;
     auto spread = static_cast<double>(random % spreadSteps) / static_cast<double>(spreadSteps);
-    auto share = firstReturnShare + shareStep * (static_cast<double>(base::indexOf(m_request.rank)) + spread);
-    static constexpr double maxShare = firstReturnShare + shareStep * static_cast<double>(base::rankCount);
+    auto share = firstShare + shareStep * (static_cast<double>(base::indexOf(m_request.rank)) + spread);
+    auto maxShare = firstShare + shareStep * static_cast<double>(base::rankCount);
     // A client that returns later than this has no time left for its answer.
     auto latestReturn = (deadline() - now) / 3;
+    return std::max(m_policy.retryAfter, scaled(std::min(wait, scaled(latestReturn, 1 / maxShare)), share));
+}
+
+Step Exchange::refuseUntilRoom(base::Duration expectedWait, base::Instant now, uint64_t random) const
+{
+    // Room may come sooner than expected.
+    static constexpr double firstReturnShare = 0.5;
+    auto step = refuse(base::ResultCode::QueueFull);
+    step.retryAfter = spreadReturn(expectedWait, firstReturnShare, now, random);
+    return step;
+}
+
+Step Exchange::refuseWhileDeferred(base::Duration wait, base::Instant now, uint64_t random) const
+{
     auto step = refuse(base::ResultCode::QueueFull);
-    step.retryAfter = std::max(m_policy.retryAfter, scaled(std::min(expectedWait, scaled(latestReturn, 1 / maxShare)), share));
+    step.retryAfter = spreadReturn(wait, 1, now, random);
     return step;
 }
 
--- a/src/gateway/ResponseMetadata.h
+++ b/src/gateway/ResponseMetadata.h
@@ -20,6 +20,8 @@
     bool isSigned = false;
     // The upstream states that it is leaving and takes no new requests.
     bool isLeaving = false;
+    // Time for which the upstream asks for no further requests; empty if it did not state one.
+    std::optional<base::Duration> retryAfter;
     // Time for which the upstream keeps an idle connection open; empty if it did not state one.
     std::optional<base::Duration> keepAlive;
 };
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -84,6 +84,8 @@
     // Stops or continues to read the upstream as the client reads its response.
     void matchReadingToClient(base::Instant now);
     void writeResponseHeaders(const BufferedResponse&, std::string_view framing);
+    // Sends the upstream no requests for as long as it asks when it turns one away.
+    void applyRetryAfter(const Upstream&, const ResponseMetadata&, const boost::beast::http::fields&);
     // Discards what has arrived of a response that is not complete.
     void discardResponse();
     void deliverResponse();
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -44,6 +44,7 @@
         return;
     }
     m_exchange->recordActivity(now());
+    applyRetryAfter(connection, metadata, headers);
     m_responseMetadata = metadata;
     m_response.status = metadata.status;
     m_response.headers = headers;
@@ -53,6 +54,19 @@
     m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned && !isHeadRequest();
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::applyRetryAfter(const Upstream& connection, const ResponseMetadata& metadata, const boost::beast::http::fields& headers)
+{
+    static constexpr unsigned serviceUnavailable = 503;
+    auto stated = headers.find(boost::beast::http::field::retry_after);
+    if (metadata.status != serviceUnavailable || stated == headers.end())
+        return;
+    if (metadata.retryAfter)
+        m_state.fleet.deferRequests(connection.instance(), *metadata.retryAfter, now());
+    else
+        LOG(WARNING) << log::LogLine("retry_after_unreadable").with("upstream", connection.instance().id.text).with("value", stated->value()).text();
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::onUpstreamBody(Upstream&, std::string_view bytes)
 {
--- a/tests/fakes/ExchangeRun.h
+++ b/tests/fakes/ExchangeRun.h
@@ -43,6 +43,7 @@
         case 7:
             for (const auto& instance : fixture.instances)
                 fixture.fleet.suspect(instance, detail % 2 ? fleet::SuspicionCause::AtCapacity : fleet::SuspicionCause::Unreachable, now());
+            refuseWork(detail / 2);
             break;
         }
         for (uint32_t i = 0; i <= detail / 64 % 8; ++i)
@@ -122,6 +123,17 @@
         chosen->exchange->recordHeadersSent();
     }
 
+    // Lets some upstreams ask for a pause, of up to all of them, or say that they are leaving.
+    void refuseWork(uint32_t detail)
+    {
+        for (size_t i = 0; i < fixture.instances.size(); ++i) {
+            if (detail % 4 == 0 || (detail + i) % 5 == 1)
+                fixture.fleet.deferRequests(fixture.instances[i], std::chrono::milliseconds(20 * (1 + detail % 64)), now());
+            else if ((detail + i) % 9 == 1)
+                fixture.fleet.recordLeaving(fixture.instances[i], now());
+        }
+    }
+
     // Removes one upstream or adds one.
     void changeUpstreams(uint32_t detail)
     {
