Trials: a trial that lacked resources to connect is sent later

What callers saw: a request that was to try a quarantined request or prompt part, and for which the node had no descriptor for a moment, was refused as harmful, and the next trial was due only after the next interval, though no upstream had been reached.

Cause: attemptNotStarted takes the attempt back, but kept the trial, so the request's own trial made the next attempt not due.

Evidence: UnsentTrial.TrialThatLackedResourcesIsSentOnceThereAreSome failed before (no Send after 20 ms). The other ends of an attempt that reaches no upstream give the trial back already.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -272,6 +272,8 @@
         return {};
     release();
     --m_sends;
+    if (!m_mayHaveRun)
+        cancelTrial();
     if (m_isFirstContact)
         m_contacted.pop_back();
     if (m_noResourcesSince == base::Instant {})
--- a/tests/UnsentTrialTest.cpp
+++ b/tests/UnsentTrialTest.cpp
@@ -41,3 +41,24 @@
     forward::Exchange next(request(), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
     CHECK_TRUE(next.begin(now(), 1).kind == StepKind::Send);
 }
+
+// The node lacks the descriptors to connect for a moment, so the trial goes out a little later.
+TEST(UnsentTrial, TrialThatLackedResourcesIsSentOnceThereAreSome)
+{
+    fixture.addUpstream("d1", "desk", "dc-a");
+    fixture.update();
+    base::Fingerprint fingerprint { 77 };
+    for (int i = 0; i < 3; ++i) {
+        fixture.crashes.requests.recordCrash({ fingerprint, now(), now() });
+        fixture.advance(milliseconds(100));
+    }
+    fixture.advance(seconds(20));
+    auto quarantined = request();
+    quarantined.promptParts.clear();
+    quarantined.fingerprint = fingerprint;
+    forward::Exchange trial(quarantined, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    CHECK_TRUE(trial.begin(now(), 1).kind == StepKind::Send);
+    CHECK_TRUE(trial.attemptNotStarted(now()).kind == StepKind::Wait);
+    fixture.advance(milliseconds(20));
+    CHECK_TRUE(trial.tick(now(), 1).kind == StepKind::Send);
+}
