--- a/src/replication/StateOnItsWay.h
+++ b/src/replication/StateOnItsWay.h
@@ -14,7 +14,7 @@
     // Returns whether the sender of the query need not be sent state yet.
     bool covers(const StateQuery& query, base::Instant now) const
     {
-        bool hasArrived = query.manifestVersion >= m_manifestVersion && query.listRevision >= m_listRevision;
+        bool hasArrived = query.manifestVersion >= m_manifestVersion && query.listVersion.revision >= m_listRevision;
         bool isSameProcess = query.sequence > m_sequence;
         return m_sequence && !hasArrived && isSameProcess && now - m_sentAt < m_interval;
     }
@@ -25,7 +25,7 @@
         m_interval = isRepeated ? std::min(m_interval * 2, maxInterval) : initialInterval;
         m_sequence = query.sequence;
         m_manifestVersion = reply.manifestText.empty() ? 0 : reply.manifestVersion;
-        m_listRevision = reply.list ? reply.listRevision : 0;
+        m_listRevision = reply.list ? reply.listVersion.revision : 0;
         m_sentAt = now;
     }
 
