Streams: bytes that are no event are not passed on

Here: answers with another status than 200, or without seal, were kept out already. But the body of a sealed 200 was split at its blank lines, and whatever stood between two of them went to the client: the text of an error, the head of a whole answer (on a stream without length, or within its chunks), also glued to the half of an event at which the worker had stopped.

Cause: EventSplitter asked only where an event ends. Class of fault: framing taken for validity.

Change: StreamEvent says whether its lines are comments or fields (names in lower case without spaces, at least one of them a field of event streams). One that is not ends the attempt as garbled, with a line `event_malformed`, and the stream goes on elsewhere or is broken off. Unknown fields beside known ones still pass. Weighed: asking for the content type (a worker need not send it); passing on only known fields (new ones appear, such as the version of weights).

--- a/src/forward/EventSplitter.cpp
+++ b/src/forward/EventSplitter.cpp
@@ -1,5 +1,7 @@
 #include "forward/EventSplitter.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace redwingseam::forward {
@@ -35,6 +37,43 @@
     return hasField("data") || hasField("id");
 }
 
+// Field names are in lower case and have no spaces. An error message, or the head of a response, is told apart by that.
+static bool isFieldName(std::string_view name)
+{
+    auto isNameCharacter = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_'; };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isNameCharacter);
+}
+
+static bool isKnownField(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 4> names { "data", "id", "event", "retry" };
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// Returns whether each line is a comment or a field, and one of them is a comment or a field of event streams. Other
+// fields may stand beside these.
+static bool isWellFormed(std::string_view event)
+{
+    bool isEmpty = true;
+    bool isKnown = false;
+    for (size_t begin = 0; begin < event.size();) {
+        auto end = std::min(event.find('\n', begin), event.size());
+        auto line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.empty())
+            continue;
+        isEmpty = false;
+        auto name = line.substr(0, line.find(':'));
+        bool isComment = line.front() == ':';
+        if (!isComment && !isFieldName(name))
+            return false;
+        isKnown = isKnown || isComment || isKnownField(name);
+    }
+    return isEmpty || isKnown;
+}
+
 // Returns the position after the blank line that ends the first event of `text`, or npos.
 static size_t findEventEnd(std::string_view text)
 {
@@ -59,7 +98,7 @@
     std::string_view rest = m_partial;
     for (auto end = findEventEnd(rest); end != std::string_view::npos; end = findEventEnd(rest)) {
         auto event = rest.substr(0, end);
-        events.push_back({ std::string(event), parseEventId(event), hasContent(event) });
+        events.push_back({ std::string(event), parseEventId(event), hasContent(event), isWellFormed(event) });
         rest.remove_prefix(end);
     }
     m_partial.erase(0, m_partial.size() - rest.size());
--- a/src/forward/StreamEvent.h
+++ b/src/forward/StreamEvent.h
@@ -14,6 +14,8 @@
     std::optional<uint64_t> id;
     // Whether the event has an `id` or a `data` line. Comments and empty events are no progress of the stream.
     bool hasContent = false;
+    // Whether the bytes are an event or a comment at all.
+    bool isWellFormed = true;
 };
 
 } // namespace redwingseam::forward
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -82,6 +82,12 @@
     }
     m_exchange->recordActivity(now());
     for (const auto& event : m_splitter.push(bytes)) {
+        if (!event.isWellFormed) {
+            static constexpr size_t maxLoggedBytes = 80;
+            LOG(WARNING) << log::LogLine("event_malformed").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("begin", event.bytes.substr(0, maxLoggedBytes)).text();
+            endAttempt(forward::AttemptOutcome::Malformed);
+            return;
+        }
         forwardEvent(event);
         if (m_isEnded)
             return;
