Streams: one empty resumption does not prove that a stream was complete

Cause: the next worker's sealed 200 that ended properly without a new event (Content-Length: 0, an empty chunked body, comments, or only events that the client has) counted as the rest of the stream. Class of fault: nothing taken for an answer.

Change: Exchange::judgeStreamEnd. A resumed run that brought no new event ends as garbled; another upstream is asked with the same `Last-Event-Id`, and if it says the same, the stream is complete. Weighed: taking it as complete at once (nothing else tells a spoiled empty answer from the end of a stream whose last event had arrived); never taking it as complete (such a stream could not end). Two upstreams that agree satisfy both; if there is no second one, the stream is broken off, and the client may resume it. An empty answer to a request whose client has got nothing yet is delivered as before.

Evidence: ResumedStream.DoesNotEndBecauseOneUpstreamHasNoMoreEvents failed on the code before (the stream ended after event 2 of 4). EndsIfTwoUpstreamsHaveNoMoreEvents held before and guards the other side.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -266,6 +266,13 @@
     return place(now, random);
 }
 
+AttemptOutcome Exchange::judgeStreamEnd()
+{
+    bool isConfirmed = !m_areHeadersSent || m_hasEvent || m_isEndReported;
+    m_isEndReported = true;
+    return isConfirmed ? AttemptOutcome::Completed : AttemptOutcome::Malformed;
+}
+
 Step Exchange::attemptNotStarted(base::Instant now)
 {
     if (!m_placement)
@@ -407,6 +414,7 @@
 {
     if (eventId)
         m_lastEventId = eventId;
+    m_isEndReported = false;
     m_lastActivity = now;
     m_lastProgress = now;
     if (!m_hasEvent && m_placement) {
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -25,6 +25,9 @@
     Step begin(base::Instant now, uint64_t random);
     // Handles the end of the current attempt. Its connection must already be closed or released.
     Step attemptEnded(AttemptOutcome, base::Instant now, uint64_t random);
+    // Returns the outcome of an attempt whose stream has ended as complete. One that was to resume a stream and brought no
+    // new event says that nothing was missing, and so does a spoiled response, so that another upstream must confirm it.
+    AttemptOutcome judgeStreamEnd();
     // Handles an attempt for which this node lacks the resources to connect: nothing was sent, and the upstream is not
     // judged. The request waits for them as it waits for an upstream.
     Step attemptNotStarted(base::Instant now);
@@ -166,6 +169,8 @@
     bool m_hasFailureResponse = false;
     // Whether the current attempt has delivered an event.
     bool m_hasEvent = false;
+    // Whether an upstream has ended the stream after the last event, without a new one.
+    bool m_isEndReported = false;
     // When the request was sent to try whether it or one of its prompt parts still crashes upstreams.
     std::optional<base::Instant> m_trialAt;
     base::Instant m_sentAt {};
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -165,6 +165,12 @@
         endAttempt(forward::AttemptOutcome::LostDuringResponse);
         return;
     }
+    auto outcome = m_exchange->judgeStreamEnd();
+    if (outcome != forward::AttemptOutcome::Completed) {
+        LOG(WARNING) << log::LogLine("stream_end_unconfirmed").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).text();
+        endAttempt(outcome);
+        return;
+    }
     releaseUpstream(std::move(m_upstream));
     recordAttempt(forward::AttemptOutcome::Completed, m_sendParameters.placement.target);
     execute(m_exchange->attemptEnded(forward::AttemptOutcome::Completed, now(), random()));
--- a/tests/ResumedStreamTest.cpp
+++ b/tests/ResumedStreamTest.cpp
@@ -74,6 +74,18 @@
     };
 }
 
+// Successes that end without a new event.
+static std::vector<ScriptedResponse> emptySuccesses()
+{
+    auto stream = GatewayFixture::streamHead();
+    return {
+        { stream + "0\r\n\r\n" },
+        { head("200 OK", eventStream + "Content-Length: 0\r\n") },
+        { stream + chunk(": still here\n\n") + "0\r\n\r\n" },
+        { stream + GatewayFixture::event(1) + GatewayFixture::event(2) + "0\r\n\r\n" },
+    };
+}
+
 static ScriptedResponse broken()
 {
     return { GatewayFixture::streamHead() + GatewayFixture::event(1) + GatewayFixture::event(2) + "9\r\nid: 3\nda", true };
@@ -153,6 +165,24 @@
         checkBrokenOff(success);
 }
 
+TEST(ResumedStream, DoesNotEndBecauseOneUpstreamHasNoMoreEvents)
+{
+    for (const auto& success : emptySuccesses()) {
+        checkWhole(success);
+        checkBrokenOff(success);
+    }
+}
+
+TEST(ResumedStream, EndsIfTwoUpstreamsHaveNoMoreEvents)
+{
+    // The last event had arrived before the stream broke off.
+    for (const auto& success : emptySuccesses()) {
+        auto response = play(success, success);
+        checkNoForeignBytes(response, success.bytes);
+        CHECK_TRUE_TEXT(countOf(response, "\r\n0\r\n\r\n") == 1, response.c_str());
+    }
+}
+
 TEST(ResumedStream, BufferedErrorIsNotDeliveredAtTheTimeout)
 {
     auto error = head("500 X", "Content-Length: 5\r\n") + "fault";
