Store: a node's own lost connection is not taken for an outage

Cause: the node that reads the store for the others took its own cut for an outage, and gave entries that were missing afterwards the grace of an outage, 2.4 s. The receivers adopted it, because their own lists had grown older than 2.4 s meanwhile: hubs and deputies asked the store only at 2.25 s, the others at 3 s.

Class: a local loss of connection taken for the other party's outage.

Change: a node that has lost the store says so in its replies: the leader to all, a hub to its neighbours. Hubs and deputies then query the store at once, so the lists stay young at all nodes. And a node whose peers have been served since its last success measures the outage from there. In a real outage, hubs and deputies begin to ask up to two seconds earlier than before; the others don't.

An old release's message lacks the field, which then reads as before.

--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -127,7 +127,7 @@
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
     return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
-        reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era, format(reply.clearances, now) });
+        reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era, format(reply.clearances, now), reply.hasLostStore });
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -338,6 +338,8 @@
         reply.delta = std::make_shared<const sync::UpstreamDelta>(std::move(*delta));
     }
     reply.clearances = parseClearances(reader, now);
+    if (reader.hasMore())
+        reply.hasLostStore = reader.flag();
     return reply;
 }
 
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -73,6 +73,8 @@
     // Entries expire only after several missed heartbeats, so no entry of a list that was confirmed more recently than
     // this can have expired.
     static constexpr base::Duration maxListAgeWithoutExpiry = std::chrono::milliseconds(2400);
+    // How long the loss of the store counts that a reply reported. Longer than one lost query between data centres.
+    static constexpr base::Duration storeLossLifetime = std::chrono::milliseconds(1200);
     // Limits the memory for the text of a manifest from another node.
     static constexpr size_t maxManifestBytes = 4 * 1024 * 1024;
     // Older suspicions and crashes are neither applied nor forwarded.
@@ -156,6 +158,7 @@
     base::Instant m_lastRemoteQuery {};
     base::Instant m_lastSilentNodeQuery {};
     base::Instant m_lastNeighbourQuery {};
+    base::Instant m_readerCutOffAt {};
     bool m_hasNodeList = false;
 };
 
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -83,6 +83,7 @@
     OutgoingMessages outgoing;
     m_lastTick = now;
     updateRole(now);
+    m_role.setReaderCutOff(now - m_readerCutOffAt < storeLossLifetime);
     std::erase_if(m_pendingQueries, [&](const auto& item) { return now - item.second.sentAt > item.second.timeout; });
     m_peerLoads.removeExpired(now);
     if (!notice.isEmpty())
@@ -248,6 +249,8 @@
     bool isSameDataCentre = isNeighbour(query.from);
     m_peerLoads.set(isSameDataCentre ? query.from.name.text : query.from.dataCentre.text, query.loads, now);
     StateReply reply;
+    // Hubs rely on the leader, and the other nodes on their hub.
+    reply.hasLostStore = m_role.hasLostStore() && (isSameDataCentre || m_role.isLeader());
     reply.sequence = query.sequence;
     reply.from = m_directory.self();
     auto manifest = m_manifest.state();
@@ -370,6 +373,8 @@
     if (pending.empty())
         return {};
     learnEra(reply, now);
+    if (reply.hasLostStore)
+        m_readerCutOffAt = now;
     auto queriedAt = pending.mapped().sentAt;
     recordUnaskedState(reply, pending.mapped());
     applyManifest(reply, queriedAt, now);
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -43,6 +43,8 @@
     std::vector<sync::NodeRecord> nodes;
     // Whether the hub that replies counts on the receiver to query the store as well, should its state become old.
     bool isDeputy = false;
+    // Whether the sender, on which the receiver relies, has lost the store.
+    bool hasLostStore = false;
     // Informs nodes that missed the notices of the crashes.
     std::vector<forward::QuarantinedRequest> quarantined;
     // Set only if the querying node has quarantined other prompt parts.
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -21,7 +21,7 @@
 class UpstreamListTask {
 public:
     // `maxAge` is the time within which this node must know a change in the store.
-    UpstreamListTask(Client& client, fleet::Fleet& fleet, UpstreamListCache& upstreamCache, const NodeRole& role, StoreEra& era, base::Duration maxAge)
+    UpstreamListTask(Client& client, fleet::Fleet& fleet, UpstreamListCache& upstreamCache, NodeRole& role, StoreEra& era, base::Duration maxAge)
         : m_store(client)
         , m_fleet(fleet)
         , m_upstreamCache(upstreamCache)
@@ -41,6 +41,7 @@
             // This task does not see changes that other nodes reported, so a watch could not resume from its last
             // revision.
             m_canResumeWatch = false;
+            m_role.setStoreLost(false);
             return true;
         }
         // After a restore the revision may name another state, and a watch from it would miss changes.
@@ -48,6 +49,9 @@
         bool needsFullList = !isRevisionValid || startedAt - m_lastFullListAt > m_fullListInterval;
         auto confirmedAt = needsFullList ? readFullList() : watchChanges();
         auto now = base::BootClock {}.now();
+        m_role.setStoreLost(!confirmedAt);
+        if (auto snapshot = m_upstreamCache.snapshot())
+            m_outages.recordServedElsewhere(snapshot->confirmedAt);
         logStoreState(confirmedAt, now);
         if (!confirmedAt) {
             m_canResumeWatch = false;
@@ -170,7 +174,7 @@
     Client& m_store;
     fleet::Fleet& m_fleet;
     UpstreamListCache& m_upstreamCache;
-    const NodeRole& m_role;
+    NodeRole& m_role;
     StoreEra& m_era;
     base::Duration m_maxAge;
     // Several watches end within `m_maxAge`, and each confirms that the list is up to date.
--- a/tests/RestoredStorePeersTest.cpp
+++ b/tests/RestoredStorePeersTest.cpp
@@ -90,7 +90,7 @@
         auto outgoing = hub.sync.handle(*read, cluster.now);
         auto reply = std::get<replication::StateReply>(outgoing.front().message);
         CHECK_EQUAL(revision == 8, reply.list.has_value());
-        auto readReply = replication::parseMessage(bytesWithoutEra(reply, 1), cluster.now);
+        auto readReply = replication::parseMessage(bytesWithoutEra(reply, 3), cluster.now);
         CHECK_TRUE(readReply.has_value());
         CHECK_FALSE(std::get<replication::StateReply>(*readReply).hasEra);
     }
--- a/tests/fakes/RestorableStore.h
+++ b/tests/fakes/RestorableStore.h
@@ -48,6 +48,8 @@
     }
     base::Result<sync::UpstreamListRead> listUpstreams()
     {
+        if (isDown)
+            return unavailable();
         sync::UpstreamListRead read { { version(), {} }, {} };
         for (const auto& [id, instance] : content.upstreams)
             read.list.upstreams.push_back(instance);
@@ -55,6 +57,8 @@
     }
     base::Result<sync::UpstreamWatchResult> watchUpstreams(uint64_t revision, base::Duration)
     {
+        if (isDown)
+            return unavailable();
         if (revision > content.revision)
             return base::Error { base::ResultCode::PlatformNotFound, "no such revision" };
         sync::UpstreamWatchResult result { version(), {} };
@@ -67,10 +71,13 @@
     base::Error registerNode(const sync::NodeRecord&) { return { base::ResultCode::PlatformUnavailable, "not kept here" }; }
     base::Result<sync::NodeList> listNodes(sync::Freshness) { return sync::NodeList { era, {} }; }
 
+    static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
     sync::StoreVersion version() const { return { era, content.revision }; }
 
     Content content;
     uint64_t era = 1;
+    // Whether calls to list and to watch fail.
+    bool isDown = false;
 };
 
 } // namespace redwingseam::fakes
