Revert "LostResponse: status 421 is a statement by itself"

The check was right after all: a 421 that states neither the request's id nor an upstream may come from something else.

--- a/tests/LostResponseTest.cpp
+++ b/tests/LostResponseTest.cpp
@@ -15,9 +15,8 @@
 
 TEST(LostResponse, RefusalWithoutTheUpstreamsStatementIsNoProof)
 {
-    // Something other than the upstream, or an upstream after the work, may send these. Status 421 is a statement by itself
-    // (group Misdirected).
-    for (const char* status : { "408", "429", "503" }) {
+    // Something other than the upstream, or an upstream after the work, may send these.
+    for (const char* status : { "408", "421", "429", "503" }) {
         GatewayFixture gateway;
         const auto response = std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n";
         ScriptedUpstream upstream({ { response }, { response } });
