Sessions: status 421 counts only if an upstream sent it

What was seen: LostResponse.RefusalWithoutTheUpstreamsStatementIsNoProof failed since "status 421 alone states that a request was not run" (a bare 421, which something other than an upstream may send, was believed and the request sent elsewhere).

A bare 421 is garbled, as before. The test is unchanged, and holds with those of the group Misdirected.

--- a/src/gateway/ResponseMetadata.h
+++ b/src/gateway/ResponseMetadata.h
@@ -14,7 +14,8 @@
     base::ClientAttemptId attempt;
     // The upstream states that it did not run the request.
     bool isNotExecuted = false;
-    // Another upstream instance now uses the address (status 421).
+    // Another upstream instance now uses the address (status 421 of an upstream, which names itself or the request, or
+    // states that it did not run it).
     bool isMisdirected = false;
     // The response carries the upstream's signature. A success without it is treated as invalid.
     bool isSigned = false;
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -176,11 +176,11 @@
     execute(m_exchange->attemptEnded(forward::AttemptOutcome::Completed, now(), random()));
 }
 
-// To a client, these statuses promise that the request was not run, as does 421. Only the upstream's own statement proves
-// it, so they are not forwarded without one.
+// To a client, these statuses promise that the request was not run. Only the upstream's own statement proves it, so they
+// are not forwarded without one.
 inline bool promisesNotRun(unsigned status)
 {
-    static constexpr std::array statuses { 408U, 429U, 503U };
+    static constexpr std::array statuses { 408U, 421U, 429U, 503U };
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
