Upstreams: an incarnation that was draining does not become ready again

Cause: the state of an entry was taken from the newest list alone, though leaving cannot be taken back by an incarnation. Class of fault: an acknowledged fact that is read back from a store that may have lost it.

Change: an upstream that was listed as draining is marked like one whose responses say so, until it starts again. Without a start time it isn't, since a restart could not be told. LeavingUpstream.DrainingUpstreamThatIsListedAsReadyAgainIsNotUsed failed before.

--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -13,6 +13,7 @@
         if (m_index.emplace(instance.id, m_entries.size()).second)
             m_entries.push_back(PoolEntry { instance });
     }
+    recordDraining(listed, readBegan);
     applyRefusals(readBegan);
     markSuperseded();
     countDataCentres(readBegan);
@@ -29,6 +30,16 @@
     });
 }
 
+// The copy from which a store is restored may still list an upstream as ready that has been draining since.
+void UpstreamPool::recordDraining(const std::vector<UpstreamInstance>& listed, base::Instant now)
+{
+    for (const auto& instance : listed) {
+        // Without a start time, a restarted upstream cannot be told from the one that was draining.
+        if (instance.isDraining && instance.incarnation)
+            m_refusals.recordLeaving(instance.id, instance.incarnation, now);
+    }
+}
+
 void UpstreamPool::applyRefusals(base::Instant now)
 {
     m_refusals.removeOld(now);
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -64,6 +64,7 @@
     void applyListing(const std::vector<UpstreamInstance>&, base::Instant readBegan, base::Duration grace);
     void removeUnlisted(base::Instant readBegan);
     void rebuildIndex();
+    void recordDraining(const std::vector<UpstreamInstance>&, base::Instant now);
     void applyRefusals(base::Instant now);
     void markSuperseded();
     void countDataCentres(base::Instant now);
--- a/tests/LeavingUpstreamTest.cpp
+++ b/tests/LeavingUpstreamTest.cpp
@@ -101,6 +101,21 @@
     CHECK_FALSE(isUsed("e1"));
 }
 
+// A restored copy of the store lists an upstream as ready that has been draining since.
+TEST(LeavingUpstream, DrainingUpstreamThatIsListedAsReadyAgainIsNotUsed)
+{
+    fixture.addUpstream("e1", "engines", "dc-a", 5);
+    fixture.addUpstream("e2", "engines", "dc-b", 5);
+    fixture.instances[0].isDraining = true;
+    fixture.update();
+    fixture.instances[0].isDraining = false;
+    fixture.update();
+    CHECK_FALSE(isUsed("e1"));
+    fixture.instances[0].incarnation = 6;
+    fixture.update();
+    CHECK_TRUE(isUsed("e1"));
+}
+
 TEST(LeavingUpstream, IsUsedAfterItsRestart)
 {
     addTwoEngines();
