Logs: the software version of an upstream, and the attempt that a client resumes

Callers saw streams that went on at another software version (ORDER). No line told which version an upstream ran, nor which attempt a take-up names, so the three hypotheses of the postmortem could not be told apart. UpstreamInstance now keeps the version, also between nodes (a field at the end, so that nodes of the release before still read the message), and RequestMetadata keeps Resumes. Nothing decides by them yet.

--- a/include/redwingseam/base/Ids.h
+++ b/include/redwingseam/base/Ids.h
@@ -26,6 +26,7 @@
 struct VersionTag;
 struct FingerprintTag;
 struct PromptPartHashTag;
+struct SoftwareVersionTag;
 
 using VmName = TaggedString<VmTag>;
 using DataCentreName = TaggedString<DataCentreTag>;
@@ -43,6 +44,8 @@
 
 // Service listed in the manifest; its upstreams are interchangeable.
 using ServiceName = TaggedString<ServiceTag>;
+// Version of the software of an upstream. What two versions write doesn't fit together.
+using SoftwareVersion = TaggedString<SoftwareVersionTag>;
 using RouteName = TaggedString<RouteTag>;
 using ModelName = TaggedString<ModelTag>;
 // Secret that authenticates a client account.
--- a/include/redwingseam/fleet/UpstreamInstance.h
+++ b/include/redwingseam/fleet/UpstreamInstance.h
@@ -21,6 +21,8 @@
     uint32_t slots = 1;
     // Whether the upstream has announced that it is draining. It must then get no new work.
     bool isDraining = false;
+    // Version of its software; empty if a node of an earlier release listed it.
+    base::SoftwareVersion version {};
 
     auto operator<=>(const UpstreamInstance&) const = default;
 };
--- a/src/gateway/RequestMetadata.h
+++ b/src/gateway/RequestMetadata.h
@@ -20,6 +20,8 @@
     base::ApiKey key;
     // Last event of the stream that the client has received; empty if it does not resume a stream.
     std::optional<uint64_t> lastEventId;
+    // The attempt of the client that brought the first event of the stream which this one resumes; empty if not stated.
+    base::ClientAttemptId resumedAttempt;
     // Identifies the part of the prompt that is the request's own; the same for a repeated request.
     std::optional<uint64_t> promptKey;
     // The parts of the prompt that other requests may share, in order. Bounded by `maxPromptParts`.
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -61,7 +61,7 @@
     if (m_exchange && !m_requestMetadata.promptParts.empty())
         line.with("parts", forward::formatParts(m_exchange->request().promptParts));
     if (m_requestMetadata.lastEventId)
-        line.with("last_event", *m_requestMetadata.lastEventId);
+        line.with("last_event", *m_requestMetadata.lastEventId).with("resumes", m_requestMetadata.resumedAttempt.text);
     if (auto drainStart = m_state.drainStartedAt.load(); drainStart != base::Instant {})
         line.with("stopping_ms", ageMs(drainStart));
     LOG(INFO) << line.text();
@@ -80,7 +80,7 @@
 {
     m_state.metrics.countAttempt(outcome);
     log::LogLine line("attempt_ended");
-    line.with("request", m_requestMetadata.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text);
+    line.with("request", m_requestMetadata.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text).with("version", upstream.version.text);
     line.with("connection", m_isPooledConnection ? "kept" : "new");
     if (m_response.status)
         line.with("status", m_response.status);
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -34,7 +34,7 @@
 
 static Json format(const fleet::UpstreamInstance& upstream)
 {
-    return Json::array({ upstream.id.text, upstream.service.text, upstream.address, upstream.dataCentre.text, upstream.incarnation, upstream.slots, upstream.isDraining });
+    return Json::array({ upstream.id.text, upstream.service.text, upstream.address, upstream.dataCentre.text, upstream.incarnation, upstream.slots, upstream.isDraining, upstream.version.text });
 }
 
 static Json format(const fleet::LeavingReport& report)
@@ -176,6 +176,8 @@
     upstream.incarnation = item.number();
     upstream.slots = static_cast<uint32_t>(item.number());
     upstream.isDraining = item.flag();
+    if (item.hasMore())
+        upstream.version.text = item.text();
     return upstream;
 }
 
--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -168,7 +168,7 @@
 
     static void logChange(const char* event, const fleet::UpstreamInstance& instance)
     {
-        LOG(INFO) << log::LogLine(event).with("upstream", instance.id.text).with("service", instance.service.text).with("address", instance.address).with("data_centre", instance.dataCentre.text).with("incarnation", instance.incarnation).text();
+        LOG(INFO) << log::LogLine(event).with("upstream", instance.id.text).with("service", instance.service.text).with("address", instance.address).with("data_centre", instance.dataCentre.text).with("incarnation", instance.incarnation).with("version", instance.version.text).text();
     }
 
     Client& m_store;
