--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -30,13 +30,13 @@
     }
 
     // Adds an upstream to the fleet. Upstreams in the gateway's own data centre, dc-a, are preferred.
-    void addUpstream(const std::string& id, const std::string& service, const ScriptedUpstream& upstream, const std::string& dataCentre = "dc-a")
+    void addUpstream(const std::string& id, const std::string& service, const ScriptedUpstream& upstream, const std::string& dataCentre = "dc-a", const std::string& version = {})
     {
-        addUpstream(id, service, upstream.address(), dataCentre);
+        addUpstream(id, service, upstream.address(), dataCentre, version);
     }
-    void addUpstream(const std::string& id, const std::string& service, const std::string& address, const std::string& dataCentre = "dc-a")
+    void addUpstream(const std::string& id, const std::string& service, const std::string& address, const std::string& dataCentre = "dc-a", const std::string& version = {})
     {
-        m_instances.push_back({ { id }, { service }, address, { dataCentre }, 1, 6, false });
+        m_instances.push_back({ { id }, { service }, address, { dataCentre }, 1, 6, false, { version } });
         state.fleet.update(m_instances, base::BootClock {}.now(), {});
     }
 
