--- a/include/redwingseam/base/ResultCode.h
+++ b/include/redwingseam/base/ResultCode.h
@@ -27,6 +27,8 @@
     ManifestStale = 207, // The manifest was last confirmed too long ago to rely on its routes and API keys.
     RequestTimeout = 208,
     BuffersExhausted = 209, // The node buffers too much already to read another body.
+    StreamOriginUnknown = 210, // Nobody knows at which software version the stream began, so it cannot go on.
+    SoftwareVersionGone = 211, // No upstream of the version that began the stream is left.
     OutcomeUnknown = 301, // The request was sent and may have been executed.
     StreamLost = 302, // The response has begun and cannot be continued.
     RetriesExhausted = 303,
@@ -65,6 +67,8 @@
         std::pair { ResultCode::ManifestStale, std::string_view { "ManifestStale" } },
         std::pair { ResultCode::RequestTimeout, std::string_view { "RequestTimeout" } },
         std::pair { ResultCode::BuffersExhausted, std::string_view { "BuffersExhausted" } },
+        std::pair { ResultCode::StreamOriginUnknown, std::string_view { "StreamOriginUnknown" } },
+        std::pair { ResultCode::SoftwareVersionGone, std::string_view { "SoftwareVersionGone" } },
         std::pair { ResultCode::OutcomeUnknown, std::string_view { "OutcomeUnknown" } },
         std::pair { ResultCode::StreamLost, std::string_view { "StreamLost" } },
         std::pair { ResultCode::RetriesExhausted, std::string_view { "RetriesExhausted" } },
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/Fleet.h"
 
+#include "fleet/VersionMatch.h"
 #include "log/LogLine.h"
 
 #include <algorithm>
@@ -87,9 +88,32 @@
     LOG(INFO) << log::LogLine("upstream_defers_requests").with("upstream", instance.id.text).with("incarnation", instance.incarnation).with("wait_ms", millis(bounded)).with("asked_ms", millis(wait)).text();
 }
 
-std::optional<base::Instant> Fleet::deferredUntil(const base::ServiceName& service, base::Instant now)
+std::optional<base::Instant> Fleet::deferredUntil(const base::ServiceName& service, const base::SoftwareVersion& version, base::Instant now)
 {
-    return withPool(service, [&](UpstreamPool& pool) { return pool.deferredUntil(now); });
+    return withPool(service, [&](UpstreamPool& pool) { return pool.deferredUntil(version, now); });
+}
+
+bool Fleet::serves(const base::ServiceName& service, const base::SoftwareVersion& version, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.serves(version, now); });
+}
+
+std::vector<base::SoftwareVersion> Fleet::versionsSince(const base::ServiceName& service, base::Instant since)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.versions().servedSince(since); });
+}
+
+void Fleet::recordVersion(const base::ServiceName& service, const base::SoftwareVersion& version, base::Instant at)
+{
+    withPool(service, [&](UpstreamPool& pool) { pool.versions().record(version, at); });
+}
+
+bool Fleet::isCurrent(const UpstreamInstance& instance)
+{
+    return withPool(instance.service, [&](UpstreamPool& pool) {
+        const auto* entry = pool.find(instance.id);
+        return !entry || (entry->instance.incarnation == instance.incarnation && isCompatible(instance.version, entry->instance.version));
+    });
 }
 
 std::vector<LeavingReport> Fleet::takeLeavingReports()
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -47,9 +47,18 @@
     // Records that the upstream has turned a request away and wants none from this node for `wait`, whatever clears
     // other suspicions. The other nodes are not concerned.
     void deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
-    // Returns when the first upstream of the service accepts requests again if all that are eligible have asked this node
-    // to wait.
-    std::optional<base::Instant> deferredUntil(const base::ServiceName&, base::Instant now);
+    // Returns when the first upstream of the service and the version accepts requests again if all that are eligible have
+    // asked this node to wait.
+    std::optional<base::Instant> deferredUntil(const base::ServiceName&, const base::SoftwareVersion&, base::Instant now);
+    // Returns whether the service has an eligible upstream of the version.
+    bool serves(const base::ServiceName&, const base::SoftwareVersion&, base::Instant now);
+    // Returns the versions of the service's upstreams that served at `since` or later. Includes the empty version if there
+    // may have been others that are not known.
+    std::vector<base::SoftwareVersion> versionsSince(const base::ServiceName&, base::Instant since);
+    // Records that an upstream of the version, empty for any, may have served at `at` although no list showed it.
+    void recordVersion(const base::ServiceName&, const base::SoftwareVersion&, base::Instant at);
+    // Returns whether the list still names this incarnation of the upstream, or none.
+    bool isCurrent(const UpstreamInstance&);
     // Returns whether the upstream may get another request. A suspected upstream may.
     bool acceptsRequests(const UpstreamInstance&, base::Instant now);
     // Returns whether the service has upstreams and all of them are leaving.
--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -22,6 +22,8 @@
     // Address of the upstream to prefer if it is usable, such as the one with a backup of the run's KV cache. An
     // address is used because the upstream may have been listed again under another id.
     std::optional<std::string> preferredAddress;
+    // Only upstreams of this software version may be chosen, unless it is empty.
+    base::SoftwareVersion version;
     // Whether a second upstream should keep a backup of the run's KV cache.
     bool wantsBackup = false;
     // Identifies the part of the prompt that is the request's own; the same for a repeated request.
--- a/src/fleet/PromptAffinity.cpp
+++ b/src/fleet/PromptAffinity.cpp
@@ -1,6 +1,7 @@
 #include "fleet/PromptAffinity.h"
 
 #include "base/Hash.h"
+#include "fleet/VersionMatch.h"
 
 namespace redwingseam::fleet {
 
@@ -11,7 +12,7 @@
     m_discount = query.isResumption ? resumptionDiscount : newRequestDiscount;
     std::array<uint64_t, 2> highest {};
     for (const auto& entry : entries) {
-        if (!entry.isListed || entry.isLeaving() || entry.instance.dataCentre != localDataCentre)
+        if (!entry.isListed || entry.isLeaving() || entry.instance.dataCentre != localDataCentre || !isCompatible(query.version, entry.instance.version))
             continue;
         auto score = base::hashBytes(entry.instance.id.text, *query.promptKey);
         if (!m_preferred[0] || score > highest[0]) {
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -1,5 +1,7 @@
 #include "fleet/UpstreamPool.h"
 
+#include "fleet/VersionMatch.h"
+
 #include <algorithm>
 
 namespace redwingseam::fleet {
@@ -12,7 +14,10 @@
     for (const auto& instance : listed) {
         if (m_index.emplace(instance.id, m_entries.size()).second)
             m_entries.push_back(PoolEntry { instance });
+        m_versions.record(instance.version, readBegan);
     }
+    if (!listed.empty())
+        m_versions.recordListing(readBegan);
     recordDraining(listed, readBegan);
     applyRefusals(readBegan);
     markSuperseded();
@@ -64,11 +69,11 @@
     return bounded;
 }
 
-std::optional<base::Instant> UpstreamPool::deferredUntil(base::Instant now) const
+std::optional<base::Instant> UpstreamPool::deferredUntil(const base::SoftwareVersion& version, base::Instant now) const
 {
     std::optional<base::Instant> until;
     for (const auto& entry : m_entries) {
-        if (!entry.isEligible(now))
+        if (!entry.isEligible(now) || !isCompatible(version, entry.instance.version))
             continue;
         if (!entry.refusal.isDeferred(now))
             return std::nullopt;
@@ -77,6 +82,11 @@
     return until;
 }
 
+bool UpstreamPool::serves(const base::SoftwareVersion& version, base::Instant now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) { return entry.isEligible(now) && isCompatible(version, entry.instance.version); });
+}
+
 bool UpstreamPool::areAllLeaving(base::Instant now) const
 {
     bool hasPresent = false;
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -8,6 +8,7 @@
 #include "fleet/PromptAffinity.h"
 #include "fleet/RetryBudget.h"
 #include "fleet/SuspicionReport.h"
+#include "fleet/VersionHistory.h"
 #include "fleet/WorkRefusals.h"
 
 #include <unordered_map>
@@ -40,8 +41,11 @@
     bool recordLeaving(const base::UpstreamName&, uint64_t incarnation, base::Instant now);
     // Records that the upstream wants no request from this node for `wait`. Returns the time that counts.
     base::Duration deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
-    // Returns when the first upstream accepts requests again if all that are eligible have asked to wait.
-    std::optional<base::Instant> deferredUntil(base::Instant now) const;
+    // Returns when the first upstream of the version accepts requests again if all that are eligible have asked to wait.
+    std::optional<base::Instant> deferredUntil(const base::SoftwareVersion&, base::Instant now) const;
+    // Returns whether an upstream of the version is eligible.
+    bool serves(const base::SoftwareVersion&, base::Instant now) const;
+    VersionHistory& versions() { return m_versions; }
     // Returns whether there are upstreams and all of them are leaving.
     bool areAllLeaving(base::Instant now) const;
     void setPeerLoads(const LoadMap&);
@@ -77,6 +81,7 @@
     std::unordered_map<base::UpstreamName, size_t> m_index;
     std::unordered_map<base::DataCentreName, DataCentreHealth> m_dataCentres;
     WorkRefusals m_refusals;
+    VersionHistory m_versions;
     RetryBudget m_retryBudget;
 };
 
--- a/src/fleet/UpstreamPoolSelection.cpp
+++ b/src/fleet/UpstreamPoolSelection.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/PlacementCost.h"
 #include "fleet/UpstreamPool.h"
+#include "fleet/VersionMatch.h"
 
 #include <algorithm>
 #include <limits>
@@ -38,7 +39,7 @@
 {
     bool hasUsable = false;
     for (const auto& entry : m_entries) {
-        if (!entry.takesWork(query.now))
+        if (!entry.takesWork(query.now) || !isCompatible(query.version, entry.instance.version))
             continue;
         if (entry.hasRoom(query))
             return false;
@@ -63,7 +64,7 @@
     if (!query.preferredAddress)
         return nullptr;
     auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
-        return entry.instance.address == *query.preferredAddress && entry.takesWork(query.now);
+        return entry.instance.address == *query.preferredAddress && entry.takesWork(query.now) && isCompatible(query.version, entry.instance.version);
     });
     return found == m_entries.end() ? nullptr : &*found;
 }
@@ -72,7 +73,8 @@
 {
     if (auto* preferred = findPreferred(query))
         return preferred;
-    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now) && (!query.requiresRoom || entry.hasRoom(query)); };
+    auto isRequired = [&](const PoolEntry& entry) { return isCompatible(query.version, entry.instance.version); };
+    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now) && isRequired(entry) && (!query.requiresRoom || entry.hasRoom(query)); };
     PlacementCost cost(query, localDataCentre);
     PromptAffinity affinity(query, m_entries, localDataCentre);
     auto isSampled = [&](const PoolEntry& entry) {
@@ -90,7 +92,7 @@
     if (query.requiresRoom && isFull(query))
         return nullptr;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
-    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.acceptsRequests(query.now); });
+    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.acceptsRequests(query.now) && isRequired(entry); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
@@ -98,11 +100,12 @@
     PlacementCost cost(query, localDataCentre);
     // A data centre may fail as a whole, and a backup in it is then lost together with the run.
     bool avoidsDataCentre = std::any_of(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) {
-        return entry.instance.dataCentre != target.dataCentre && entry.takesWork(query.now);
+        return entry.instance.dataCentre != target.dataCentre && entry.takesWork(query.now) && isCompatible(target.version, entry.instance.version);
     });
     auto isUsable = [&](const PoolEntry& entry) {
         bool isElsewhere = entry.instance.id != target.id && !(avoidsDataCentre && entry.instance.dataCentre == target.dataCentre);
-        return isElsewhere && entry.takesWork(query.now) && entry.hasRoomForBackup(query) && !contains(query.excluded, entry.instance.id);
+        // The run goes on from the backup only at its own version.
+        return isElsewhere && isCompatible(target.version, entry.instance.version) && entry.takesWork(query.now) && entry.hasRoomForBackup(query) && !contains(query.excluded, entry.instance.id);
     };
     PoolEntry* best = nullptr;
     auto lowest = std::numeric_limits<double>::max();
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -8,11 +8,12 @@
 using base::ResultCode;
 using base::scaled;
 
-Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, const ExchangePolicy& policy)
+Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, origin::StreamOrigins& origins, const ExchangePolicy& policy)
     : m_request(std::move(request))
     , m_fleet(fleet)
     , m_queue(queue)
     , m_crashes(crashes)
+    , m_origins(origins)
     , m_policy(policy)
     , m_lastEventId(m_request.lastEventId)
 {
@@ -71,6 +72,8 @@
     query.isResumption = m_request.lastEventId.has_value();
     query.excluded = m_excluded;
     query.preferredAddress = m_backupAddress;
+    if (m_origin)
+        query.version = m_origin->version;
     query.wantsBackup = m_request.route->isResumable;
     query.random = random;
     query.now = now;
@@ -132,6 +135,10 @@
         m_waitingSince = {};
         return m_mayHaveRun || m_areHeadersSent ? giveUp(AttemptOutcome::NotRun) : refuseQuarantined(now);
     }
+    if (auto step = bindToOrigin(now))
+        return *step;
+    if (isVersionGone(now))
+        return giveUpVersion(now);
     return mayQueue() ? placeInTurn(now, random) : placeOrWait(now, random);
 }
 
@@ -145,7 +152,7 @@
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
     auto waitsUntil = m_waitingSince + scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
-    auto deferredUntil = m_fleet.deferredUntil(m_request.service, now);
+    auto deferredUntil = m_fleet.deferredUntil(m_request.service, m_origin ? m_origin->version : base::SoftwareVersion {}, now);
     bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
     if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
         return refuseWhileDeferred(*deferredUntil - now, now, random);
@@ -185,6 +192,7 @@
     m_isUnreachable = false;
     m_isProbedDuringOutage = false;
     m_hasEvent = false;
+    recordStart(now);
     ++m_sends;
     return { StepKind::Send, std::move(parameters) };
 }
@@ -422,6 +430,8 @@
         m_fleet.markPrefilled(*m_placement);
         m_fleet.clearSuspicion(m_placement->target);
     }
+    if (!m_origin && m_placement && isStream())
+        m_origin = { m_request.service, m_placement->target.version };
     m_hasEvent = true;
 }
 
@@ -465,7 +475,7 @@
         return { StepKind::TimeOut, {}, ResultCode::DeadlinePassed };
     }
     if (!m_placement)
-        return m_waitingSince == base::Instant {} && !m_queuedWork ? Step {} : place(now, random);
+        return m_waitingSince == base::Instant {} && !m_queuedWork && !m_isAwaitingOrigin ? Step {} : place(now, random);
     return handleSilence(now, random);
 }
 
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -7,6 +7,7 @@
 #include "forward/ExchangeRequest.h"
 #include "forward/PlacementQueue.h"
 #include "forward/Step.h"
+#include "origin/StreamOrigins.h"
 
 namespace redwingseam::forward {
 
@@ -16,7 +17,7 @@
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
-    Exchange(ExchangeRequest, fleet::Fleet&, PlacementQueue&, CrashEvidence&, const ExchangePolicy&);
+    Exchange(ExchangeRequest, fleet::Fleet&, PlacementQueue&, CrashEvidence&, origin::StreamOrigins&, const ExchangePolicy&);
     ~Exchange();
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
@@ -55,6 +56,9 @@
     void recordActivity(base::Instant now);
     // Records an event that is about to be forwarded to the client; `eventId` is nullopt for an event without an id.
     void recordEvent(std::optional<uint64_t> eventId, base::Instant now);
+    // Returns whether events of the current upstream may be forwarded. They may not if it was started again meanwhile, since
+    // its version may be another one.
+    bool isUpstreamCurrent() const;
     // Records that an event has begun and is incomplete.
     void recordPartialEvent(base::Instant now);
     // Excludes a time in which this process did not run, so that it does not count as silence of the upstream.
@@ -84,6 +88,16 @@
 private:
     Step place(base::Instant now, uint64_t random);
     Step placeOrWait(base::Instant now, uint64_t random);
+    // Whether the client takes up a stream that an earlier attempt began.
+    bool isTakenUp() const { return isStream() && m_request.route->isResumable && m_request.lastEventId; }
+    // Finds out where a stream that the client takes up has begun. Returns the step to take if the request cannot be sent now.
+    std::optional<Step> bindToOrigin(base::Instant now);
+    // Handles that no upstream of the version that began the stream is left.
+    Step giveUpVersion(base::Instant now) const;
+    Step refuseTakeUp(base::ResultCode, base::Instant now) const;
+    // Records where the stream is sent, unless it has begun already.
+    void recordStart(base::Instant now);
+    bool isVersionGone(base::Instant now) const { return m_origin && !m_fleet.serves(m_request.service, m_origin->version, now); }
     // Whether the request may be held back until an engine has room. Resumed streams and retries go first.
     bool mayQueue() const { return isEngineRequest() && !m_request.lastEventId && !m_sends; }
     Step placeInTurn(base::Instant now, uint64_t random);
@@ -138,6 +152,7 @@
     fleet::Fleet& m_fleet;
     PlacementQueue& m_queue;
     CrashEvidence& m_crashes;
+    origin::StreamOrigins& m_origins;
     const ExchangePolicy& m_policy;
     std::optional<fleet::Placement> m_placement;
     std::optional<schedule::QueuedWork> m_queuedWork;
@@ -149,6 +164,10 @@
     // Address of the upstream with a backup of the run's KV cache from an earlier attempt.
     std::optional<std::string> m_backupAddress;
     std::optional<uint64_t> m_lastEventId;
+    // Where the stream began; nothing until its first event.
+    std::optional<origin::StreamOrigin> m_origin;
+    // Whether others are being asked where the stream began.
+    bool m_isAwaitingOrigin = false;
     // Attempts in which an upstream may have run the request.
     unsigned m_possibleRuns = 0;
     // Attempts that were started, whether or not a connection was established.
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -35,6 +35,10 @@
     std::optional<uint64_t> promptKey;
     // The parts of the prompt that other requests to the same service may share, in order.
     std::vector<base::PromptPartHash> promptParts;
+    // The client's id of this attempt; empty if it sent none.
+    base::ClientAttemptId attempt;
+    // The attempt that brought the first event of the stream, if the client resumes one.
+    base::ClientAttemptId resumedAttempt;
     // The id of the last event that the client received, if it resumes a stream.
     std::optional<uint64_t> lastEventId;
     fleet::RetryLimits retries;
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -12,6 +12,7 @@
 #include "gateway/GatewaySettings.h"
 #include "gateway/StopTimes.h"
 #include "manifest/ManifestHolder.h"
+#include "origin/StreamOrigins.h"
 #include "redwingseam/base/BootClock.h"
 #include "report/SloRecorder.h"
 
@@ -24,6 +25,7 @@
     explicit GatewayState(const GatewaySettings& given)
         : settings(given)
         , fleet(given.dataCentre)
+        , origins(fleet)
         , admission(maxConfirmationAge(given.revocationBound))
         , drain(StopTimes { given.terminationGrace }.abandonAt())
     {
@@ -51,6 +53,7 @@
     fleet::Fleet fleet;
     forward::PlacementQueue placementQueue;
     forward::CrashEvidence crashes;
+    origin::StreamOrigins origins;
     manifest::ManifestHolder manifest;
     const forward::AdmissionRule admission;
     const forward::DrainRule drain;
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -55,7 +55,7 @@
     }
     if (admission.account)
         m_account = admission.account->name;
-    m_exchange = std::make_unique<forward::Exchange>(makeExchangeRequest(admission, random()), m_state.fleet, m_state.placementQueue, m_state.crashes, m_state.exchangePolicy);
+    m_exchange = std::make_unique<forward::Exchange>(makeExchangeRequest(admission, random()), m_state.fleet, m_state.placementQueue, m_state.crashes, m_state.origins, m_state.exchangePolicy);
     logAdmission(admission);
     m_state.recorder.countRequest(m_requestSettings.rank);
     execute(m_exchange->begin(m_arrivedAt, random()));
@@ -82,7 +82,11 @@
     request.rank = m_requestSettings.rank;
     request.index = admission.index;
     request.route = admission.route;
-    request.service = forward::chooseService(*admission.route, random);
+    request.attempt = m_requestMetadata.attempt;
+    request.resumedAttempt = m_requestMetadata.resumedAttempt;
+    // A stream that is taken up goes to the service that began it.
+    const auto& stream = request.resumedAttempt.empty() ? request.attempt : request.resumedAttempt;
+    request.service = forward::chooseService(*admission.route, stream.empty() ? random : base::hashBytes(stream.text));
     auto caller = admission.account ? std::string_view(admission.account->name.text) : std::string_view();
     request.fingerprint.value = base::hashBytes(m_clientRequest.body(), base::hashBytes(m_clientRequest.target(), base::hashBytes(caller)));
     request.arrivedAt = m_arrivedAt;
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -81,7 +81,13 @@
         return;
     }
     m_exchange->recordActivity(now());
-    for (const auto& event : m_splitter.push(bytes)) {
+    auto events = m_splitter.push(bytes);
+    if (!events.empty() && !m_exchange->isUpstreamCurrent()) {
+        LOG(WARNING) << log::LogLine("upstream_restarted").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("version", m_sendParameters.placement.target.version.text).text();
+        endAttempt(forward::AttemptOutcome::Malformed);
+        return;
+    }
+    for (const auto& event : events) {
         if (!event.isWellFormed) {
             static constexpr size_t maxLoggedBytes = 80;
             LOG(WARNING) << log::LogLine("event_malformed").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("begin", event.bytes.substr(0, maxLoggedBytes)).text();
--- a/src/replication/Message.h
+++ b/src/replication/Message.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "replication/FailureNotice.h"
+#include "replication/OriginQuery.h"
+#include "replication/OriginReply.h"
 #include "replication/StateQuery.h"
 #include "replication/StateReply.h"
 
@@ -9,6 +11,6 @@
 namespace redwingseam::replication {
 
 // A message between two gateway nodes.
-using Message = std::variant<StateQuery, StateReply, FailureNotice>;
+using Message = std::variant<StateQuery, StateReply, FailureNotice, OriginQuery, OriginReply>;
 
 } // namespace redwingseam::replication
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -138,6 +138,22 @@
     return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now), format(notice.clearances, now), format(notice.trials, now), formatList(notice.leaving) });
 }
 
+static Json format(const OriginQuery& query, base::Instant)
+{
+    auto attempts = Json::array();
+    for (const auto& attempt : query.attempts)
+        attempts.push_back(Json::array({ attempt.text }));
+    return Json::array({ static_cast<int>(MessageKind::OriginQuery), format(query.from), std::move(attempts) });
+}
+
+static Json format(const OriginReply& reply, base::Instant)
+{
+    auto streams = Json::array();
+    for (const auto& record : reply.streams)
+        streams.push_back(Json::array({ record.attempt.text, record.origin.service.text, record.origin.version.text }));
+    return Json::array({ static_cast<int>(MessageKind::OriginReply), format(reply.from), std::move(streams) });
+}
+
 std::string formatMessage(const Message& message, base::Instant now)
 {
     auto body = std::visit([&](const auto& alternative) { return format(alternative, now); }, message);
@@ -381,6 +397,27 @@
     return notice;
 }
 
+static OriginQuery parseOriginQuery(FieldReader& reader)
+{
+    OriginQuery query;
+    reader.nested([&](FieldReader& item) { parse(item, query.from); });
+    reader.forEach([&](FieldReader& item) { query.attempts.push_back({ item.text() }); });
+    return query;
+}
+
+static OriginReply parseOriginReply(FieldReader& reader)
+{
+    OriginReply reply;
+    reader.nested([&](FieldReader& item) { parse(item, reply.from); });
+    reader.forEach([&](FieldReader& item) {
+        auto& record = reply.streams.emplace_back();
+        record.attempt.text = item.text();
+        record.origin.service.text = item.text();
+        record.origin.version.text = item.text();
+    });
+    return reply;
+}
+
 std::optional<Message> parseMessage(std::string_view bytes, base::Instant now)
 {
     auto json = base::parseCbor(bytes);
@@ -388,7 +425,7 @@
         return std::nullopt;
     FieldReader reader(*json);
     std::optional<Message> message;
-    switch (static_cast<MessageKind>(reader.number(static_cast<uint64_t>(MessageKind::FailureNotice)))) {
+    switch (static_cast<MessageKind>(reader.number(static_cast<uint64_t>(MessageKind::OriginReply)))) {
     case MessageKind::Query:
         message = parseQuery(reader);
         break;
@@ -398,6 +435,12 @@
     case MessageKind::FailureNotice:
         message = parseFailureNotice(reader, now);
         break;
+    case MessageKind::OriginQuery:
+        message = parseOriginQuery(reader);
+        break;
+    case MessageKind::OriginReply:
+        message = parseOriginReply(reader);
+        break;
     }
     if (!reader.isValid())
         return std::nullopt;
--- a/src/replication/MessageKind.h
+++ b/src/replication/MessageKind.h
@@ -11,6 +11,9 @@
     Query = 0,
     Reply = 1,
     FailureNotice = 2,
+    // Nodes of earlier releases log the next two as unreadable.
+    OriginQuery = 3,
+    OriginReply = 4,
 };
 
 } // namespace redwingseam::replication
@@ -22,5 +25,7 @@
         std::pair { MessageKind::Query, std::string_view { "query" } },
         std::pair { MessageKind::Reply, std::string_view { "reply" } },
         std::pair { MessageKind::FailureNotice, std::string_view { "news" } },
+        std::pair { MessageKind::OriginQuery, std::string_view { "origin-query" } },
+        std::pair { MessageKind::OriginReply, std::string_view { "origin-reply" } },
     };
 };
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -3,6 +3,7 @@
 #include "fleet/Fleet.h"
 #include "forward/CrashEvidence.h"
 #include "manifest/ManifestHolder.h"
+#include "origin/StreamOrigins.h"
 #include "redwingseam/base/Result.h"
 #include "replication/LoadFilter.h"
 #include "replication/NodeDirectory.h"
@@ -44,7 +45,7 @@
 template<ManifestParser Parser>
 class PeerSync {
 public:
-    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashEvidence&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&, sync::StoreEra&);
+    PeerSync(sync::NodeRecord self, fleet::Fleet&, forward::CrashEvidence&, origin::StreamOrigins&, manifest::ManifestHolder&, sync::UpstreamListCache&, sync::NodeRole&, sync::StoreEra&);
 
     // Sets the store's list of nodes. After the first list, the node queries the others at its next tick.
     void setNodes(const std::vector<sync::NodeRecord>&);
@@ -77,6 +78,8 @@
     static constexpr base::Duration storeLossLifetime = std::chrono::milliseconds(1200);
     // Limits the memory for the text of a manifest from another node.
     static constexpr size_t maxManifestBytes = 4 * 1024 * 1024;
+    // Limits the size of a message.
+    static constexpr size_t maxAttemptsPerQuery = 256;
     // Older suspicions and crashes are neither applied nor forwarded.
     static constexpr base::Duration failureNoticeLifetime = std::chrono::milliseconds(1000);
 
@@ -85,6 +88,9 @@
     bool isNewerThanOwn(const StateQuery&, base::Instant now) const;
     OutgoingMessages receive(const StateReply&, base::Instant now);
     OutgoingMessages receive(const FailureNotice&, base::Instant now);
+    OutgoingMessages receive(const OriginQuery&, base::Instant now);
+    OutgoingMessages receive(const OriginReply&, base::Instant now);
+    void askForOrigins(OutgoingMessages&, base::Instant now);
     // Returns whether this hub may ask its neighbour about quarantined prompt parts, as it does after a restart.
     bool lacksQuarantine(const StateQuery&) const;
     // A line for each manifest or full list that is sent or received, with its size.
@@ -135,6 +141,7 @@
 
     fleet::Fleet& m_fleet;
     forward::CrashEvidence& m_crashes;
+    origin::StreamOrigins& m_origins;
     manifest::ManifestHolder& m_manifest;
     sync::UpstreamListCache& m_upstreamCache;
     sync::NodeRole& m_role;
--- /dev/null
+++ b/src/sync/OriginsTask.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+#include "log/LogLine.h"
+#include "manifest/ManifestHolder.h"
+#include "origin/StreamOrigins.h"
+#include "redwingseam/base/BootClock.h"
+#include "sync/NodeRole.h"
+#include "sync/OriginStore.h"
+#include "sync/StoreEra.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <optional>
+
+namespace redwingseam::sync {
+
+// Records in the store where this node's streams began while their service has several software versions, and reads the
+// records of other nodes when a client takes up a stream that this node doesn't know. The leader states which services have
+// one version only, so that a node that starts knows when a stream needs no record.
+template<OriginStore Client, typename Clock = base::BootClock>
+class OriginsTask {
+public:
+    OriginsTask(Client& client, const manifest::ManifestHolder& manifest, fleet::Fleet& fleet, origin::StreamOrigins& origins, const NodeRole& role, StoreEra& era, base::VmName self, Clock clock = {})
+        : m_store(client)
+        , m_manifest(manifest)
+        , m_fleet(fleet)
+        , m_origins(origins)
+        , m_role(role)
+        , m_era(era)
+        , m_clock(std::move(clock))
+        , m_records { std::move(self) }
+    {
+    }
+
+    // Returns true. Failed calls are repeated with pauses of this task's own, since records are lost with the node.
+    bool poll()
+    {
+        auto now = m_clock.now();
+        auto index = m_manifest.state().index;
+        if (!index || now < m_retryAt)
+            return true;
+        m_origins.setLifetime(streamLifetime(index->manifest()));
+        auto error = synchronise(index->manifest(), now);
+        recordResult(error, now);
+        return true;
+    }
+
+private:
+    // Clients count their time from their first attempt, and a node from when it sent the stream.
+    static constexpr double lifetimeMargin = 1.5;
+    static constexpr base::Duration minLifetime = std::chrono::seconds(10);
+    static constexpr base::Duration minRetryPause = std::chrono::milliseconds(200);
+    static constexpr base::Duration maxRetryPause = std::chrono::seconds(2);
+    // A list that is older than this, as after a pause of the process, is no basis for a statement.
+    static constexpr base::Duration maxListAge = std::chrono::seconds(2);
+
+    static bool hasTakeUps(const manifest::Route& route) { return route.kind == manifest::RouteKind::Stream && route.isResumable; }
+
+    static base::Duration streamLifetime(const manifest::Manifest& manifest)
+    {
+        base::Duration longest {};
+        for (const auto& route : manifest.routes) {
+            if (hasTakeUps(route))
+                longest = std::max(longest, route.timeout);
+        }
+        return std::max(minLifetime, std::chrono::duration_cast<base::Duration>(longest * lifetimeMargin));
+    }
+
+    base::Error synchronise(const manifest::Manifest& manifest, base::Instant now)
+    {
+        if (m_era.current() != m_usedEra)
+            handleRestore();
+        if (m_mustRead || m_origins.lookups().isStoreNeeded()) {
+            if (auto error = read(now); error.code != base::ResultCode::Ok)
+                return error;
+        }
+        if (auto error = writeRecords(now); error.code != base::ResultCode::Ok)
+            return error;
+        return m_role.isLeader() ? writeStatement(manifest, now) : base::Error {};
+    }
+
+    // The store may have lost what it acknowledged, and other nodes' writes.
+    void handleRestore()
+    {
+        m_usedEra = m_era.current();
+        m_mustRead = true;
+        m_origins.records().markAllUnwritten();
+    }
+
+    base::Error read(base::Instant now)
+    {
+        auto stored = m_store.readOrigins();
+        if (!stored)
+            return stored.error();
+        auto& origins = stored.value();
+        if (!m_era.learn(origins.era, m_clock.now()))
+            return { base::ResultCode::PlatformUnavailable, "response of an earlier era" };
+        m_records.revision = 0;
+        std::vector<origin::StreamRecord> all;
+        for (const auto& node : origins.nodes) {
+            all.insert(all.end(), node.streams.begin(), node.streams.end());
+            if (node.node != m_records.node)
+                continue;
+            m_records.revision = node.revision;
+            if (m_knownEra)
+                continue;
+            // Records of an earlier process of this node, which this one's writes would replace.
+            for (const auto& record : node.streams)
+                m_origins.records().learn(record, true, now);
+        }
+        m_statement = origins.statement;
+        if (m_knownEra != origins.era)
+            applyStatement(origins.era, now);
+        m_knownEra = origins.era;
+        m_usedEra = m_era.current();
+        m_mustRead = false;
+        m_origins.setHistoryKnown();
+        m_origins.lookups().answerFromStore(all, now);
+        return {};
+    }
+
+    // Versions that have left, or that a restored store no longer tells of, may have begun streams that are taken up now.
+    void applyStatement(uint64_t era, base::Instant now)
+    {
+        for (const auto& [service, version] : m_statement.versions) {
+            m_fleet.recordVersion(service, version.value_or(base::SoftwareVersion {}), now);
+            auto listed = m_fleet.versionsSince(service, now);
+            bool isDoubtful = m_statement.era != era && listed.size() != 1;
+            if (isDoubtful)
+                m_fleet.recordVersion(service, {}, now);
+        }
+    }
+
+    // Another leader, or an earlier call of which no response came, was first. The next poll reads the object.
+    static base::Error errorUnlessConflict(const base::Error& error) { return error.code == base::ResultCode::PlatformConflict ? base::Error {} : error; }
+
+    base::Error writeRecords(base::Instant now)
+    {
+        m_records.streams = m_origins.takeUnwritten(now);
+        if (m_records.streams.empty())
+            return {};
+        auto revision = m_store.writeRecords(m_records);
+        // The outcome of a failed call is not known, and neither is the revision.
+        m_mustRead = !revision;
+        if (!revision)
+            return errorUnlessConflict(revision.error());
+        m_records.revision = revision.value();
+        m_origins.records().markWritten(m_records.streams);
+        return {};
+    }
+
+    base::Error writeStatement(const manifest::Manifest& manifest, base::Instant now)
+    {
+        if (now - m_fleet.listedAt() > maxListAge)
+            return {};
+        auto statement = m_statement;
+        statement.era = m_era.current().value_or(0);
+        statement.versions = currentVersions(manifest, now);
+        if (statement.versions.empty() || (statement.versions == m_statement.versions && statement.era == m_statement.era))
+            return {};
+        auto revision = m_store.writeStatement(statement);
+        m_mustRead = !revision;
+        if (!revision)
+            return errorUnlessConflict(revision.error());
+        statement.revision = revision.value();
+        m_statement = std::move(statement);
+        for (const auto& [service, version] : m_statement.versions)
+            LOG(INFO) << log::LogLine("stream_versions_stated").with("service", service.text).with("version", version ? version->text : std::string("several")).text();
+        return {};
+    }
+
+    std::map<base::ServiceName, std::optional<base::SoftwareVersion>> currentVersions(const manifest::Manifest& manifest, base::Instant now)
+    {
+        std::map<base::ServiceName, std::optional<base::SoftwareVersion>> current;
+        for (const auto& route : manifest.routes) {
+            if (!hasTakeUps(route))
+                continue;
+            for (const auto& weighted : route.services) {
+                auto versions = m_origins.versionsOf(weighted.service, now);
+                if (versions.size() > 1)
+                    current[weighted.service] = std::nullopt;
+                else if (!versions.empty() && !versions.front().empty())
+                    current[weighted.service] = versions.front();
+            }
+        }
+        return current;
+    }
+
+    void recordResult(const base::Error& error, base::Instant now)
+    {
+        bool isFailed = error.code != base::ResultCode::Ok;
+        if (isFailed && m_retryPause == base::Duration {})
+            LOG(WARNING) << log::LogLine("dependency_lost").with("dependency", "store.origins").with("detail", error.detail).text();
+        if (!isFailed && m_retryPause != base::Duration {})
+            LOG(INFO) << log::LogLine("dependency_regained").with("dependency", "store.origins").text();
+        m_retryPause = isFailed ? std::clamp(m_retryPause * 2, minRetryPause, maxRetryPause) : base::Duration {};
+        m_retryAt = now + m_retryPause;
+    }
+
+    Client& m_store;
+    const manifest::ManifestHolder& m_manifest;
+    fleet::Fleet& m_fleet;
+    origin::StreamOrigins& m_origins;
+    const NodeRole& m_role;
+    StoreEra& m_era;
+    Clock m_clock;
+    // What this node writes, with the revision of its object in the store.
+    origin::NodeRecords m_records;
+    origin::VersionStatement m_statement;
+    // The era in which this task last read the store, and the one in which its records and revisions hold.
+    std::optional<uint64_t> m_knownEra;
+    std::optional<uint64_t> m_usedEra;
+    bool m_mustRead = true;
+    base::Duration m_retryPause {};
+    base::Instant m_retryAt {};
+};
+
+} // namespace redwingseam::sync
--- a/tests/CrashRegisterTest.cpp
+++ b/tests/CrashRegisterTest.cpp
@@ -27,7 +27,7 @@
     // number of sends.
     unsigned crash(const std::string& path, uint64_t fingerprint)
     {
-        forward::Exchange exchange(requestOf(path, fingerprint), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(requestOf(path, fingerprint), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         auto step = exchange.begin(now(), 1);
         unsigned sends = 0;
         while (step.kind == StepKind::Send) {
@@ -59,7 +59,7 @@
         fixture.advance(milliseconds(700));
     }
     LONGS_EQUAL(forward::CrashRegister::quarantineThreshold, sends);
-    forward::Exchange again(requestOf("/book/x", 77), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange again(requestOf("/book/x", 77), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = again.begin(now(), 1);
     CHECK_TRUE(step.kind == StepKind::Refuse);
     CHECK_TRUE(step.code == base::ResultCode::HarmfulRequest);
@@ -69,7 +69,7 @@
         fixture.advance(milliseconds(700));
     }
     LONGS_EQUAL(forward::CrashRegister::quarantineThreshold, sends);
-    forward::Exchange other(requestOf("/book/x", 79), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange other(requestOf("/book/x", 79), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(other.begin(now(), 1).kind == StepKind::Send);
 }
 
@@ -78,12 +78,12 @@
     listManyUpstreams();
     crash("/book/x", 5);
     crash("/book/x", 5);
-    forward::Exchange served(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange served(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     served.begin(now(), 1);
     served.attemptEnded(AttemptOutcome::Completed, now(), 1);
     CHECK_FALSE(fixture.crashes.requests.isSuspect({ 5 }, now()));
     crash("/stream/x", 6);
-    forward::Exchange stream(requestOf("/stream/x", 8), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange stream(requestOf("/stream/x", 8), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     stream.begin(now(), 1);
     stream.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1);
     CHECK_TRUE(fixture.crashes.requests.isSuspect({ 8 }, now()));
@@ -94,10 +94,10 @@
 TEST(CrashRegister, SuspectIsSentOnlyOnANewConnection)
 {
     listManyUpstreams();
-    forward::Exchange first(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange first(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(first.begin(now(), 1).send.allowsReusedConnection);
     first.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1);
-    forward::Exchange second(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange second(requestOf("/book/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_FALSE(second.begin(now(), 1).send.allowsReusedConnection);
 }
 
@@ -122,7 +122,7 @@
         for (uint64_t fingerprint = 1; fingerprint <= 20; ++fingerprint) {
             auto request = fixture.makeRequest("/stream/x");
             request.fingerprint.value = fingerprint;
-            forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+            forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
             auto step = exchange.begin(fixture.clock.now(), seed + fingerprint);
             while (step.kind == StepKind::Send && step.send.placement.target.dataCentre.text == "dc-a") {
                 fixture.advance(milliseconds(1 + seed % 40));
@@ -136,7 +136,7 @@
 TEST(CrashRegister, CrashInASuspectedDataCentreIsNotCounted)
 {
     fixture.addEngines();
-    forward::Exchange exchange(requestOf("/stream/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(requestOf("/stream/x", 5), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto target = exchange.begin(now(), 1).send.placement.target;
     for (const auto& instance : fixture.instances) {
         if (instance.dataCentre == target.dataCentre && instance.id != target.id)
--- a/tests/DeadlyPartEvidenceTest.cpp
+++ b/tests/DeadlyPartEvidenceTest.cpp
@@ -60,7 +60,7 @@
     fixture.addEngines();
     auto request = fixture.makeRequest("/stream/x");
     request.promptParts = { { 100 }, { 200 } };
-    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto start = fixture.clock.now();
     CHECK_TRUE(exchange.begin(start, 1).kind == forward::StepKind::Send);
     forward::PartReports reports;
@@ -98,7 +98,7 @@
         auto hostile = fixture.makeRequest("/stream/x");
         hostile.client = { "hostile" };
         hostile.promptParts = { { 300 } };
-        forward::Exchange exchange(hostile, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(hostile, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
         fixture.advance(milliseconds(1600));
         exchange.attemptEnded(forward::AttemptOutcome::LostDuringResponse, fixture.clock.now(), 1);
@@ -107,6 +107,6 @@
     auto victim = fixture.makeRequest("/stream/x");
     victim.client = { "victim" };
     victim.promptParts = { { 300 } };
-    forward::Exchange exchange(victim, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(victim, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
 }
--- a/tests/DeadlyPartTest.cpp
+++ b/tests/DeadlyPartTest.cpp
@@ -106,7 +106,7 @@
     fixture.addEngines();
     auto request = fixture.makeRequest("/stream/x");
     request.promptParts = { DeadlyPartRun::sharedPart, DeadlyPartRun::deadlyPart };
-    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto start = fixture.clock.now();
     CHECK_TRUE(exchange.begin(start, 1).kind == forward::StepKind::Send);
     forward::PartReports reports;
--- a/tests/DeferredUpstreamTest.cpp
+++ b/tests/DeferredUpstreamTest.cpp
@@ -135,7 +135,7 @@
     fixture.fleet.deferRequests(fixture.instances[1], seconds(9), now());
     std::set<base::Duration> waits;
     for (uint64_t random = 0; random < 50; ++random) {
-        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         auto step = exchange.begin(now(), random * 131);
         CHECK_TRUE(step.kind == StepKind::Refuse && step.code == base::ResultCode::QueueFull);
         CHECK_TRUE(step.retryAfter >= seconds(3) && step.retryAfter <= seconds(6));
@@ -150,7 +150,7 @@
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
     fixture.fleet.deferRequests(fixture.instances[0], milliseconds(30), now());
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(now(), 1).kind == StepKind::Wait);
     fixture.advance(milliseconds(30));
     CHECK_TRUE(exchange.tick(now(), 1).kind == StepKind::Send);
@@ -160,7 +160,7 @@
 TEST(DeferredUpstream, RequestThatMayHaveRunIsNotRefused)
 {
     addTwoDesks();
-    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     for (const auto& instance : fixture.instances)
         fixture.fleet.deferRequests(instance, seconds(5), now());
@@ -175,7 +175,7 @@
 TEST(DeferredUpstream, RefusedStreamIsNotSentToItAgainWithoutItsBackup)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto first = exchange.begin(now(), 1).send.placement;
     fixture.fleet.deferRequests(first.target, seconds(5), now());
     auto step = exchange.backupRefused(now(), 1);
--- a/tests/DescriptorScarcityTest.cpp
+++ b/tests/DescriptorScarcityTest.cpp
@@ -36,7 +36,7 @@
     fakes::FleetFixture fixture;
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
     CHECK_TRUE(exchange.attemptNotStarted(fixture.clock.now()).kind == forward::StepKind::Wait);
     LONGS_EQUAL(0, exchange.sends());
@@ -53,7 +53,7 @@
     fakes::FleetFixture fixture;
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = exchange.begin(fixture.clock.now(), 1);
     for (int i = 0; i < 100 && (step.kind == forward::StepKind::Send || step.kind == forward::StepKind::Wait); ++i) {
         if (step.kind == forward::StepKind::Send)
@@ -72,7 +72,7 @@
 {
     fakes::FleetFixture fixture;
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
     exchange.recordActivity(fixture.clock.now());
     unsigned probes = 0;
--- a/tests/EndOfGraceTest.cpp
+++ b/tests/EndOfGraceTest.cpp
@@ -24,7 +24,7 @@
     fakes::FleetFixture fixture;
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(fixture.clock.now(), 1).kind == forward::StepKind::Send);
     CHECK_TRUE(exchange.attemptEnded(forward::AttemptOutcome::NotConnected, fixture.clock.now(), 1).kind == forward::StepKind::Wait);
     CHECK_TRUE(exchange.stopWaiting().kind == forward::StepKind::Refuse);
--- a/tests/ExchangeTest.cpp
+++ b/tests/ExchangeTest.cpp
@@ -30,7 +30,7 @@
     fixture.addUpstream("d2", "desk", "dc-b");
     fixture.update();
     for (auto outcome : { AttemptOutcome::LostBeforeResponse, AttemptOutcome::LostDuringResponse, AttemptOutcome::Malformed, AttemptOutcome::Silent }) {
-        forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         CHECK_TRUE(exchange.begin(now(), 1).kind == StepKind::Send);
         auto step = exchange.attemptEnded(outcome, now(), 1);
         CHECK_TRUE(step.kind == StepKind::Fail);
@@ -42,7 +42,7 @@
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.addUpstream("d2", "desk", "dc-b");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto first = exchange.begin(now(), 1);
     auto second = exchange.attemptEnded(AttemptOutcome::NotRun, now(), 1);
     CHECK_TRUE(second.kind == StepKind::Send);
@@ -58,7 +58,7 @@
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.addUpstream("d2", "desk", "dc-b");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     CHECK_TRUE(exchange.attemptEnded(AttemptOutcome::UpstreamError, now(), 1).kind == StepKind::Send);
     CHECK_TRUE(exchange.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1).kind == StepKind::Deliver);
@@ -71,7 +71,7 @@
         fixture.addUpstream("a-" + std::to_string(i), "engines", "dc-a");
     fixture.addUpstream("b-0", "engines", "dc-b");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = exchange.begin(now(), 1);
     unsigned sends = 0;
     while (step.kind == StepKind::Send && step.send.placement.target.dataCentre.text == "dc-a" && ++sends < 100)
@@ -83,14 +83,14 @@
 TEST(Exchange, DataCentreWhoseUpstreamsFailTogetherIsAvoided)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     for (const auto& instance : fixture.instances) {
         if (instance.id.text == "dc-b-0" || instance.id.text == "dc-b-1")
             fixture.fleet.suspect(instance, fleet::SuspicionCause::ConnectionLost, now());
     }
     for (uint64_t random = 0; random < 40; ++random) {
-        forward::Exchange other(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange other(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         auto step = other.begin(now(), random);
         CHECK_TRUE(step.kind == StepKind::Send);
         CHECK_TRUE(step.send.placement.target.dataCentre.text != "dc-b");
@@ -101,7 +101,7 @@
 TEST(Exchange, StreamResumesAtItsBackupEvenIfListedUnderANewId)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto first = exchange.begin(now(), 1);
     exchange.recordEvent(1, now());
     auto address = first.send.placement.backup->address;
@@ -120,7 +120,7 @@
 TEST(Exchange, UpstreamIsProbedOnceDuringASuspectedOutage)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto target = exchange.begin(now(), 1).send.placement.target;
     unsigned probes = 0;
     for (int i = 0; i < 100; ++i) {
@@ -144,7 +144,7 @@
     fixture.addUpstream("new", "engines", "dc-a", 2, "127.0.0.1:9000");
     fixture.update();
     for (uint64_t random = 0; random < 10; ++random) {
-        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         auto step = exchange.begin(now(), random);
         STRCMP_EQUAL("new", step.send.placement.target.id.text.c_str());
     }
@@ -153,7 +153,7 @@
 TEST(Exchange, SilentStreamIsProbedAndMovedOnlyIfItsUpstreamIsUnreachable)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordEvent(1, now());
     fixture.advance(milliseconds(300));
@@ -172,14 +172,14 @@
     fixture.addEngines();
     auto request = fixture.makeRequest("/stream/x");
     request.priority = 1;
-    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     auto urgencyOfNewStream = exchange.urgency();
     exchange.recordEvent(5, now());
     exchange.attemptEnded(AttemptOutcome::LostDuringResponse, now(), 2);
     CHECK_TRUE(exchange.urgency() < urgencyOfNewStream);
     request.priority = 0;
-    forward::Exchange urgent(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange urgent(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(urgent.urgency() < exchange.urgency());
 }
 
@@ -188,7 +188,7 @@
     // Replays engines that go dark during a flood: the probe of a suspected data centre fails before the connection
     // attempt times out. Three such attempts counted as runs, and the client was told that its request may have run.
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = exchange.begin(now(), 1);
     for (unsigned i = 0; i < 6; ++i) {
         CHECK_TRUE(step.kind == StepKind::Send);
@@ -207,7 +207,7 @@
 TEST(Exchange, StreamBeforeItsFirstEventIsProbedAtOnceWhenItsDataCentreFails)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto target = exchange.begin(now(), 1).send.placement.target;
     fixture.advance(milliseconds(300));
     CHECK_TRUE(exchange.tick(now(), 1).kind == StepKind::Wait);
@@ -221,7 +221,7 @@
 TEST(Exchange, BackupIsNotUsedBeforeTheFirstEvent)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     auto step = exchange.attemptEnded(AttemptOutcome::LostBeforeResponse, now(), 1);
     CHECK_TRUE(step.kind == StepKind::Send);
@@ -232,7 +232,7 @@
 {
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/book/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = exchange.begin(now(), 1);
     CHECK_TRUE(step.send.timeout <= milliseconds(1200));
     fixture.advance(milliseconds(1199));
@@ -245,8 +245,8 @@
 {
     fixture.addEngines();
     {
-        forward::Exchange first(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
-        forward::Exchange second(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange first(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+        forward::Exchange second(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         first.begin(now(), 1);
         second.begin(now(), 2);
         first.recordEvent(1, now());
--- a/tests/LeavingUpstreamTest.cpp
+++ b/tests/LeavingUpstreamTest.cpp
@@ -147,7 +147,7 @@
 {
     addTwoEngines();
     fixture.fleet.recordLeaving(fixture.instances[1], now());
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto step = exchange.begin(now(), 1);
     CHECK_TRUE(step.kind == StepKind::Refuse && step.code == base::ResultCode::NoUpstream);
     CHECK_TRUE(step.retryAfter > base::Duration {});
@@ -157,7 +157,7 @@
 TEST(LeavingUpstream, RefusedStreamIsNotSentToItAgainWithoutItsBackup)
 {
     fixture.addEngines();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     auto first = exchange.begin(now(), 1).send.placement;
     CHECK_TRUE(first.backup.has_value());
     fixture.fleet.recordLeaving(first.target, now());
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -123,3 +123,36 @@
     CHECK_TRUE(readReply.quarantined.back().trials == 0 && !readReply.quarantined.back().lastTrialAt);
     CHECK_TRUE(readReply.clearances.front().progressAt == now - milliseconds(1));
 }
+
+TEST(PeerMessage, QuestionsAboutStreamsSurviveTheCodec)
+{
+    base::Instant now(std::chrono::seconds(100));
+    sync::NodeRecord from { { "n" }, { "dc" }, "127.0.0.1:1" };
+    auto query = replication::parseMessage(replication::formatMessage(replication::OriginQuery { from, { { "a1" }, { "a2" } } }, now), now);
+    CHECK_TRUE(query.has_value());
+    CHECK_TRUE(std::get<replication::OriginQuery>(*query).from == from);
+    LONGS_EQUAL(2, std::get<replication::OriginQuery>(*query).attempts.size());
+    std::vector<origin::StreamRecord> streams { { { "a1" }, { { "s" }, { "v1" } } } };
+    auto reply = replication::parseMessage(replication::formatMessage(replication::OriginReply { from, streams }, now), now);
+    CHECK_TRUE(reply.has_value());
+    CHECK_TRUE(std::get<replication::OriginReply>(*reply).streams == streams);
+}
+
+// A node of the release before lists upstreams without their software version.
+TEST(PeerMessage, SoftwareVersionOfAnUpstreamSurvivesTheCodecAndMayBeMissing)
+{
+    base::Instant now(std::chrono::seconds(100));
+    replication::StateReply reply;
+    reply.from = { { "n" }, { "dc" }, "127.0.0.1:1" };
+    reply.list.emplace();
+    reply.list->upstreams.push_back({ { "e1" }, { "s" }, "127.0.0.1:2", { "dc" }, 1, 6, false, { "v1" } });
+    auto bytes = replication::formatMessage(reply, now);
+    STRCMP_EQUAL("v1", std::get<replication::StateReply>(*replication::parseMessage(bytes, now)).list->upstreams.front().version.text.c_str());
+    static constexpr size_t listField = 9;
+    auto older = nlohmann::json::from_cbor(bytes);
+    auto& upstream = older[listField][0];
+    upstream.erase(upstream.size() - 1);
+    std::string olderBytes;
+    nlohmann::json::to_cbor(older, olderBytes);
+    CHECK_TRUE(std::get<replication::StateReply>(*replication::parseMessage(olderBytes, now)).list->upstreams.front().version.empty());
+}
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -211,3 +211,25 @@
     // The own list of a3 is too old to rule out an outage of the store, so a3 adopts the grace period.
     CHECK_TRUE(a3.fleet.takesWork(removed, cluster.now));
 }
+
+// Clients take streams up at any node, also after their connection alone broke.
+TEST(PeerSync, NodeOfAnotherDataCentreTellsWhereAStreamBegan)
+{
+    FakePeerCluster cluster;
+    auto& asking = cluster.add("a1", "dc-a");
+    cluster.add("b1", "dc-b");
+    auto& knowing = cluster.add("b2", "dc-b");
+    cluster.shareNodeList();
+    for (const auto& node : cluster.nodes) {
+        node->fleet.recordVersion({ "engines" }, { "v1" }, cluster.now);
+        node->fleet.recordVersion({ "engines" }, { "v2" }, cluster.now);
+    }
+    cluster.run(std::chrono::seconds(1));
+    knowing.origins.recordSent({ "s1" }, { { "engines" }, { "v2" } }, cluster.now);
+    auto resolution = asking.origins.resolve({ "s1" }, { "engines" }, cluster.now);
+    CHECK_TRUE(resolution.kind == origin::ResolutionKind::Pending);
+    cluster.run(std::chrono::milliseconds(500));
+    resolution = asking.origins.resolve({ "s1" }, { "engines" }, cluster.now);
+    CHECK_TRUE(resolution.kind == origin::ResolutionKind::Known);
+    STRCMP_EQUAL("v2", resolution.origin.version.text.c_str());
+}
--- a/tests/PlacementQueueTest.cpp
+++ b/tests/PlacementQueueTest.cpp
@@ -107,7 +107,7 @@
     unsigned placed = 0;
     unsigned backups = 0;
     for (uint64_t i = 0; i < 200; ++i) {
-        exchanges.push_back(std::make_unique<forward::Exchange>(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy));
+        exchanges.push_back(std::make_unique<forward::Exchange>(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy));
         auto step = exchanges.back()->begin(fixture.clock.now(), i * 7919);
         if (step.kind != forward::StepKind::Send)
             continue;
@@ -190,6 +190,6 @@
         flood.arrive(Rank::Standard);
     auto resumed = flood.fixture.makeRequest("/stream/x");
     resumed.lastEventId = 12;
-    forward::Exchange exchange(resumed, flood.fixture.fleet, flood.fixture.queue, flood.fixture.crashes, flood.fixture.exchangePolicy);
+    forward::Exchange exchange(resumed, flood.fixture.fleet, flood.fixture.queue, flood.fixture.crashes, flood.fixture.origins, flood.fixture.exchangePolicy);
     CHECK_TRUE(exchange.begin(flood.now(), 1).kind == forward::StepKind::Send);
 }
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/BootSettings.h"
 #include "platform/NodeCodec.h"
+#include "platform/OriginCodec.h"
 #include "platform/PlatformHeaderCodec.h"
 #include "platform/UpstreamCodec.h"
 
@@ -107,6 +108,34 @@
     CHECK_TRUE(page.nodes.at(0) == node);
 }
 
+static std::string originPage(const std::string& items)
+{
+    return R"({"items":[)" + items + R"(],"hasMore":false,"at":9})";
+}
+
+TEST(PlatformCodec, FormattedOriginsAreParsedAndInvalidOnesSkipped)
+{
+    origin::NodeRecords records { { "n" }, 7, { { { "a1" }, { { "s" }, { "v1" } } }, { { "a2" }, { { "s" }, { "v1" } } }, { { "a3" }, { { "s" }, { "v2" } } } } };
+    origin::VersionStatement statement { 8, 3, { { { "one" }, base::SoftwareVersion { "v1" } }, { { "several" }, std::nullopt } } };
+    origin::StoredOrigins read;
+    auto next = platform::parseOriginPage(originPage(platform::formatRecords(records) + R"(,{"spec":4},{"metadata":{"name":"node.x"}},[],)" + platform::formatStatement(statement)), read);
+    CHECK_TRUE(next.has_value() && next.value().empty());
+    LONGS_EQUAL(1, read.nodes.size());
+    CHECK_TRUE(read.nodes.front().node == records.node && read.nodes.front().revision == 7 && read.nodes.front().streams == records.streams);
+    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.versions == statement.versions);
+    CHECK_TRUE(platform::parseRevision(platform::formatRecords(records)).value() == 7);
+    CHECK_FALSE(platform::parseRevision("{}").has_value());
+    CHECK_FALSE(platform::parseOriginPage("[]", read).has_value());
+}
+
+// One that cannot be read must not look like a service with one version.
+TEST(PlatformCodec, StatementThatCannotBeReadStandsForSeveralVersions)
+{
+    origin::StoredOrigins read;
+    CHECK_TRUE(platform::parseOriginPage(originPage(R"({"metadata":{"name":"versions","revision":4},"spec":{"era":1,"versions":{"s":7}}})"), read).has_value());
+    CHECK_FALSE(read.statement.versions.at({ "s" }).has_value());
+}
+
 TEST(PlatformCodec, HugeTimesAreBounded)
 {
     // Found by the fuzzer: the conversion to the duration type overflowed.
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -45,7 +45,7 @@
 TEST(SilentUpstream, StalledStreamIsKeptWhenTheRetryBudgetIsUsedUp)
 {
     fixture.addEngines();
-    forward::Exchange exchange(requestWithoutRetries("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(requestWithoutRetries("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordHeadersSent();
     exchange.recordEvent(1, now());
@@ -60,7 +60,7 @@
 TEST(SilentUpstream, StreamIsKeptAfterAFailedProbeWhenTheRetryBudgetIsUsedUp)
 {
     fixture.addEngines();
-    forward::Exchange exchange(requestWithoutRetries("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(requestWithoutRetries("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordHeadersSent();
     exchange.recordEvent(1, now());
@@ -75,7 +75,7 @@
     fixture.addUpstream("e1", "engines", "dc-a");
     fixture.update();
     for (bool isReachable : { false, true }) {
-        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         exchange.begin(now(), 1);
         exchange.recordEvent(1, now());
         CHECK_TRUE(runFor(exchange, seconds(10), isReachable) == StepKind::Wait);
@@ -88,14 +88,14 @@
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
     {
-        forward::Exchange alone(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange alone(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         alone.begin(now(), 1);
         CHECK_TRUE(runFor(alone, milliseconds(1100), true) == StepKind::Wait);
         CHECK_TRUE(alone.placement().has_value());
     }
     fixture.addUpstream("d2", "desk", "dc-b");
     fixture.update();
-    forward::Exchange spent(requestWithoutRetries("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange spent(requestWithoutRetries("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     spent.begin(now(), 1);
     CHECK_TRUE(runFor(spent, milliseconds(1100), true) == StepKind::Wait);
     CHECK_TRUE(spent.placement().has_value());
@@ -105,7 +105,7 @@
 {
     fixture.addUpstream("e1", "engines", "dc-a");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     // Fails a probe before the first event.
     CHECK_TRUE(runFor(exchange, fixture.exchangePolicy.probeInterval + tickInterval * 2, false) == StepKind::Wait);
@@ -122,7 +122,7 @@
     request.retries.ratio = 0;
     request.retries.slack = 1;
     fixture.fleet.setNodeCount(1);
-    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordEvent(1, now());
     CHECK_TRUE(runFor(exchange, seconds(5), true) == StepKind::Wait);
--- a/tests/SoftwareVersionTest.cpp
+++ b/tests/SoftwareVersionTest.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace redwingseam;
+using fakes::FleetFixture;
 using fakes::GatewayFixture;
 using fakes::ScriptedResponse;
 using fakes::ScriptedUpstream;
@@ -25,6 +26,15 @@
     return "GET /stream/x HTTP/1.1\r\nHost: h\r\nRedwingseam-Attempt-Id: a2\r\nRedwingseam-Deadline-Ms: 25000\r\nRedwingseam-Key: key\r\nConnection: close\r\nLast-Event-Id: " + std::to_string(lastEvent) + "\r\nResumes: " + begunBy + "\r\n\r\n";
 }
 
+static forward::ExchangeRequest takenUp(const FleetFixture& fixture, const std::string& begunBy)
+{
+    auto request = fixture.makeRequest("/stream/x");
+    request.attempt.text = "a2";
+    request.resumedAttempt.text = begunBy;
+    request.lastEventId = 1;
+    return request;
+}
+
 TEST_GROUP(SoftwareVersion) {};
 
 // The version of the upstreams in the client's own data centre is another one, and they are idle.
@@ -66,3 +76,116 @@
         LONGS_EQUAL(1, same.requests().size());
     }
 }
+
+// Waiting doesn't bring the version back, and its client may ask anew.
+TEST(SoftwareVersion, TakeUpIsRefusedAtOnceIfItsVersionHasLeft)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e2", "engines", "dc-a", 1, {}, "v2");
+    fixture.update();
+    fixture.origins.recordSent({ "a1" }, { { "engines" }, { "v1" } }, fixture.clock.now());
+    fixture.instances.erase(fixture.instances.begin());
+    fixture.update();
+    forward::Exchange exchange(takenUp(fixture, "a1"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    auto step = exchange.begin(fixture.clock.now(), 0);
+    CHECK_TRUE(step.kind == forward::StepKind::Refuse);
+    CHECK_TRUE(step.code == base::ResultCode::SoftwareVersionGone);
+}
+
+// A draining upstream takes no new work, so it doesn't serve its version.
+TEST(SoftwareVersion, UpstreamsThatLeaveDoNotServeTheirVersion)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e2", "engines", "dc-a", 1, {}, "v2");
+    fixture.instances.front().isDraining = true;
+    fixture.update();
+    fixture.origins.recordSent({ "a1" }, { { "engines" }, { "v1" } }, fixture.clock.now());
+    forward::Exchange exchange(takenUp(fixture, "a1"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    CHECK_TRUE(exchange.begin(fixture.clock.now(), 0).code == base::ResultCode::SoftwareVersionGone);
+}
+
+TEST(SoftwareVersion, StreamEndsAtOnceIfItsVersionHasLeftInTheMiddle)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.update();
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    CHECK_TRUE(exchange.begin(fixture.clock.now(), 0).kind == forward::StepKind::Send);
+    exchange.recordHeadersSent();
+    exchange.recordEvent(1, fixture.clock.now());
+    fixture.instances.front().version.text = "v2";
+    fixture.instances.front().id.text = "e2";
+    fixture.update();
+    auto step = exchange.attemptEnded(forward::AttemptOutcome::LostDuringResponse, fixture.clock.now(), 0);
+    CHECK_TRUE(step.kind == forward::StepKind::Fail);
+    CHECK_TRUE(step.code == base::ResultCode::StreamLost);
+}
+
+TEST(SoftwareVersion, BackupIsKeptAtTheVersionOfTheRun)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    for (int i = 0; i < 8; ++i)
+        fixture.addUpstream("o" + std::to_string(i), "engines", "dc-b", 1, {}, "v2");
+    fixture.addUpstream("e2", "engines", "dc-c", 1, {}, "v1");
+    fixture.update();
+    for (uint64_t random = 1; random < 64; ++random) {
+        forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+        auto step = exchange.begin(fixture.clock.now(), random << 20);
+        CHECK_TRUE(step.kind == forward::StepKind::Send);
+        CHECK_TRUE(step.send.placement.backup.has_value());
+        STRCMP_EQUAL(step.send.placement.target.version.text.c_str(), step.send.placement.backup->version.text.c_str());
+    }
+}
+
+// The route has two services, and the client's new attempt must not meet the other one.
+TEST(SoftwareVersion, TakenUpStreamGoesToTheServiceThatBeganIt)
+{
+    FleetFixture fixture;
+    auto manifest = FleetFixture::makeManifest();
+    manifest.services.push_back({ { "others" }, 370, manifest.services.front().engine });
+    manifest.routes.front().services.push_back({ { "others" }, 9 });
+    fixture.index = std::make_shared<const manifest::ManifestIndex>(manifest);
+    fixture.addUpstream("e1", "engines", "dc-b", 1, {}, "v1");
+    fixture.addUpstream("o1", "others", "dc-a", 1, {}, "v1");
+    fixture.update();
+    fixture.origins.recordSent({ "a1" }, { { "engines" }, { "v1" } }, fixture.clock.now());
+    auto request = takenUp(fixture, "a1");
+    request.service.text = "others";
+    forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    auto step = exchange.begin(fixture.clock.now(), 0);
+    CHECK_TRUE(step.kind == forward::StepKind::Send);
+    STRCMP_EQUAL("e1", step.send.placement.target.id.text.c_str());
+}
+
+// The list named the upstream's earlier incarnation when the request was sent.
+TEST(SoftwareVersion, EventsOfAnUpstreamThatStartedAgainAtAnotherVersionAreNotForwarded)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.update();
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    exchange.begin(fixture.clock.now(), 0);
+    CHECK_TRUE(exchange.isUpstreamCurrent());
+    fixture.instances.front().incarnation = 2;
+    fixture.instances.front().version.text = "v2";
+    fixture.update();
+    CHECK_FALSE(exchange.isUpstreamCurrent());
+}
+
+TEST(SoftwareVersion, TakeUpWaitsWhileTheStoreIsAsked)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e2", "engines", "dc-a", 1, {}, "v2");
+    fixture.update();
+    forward::Exchange exchange(takenUp(fixture, "a1"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    CHECK_TRUE(exchange.begin(fixture.clock.now(), 0).kind == forward::StepKind::Wait);
+    fixture.advance(std::chrono::milliseconds(100));
+    fixture.origins.lookups().answerFromStore({ { { "a1" }, { { "engines" }, { "v2" } } } }, fixture.clock.now());
+    auto step = exchange.tick(fixture.clock.now(), 0);
+    CHECK_TRUE(step.kind == forward::StepKind::Send);
+    STRCMP_EQUAL("e2", step.send.placement.target.id.text.c_str());
+}
--- a/tests/StreamProgressTest.cpp
+++ b/tests/StreamProgressTest.cpp
@@ -39,7 +39,7 @@
 
 TEST(StreamProgress, StreamWithAnEventJustInsideItsGapObjectiveIsNeverCut)
 {
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     uint64_t id = 1;
     exchange.recordEvent(id, now());
@@ -56,7 +56,7 @@
 
 TEST(StreamProgress, BytesWithoutAnEventDoNotKeepAStreamAlive)
 {
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordEvent(1, now());
     auto began = now();
@@ -68,7 +68,7 @@
 
 TEST(StreamProgress, FirstEventThatIsNeverCompletedDoesNotKeepAStreamAlive)
 {
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     fixture.advance(milliseconds(900));
     auto began = now();
@@ -82,7 +82,7 @@
 
 TEST(StreamProgress, LongPrefillIsNotCutBeforeTheFirstByte)
 {
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     CHECK_TRUE(runFor(exchange, std::chrono::seconds(20), [] {}) == StepKind::Wait);
 }
@@ -92,7 +92,7 @@
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.addUpstream("d2", "desk", "dc-b");
     fixture.update();
-    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/read/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     auto began = now();
     auto step = runFor(exchange, milliseconds(1100), [&] { exchange.recordActivity(now()); });
@@ -103,7 +103,7 @@
 
 TEST(StreamProgress, TimeInWhichTheProcessWasPausedIsNotSilence)
 {
-    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     exchange.begin(now(), 1);
     exchange.recordEvent(1, now());
     fixture.advance(milliseconds(100));
--- a/tests/UnsentTrialTest.cpp
+++ b/tests/UnsentTrialTest.cpp
@@ -31,14 +31,14 @@
     CHECK_TRUE(fixture.crashes.parts.isQuarantined(parts));
     fixture.advance(seconds(20));
     {
-        forward::Exchange unsent(request(), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        forward::Exchange unsent(request(), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         CHECK_TRUE(unsent.begin(now(), 1).kind == StepKind::Wait);
         CHECK_TRUE(unsent.stopWaiting().kind == StepKind::Refuse);
     }
     fixture.addUpstream("d1", "desk", "dc-a");
     fixture.update();
     fixture.advance(milliseconds(100));
-    forward::Exchange next(request(), fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange next(request(), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(next.begin(now(), 1).kind == StepKind::Send);
 }
 
@@ -56,7 +56,7 @@
     auto quarantined = request();
     quarantined.promptParts.clear();
     quarantined.fingerprint = fingerprint;
-    forward::Exchange trial(quarantined, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+    forward::Exchange trial(quarantined, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
     CHECK_TRUE(trial.begin(now(), 1).kind == StepKind::Send);
     CHECK_TRUE(trial.attemptNotStarted(now()).kind == StepKind::Wait);
     fixture.advance(milliseconds(20));
--- a/tests/fakes/DeadlyPartRun.h
+++ b/tests/fakes/DeadlyPartRun.h
@@ -54,7 +54,7 @@
         request.fingerprint.value = 1000 + m_nextFingerprint++;
         request.arrivedAt = cluster.now;
         auto& peer = *cluster.nodes[node];
-        forward::Exchange exchange(request, peer.fleet, m_queue, peer.crashes, m_policy);
+        forward::Exchange exchange(request, peer.fleet, m_queue, peer.crashes, peer.origins, m_policy);
         Result result;
         auto step = exchange.begin(cluster.now, m_nextFingerprint);
         while (step.kind == forward::StepKind::Send) {
--- a/tests/fakes/ExchangeRun.h
+++ b/tests/fakes/ExchangeRun.h
@@ -94,7 +94,7 @@
         request.clientTimeout = std::chrono::milliseconds(500 * (1 + detail % 40));
         auto& added = m_cases.emplace_back();
         added.deadline = request.arrivedAt + std::min(request.clientTimeout, request.route->timeout);
-        added.exchange = std::make_unique<forward::Exchange>(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        added.exchange = std::make_unique<forward::Exchange>(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         ++m_begun;
         execute(added, added.exchange->begin(now(), m_random++));
         removeEnded();
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -14,11 +14,14 @@
     fleet::Fleet fleet { { "dc-a" } };
     forward::PlacementQueue queue;
     forward::CrashEvidence crashes;
+    origin::StreamOrigins origins { fleet };
     forward::ExchangePolicy exchangePolicy;
     std::vector<fleet::UpstreamInstance> instances;
     mutable uint64_t requestCount = 0;
     std::shared_ptr<const manifest::ManifestIndex> index = std::make_shared<const manifest::ManifestIndex>(makeManifest());
 
+    FleetFixture() { origins.setHistoryKnown(); }
+
     static manifest::Manifest makeManifest()
     {
         using std::chrono::milliseconds;
@@ -33,10 +36,10 @@
         return manifest;
     }
 
-    void addUpstream(const std::string& id, const std::string& service, const std::string& dataCentre, uint64_t incarnation = 1, const std::string& address = {})
+    void addUpstream(const std::string& id, const std::string& service, const std::string& dataCentre, uint64_t incarnation = 1, const std::string& address = {}, const std::string& version = {})
     {
         auto port = std::to_string(8000 + instances.size());
-        instances.push_back({ { id }, { service }, address.empty() ? "127.0.0.1:" + port : address, { dataCentre }, incarnation, 6, false });
+        instances.push_back({ { id }, { service }, address.empty() ? "127.0.0.1:" + port : address, { dataCentre }, incarnation, 6, false, { version } });
     }
 
     void update(base::Duration grace = {}) { fleet.update(instances, clock.now(), grace); }
--- a/tests/fakes/FloodRun.h
+++ b/tests/fakes/FloodRun.h
@@ -54,7 +54,7 @@
         request.rank = rank;
         request.client.text = client;
         auto& added = requests.emplace_back();
-        added.exchange = std::make_unique<forward::Exchange>(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.exchangePolicy);
+        added.exchange = std::make_unique<forward::Exchange>(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
         added.arrivedAt = now();
         added.rank = rank;
         added.client = client;
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -20,6 +20,7 @@
         : state(settings())
         , m_workers(state)
     {
+        state.origins.setHistoryKnown();
         state.manifest.update(FleetFixture::makeManifest(), {}, base::BootClock {}.now());
         base::FileDescriptor listener = gateway::listenOn({ "127.0.0.1", 0 });
         sockaddr_in address {};
--- /dev/null
+++ b/tests/fakes/OriginNode.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "fakes/FakeOriginStore.h"
+#include "fakes/FleetFixture.h"
+#include "sync/OriginsTask.h"
+
+namespace redwingseam::fakes {
+
+// A gateway node in virtual time, as far as it keeps where streams began. A new one stands for a node that starts again.
+struct OriginNode {
+    // Returns the time of a fixture's clock.
+    struct Clock {
+        const FakeClock* clock = nullptr;
+        base::Instant now() const { return clock->now(); }
+    };
+
+    static constexpr base::Duration pollInterval = std::chrono::milliseconds(100);
+
+    OriginNode(FakeOriginStore& store, const std::string& name, base::Instant startedAt = base::Instant(std::chrono::seconds(1000)))
+        : origins(fleet)
+        , task(store, manifest, fleet, origins, role, era, { name }, Clock { &clock })
+    {
+        clock.moveTo(startedAt);
+        manifest.update(FleetFixture::makeManifest(), {}, clock.now());
+        role.setLeader(false);
+    }
+
+    // Replaces the list of upstreams by one upstream of each version.
+    void list(const std::vector<std::string>& versions)
+    {
+        listed.clear();
+        for (const auto& version : versions)
+            listed.push_back({ { "e-" + version }, { "engines" }, "127.0.0.1:" + std::to_string(8000 + listed.size()), { "dc-a" }, 1, 6, false, { version } });
+        fleet.update(listed, clock.now(), {});
+    }
+
+    void send(const std::string& attempt, const std::string& version) { origins.recordSent({ attempt }, { { "engines" }, { version } }, clock.now()); }
+
+    // Polls, and keeps the list fresh, until `duration` has passed.
+    void run(base::Duration duration)
+    {
+        for (auto end = clock.now() + duration; clock.now() < end; clock.moveTo(clock.now() + pollInterval)) {
+            fleet.update(listed, clock.now(), {});
+            task.poll();
+        }
+    }
+
+    origin::Resolution resolve(const std::string& attempt) { return origins.resolve({ attempt }, { "engines" }, clock.now()); }
+    // Returns the final answer, and counts the time in which the store and the other nodes are asked. `askPeers` gets the
+    // questions to the other nodes.
+    template<typename AskPeers>
+    origin::Resolution resolveAtLast(const std::string& attempt, AskPeers&& askPeers)
+    {
+        auto resolution = resolve(attempt);
+        while (resolution.kind == origin::ResolutionKind::Pending) {
+            run(pollInterval);
+            askPeers(origins.lookups().takeQuestions(clock.now()));
+            resolution = resolve(attempt);
+        }
+        return resolution;
+    }
+    origin::Resolution resolveAtLast(const std::string& attempt)
+    {
+        return resolveAtLast(attempt, [](const auto&) {});
+    }
+
+    FakeClock clock;
+    fleet::Fleet fleet { { "dc-a" } };
+    origin::StreamOrigins origins;
+    manifest::ManifestHolder manifest;
+    sync::NodeRole role;
+    sync::StoreEra era;
+    std::vector<fleet::UpstreamInstance> listed;
+    sync::OriginsTask<FakeOriginStore, Clock> task;
+};
+
+} // namespace redwingseam::fakes
--- a/tests/fakes/PeerNode.h
+++ b/tests/fakes/PeerNode.h
@@ -9,7 +9,7 @@
 struct PeerNode {
     explicit PeerNode(const std::string& name, const std::string& dataCentre)
         : record { { name }, { dataCentre }, name }
-        , sync(record, fleet, crashes, manifest, upstreamCache, role, era)
+        , sync(record, fleet, crashes, origins, manifest, upstreamCache, role, era)
     {
         fleet.update(fleetList(), base::Instant(std::chrono::seconds(1)), {});
     }
@@ -32,6 +32,7 @@
     sync::NodeRecord record;
     fleet::Fleet fleet { { "dc-a" } };
     forward::CrashEvidence crashes;
+    origin::StreamOrigins origins { fleet };
     manifest::ManifestHolder manifest;
     sync::UpstreamListCache upstreamCache;
     sync::NodeRole role;
--- a/tests/fakes/RepeatedRequestRun.h
+++ b/tests/fakes/RepeatedRequestRun.h
@@ -42,7 +42,7 @@
         request.fingerprint = fingerprint;
         request.arrivedAt = cluster.now;
         auto& peer = *cluster.nodes[node];
-        forward::Exchange exchange(request, peer.fleet, m_queue, peer.crashes, m_policy);
+        forward::Exchange exchange(request, peer.fleet, m_queue, peer.crashes, peer.origins, m_policy);
         Result result;
         auto step = exchange.begin(cluster.now, ++m_random);
         while (step.kind == forward::StepKind::Send) {
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -37,16 +37,24 @@
     return { settings.upstreamRemovalBound / pollsPerBound, settings.upstreamRemovalBound / pollsPerBound };
 }
 
+sync::PollSchedule GatewayProcess::originsPollSchedule()
+{
+    // A poll without news makes no call. A stream is recorded before its prompt has been read.
+    return { std::chrono::milliseconds(100), std::chrono::milliseconds(100) };
+}
+
 GatewayProcess::GatewayProcess(const gateway::GatewaySettings& settings)
     : m_state(settings)
-    , m_peerSync(nodeRecord(settings), m_state.fleet, m_state.crashes, m_state.manifest, m_upstreamCache, m_role, m_storeEra)
+    , m_peerSync(nodeRecord(settings), m_state.fleet, m_state.crashes, m_state.origins, m_state.manifest, m_upstreamCache, m_role, m_storeEra)
     , m_peers(m_peerSync)
     , m_manifestStore(settings.storeAddress, storeTimeout)
     , m_fleetStore(settings.storeAddress, storeTimeout)
     , m_nodesStore(settings.storeAddress, storeTimeout)
+    , m_originsStore(settings.storeAddress, storeTimeout)
     , m_manifestTask(m_manifestStore, m_state.manifest, m_role, m_storeEra, manifestBound(settings))
     , m_upstreamListTask(m_fleetStore, m_state.fleet, m_upstreamCache, m_role, m_storeEra, settings.upstreamRemovalBound)
     , m_nodesTask(m_nodesStore, m_peerSync, m_role, m_storeEra, nodeRecord(settings))
+    , m_originsTask(m_originsStore, m_state.manifest, m_state.fleet, m_state.origins, m_role, m_storeEra, settings.vmName)
     , m_readiness(m_state, std::string(platform::path::ready))
     , m_admin(m_state)
     , m_workers(m_state)
@@ -65,6 +73,7 @@
         return listenError(settings.peerAddress);
     using NodesPoller = sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>;
     using ManifestPoller = sync::StorePoller<sync::ManifestTask<platform::StoreApi>>;
+    using OriginsPoller = sync::StorePoller<sync::OriginsTask<platform::StoreApi>>;
     using UpstreamListPoller = sync::StorePoller<sync::UpstreamListTask<platform::StoreApi>>;
     m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesPollSchedule(), m_role);
     m_readinessServer = std::make_unique<http::BlockingServer<gateway::ReadinessHandler>>(m_readiness, settings.readinessAddress);
@@ -80,6 +89,7 @@
     awaitStateFromPeers();
     m_manifestPoller = std::make_unique<ManifestPoller>("manifest", m_manifestTask, manifestPollSchedule(settings), m_role);
     m_upstreamListPoller = std::make_unique<UpstreamListPoller>("fleet", m_upstreamListTask, fleetPollSchedule(settings), m_role);
+    m_originsPoller = std::make_unique<OriginsPoller>("origins", m_originsTask, originsPollSchedule(), m_role);
     awaitInitialState();
     m_acceptor = std::make_unique<gateway::Acceptor<WorkerPool>>(std::move(listener), m_workers);
     return {};
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -13,6 +13,7 @@
 #include "replication/PeerTransport.h"
 #include "sync/ManifestTask.h"
 #include "sync/NodesTask.h"
+#include "sync/OriginsTask.h"
 #include "sync/StorePoller.h"
 #include "sync/UpstreamListTask.h"
 
@@ -43,6 +44,7 @@
     static sync::NodeRecord nodeRecord(const gateway::GatewaySettings&);
     static sync::PollSchedule nodesPollSchedule();
     static sync::PollSchedule manifestPollSchedule(const gateway::GatewaySettings&);
+    static sync::PollSchedule originsPollSchedule();
     static sync::PollSchedule fleetPollSchedule(const gateway::GatewaySettings&);
     bool hasInitialState() const { return m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {}; }
     // Waits until peers have sent the manifest and the upstreams, this node is the first to ask the store, or
@@ -60,12 +62,15 @@
     platform::StoreApi m_manifestStore;
     platform::StoreApi m_fleetStore;
     platform::StoreApi m_nodesStore;
+    platform::StoreApi m_originsStore;
     sync::ManifestTask<platform::StoreApi> m_manifestTask;
     sync::UpstreamListTask<platform::StoreApi> m_upstreamListTask;
     sync::NodesTask<platform::StoreApi, PeerSync> m_nodesTask;
+    sync::OriginsTask<platform::StoreApi> m_originsTask;
     std::unique_ptr<sync::StorePoller<sync::NodesTask<platform::StoreApi, PeerSync>>> m_nodesPoller;
     std::unique_ptr<sync::StorePoller<sync::ManifestTask<platform::StoreApi>>> m_manifestPoller;
     std::unique_ptr<sync::StorePoller<sync::UpstreamListTask<platform::StoreApi>>> m_upstreamListPoller;
+    std::unique_ptr<sync::StorePoller<sync::OriginsTask<platform::StoreApi>>> m_originsPoller;
     gateway::ReadinessHandler m_readiness;
     gateway::AdminHandler m_admin;
     std::unique_ptr<http::BlockingServer<gateway::ReadinessHandler>> m_readinessServer;
