Streams are assigned to software versions by the attempts that begin them

Callers whose nodes were all killed while the store was restored from an older copy were refused when they took their streams up (LOST): the records since the copy were gone, and a stream that nobody knows is refused.

Cause: a record is the only trace of the choice, and the choice was free. Now new streams go to the version that weighted rendezvous hashing of the attempt's id gives over the numbers of upstreams, elsewhere only if no upstream of it can take them. The leader states these numbers as a history over the life of a stream. A lost record is worked out again if the history and the present list assign the stream alike; else it stays unknown.

SoftwareVersion.GatewayResumesAStreamAtTheVersionThatBeganIt now takes an attempt that is assigned to the first upstream's version, where it began by preference before; its checks are the same.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -108,6 +108,16 @@
     withPool(service, [&](UpstreamPool& pool) { pool.versions().record(version, at); });
 }
 
+VersionWeights Fleet::versionWeights(const base::ServiceName& service)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.versionWeights(); });
+}
+
+base::SoftwareVersion Fleet::assignedVersion(const base::ServiceName& service, const base::ClientAttemptId& attempt)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.versionWeights().assigned(attempt); });
+}
+
 bool Fleet::isCurrent(const UpstreamInstance& instance)
 {
     return withPool(instance.service, [&](UpstreamPool& pool) {
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -57,6 +57,10 @@
     std::vector<base::SoftwareVersion> versionsSince(const base::ServiceName&, base::Instant since);
     // Records that an upstream of the version, empty for any, may have served at `at` although no list showed it.
     void recordVersion(const base::ServiceName&, const base::SoftwareVersion&, base::Instant at);
+    // Returns how many listed upstreams of the service have each version.
+    VersionWeights versionWeights(const base::ServiceName&);
+    // Returns the version to which the list assigns a stream that the attempt begins.
+    base::SoftwareVersion assignedVersion(const base::ServiceName&, const base::ClientAttemptId&);
     // Returns whether the list still names this incarnation of the upstream, or none.
     bool isCurrent(const UpstreamInstance&);
     // Returns whether the upstream may get another request. A suspected upstream may.
--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -24,6 +24,8 @@
     std::optional<std::string> preferredAddress;
     // Only upstreams of this software version may be chosen, unless it is empty.
     base::SoftwareVersion version;
+    // Upstreams of this version are preferred to others that are not suspected, unless it is empty.
+    base::SoftwareVersion preferredVersion;
     // Whether a second upstream should keep a backup of the run's KV cache.
     bool wantsBackup = false;
     // Identifies the part of the prompt that is the request's own; the same for a repeated request.
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -14,16 +14,25 @@
     for (const auto& instance : listed) {
         if (m_index.emplace(instance.id, m_entries.size()).second)
             m_entries.push_back(PoolEntry { instance });
-        m_versions.record(instance.version, readBegan);
     }
-    if (!listed.empty())
-        m_versions.recordListing(readBegan);
+    countVersions(listed, readBegan);
     recordDraining(listed, readBegan);
     applyRefusals(readBegan);
     markSuperseded();
     countDataCentres(readBegan);
 }
 
+void UpstreamPool::countVersions(const std::vector<UpstreamInstance>& listed, base::Instant readBegan)
+{
+    m_versionWeights.counts.clear();
+    for (const auto& instance : listed) {
+        m_versions.record(instance.version, readBegan);
+        m_versionWeights.counts[instance.version] += !instance.isDraining;
+    }
+    if (!listed.empty())
+        m_versions.recordListing(readBegan);
+}
+
 void UpstreamPool::removeUnlisted(base::Instant readBegan)
 {
     std::erase_if(m_entries, [&](const PoolEntry& entry) {
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -9,6 +9,7 @@
 #include "fleet/RetryBudget.h"
 #include "fleet/SuspicionReport.h"
 #include "fleet/VersionHistory.h"
+#include "fleet/VersionWeights.h"
 #include "fleet/WorkRefusals.h"
 
 #include <unordered_map>
@@ -46,6 +47,8 @@
     // Returns whether an upstream of the version is eligible.
     bool serves(const base::SoftwareVersion&, base::Instant now) const;
     VersionHistory& versions() { return m_versions; }
+    // Returns the numbers of listed upstreams that are not draining, the same on each node with the same list.
+    const VersionWeights& versionWeights() const { return m_versionWeights; }
     // Returns whether there are upstreams and all of them are leaving.
     bool areAllLeaving(base::Instant now) const;
     void setPeerLoads(const LoadMap&);
@@ -73,6 +76,9 @@
     void markSuperseded();
     void countDataCentres(base::Instant now);
     PoolEntry* chooseTarget(const PlacementQuery&, const base::DataCentreName& localDataCentre);
+    // Chooses among the upstreams that are not suspected, and have room if the query requires it.
+    PoolEntry* chooseUsable(const PlacementQuery&, const base::DataCentreName& localDataCentre);
+    void countVersions(const std::vector<UpstreamInstance>& listed, base::Instant readBegan);
     PoolEntry* chooseBackup(const PlacementQuery&, const UpstreamInstance& target, const base::DataCentreName& localDataCentre);
     void releaseBackup(const Placement&);
 
@@ -82,6 +88,7 @@
     std::unordered_map<base::DataCentreName, DataCentreHealth> m_dataCentres;
     WorkRefusals m_refusals;
     VersionHistory m_versions;
+    VersionWeights m_versionWeights;
     RetryBudget m_retryBudget;
 };
 
--- a/src/fleet/UpstreamPoolSelection.cpp
+++ b/src/fleet/UpstreamPoolSelection.cpp
@@ -69,12 +69,11 @@
     return found == m_entries.end() ? nullptr : &*found;
 }
 
-PoolEntry* UpstreamPool::chooseTarget(const PlacementQuery& query, const base::DataCentreName& localDataCentre)
+PoolEntry* UpstreamPool::chooseUsable(const PlacementQuery& query, const base::DataCentreName& localDataCentre)
 {
-    if (auto* preferred = findPreferred(query))
-        return preferred;
-    auto isRequired = [&](const PoolEntry& entry) { return isCompatible(query.version, entry.instance.version); };
-    auto takesWork = [&](const PoolEntry& entry) { return entry.takesWork(query.now) && isRequired(entry) && (!query.requiresRoom || entry.hasRoom(query)); };
+    auto takesWork = [&](const PoolEntry& entry) {
+        return entry.takesWork(query.now) && isCompatible(query.version, entry.instance.version) && (!query.requiresRoom || entry.hasRoom(query));
+    };
     PlacementCost cost(query, localDataCentre);
     PromptAffinity affinity(query, m_entries, localDataCentre);
     auto isSampled = [&](const PoolEntry& entry) {
@@ -83,16 +82,26 @@
     if (auto* best = chooseCheapest(query, affinity, localDataCentre, isSampled))
         return best;
     // Nodes that know the same few upstreams with room must not all choose the cheapest.
-    if (query.requiresRoom) {
-        if (auto* any = chooseAny(query, takesWork))
-            return any;
-    } else if (auto* best = chooseCheapest(query, affinity, localDataCentre, takesWork)) {
-        return best;
+    return query.requiresRoom ? chooseAny(query, takesWork) : chooseCheapest(query, affinity, localDataCentre, takesWork);
+}
+
+PoolEntry* UpstreamPool::chooseTarget(const PlacementQuery& query, const base::DataCentreName& localDataCentre)
+{
+    if (auto* preferred = findPreferred(query))
+        return preferred;
+    if (query.version.empty() && !query.preferredVersion.empty()) {
+        auto narrowed = query;
+        narrowed.version = query.preferredVersion;
+        if (auto* best = chooseUsable(narrowed, localDataCentre))
+            return best;
     }
+    if (auto* best = chooseUsable(query, localDataCentre))
+        return best;
     if (query.requiresRoom && isFull(query))
         return nullptr;
     // A suspected upstream may have recovered; trying it costs at most one connection attempt.
-    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.acceptsRequests(query.now) && isRequired(entry); });
+    PromptAffinity affinity(query, m_entries, localDataCentre);
+    return chooseCheapest(query, affinity, localDataCentre, [&](const PoolEntry& entry) { return entry.acceptsRequests(query.now) && isCompatible(query.version, entry.instance.version); });
 }
 
 PoolEntry* UpstreamPool::chooseBackup(const PlacementQuery& query, const UpstreamInstance& target, const base::DataCentreName& localDataCentre)
--- a/src/origin/OriginSource.h
+++ b/src/origin/OriginSource.h
@@ -12,6 +12,8 @@
     Memory,
     // The service has had no other version for as long as a stream lives.
     OnlyVersion,
+    // Records may be lost, and the numbers of upstreams before and now assign the stream to the same version.
+    Assignment,
     Peer,
     Store,
 };
@@ -24,6 +26,7 @@
     static constexpr std::array entries {
         std::pair { OriginSource::Memory, std::string_view { "memory" } },
         std::pair { OriginSource::OnlyVersion, std::string_view { "only-version" } },
+        std::pair { OriginSource::Assignment, std::string_view { "assignment" } },
         std::pair { OriginSource::Peer, std::string_view { "peer" } },
         std::pair { OriginSource::Store, std::string_view { "store" } },
     };
--- a/src/origin/StreamOrigins.cpp
+++ b/src/origin/StreamOrigins.cpp
@@ -3,6 +3,7 @@
 #include "log/LogLine.h"
 
 #include <glog/logging.h>
+#include <mutex>
 
 namespace redwingseam::origin {
 
@@ -42,22 +43,40 @@
     auto lookup = m_lookups.use(attempt, now);
     if (lookup.answer)
         return conclude(attempt, lookup, *lookup.answer, lookup.source, now);
-    if (lookup.isExhausted(now))
-        return concludeUnknown(attempt, lookup.beganAt, now);
-    if (now - lookup.beganAt < maxWait)
+    if (!lookup.isExhausted(now) && now - lookup.beganAt < maxWait)
         return { ResolutionKind::Pending };
-    // Nobody answers. The list alone shows no version that has left.
+    return concludeUnanswered(attempt, lookup, service, now);
+}
+
+Resolution StreamOrigins::concludeUnanswered(const base::ClientAttemptId& attempt, const Lookup& lookup, const base::ServiceName& service, base::Instant now)
+{
+    WeightHistory stated;
+    {
+        std::lock_guard guard(m_statedMutex);
+        if (auto found = m_stated.find(service); found != m_stated.end())
+            stated = found->second;
+    }
+    auto assigned = m_fleet.assignedVersion(service, attempt);
+    if (!assigned.empty() && assigned == stated.assigned(attempt))
+        return conclude(attempt, lookup, { service, assigned }, OriginSource::Assignment, now);
+    // The store was never read. The list alone shows no version that has left.
     auto listed = m_fleet.versionsSince(service, now);
-    if (listed.size() != 1)
-        return concludeUnknown(attempt, lookup.beganAt, now);
-    return conclude(attempt, lookup, { service, listed.front() }, OriginSource::OnlyVersion, now);
+    if (!m_isHistoryKnown && listed.size() == 1)
+        return conclude(attempt, lookup, { service, listed.front() }, OriginSource::OnlyVersion, now);
+    return concludeUnknown(attempt, lookup.beganAt, now);
+}
+
+void StreamOrigins::setStated(const std::map<base::ServiceName, WeightHistory>& stated)
+{
+    std::lock_guard guard(m_statedMutex);
+    m_stated = stated;
 }
 
 Resolution StreamOrigins::conclude(const base::ClientAttemptId& attempt, const Lookup& lookup, const StreamOrigin& origin, OriginSource source, base::Instant now)
 {
     m_lookups.end(attempt);
-    // What follows from the list alone is no knowledge to pass on.
-    if (source != OriginSource::OnlyVersion)
+    // What is only inferred is no knowledge to pass on.
+    if (source == OriginSource::Store || source == OriginSource::Peer)
         m_records.learn({ attempt, origin }, false, now);
     LOG(INFO) << log::LogLine("stream_origin").with("stream", attempt.text).with("service", origin.service.text).with("version", origin.version.text).with("from", base::nameOf(source)).with("waited_ms", millisOf(now - lookup.beganAt)).text();
     return { ResolutionKind::Known, origin };
--- a/src/origin/VersionStatement.h
+++ b/src/origin/VersionStatement.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "origin/WeightHistory.h"
 #include "redwingseam/base/Ids.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 
 namespace redwingseam::origin {
 
@@ -14,8 +14,8 @@
     uint64_t revision = 0;
     // The era of the store in which it was written.
     uint64_t era = 0;
-    // The only version of the service, or nothing if there are several, so that each stream has a record.
-    std::map<base::ServiceName, std::optional<base::SoftwareVersion>> versions;
+    // A service with several versions has a record of each stream. The empty version stands for others that are not known.
+    std::map<base::ServiceName, WeightHistory> services;
 };
 
 } // namespace redwingseam::origin
--- /dev/null
+++ b/src/origin/WeightHistory.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "origin/WeightEntry.h"
+
+#include <set>
+#include <vector>
+
+namespace redwingseam::origin {
+
+// The numbers of a service's upstreams by version over the time for which streams live, newest last. A plain value.
+struct WeightHistory {
+    std::vector<WeightEntry> entries;
+
+    // Records the current numbers, unless they are about the same. Returns whether the history has changed.
+    bool record(const fleet::VersionWeights&, uint64_t now);
+    // Removes what ended before `oldest`. Returns whether the history has changed.
+    bool removeOlderThan(uint64_t oldest);
+    // Returns all versions at which streams may have begun.
+    std::set<base::SoftwareVersion> versions() const;
+    // Returns the version to which all entries assign the stream, or the empty version if they differ.
+    base::SoftwareVersion assigned(const base::ClientAttemptId&) const;
+
+    bool operator==(const WeightHistory&) const = default;
+};
+
+} // namespace redwingseam::origin
--- a/src/sync/OriginsTask.h
+++ b/src/sync/OriginsTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/WallClock.h"
 #include "fleet/Fleet.h"
 #include "log/LogLine.h"
 #include "manifest/ManifestHolder.h"
@@ -11,17 +12,19 @@
 
 #include <algorithm>
 #include <glog/logging.h>
+#include <map>
 #include <optional>
+#include <set>
 
 namespace redwingseam::sync {
 
 // Records in the store where this node's streams began while their service has several software versions, and reads the
 // records of other nodes when a client takes up a stream that this node doesn't know. The leader states which services have
 // one version only, so that a node that starts knows when a stream needs no record.
-template<OriginStore Client, typename Clock = base::BootClock>
+template<OriginStore Client, typename Clock = base::BootClock, typename WallClock = base::WallClock>
 class OriginsTask {
 public:
-    OriginsTask(Client& client, const manifest::ManifestHolder& manifest, fleet::Fleet& fleet, origin::StreamOrigins& origins, const NodeRole& role, StoreEra& era, base::VmName self, Clock clock = {})
+    OriginsTask(Client& client, const manifest::ManifestHolder& manifest, fleet::Fleet& fleet, origin::StreamOrigins& origins, const NodeRole& role, StoreEra& era, base::VmName self, Clock clock = {}, WallClock wallClock = {})
         : m_store(client)
         , m_manifest(manifest)
         , m_fleet(fleet)
@@ -29,6 +32,7 @@
         , m_role(role)
         , m_era(era)
         , m_clock(std::move(clock))
+        , m_wallClock(std::move(wallClock))
         , m_records { std::move(self) }
     {
     }
@@ -40,7 +44,8 @@
         auto index = m_manifest.state().index;
         if (!index || now < m_retryAt)
             return true;
-        m_origins.setLifetime(streamLifetime(index->manifest()));
+        m_lifetime = streamLifetime(index->manifest());
+        m_origins.setLifetime(m_lifetime);
         auto error = synchronise(index->manifest(), now);
         recordResult(error, now);
         return true;
@@ -110,6 +115,9 @@
                 m_origins.records().learn(record, true, now);
         }
         m_statement = origins.statement;
+        for (auto& item : m_statement.services)
+            item.second.removeOlderThan(oldestStatedTime());
+        m_origins.setStated(m_statement.services);
         if (m_knownEra != origins.era)
             applyStatement(origins.era, now);
         m_knownEra = origins.era;
@@ -123,8 +131,9 @@
     // Versions that have left, or that a restored store no longer tells of, may have begun streams that are taken up now.
     void applyStatement(uint64_t era, base::Instant now)
     {
-        for (const auto& [service, version] : m_statement.versions) {
-            m_fleet.recordVersion(service, version.value_or(base::SoftwareVersion {}), now);
+        for (const auto& [service, stated] : m_statement.services) {
+            for (const auto& version : stated.versions())
+                m_fleet.recordVersion(service, version, now);
             auto listed = m_fleet.versionsSince(service, now);
             bool isDoubtful = m_statement.era != era && listed.size() != 1;
             if (isDoubtful)
@@ -156,8 +165,8 @@
             return {};
         auto statement = m_statement;
         statement.era = m_era.current().value_or(0);
-        statement.versions = currentVersions(manifest, now);
-        if (statement.versions.empty() || (statement.versions == m_statement.versions && statement.era == m_statement.era))
+        bool hasChanged = recordWeights(statement, manifest, now);
+        if (statement.services.empty() || (!hasChanged && statement.era == m_statement.era))
             return {};
         auto revision = m_store.writeStatement(statement);
         m_mustRead = !revision;
@@ -165,26 +174,53 @@
             return errorUnlessConflict(revision.error());
         statement.revision = revision.value();
         m_statement = std::move(statement);
-        for (const auto& [service, version] : m_statement.versions)
-            LOG(INFO) << log::LogLine("stream_versions_stated").with("service", service.text).with("version", version ? version->text : std::string("several")).text();
+        m_origins.setStated(m_statement.services);
+        logStatement();
         return {};
     }
 
-    std::map<base::ServiceName, std::optional<base::SoftwareVersion>> currentVersions(const manifest::Manifest& manifest, base::Instant now)
+    // Returns whether the numbers of upstreams, or the versions at which streams may have begun, are other than those stated.
+    bool recordWeights(origin::VersionStatement& statement, const manifest::Manifest& manifest, base::Instant now)
     {
-        std::map<base::ServiceName, std::optional<base::SoftwareVersion>> current;
-        for (const auto& route : manifest.routes) {
-            if (!hasTakeUps(route))
+        auto services = servicesWithTakeUps(manifest);
+        bool hasChanged = std::erase_if(statement.services, [&](const auto& item) { return !services.contains(item.first); }) > 0;
+        for (const auto& service : services) {
+            auto versions = m_origins.versionsOf(service, now);
+            bool hasUnknown = std::find(versions.begin(), versions.end(), base::SoftwareVersion {}) != versions.end();
+            // Upstreams that a node of an earlier release listed have no version.
+            if (versions.empty() || (hasUnknown && versions.size() == 1))
                 continue;
+            auto weights = m_fleet.versionWeights(service);
+            if (hasUnknown)
+                weights.counts.try_emplace({}, 0);
+            auto& history = statement.services[service];
+            hasChanged = history.record(weights, m_wallClock.now()) || hasChanged;
+            hasChanged = history.removeOlderThan(oldestStatedTime()) || hasChanged;
+        }
+        return hasChanged;
+    }
+
+    static std::set<base::ServiceName> servicesWithTakeUps(const manifest::Manifest& manifest)
+    {
+        std::set<base::ServiceName> services;
+        for (const auto& route : manifest.routes) {
             for (const auto& weighted : route.services) {
-                auto versions = m_origins.versionsOf(weighted.service, now);
-                if (versions.size() > 1)
-                    current[weighted.service] = std::nullopt;
-                else if (!versions.empty() && !versions.front().empty())
-                    current[weighted.service] = versions.front();
+                if (hasTakeUps(route))
+                    services.insert(weighted.service);
             }
         }
-        return current;
+        return services;
+    }
+
+    // Streams that began before, by the clocks of the nodes, are not taken up any more.
+    uint64_t oldestStatedTime() const { return m_wallClock.now() - static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_lifetime).count()); }
+
+    void logStatement() const
+    {
+        for (const auto& [service, stated] : m_statement.services) {
+            for (const auto& [version, count] : stated.entries.back().weights.counts)
+                LOG(INFO) << log::LogLine("stream_version_stated").with("service", service.text).with("version", version.text).with("upstreams", count).with("entries", stated.entries.size()).text();
+        }
     }
 
     void recordResult(const base::Error& error, base::Instant now)
@@ -205,9 +241,11 @@
     const NodeRole& m_role;
     StoreEra& m_era;
     Clock m_clock;
+    WallClock m_wallClock;
     // What this node writes, with the revision of its object in the store.
     origin::NodeRecords m_records;
     origin::VersionStatement m_statement;
+    base::Duration m_lifetime {};
     // The era in which this task last read the store, and the one in which its records and revisions hold.
     std::optional<uint64_t> m_knownEra;
     std::optional<uint64_t> m_usedEra;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -116,13 +116,16 @@
 TEST(PlatformCodec, FormattedOriginsAreParsedAndInvalidOnesSkipped)
 {
     origin::NodeRecords records { { "n" }, 7, { { { "a1" }, { { "s" }, { "v1" } } }, { { "a2" }, { { "s" }, { "v1" } } }, { { "a3" }, { { "s" }, { "v2" } } } } };
-    origin::VersionStatement statement { 8, 3, { { { "one" }, base::SoftwareVersion { "v1" } }, { { "several" }, std::nullopt } } };
+    origin::VersionStatement statement { 8, 3, {} };
+    statement.services[{ "one" }].record({ { { { "v1" }, 4 } } }, 1000);
+    statement.services[{ "several" }].record({ { { { "v1" }, 8 } } }, 1000);
+    statement.services[{ "several" }].record({ { { { "v1" }, 0 }, { { "v2" }, 7 } } }, 2000);
     origin::StoredOrigins read;
     auto next = platform::parseOriginPage(originPage(platform::formatRecords(records) + R"(,{"spec":4},{"metadata":{"name":"node.x"}},[],)" + platform::formatStatement(statement)), read);
     CHECK_TRUE(next.has_value() && next.value().empty());
     LONGS_EQUAL(1, read.nodes.size());
     CHECK_TRUE(read.nodes.front().node == records.node && read.nodes.front().revision == 7 && read.nodes.front().streams == records.streams);
-    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.versions == statement.versions);
+    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.services == statement.services);
     CHECK_TRUE(platform::parseRevision(platform::formatRecords(records)).value() == 7);
     CHECK_FALSE(platform::parseRevision("{}").has_value());
     CHECK_FALSE(platform::parseOriginPage("[]", read).has_value());
@@ -132,8 +135,8 @@
 TEST(PlatformCodec, StatementThatCannotBeReadStandsForSeveralVersions)
 {
     origin::StoredOrigins read;
-    CHECK_TRUE(platform::parseOriginPage(originPage(R"({"metadata":{"name":"versions","revision":4},"spec":{"era":1,"versions":{"s":7}}})"), read).has_value());
-    CHECK_FALSE(read.statement.versions.at({ "s" }).has_value());
+    CHECK_TRUE(platform::parseOriginPage(originPage(R"({"metadata":{"name":"versions","revision":4},"spec":{"era":1,"versions":{"s":[7]}}})"), read).has_value());
+    LONGS_EQUAL(1, read.statement.services.at({ "s" }).versions().count({}));
 }
 
 TEST(PlatformCodec, HugeTimesAreBounded)
--- a/tests/SoftwareVersionTest.cpp
+++ b/tests/SoftwareVersionTest.cpp
@@ -35,6 +35,16 @@
     return request;
 }
 
+// New streams begin at the version that their attempt is assigned to.
+static std::string attemptAssignedTo(const std::string& version, fleet::Fleet& fleet)
+{
+    for (unsigned i = 0;; ++i) {
+        auto attempt = "a" + std::to_string(i);
+        if (fleet.assignedVersion({ "engines" }, { attempt }).text == version)
+            return attempt;
+    }
+}
+
 TEST_GROUP(SoftwareVersion) {};
 
 // The version of the upstreams in the client's own data centre is another one, and they are idle.
@@ -68,7 +78,9 @@
         for (int i = 0; i < othersOfEachRound; ++i)
             fixture.addUpstream("o" + std::to_string(i), "engines", other, "dc-c", "v2");
         auto client = fixture.connectClient();
-        GatewayFixture::write(client, GatewayFixture::get("/stream/x"));
+        auto request = GatewayFixture::get("/stream/x");
+        request.replace(request.find("Id: a1"), 6, "Id: " + attemptAssignedTo("v1", fixture.state.fleet));
+        GatewayFixture::write(client, request);
         auto response = GatewayFixture::read(client);
         STRCMP_CONTAINS("data: e1", response.c_str());
         STRCMP_CONTAINS("data: e2", response.c_str());
@@ -175,6 +187,64 @@
     CHECK_FALSE(exchange.isUpstreamCurrent());
 }
 
+// Any node then finds the version of a stream whose record is lost.
+TEST(SoftwareVersion, NewStreamsGoToTheVersionThatTheirAttemptIsAssignedTo)
+{
+    FleetFixture fixture;
+    for (int i = 0; i < 6; ++i)
+        fixture.addUpstream("e" + std::to_string(i), "engines", i % 2 ? "dc-a" : "dc-b", 1, {}, i < 4 ? "v1" : "v2");
+    fixture.update();
+    unsigned atFirstVersion = 0;
+    static constexpr unsigned streams = 300;
+    for (unsigned i = 0; i < streams; ++i) {
+        auto request = fixture.makeRequest("/stream/x");
+        request.attempt.text = "attempt-" + std::to_string(i);
+        forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+        auto step = exchange.begin(fixture.clock.now(), i * 7919);
+        CHECK_TRUE(step.kind == forward::StepKind::Send);
+        auto version = step.send.placement.target.version;
+        CHECK_TRUE(version == fixture.fleet.assignedVersion({ "engines" }, request.attempt));
+        atFirstVersion += version.text == "v1";
+    }
+    // Two thirds of the upstreams get about two thirds of the streams.
+    CHECK_TRUE(atFirstVersion > streams / 2 && atFirstVersion < streams * 5 / 6);
+}
+
+// Serving comes first: the record tells where the stream went.
+TEST(SoftwareVersion, NewStreamGoesElsewhereIfItsVersionTakesNoWork)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e2", "engines", "dc-a", 1, {}, "v2");
+    fixture.update();
+    fixture.fleet.suspect(fixture.instances.front(), fleet::SuspicionCause::Unreachable, fixture.clock.now());
+    for (unsigned i = 0; i < 20; ++i) {
+        auto request = fixture.makeRequest("/stream/x");
+        request.attempt.text = "attempt-" + std::to_string(i);
+        forward::Exchange exchange(request, fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+        auto step = exchange.begin(fixture.clock.now(), i);
+        STRCMP_EQUAL("e2", step.send.placement.target.id.text.c_str());
+        STRCMP_EQUAL("v2", fixture.origins.find({ request.attempt }).front().origin.version.text.c_str());
+    }
+}
+
+// A stream changes its version only for one whose share has grown.
+TEST(SoftwareVersion, AssignmentMovesOnlyToVersionsThatGrow)
+{
+    fleet::VersionWeights before { { { { "v1" }, 9 }, { { "v2" }, 9 } } };
+    fleet::VersionWeights after { { { { "v1" }, 6 }, { { "v2" }, 9 }, { { "v3" }, 3 } } };
+    unsigned moved = 0;
+    for (unsigned i = 0; i < 2000; ++i) {
+        base::ClientAttemptId attempt { "attempt-" + std::to_string(i) };
+        if (before.assigned(attempt) == base::SoftwareVersion { "v2" })
+            CHECK_FALSE(after.assigned(attempt) == base::SoftwareVersion { "v1" });
+        moved += before.assigned(attempt) != after.assigned(attempt);
+    }
+    // A sixth of the upstreams are new, and v1 has a third less.
+    CHECK_TRUE(moved > 0 && moved < 2000 / 3);
+    CHECK_TRUE(fleet::VersionWeights {}.assigned({ "a" }).empty());
+}
+
 TEST(SoftwareVersion, TakeUpWaitsWhileTheStoreIsAsked)
 {
     FleetFixture fixture;
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -38,6 +38,7 @@
         leader.list({ "v1" });
         leader.run(seconds(1));
     }
+    size_t statedVersions() { return store.content.statement.services.at({ "engines" }).versions().size(); }
 };
 
 TEST(StreamOrigins, OnlyVersionNeedsNoRecord)
@@ -117,7 +118,7 @@
     node.list({ "v1", "v2" });
     node.run(seconds(1));
     auto began = node.clock.now();
-    checkUnknown(node.resolveAtLast("s1"));
+    checkUnknown(node.resolveAtLast(node.attemptAssignedTo("v2")));
     // A client that is told at once may still ask anew.
     CHECK_TRUE(node.clock.now() - began <= milliseconds(700));
 }
@@ -140,12 +141,13 @@
     leader.role.setLeader(true);
     leader.list({ "v1", "v2" });
     leader.run(seconds(1));
-    CHECK_FALSE(store.content.statement.versions.at({ "engines" }).has_value());
+    LONGS_EQUAL(2, statedVersions());
     leader.list({ "v2" });
     leader.run(lifetime - seconds(1));
-    CHECK_FALSE(store.content.statement.versions.at({ "engines" }).has_value());
+    LONGS_EQUAL(2, statedVersions());
     leader.run(seconds(2));
-    STRCMP_EQUAL("v2", store.content.statement.versions.at({ "engines" })->text.c_str());
+    LONGS_EQUAL(1, statedVersions());
+    LONGS_EQUAL(1, store.content.statement.services.at({ "engines" }).versions().count({ "v2" }));
 }
 
 // Its list is that of before the pause, and another leader has stated more since.
@@ -212,17 +214,93 @@
 {
     stateOneVersion();
     auto copy = store.content;
+    std::string stream;
     auto now = [&] {
         OriginNode killed(store, "b");
         killed.list({ "v1", "v2" });
-        killed.send("s2", "v2");
+        stream = killed.attemptAssignedTo("v2");
+        killed.send(stream, "v2");
         killed.run(seconds(1));
         return killed.clock.now();
     }();
     store.restore(copy);
     OriginNode node(store, "c", now);
     node.list({ "v1", "v2" });
-    checkUnknown(node.resolveAtLast("s2"));
+    checkUnknown(node.resolveAtLast(stream));
+}
+
+// The records since the copy are lost with the nodes, but the versions have not changed since.
+TEST(StreamOrigins, LostRecordIsWorkedOutFromTheAttemptIfTheVersionsHaveNotChanged)
+{
+    origin::StoredOrigins copy;
+    std::string first;
+    std::string second;
+    auto now = [&] {
+        OriginNode killed(store, "b");
+        killed.role.setLeader(true);
+        killed.list({ "v1", "v2" });
+        killed.run(seconds(1));
+        copy = store.content;
+        first = killed.attemptAssignedTo("v1");
+        second = killed.attemptAssignedTo("v2");
+        killed.send(first, "v1");
+        killed.send(second, "v2");
+        killed.run(seconds(1));
+        return killed.clock.now();
+    }();
+    store.restore(copy);
+    OriginNode node(store, "c", now);
+    node.list({ "v1", "v2" });
+    checkKnown(node.resolveAtLast(first), "v1");
+    checkKnown(node.resolveAtLast(second), "v2");
+}
+
+// The only version of long ago says nothing of a stream that began since.
+TEST(StreamOrigins, LostRecordIsWorkedOutAlthoughTheVersionsChangedLongBefore)
+{
+    stateOneVersion();
+    OriginNode leader(store, "a");
+    leader.role.setLeader(true);
+    leader.list({ "v1", "v2" });
+    leader.run(seconds(30));
+    // Starts again, and reads what it has stated itself.
+    OriginNode again(store, "a", leader.clock.now());
+    again.role.setLeader(true);
+    again.list({ "v1", "v2" });
+    again.run(seconds(10));
+    OriginNode node(store, "c", again.clock.now());
+    node.list({ "v1", "v2" });
+    checkKnown(node.resolveAtLast(node.attemptAssignedTo("v2")), "v2");
+}
+
+// What the leader states after the nodes came back says nothing of the streams before.
+TEST(StreamOrigins, LostRecordIsNotWorkedOutFromALaterStatement)
+{
+    stateOneVersion();
+    auto copy = store.content;
+    store.restore(copy);
+    OriginNode leader(store, "a");
+    leader.role.setLeader(true);
+    leader.list({ "v1", "v2" });
+    leader.run(seconds(3));
+    OriginNode node(store, "c", leader.clock.now());
+    node.list({ "v1", "v2" });
+    checkUnknown(node.resolveAtLast(node.attemptAssignedTo("v2")));
+    checkKnown(node.resolveAtLast(node.attemptAssignedTo("v1")), "v1");
+}
+
+// A third version has come since, and streams that began before went to one of the others.
+TEST(StreamOrigins, LostRecordIsNotWorkedOutIfANewVersionWouldGetTheStream)
+{
+    OriginNode leader(store, "a");
+    leader.role.setLeader(true);
+    leader.list({ "v1", "v2" });
+    leader.run(seconds(1));
+    OriginNode node(store, "c", leader.clock.now());
+    node.list({ "v1", "v2", "v3" });
+    checkUnknown(node.resolveAtLast(node.attemptAssignedTo("v3")));
+    auto kept = node.attemptAssignedTo("v1");
+    checkKnown(node.resolveAtLast(kept), "v1");
 }
 
 TEST(StreamOrigins, OtherNodeIsAskedWhileTheStoreIsAway)
--- a/tests/fakes/OriginNode.h
+++ b/tests/fakes/OriginNode.h
@@ -14,11 +14,17 @@
         base::Instant now() const { return clock->now(); }
     };
 
+    // The time of day follows the same clock.
+    struct WallClock {
+        const FakeClock* clock = nullptr;
+        uint64_t now() const { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock->now().time_since_epoch()).count()); }
+    };
+
     static constexpr base::Duration pollInterval = std::chrono::milliseconds(100);
 
     OriginNode(FakeOriginStore& store, const std::string& name, base::Instant startedAt = base::Instant(std::chrono::seconds(1000)))
         : origins(fleet)
-        , task(store, manifest, fleet, origins, role, era, { name }, Clock { &clock })
+        , task(store, manifest, fleet, origins, role, era, { name }, Clock { &clock }, WallClock { &clock })
     {
         clock.moveTo(startedAt);
         manifest.update(FleetFixture::makeManifest(), {}, clock.now());
@@ -45,6 +51,16 @@
         }
     }
 
+    // Returns an attempt that the list assigns to the version.
+    std::string attemptAssignedTo(const std::string& version)
+    {
+        for (unsigned i = 0;; ++i) {
+            auto attempt = "s" + std::to_string(i);
+            if (fleet.assignedVersion({ "engines" }, { attempt }).text == version)
+                return attempt;
+        }
+    }
+
     origin::Resolution resolve(const std::string& attempt) { return origins.resolve({ attempt }, { "engines" }, clock.now()); }
     // Returns the final answer, and counts the time in which the store and the other nodes are asked. `askPeers` gets the
     // questions to the other nodes.
@@ -71,7 +87,7 @@
     sync::NodeRole role;
     sync::StoreEra era;
     std::vector<fleet::UpstreamInstance> listed;
-    sync::OriginsTask<FakeOriginStore, Clock> task;
+    sync::OriginsTask<FakeOriginStore, Clock, WallClock> task;
 };
 
 } // namespace redwingseam::fakes
