Clients' connections: log the error with which one fails in the middle of a request

Operators saw streams closed in the middle of the answer and could not tell whether the client had closed the connection or the system had given it up: both ended as client-gone. The line client_connection_failed tells the socket's error; a client that closes leaves none. connectError becomes socketError, since it now serves connections of clients too.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -72,6 +72,8 @@
     void handle(uint32_t events);
     void continueParsing();
     void close();
+    // Disconnects a client whose connection has ended: with an error, or by its own close if `error` is 0.
+    void endConnection(int error);
     void flush();
     void read();
     void parse();
@@ -91,6 +93,7 @@
     void tickClosing(base::Instant now);
     bool reserveBody();
     void logIdleClose(base::Duration waited) const;
+    void logFailure(int error) const;
     // The parser needs the headers in one piece.
     size_t maxBufferedBytes() const { return std::max<size_t>(minBufferedBytes, m_limits.maxHeaderBytes); }
     void updateInterest(uint32_t events);
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -8,9 +8,11 @@
 #include "log/LogLine.h"
 #include "redwingseam/base/BootClock.h"
 
+#include <cerrno>
 #include <glog/logging.h>
 #include <stdexcept>
 #include <sys/socket.h>
+#include <system_error>
 
 namespace redwingseam::gateway {
 
@@ -67,6 +69,14 @@
     m_server.onClientDisconnected(*this);
 }
 
+template<typename Server>
+void ClientConnection<Server>::endConnection(int error)
+{
+    if (error && m_isServing)
+        logFailure(error);
+    disconnect();
+}
+
 template<typename Server>
 void ClientConnection<Server>::updateInterest(uint32_t events)
 {
@@ -89,7 +99,7 @@
     if (isOpen() && (events & EPOLLOUT))
         flush();
     if (isOpen() && (events & EPOLLRDHUP)) {
-        disconnect();
+        endConnection(socketError(m_socket.descriptor()));
         return;
     }
     if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
@@ -101,7 +111,7 @@
 {
     auto pendingBefore = m_writeBuffer.size();
     if (!m_writeBuffer.flush(m_socket.descriptor())) {
-        disconnect();
+        endConnection(errno);
         return;
     }
     // The client is not idle while it reads the response.
@@ -122,7 +132,7 @@
 {
     auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes());
     if (status != ReadStatus::Open) {
-        disconnect();
+        endConnection(status == ReadStatus::Reset ? errno : 0);
         return;
     }
     m_lastInputAt = base::BootClock {}.now();
@@ -344,6 +354,14 @@
     LOG(INFO) << line.text();
 }
 
+template<typename Server>
+void ClientConnection<Server>::logFailure(int error) const
+{
+    log::LogLine line("client_connection_failed");
+    line.with("error", std::generic_category().message(error)).with("unsent_bytes", pendingBytes());
+    LOG(WARNING) << line.text();
+}
+
 template<typename Server>
 void ClientConnection<Server>::tick(base::Instant now)
 {
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -35,7 +35,7 @@
     return result;
 }
 
-int connectError(int descriptor)
+int socketError(int descriptor)
 {
     int error = 0;
     socklen_t length = sizeof error;
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -11,8 +11,8 @@
 // Starts a non-blocking connect. Returns a closed socket if it fails immediately; `isScarcity` tells from the value of
 // errno whether the process lacks the resources for it.
 base::FileDescriptor startConnect(const http::SocketAddress&);
-// Returns the error of a connect whose socket became writable; 0 if it is connected.
-int connectError(int descriptor);
+// Returns and clears the pending error of a socket, such as that of a connect that has ended; 0 if there is none.
+int socketError(int descriptor);
 // Returns a non-blocking listening socket; closed if the address cannot be bound.
 base::FileDescriptor listenOn(const http::SocketAddress&);
 // Accepts the next pending connection. Returns a closed socket if there is none, or if the process lacks the resources
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -89,7 +89,7 @@
 template<typename Owner>
 bool UpstreamConnection<Owner>::finishConnect()
 {
-    if (connectError(m_socket.descriptor())) {
+    if (socketError(m_socket.descriptor())) {
         fail(ConnectionFailure::NotConnected);
         return false;
     }
