Clients' connections: no acknowledgement timeout shorter than the deadline

Callers saw a stream closed in the middle of its answer while its deadline was far, some seconds after the last event. Cause: accepted connections had a TCP_USER_TIMEOUT of 4 s. If the path to the client carries nothing for so long (here: the node's own link full of copies of a manifest, which delays the client's acknowledgements), or the client reads nothing for so long, the kernel fails the connection and the session ends as client-gone, its request abandoned. Upstreams' connections keep the timeout: it bounds how late a request may arrive at an upstream after its attempt was given up.

--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -8,14 +8,14 @@
 
 static constexpr int listenBacklog = 1024;
 static constexpr size_t readBlockBytes = 8192;
-// The kernel drops a connection whose peer acknowledges no data for this long.
-static constexpr unsigned userTimeoutMillis = 4000;
+// The kernel drops a connection whose upstream acknowledges no data for this long, so that it does not receive a request
+// long after the attempt was given up. Connections of clients have no such limit, since the deadline bounds a response.
+static constexpr unsigned upstreamTimeoutMillis = 4000;
 
-static void setOptions(int descriptor)
+static void disableDelay(int descriptor)
 {
     int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMillis, sizeof userTimeoutMillis);
 }
 
 static base::FileDescriptor newSocket()
@@ -28,7 +28,8 @@
     auto result = newSocket();
     if (!result.isOpen())
         return result;
-    setOptions(result.descriptor());
+    disableDelay(result.descriptor());
+    setsockopt(result.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &upstreamTimeoutMillis, sizeof upstreamTimeoutMillis);
     auto native = address.native();
     if (connect(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native) && errno != EINPROGRESS)
         return {};
@@ -61,7 +62,7 @@
 {
     base::FileDescriptor result(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (result.isOpen())
-        setOptions(result.descriptor());
+        disableDelay(result.descriptor());
     return result;
 }
 
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -40,14 +40,21 @@
         state.fleet.update(m_instances, base::BootClock {}.now(), {});
     }
 
-    // Opens a client connection; the destructor of the result closes it.
-    base::FileDescriptor connectClient() const
+    // Returns the address at which clients connect.
+    sockaddr_in address() const
     {
-        base::FileDescriptor result(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(m_port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    // Opens a client connection; the destructor of the result closes it.
+    base::FileDescriptor connectClient() const
+    {
+        base::FileDescriptor result(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        auto address = this->address();
         connect(result.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
         return result;
     }
