HTTP client: a response whose head is cut off is not complete

What callers saw: a service behind redwingseamd that stopped within the head of its answer and closed (FIN) gave the caller a 200 with an empty body, framed as whole, and this answer was recorded under the idempotency key of the call. A cut 503 or 400 of an engine was taken for its refusal ("not run") and started the generation elsewhere. In the adapter for the store, a cut 200, 201, 404 or 409 counted as the store's word.

Cause: libcurl (7.88) reports CURLE_OK for a response whose connection closes anywhere between the end of the status line and the end of the head, unless a length of more than zero was read; also after an interim head. AsyncHttpClient and BlockingClient took CURLE_OK for a whole response.

Evidence: with cuts at each byte, CURLE_OK and status 200 from byte 17 (the end of the status line) to the end of the head. TruncatedHead.BlockingClientReportsNo..., ServiceCallOfTheDaemonIsLost, GenerationOfTheDaemonIsLost and StoreThatCutsItsHead... failed before ("CHECK_FALSE(result.isComplete) failed" at a head cut after the status line, "ends.back().end == AttemptEnd::Lost failed") and pass now; whole responses of six framings stay complete.

Fix: ResponseHead watches the lines of the head and counts a response as whole only if the head of a final status has ended. redwingseam-call uses it too; that program has no test of its own for it. Ruled out: bodies that are cut (CURLE_PARTIAL_FILE), resets (CURLE_RECV_ERROR), cuts within the status line (no status).

--- a/src/http/AsyncHttpClient.h
+++ b/src/http/AsyncHttpClient.h
@@ -2,6 +2,7 @@
 
 #include "base/NamedThread.h"
 #include "http/HttpRequest.h"
+#include "http/ResponseHead.h"
 #include "http/TransferHandler.h"
 #include "redwingseam/base/Mutex.h"
 
@@ -53,7 +54,7 @@
     // Starts a request. `id` identifies it for `cancel` and must be unique among the requests in progress.
     void submit(uint64_t id, HttpRequest request, Context context)
     {
-        auto transfer = std::make_unique<Transfer>(Transfer { *this, id, std::move(request), std::move(context), {}, nullptr, nullptr, 0 });
+        auto transfer = std::make_unique<Transfer>(Transfer { *this, id, std::move(request), std::move(context), {}, nullptr, nullptr, 0, {} });
         {
             std::lock_guard guard(m_mutex);
             m_submitted.push_back(std::move(transfer));
@@ -81,6 +82,7 @@
         CURL* easy;
         curl_slist* headers;
         long status;
+        ResponseHead head;
     };
 
     void run()
@@ -135,6 +137,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AsyncHttpClient::onWrite);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+        transfer->head.watch(easy);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -180,7 +183,7 @@
     void finish(Transfer& transfer, CURLcode code)
     {
         HttpResult result;
-        result.isComplete = code == CURLE_OK;
+        result.isComplete = transfer.head.isWholeResponse(transfer.easy, code);
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &result.status);
         curl_off_t sentBytes = 0;
         curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
--- a/src/http/BlockingClient.cpp
+++ b/src/http/BlockingClient.cpp
@@ -1,5 +1,7 @@
 #include "http/BlockingClient.h"
 
+#include "http/ResponseHead.h"
+
 #include <chrono>
 
 namespace redwingseam::http {
@@ -44,13 +46,16 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &result.body);
+    ResponseHead head;
+    head.watch(easy);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.isSingleUse ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.timeout).count()));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<Millis>(request.connectTimeout).count()));
-    result.isComplete = curl_easy_perform(easy) == CURLE_OK;
+    auto code = curl_easy_perform(easy);
+    result.isComplete = head.isWholeResponse(easy, code);
     result.isSent = result.isComplete;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
     curl_header* wanted = nullptr;
--- /dev/null
+++ b/src/http/ResponseHead.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <curl/curl.h>
+#include <string_view>
+
+namespace redwingseam::http {
+
+// Watches whether the head of a response arrives as a whole. libcurl takes a response whose connection closes within the
+// head for a complete one with an empty body.
+class ResponseHead {
+public:
+    // Must be called before the transfer starts. The object must outlive the transfer.
+    void watch(CURL* easy)
+    {
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &ResponseHead::onLine);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    }
+
+    // Returns whether the transfer, which ended with `code`, brought a whole response.
+    bool isWholeResponse(CURL* easy, CURLcode code) const
+    {
+        static constexpr long firstFinalStatus = 200;
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        return code == CURLE_OK && m_isEnded && status >= firstFinalStatus;
+    }
+
+private:
+    static size_t onLine(char* bytes, size_t size, size_t count, void* self)
+    {
+        std::string_view line(bytes, size * count);
+        auto& isEnded = static_cast<ResponseHead*>(self)->m_isEnded;
+        // The head of the final response follows that of an interim one.
+        if (line.starts_with("HTTP/"))
+            isEnded = false;
+        else if (line == "\r\n" || line == "\n")
+            isEnded = true;
+        return line.size();
+    }
+
+    bool m_isEnded = false;
+};
+
+} // namespace redwingseam::http
--- a/tests/TruncatedHeadTest.cpp
+++ b/tests/TruncatedHeadTest.cpp
@@ -1,5 +1,9 @@
 #include "fakes/GatewayFixture.h"
+#include "fakes/RecordingUpstreamEvents.h"
 #include "fakes/RecordingUpstreamOwner.h"
+#include "http/BlockingClient.h"
+#include "http/UpstreamClient.h"
+#include "platform/StoreApi.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,7 +13,7 @@
 using fakes::ScriptedResponse;
 using fakes::ScriptedUpstream;
 
-// Upstreams that stop within the head of a response and close.
+// Upstreams and stores that stop within the head of a response and close.
 TEST_GROUP(TruncatedHead)
 {
     base::FileDescriptor listener = gateway::listenOn({ "127.0.0.1", 0 });
@@ -271,3 +275,98 @@
         CHECK_FALSE_TEXT(contains(answer, "0\r\n\r\n"), (part + answer).c_str());
     }
 }
+
+// libcurl reports such a response as a complete one without a body.
+TEST(TruncatedHead, BlockingClientReportsNoCompleteResponse)
+{
+    for (const auto& whole : heads()) {
+        std::vector<ScriptedResponse> responses;
+        for (size_t cut = 1; cut < whole.size(); ++cut)
+            responses.push_back({ whole.substr(0, cut), true });
+        ScriptedUpstream server(responses);
+        for (const auto& response : responses) {
+            auto result = http::exchange({ "GET", "http://" + server.address() + "/" });
+            CHECK_FALSE_TEXT(result.isComplete, response.bytes.c_str());
+        }
+    }
+}
+
+TEST(TruncatedHead, WholeResponsesAreCompleteForTheBlockingClient)
+{
+    ScriptedUpstream server({ { head("Content-Length: 3\r\n") + "abc" },
+        { head("Content-Length: 0\r\n") },
+        { head("", "204 No Content") },
+        { head("Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n0\r\nTrailer: 1\r\n\r\n" },
+        { "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head("Content-Length: 3\r\n") + "abc" },
+        { head("", "404 Not Found") + "abc", true } });
+    http::BlockingClient client;
+    std::string bodies;
+    for (int i = 0; i < 6; ++i) {
+        auto result = client.exchange({ "GET", "http://" + server.address() + "/" });
+        CHECK_TRUE_TEXT(result.isComplete, std::to_string(i).c_str());
+        bodies += std::to_string(result.status) + result.body + " ";
+    }
+    CHECK_EQUAL(std::string("200abc 200 204 200abc 200abc 404abc "), bodies);
+}
+
+// The call may have run. An empty success used to be passed to the caller and recorded under its idempotency key.
+TEST(TruncatedHead, ServiceCallOfTheDaemonIsLost)
+{
+    for (const auto& whole : heads()) {
+        std::vector<ScriptedResponse> responses;
+        for (size_t cut = 1; cut < whole.size(); ++cut)
+            responses.push_back({ whole.substr(0, cut), true });
+        ScriptedUpstream service(responses);
+        fakes::RecordingUpstreamEvents events;
+        http::UpstreamClient<fakes::RecordingUpstreamEvents> client(events);
+        for (size_t i = 0; i < responses.size(); ++i) {
+            node::CallService call;
+            call.request.value = i + 1;
+            call.upstream.url = "http://" + service.address();
+            call.body = "b";
+            client.call(call);
+            auto ends = events.waitForEnds(i + 1);
+            LONGS_EQUAL_TEXT(i + 1, ends.size(), responses[i].bytes.c_str());
+            CHECK_TRUE_TEXT(ends.back().end == node::AttemptEnd::Lost, responses[i].bytes.c_str());
+        }
+        LONGS_EQUAL(responses.size(), service.requests().size());
+    }
+}
+
+// Without its whole head, a refusal is no proof that the engine has run nothing.
+TEST(TruncatedHead, GenerationOfTheDaemonIsLost)
+{
+    for (const auto& whole : { GatewayFixture::streamHead(), head("Content-Length: 0\r\n", "503 Service Unavailable"), head("Content-Length: 0\r\n", "400 Bad Request") }) {
+        std::vector<ScriptedResponse> responses;
+        for (const auto& part : cutHeads(whole))
+            responses.push_back({ part, true });
+        ScriptedUpstream engine(responses);
+        fakes::RecordingUpstreamEvents events;
+        http::UpstreamClient<fakes::RecordingUpstreamEvents> client(events);
+        for (size_t i = 0; i < responses.size(); ++i) {
+            node::StartGeneration start;
+            start.request.value = i + 1;
+            start.upstream.url = "http://" + engine.address();
+            client.start(start);
+            auto ends = events.waitForEnds(i + 1);
+            LONGS_EQUAL_TEXT(i + 1, ends.size(), responses[i].bytes.c_str());
+            CHECK_TRUE_TEXT(ends.back().end == node::AttemptEnd::Lost, responses[i].bytes.c_str());
+        }
+    }
+}
+
+TEST(TruncatedHead, StoreThatCutsItsHeadHasConfirmedNothing)
+{
+    for (const char* status : { "200 OK", "201 Created", "404 Not Found", "409 Conflict" }) {
+        std::vector<ScriptedResponse> responses;
+        for (const auto& part : cutHeads(head("Store-Era: 3\r\nContent-Length: 0\r\n", status)))
+            responses.push_back({ part, true });
+        ScriptedUpstream store(responses);
+        platform::StoreApi client { http::parseSocketAddress(store.address()).value(), std::chrono::seconds(5) };
+        for (const auto& response : responses) {
+            auto error = client.registerNode({ { "vm" }, { "dc-a" }, "127.0.0.1:1" });
+            CHECK_TRUE_TEXT(error.code == base::ResultCode::PlatformUnavailable, response.bytes.c_str());
+        }
+        LONGS_EQUAL(responses.size(), store.requests().size());
+    }
+}
--- a/tools/redwingseam-call/CheckingCaller.cpp
+++ b/tools/redwingseam-call/CheckingCaller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/MonotonicClock.h"
 #include "codec/JsonReader.h"
+#include "http/ResponseHead.h"
 #include "standin/DeterministicModel.h"
 
 #include <algorithm>
@@ -56,17 +57,20 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CheckingCaller::onWrite);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    http::ResponseHead head;
+    head.watch(easy);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     auto code = curl_easy_perform(easy);
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    bool isWhole = head.isWholeResponse(easy, code);
     curl_easy_cleanup(easy);
     curl_slist_free_all(headers);
     if (m_isFinished)
         return;
     // A broken connection, an incomplete stream and a status 503 are retried. Any other error status is final.
     static constexpr long httpServiceUnavailable = 503;
-    bool isRejected = code == CURLE_OK && status != 200;
+    bool isRejected = isWhole && status != 200;
     m_result.error = code == CURLE_OK ? "status " + std::to_string(status) + " " + m_responseBuffer : curl_easy_strerror(code);
     m_isFinished = isRejected && status != httpServiceUnavailable;
 }
