Stop: answer the running requests before the listener closes

What callers saw: requests that were still running at the end of the grace ended with a closed connection and no answer, when the node lacked descriptors at that moment.

Cause: GracefulStop closed the listener before it let the sessions answer. While descriptors are scarce, Acceptor::close retries for up to half a second, which is more than what is left of the grace then (0.45 s).

Evidence: PlannedStop.RequestsAreAnsweredWhileTheListenerClosesSlowly, with a listener that takes 0.4 s, failed before ("LONGS_EQUAL(0, activeSessions): was 1").

Fix: if the grace is nearly over, the sessions are told so first. Their connections to upstreams then free descriptors as well.

--- a/src/gateway/GracefulStop.h
+++ b/src/gateway/GracefulStop.h
@@ -32,6 +32,8 @@
         auto exitAt = m_times.grace - m_times.exitReserve;
         auto abandonAt = m_times.abandonAt();
         bool isIdle = waitUntil(abandonAt, [&] { return elapsed() > m_times.minimum && !m_state.activeSessions; });
+        // Not after the listener has closed, which takes some time while this node lacks descriptors.
+        m_state.isAbandoningRequests = !isIdle;
         m_listener.close();
         m_state.isClosingConnections = true;
         bool isComplete = waitUntil(abandonAt, [&] { return !m_state.openClients && !m_state.activeSessions; }) && isIdle;
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -1,4 +1,5 @@
 #include "fakes/GatewayFixture.h"
+#include "fakes/SlowListener.h"
 #include "gateway/GracefulStop.h"
 
 #include <CppUTest/TestHarness.h>
@@ -151,3 +152,19 @@
     for (const auto& client : running)
         CHECK_TRUE(contains(GatewayFixture::read(client, "OutcomeUnknown", 500), "HTTP/1.1 502 "));
 }
+
+// The listener takes its time while this node lacks descriptors. The process used to end before the requests were answered.
+TEST(PlannedStop, RequestsAreAnsweredWhileTheListenerClosesSlowly)
+{
+    ScriptedUpstream desk({});
+    gateway.addUpstream("d1", "desk", desk);
+    auto booking = gateway.connectClient();
+    GatewayFixture::write(booking, GatewayFixture::post("/book/x", "b"));
+    poll(nullptr, 0, 100);
+    auto stopTimes = times();
+    stopTimes.grace = milliseconds(900);
+    fakes::SlowListener listener { 400 };
+    CHECK_FALSE(gateway::GracefulStop(gateway.state, listener, stopTimes).run());
+    LONGS_EQUAL(0, gateway.state.activeSessions);
+    CHECK_TRUE(contains(GatewayFixture::read(booking, "OutcomeUnknown", 500), "HTTP/1.1 502 "));
+}
