Stop: refuse what is read in the last moment of the grace

What callers saw: a request whose last bytes came in the last 0.15 s before the process ended, or a connection that was accepted as the listener closed, was cut with no answer.

Cause: after the running requests had been answered, GracefulStop waited for sessions only, not for connections. Its process ended at once, with time left.

Evidence: EndOfGrace.RequestThatIsReadInTheLastMomentIsRefused failed before (the client read "<closed>"; now a 503 with Retry-After 0.030). Ruled out, by tests that passed before: requests on new and kept connections, pipelined ones and bodies that end late are refused at once after the latest start, and reach no upstream.

Fix: the stop waits for open connections as well, until the same moment as before.

--- a/src/gateway/GracefulStop.h
+++ b/src/gateway/GracefulStop.h
@@ -12,7 +12,7 @@
 // Stops serving clients without cutting off a request that was read. First the node only stops to be ready and closes
 // each connection after its current response. Once it is idle, it takes over the connections that still wait in the
 // listen queue, closes the listener, and closes each connection that has no unread byte. Requests that are still running when
-// the grace is nearly over are abandoned with an answer. `Listener::close` must return only after all waiting connections
+// the grace is nearly over are abandoned with an answer, and those that are read after that are refused. `Listener::close` must return only after all waiting connections
 // have been handed over.
 template<typename Listener>
 class GracefulStop {
@@ -36,15 +36,16 @@
         m_state.isAbandoningRequests = !isIdle;
         m_listener.close();
         m_state.isClosingConnections = true;
-        bool isComplete = waitUntil(abandonAt, [&] { return !m_state.openClients && !m_state.activeSessions; }) && isIdle;
+        bool isComplete = waitUntil(abandonAt, [&] { return isClosed(); }) && isIdle;
         m_state.isAbandoningRequests = true;
-        waitUntil(exitAt, [&] { return !m_state.activeSessions; });
+        waitUntil(exitAt, [&] { return isClosed(); });
         return isComplete;
     }
 
 private:
     static constexpr base::Duration checkInterval = std::chrono::milliseconds(20);
 
+    bool isClosed() const { return !m_state.openClients && !m_state.activeSessions; }
     base::Duration elapsed() const { return base::BootClock {}.now() - m_startedAt; }
 
     // Returns false if the predicate does not hold `latest` after the start of the stop.
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -16,8 +16,8 @@
 public:
     using WorkerPool = gateway::WorkerPool<Codec>;
 
-    BasicGatewayFixture()
-        : state(settings())
+    explicit BasicGatewayFixture(base::Duration terminationGrace = std::chrono::seconds(8))
+        : state(settings(terminationGrace))
         , m_workers(state)
     {
         state.manifest.update(FleetFixture::makeManifest(), {}, base::BootClock {}.now());
@@ -115,13 +115,13 @@
     gateway::GatewayState state;
 
 private:
-    static gateway::GatewaySettings settings()
+    static gateway::GatewaySettings settings(base::Duration terminationGrace)
     {
         gateway::GatewaySettings settings;
         settings.vmName.text = "vm";
         settings.dataCentre.text = "dc-a";
         settings.revocationBound = std::chrono::hours(1);
-        settings.terminationGrace = std::chrono::seconds(8);
+        settings.terminationGrace = terminationGrace;
         settings.retries = { 0.8, 1000, std::chrono::seconds(10) };
         return settings;
     }
