Stop: a request that has not run is not sent on late in the grace

What callers saw: a request, also one that may not be repeated, that an upstream turned away late in the grace, or that it could not be connected for, was sent to another upstream when no answer could come in time, and ended with 502 (outcome unknown).

Cause: the latest start was judged when a request arrived and while it waited, but not for attempts after the first.

Evidence: EndOfGrace.RequestThatAnUpstreamRefusesLateIsNotSentToAnother failed before (no answer within 0.5 s: the request was at the second upstream).

Fix: before each send, Session asks Exchange::stopBeforeSend, which refuses a request that has not run with 503 and a short Retry-After. One that may have run goes on: it can't be called not run, and its repetition may still end in time.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -207,6 +207,15 @@
     return isWaiting ? refuseDraining() : Step {};
 }
 
+Step Exchange::stopBeforeSend()
+{
+    if (m_mayHaveRun || m_areHeadersSent)
+        return {};
+    cancelTrial();
+    release();
+    return refuseDraining();
+}
+
 Step Exchange::abandon() const
 {
     bool isInFlight = m_placement && !m_isConnecting;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -44,6 +44,8 @@
     // Handles a stop of this node before which a response could not end if the request were sent only now. Refuses the
     // request if it waits to be sent and has not run, because another node can serve it.
     Step stopWaiting() const;
+    // As stopWaiting, for a request that was to be sent now.
+    Step stopBeforeSend();
     // Returns the final step of the request, whatever its state. Makes no judgement of the current upstream.
     Step abandon() const;
 
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -108,6 +108,13 @@
     case forward::StepKind::Wait:
         return;
     case forward::StepKind::Send:
+        if (now() >= latestStart(*m_exchange->request().route)) {
+            auto refusal = m_exchange->stopBeforeSend();
+            if (refusal.kind != forward::StepKind::Wait) {
+                execute(std::move(refusal));
+                return;
+            }
+        }
         startAttempt(step.send);
         return;
     case forward::StepKind::Probe:
--- a/tests/EndOfGraceTest.cpp
+++ b/tests/EndOfGraceTest.cpp
@@ -1,4 +1,5 @@
 #include "fakes/GatewayFixture.h"
+#include "fakes/ManualUpstream.h"
 #include "gateway/GracefulStop.h"
 
 #include <CppUTest/TestHarness.h>
@@ -91,6 +92,29 @@
     LONGS_EQUAL(0, upstream.requests().size());
 }
 
+// It used to be sent to the next upstream, and was cut off there, so that it could not be repeated.
+TEST(EndOfGrace, RequestThatAnUpstreamRefusesLateIsNotSentToAnother)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRedwingseam-Attempt-Id: $ID\r\nRedwingseam-Upstream-Seal: s\r\nRedwingseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const auto& request : { GatewayFixture::post("/book/x", "b"), GatewayFixture::get("/read/x"), GatewayFixture::post("/stream/x", "b", "Redwingseam-Token-Usage: 8000,650\r\n") }) {
+        GatewayFixture node;
+        fakes::ManualUpstream upstream;
+        fakes::ScriptedUpstream other({});
+        for (const char* service : { "desk", "engines" }) {
+            node.addUpstream(std::string("near-") + service, service, upstream.address());
+            node.addUpstream(std::string("far-") + service, service, other, "dc-b");
+        }
+        auto client = node.connectClient();
+        GatewayFixture::write(client, request);
+        CHECK_FALSE(upstream.acceptRequest().empty());
+        node.state.drainStartedAt = base::BootClock {}.now() - (grace - milliseconds(600));
+        upstream.respond(refusal);
+        checkRefused(GatewayFixture::read(client, "<never>", 500));
+        LONGS_EQUAL(0, other.requests().size());
+        LONGS_EQUAL(0, node.state.activeSessions);
+    }
+}
+
 // The rest used to be cut off with the process, although there was time to read it.
 TEST(EndOfGrace, RequestThatIsReadInTheLastMomentIsRefused)
 {
