DrainRule: an answer may take as long as the objective of its route

What callers saw: on a route whose answers ordinarily take longer than a second, requests were taken 1 s before the end of a stop and ended with 502.

Cause: the rule took 1 s for any answer that isn't a stream.

Evidence: EndOfGrace.RequestOfASlowRouteIsTakenOnlyWhileItCanEnd failed before ("rule.latestStart(route, {}) == seconds(4) failed").

Fix: 1 s or the latency objective, whichever is longer, and never over the timeout. The routes of the known sites have objectives under 1 s, so nothing changes for them.

--- a/src/forward/DrainRule.h
+++ b/src/forward/DrainRule.h
@@ -17,13 +17,18 @@
     // current estimate of the time from sending a stream's request to its end.
     base::Duration latestStart(const manifest::Route& route, base::Duration expectedStreamDuration) const
     {
-        auto expectedDuration = route.kind == manifest::RouteKind::Stream ? expectedStreamDuration : expectedResponseDuration;
+        auto expectedDuration = route.kind == manifest::RouteKind::Stream ? expectedStreamDuration : expectedResponseDuration(route);
         return m_grace - std::min(expectedDuration, route.timeout);
     }
 
 private:
-    // Expected duration of a response that is not a stream.
-    static constexpr base::Duration expectedResponseDuration = std::chrono::milliseconds(1000);
+    static constexpr base::Duration minExpectedDuration = std::chrono::milliseconds(1000);
+
+    // Returns the expected duration of a response that is not a stream.
+    base::Duration expectedResponseDuration(const manifest::Route& route) const
+    {
+        return std::max(minExpectedDuration, route.latencyObjective);
+    }
 
     base::Duration m_grace;
 };
--- a/tests/EndOfGraceTest.cpp
+++ b/tests/EndOfGraceTest.cpp
@@ -141,3 +141,14 @@
     CHECK_TRUE(contains(GatewayFixture::read(booking, "OutcomeUnknown", 500), "HTTP/1.1 502 "));
     LONGS_EQUAL(1, desk.requests().size());
 }
+
+// Answers of such a route take longer than those of others, up to the objective in the ordinary case.
+TEST(EndOfGrace, RequestOfASlowRouteIsTakenOnlyWhileItCanEnd)
+{
+    forward::DrainRule rule(seconds(7));
+    manifest::Route route;
+    route.kind = manifest::RouteKind::Idempotent;
+    route.timeout = seconds(10);
+    route.latencyObjective = seconds(3);
+    CHECK_TRUE(rule.latestStart(route, {}) == seconds(4));
+}
