DrainRule: a request that may not be repeated gets its whole timeout

What callers saw: a request that may not be repeated, taken about 1 s before the end of a stop on a route with a longer timeout, ended with 502 while its upstream was at work. The client can't send it again.

Cause: the rule allowed for the expected duration only, not for slow answers.

Evidence: EndOfGrace.RequestThatMayNotBeRepeatedHasItsWholeTimeoutOrHalfTheGrace failed before ("rule.latestStart(route, {}) == milliseconds(5800) failed").

Fix: such a request is refused from its timeout before the end on, but not in the first half of the grace, in which the load balancer still sends requests here.

--- a/src/forward/DrainRule.h
+++ b/src/forward/DrainRule.h
@@ -27,7 +27,12 @@
     // Returns the expected duration of a response that is not a stream.
     base::Duration expectedResponseDuration(const manifest::Route& route) const
     {
-        return std::max(minExpectedDuration, route.latencyObjective);
+        auto expected = std::max(minExpectedDuration, route.latencyObjective);
+        if (route.kind != manifest::RouteKind::NonIdempotent)
+            return expected;
+        // If it were cut off, the client could not send it again. In the first half of the grace the load balancer still
+        // sends requests here.
+        return std::max(expected, std::min(route.timeout, m_grace / 2));
     }
 
     base::Duration m_grace;
--- a/tests/EndOfGraceTest.cpp
+++ b/tests/EndOfGraceTest.cpp
@@ -152,3 +152,16 @@
     route.latencyObjective = seconds(3);
     CHECK_TRUE(rule.latestStart(route, {}) == seconds(4));
 }
+
+// If it is cut off, the client can't send it again. The load balancer still sends requests early in the grace.
+TEST(EndOfGrace, RequestThatMayNotBeRepeatedHasItsWholeTimeoutOrHalfTheGrace)
+{
+    forward::DrainRule rule(seconds(7));
+    manifest::Route route;
+    route.kind = manifest::RouteKind::NonIdempotent;
+    route.latencyObjective = milliseconds(400);
+    route.timeout = milliseconds(1200);
+    CHECK_TRUE(rule.latestStart(route, {}) == milliseconds(5800));
+    route.timeout = seconds(25);
+    CHECK_TRUE(rule.latestStart(route, {}) == milliseconds(3500));
+}
