--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -21,7 +21,7 @@
     def __init__(self, random, binary, folder, gateway_count, is_verbose):
         self.random = random
         self.zones = ["zone-a", "zone-b", "zone-c"]
-        self.store = Store()
+        self.store = Store(random)
         self.store.rewrite_for_reader = self._with_proxy_address
         self.manifest = Manifest(random)
         self.checker = HistoryChecker(REVOKE_SECONDS, self.manifest)
