Soak: clients take up streams that broke, and events tell which software version wrote them

The clients never came back for a stream, and all upstreams ran one version, so the soak could not see a stream that is joined from two versions. Now each event holds the service and version of its upstream, for the checker only. A client whose stream broke (closed, reset, or by the client's own loss) takes it up at any gateway with a new attempt id, Last-Event-Id, and Resumes with the attempt that brought the first event; it honours Retry-After and gives up after a few tries or with its time budget.

Checks: no stream holds events from two versions of a service, in one answer or over the tries, counted exactly; ids have neither gap nor repeat over the tries; of twelve or more streams taken up while gateway and store have been undisturbed for 4 s and two upstreams of their version serve, the share that goes on is at least half of the share of new ones that begin. Events are now read one by one instead of compared with the whole stream. Recovery counts first tries only.

--- a/tools/soak/answer_faults.py
+++ b/tools/soak/answer_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from http_messages import format_response
-from upstream import COMMENT, expected_body, expected_event
+from upstream import COMMENT, expected_body
 
 FAULT_SECONDS = 6
 LATE_ANSWER_SECONDS = 0.2
@@ -52,7 +52,7 @@
     writer.write(_stream_head(headers))
     first = int(request.header("last-event-id", "0")) + 1
     for number in range(first, first + 3):
-        writer.write(_chunk(expected_event(request.body, number)))
+        writer.write(_chunk(upstream.event(request.body, number)))
     await _repeat(upstream, request, writer, _chunk(COMMENT), 0.2)
 
 
--- a/tools/soak/client.py
+++ b/tools/soak/client.py
@@ -2,62 +2,35 @@
 
 import asyncio
 import time
-import uuid
 
 from connection import Connection, ProtocolError
 from connection_checker import IDLE_PART, RESPONSE_TIMEOUT_SECONDS
 from exchange import Exchange
-from upstream import COMMENT, EVENT_COUNT, expected_body, expected_event
+from request import TIME_BUDGET_MS, Request
+from stream_checker import STABLE_WINDOW_SECONDS
+from traffic import MIXED_TRAFFIC
+from upstream import expected_body
 
-REQUEST_KINDS = ["read", "book", "stream", "read", "book", "stream", "extra"]
 SHORT_IDLE_SECONDS = 0.15
 # Leaves time for the request to arrive before the announced time is over.
 ANNOUNCED_IDLE_PART = 0.95
 AT_ONCE_SHARE = 0.35
 LONG_IDLE_SHARE = 0.1
-SLOW_BODY_SHARE = 0.15
-LARGE_REQUEST_SHARE = 0.03
 PIPELINED_SHARE = 0.1
 PIPELINE_DELAY_SECONDS = 1.2
-ABANDONED_SHARE = 0.04
-
-
-class Request:
-    def __init__(self, random, keys, limits, kinds=REQUEST_KINDS):
-        self.attempt = uuid.UUID(int=random.getrandbits(128)).hex[:16]
-        self.kind = random.choice(kinds)
-        self.key = random.choice(keys)
-        has_body = self.kind in ("book", "stream")
-        self.body = self.attempt.encode() * random.randint(1, 60) if has_body else b""
-        self.headers = []
-        self.padding = 0
-        self.pauses = []
-        if random.random() < LARGE_REQUEST_SHARE:
-            self.padding = int(random.uniform(0.3, 0.8) * limits.maxHeaderBytes) - 400
-            if self.kind == "book":
-                self.body = self.attempt.encode() * int(random.uniform(0.3, 0.8) * limits.maxBodyBytes / 16)
-        if has_body and random.random() < SLOW_BODY_SHARE:
-            self.pauses = [random.uniform(0, 0.4) for _ in range(random.randint(1, 3))]
-
-        self.complete_stream = b"".join(expected_event(self.body, number) for number in range(1, EVENT_COUNT + 1)) if self.kind == "stream" else b""
-
-    def head(self):
-        method = "POST" if self.body else "GET"
-        lines = [f"{method} /{self.kind}/{self.attempt} HTTP/1.1", "Host: soak.example", f"Redwingseam-Attempt-Id: {self.attempt}", f"Redwingseam-Key: {self.key}", "Redwingseam-Deadline-Ms: 10000", *self.headers]
-        if self.padding:
-            lines.append("X-Padding: " + "p" * self.padding)
-        if self.kind == "stream":
-            lines += ["Redwingseam-Token-Usage: 800,200", "Redwingseam-Model: m"]
-        if self.body:
-            lines.append(f"Content-Length: {len(self.body)}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+MAX_TRIES = 5
+# A client whose stream broke comes back at once, after a short pause, or once in a while much later.
+TAKE_UP_PAUSES_SECONDS = [0, 0.3, 0.3, 0.3, 1, 4]
+MIN_REMAINING_SECONDS = 2
+FINAL_STATUSES = (200, 400, 401, 404, 413, 431)
 
 
 class Client:
-    def __init__(self, deployment, random):
+    def __init__(self, deployment, random, traffic=MIXED_TRAFFIC):
         self.deployment = deployment
         self.checker = deployment.checker
         self.random = random
+        self.traffic = traffic
         self.connection = None
 
     async def run(self, stopping):
@@ -97,11 +70,13 @@
             self.connection = await Connection.open(self.deployment.choose_gateway_for_client())
         connection = self.connection
         limits = self.deployment.manifest.limits
-        requests = [Request(self.random, self.deployment.keys, limits)]
+        requests = [self._draw_request(limits)]
         delay = self.random.uniform(0, PIPELINE_DELAY_SECONDS)
         if requests[0].kind == "stream" and self.random.random() < PIPELINED_SHARE:
-            requests.append(Request(self.random, self.deployment.keys, limits))
-        abandon_after = self.random.uniform(0.05, 1) if len(requests) == 1 and self.random.random() < ABANDONED_SHARE else None
+            requests.append(self._draw_request(limits))
+        break_after = self._draw_break() if len(requests) == 1 and requests[0].stream else None
+        abandons = len(requests) == 1 and break_after is None and self.random.random() < self.traffic.abandoned_share
+        abandon_after = self.random.uniform(0.05, 1) if abandons else break_after
         exchanges = [self._begin(connection, requests[0], False)]
         sender = asyncio.create_task(self._send_all(connection, requests, exchanges, delay))
         try:
@@ -115,14 +90,48 @@
             if exchanges[-1].sent_at is None:
                 self._close()
             await asyncio.gather(sender, return_exceptions=True)
+        for exchange, request in zip(exchanges, requests):
+            if request.stream and (exchange.status == "closed" or (break_after is not None and exchange.status == "abandoned")):
+                await self._take_up(request, exchange)
+
+    def _draw_request(self, limits):
+        request = Request(self.random, self.deployment.keys, limits, self.traffic)
+        if request.stream:
+            self.checker.streams.add(request.stream)
+        return request
+
+    async def _take_up(self, request, exchange):
+        """Goes on with a stream that broke, at any gateway and within the time that the client has."""
+        deadline = exchange.began_at + TIME_BUDGET_MS / 1000
+        pause = self.random.choice(TAKE_UP_PAUSES_SECONDS)
+        for _ in range(MAX_TRIES):
+            await asyncio.sleep(pause)
+            remaining = deadline - time.monotonic()
+            if remaining < MIN_REMAINING_SECONDS:
+                return
+            pause = self.random.uniform(0.1, 0.6)
+            request = request.next_try(self.random, int(remaining * 1000))
+            try:
+                exchange = await self.send_once(self.deployment.choose_gateway_for_client(), request, self._draw_break())
+            except (OSError, asyncio.TimeoutError):
+                # No connection was established.
+                continue
+            if exchange.status in FINAL_STATUSES:
+                return
+            if exchange.retry_after is not None:
+                pause = min(exchange.retry_after, (deadline - time.monotonic()) / 3)
 
-    async def send_once(self, gateway, request):
+    def _draw_break(self):
+        """Returns when the client loses the connection of a stream, or None."""
+        return self.random.uniform(0.2, 1.5) if self.random.random() < self.traffic.broken_share else None
+
+    async def send_once(self, gateway, request, abandon_after=None):
         """Sends a request on a connection of its own and returns what came of it."""
         connection = self.connection = await Connection.open(gateway)
         exchanges = [self._begin(connection, request, False)]
         sender = asyncio.create_task(self._send_all(connection, [request], exchanges, 0))
         try:
-            await self._receive(connection, exchanges[0], request, None)
+            await self._receive(connection, exchanges[0], request, abandon_after)
         finally:
             sender.cancel()
             await asyncio.gather(sender, return_exceptions=True)
@@ -149,16 +158,25 @@
             exchanges[-1].sent_at = time.monotonic()
 
     async def _receive(self, connection, exchange, request, abandon_after):
+        offset = 0
+
         def note_head(message):
             exchange.is_head_received = True
 
+        def note_content(content):
+            nonlocal offset
+            if request.stream:
+                offset += request.stream.read(request.attempt, content[offset:])
+                if request.stream.last_id > request.last_event_id:
+                    self._record_try(connection, exchange, request, True)
+
         try:
-            read = connection.read_response(note_head, lambda content: self._check_prefix(request, content))
-            message = await asyncio.wait_for(read, abandon_after or RESPONSE_TIMEOUT_SECONDS)
+            message = await asyncio.wait_for(connection.read_response(note_head, note_content), abandon_after or RESPONSE_TIMEOUT_SECONDS)
             exchange.status = message.status
-            self._check_response(request, message)
+            self._check_response(request, message, offset)
             if message.header("connection").lower() == "close":
                 self._close()
+            exchange.read_retry_after(message)
         except asyncio.TimeoutError:
             exchange.status = "abandoned" if abandon_after else "TimeoutError"
             self._close()
@@ -172,17 +190,23 @@
             exchange.ended_at = time.monotonic()
             exchange.process.request_ended()
             self.checker.record_response(exchange)
+        if request.stream and exchange.status != "abandoned":
+            self._record_try(connection, exchange, request, exchange.status == 200)
+
+    def _record_try(self, connection, exchange, request, succeeded):
+        """Records once whether the try brought its first event."""
+        if exchange.is_recorded:
+            return
+        exchange.is_recorded = True
+        if self.deployment.is_in_touch(connection, exchange.began_at - STABLE_WINDOW_SECONDS):
+            self.checker.streams.record_try(exchange, request.stream, request.last_event_id > 0, succeeded)
 
     def _close(self):
         if self.connection:
             self.connection.close()
         self.connection = None
 
-    def _check_prefix(self, request, content):
-        if request.kind == "stream" and not request.complete_stream.startswith(content.replace(COMMENT, b"")):
-            raise ProtocolError(f"the stream ends in unexpected bytes {content[-80:]!r}")
-
-    def _check_response(self, request, message):
+    def _check_response(self, request, message, stream_bytes):
         seal = message.header("redwingseam-upstream-seal")
         if message.status != 200:
             if seal and message.status in (503, 429):
@@ -190,6 +214,7 @@
             return
         if seal != "seal-" + request.attempt:
             self.checker.record_violation("wrong response", f"{request.attempt}: signature \"{seal}\" instead of \"seal-{request.attempt}\"")
-        expected = request.complete_stream if request.kind == "stream" else expected_body(request.attempt)
-        if message.body.replace(COMMENT, b"") != expected:
-            self.checker.record_violation("wrong response", f"{request.attempt}: body of {len(message.body)} bytes differs from the expected {len(expected)} bytes")
+        if request.stream and not (request.stream.is_complete and stream_bytes == len(message.body)):
+            self.checker.record_violation("wrong response", f"{request.attempt}: the stream ends after event {request.stream.last_id} of {request.stream.event_count} and {len(message.body) - stream_bytes} more bytes")
+        if not request.stream and message.body != expected_body(request.attempt):
+            self.checker.record_violation("wrong response", f"{request.attempt}: body of {len(message.body)} bytes differs from the expected {len(expected_body(request.attempt))} bytes")
--- a/tools/soak/deadly_part.py
+++ b/tools/soak/deadly_part.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 
-from client import Client, Request
+from client import Client
+from request import Request
+from traffic import Traffic
 
 STABLE_WINDOW_SECONDS = 4
 # Crashes after which the gateways are expected to know the part.
@@ -66,7 +68,7 @@
 
     async def _send(self, gateway, is_deadly):
         parts = [part for part in self.parts if is_deadly or part != self.deadly_part]
-        request = Request(self.random, [self.key], self.deployment.manifest.limits, [self.kind])
+        request = Request(self.random, [self.key], self.deployment.manifest.limits, Traffic((self.kind,)))
         prefix = ",".join(f"{part}:200" for part in parts + [request.attempt[:8]])
         request.headers = [f"Redwingseam-Prompt-Prefix: {prefix}"]
         sent_at = time.monotonic()
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -33,6 +33,9 @@
         self.is_verbose = is_verbose
         self.keys = [f"key-{number}" for number in range(6)]
         self.started_at = time.monotonic()
+        self.latest_version = 1
+        # Upstreams that a release has chosen to replace.
+        self.replaced = set()
 
     def log(self, text):
         if self.is_verbose:
@@ -53,12 +56,32 @@
             await gateway.prepare()
             await gateway.start()
 
-    async def _add_upstream(self, name, service, zone):
-        upstream = Upstream(name, service, zone, self.store, self.checker, self.random)
+    async def _add_upstream(self, name, service, zone, version="v1"):
+        upstream = Upstream(name, service, zone, version, self.store, self.checker, self.random)
         await upstream.start()
         self.upstreams.append(upstream)
         self.checker.upstreams.append(upstream)
 
+    def next_version(self):
+        self.latest_version += 1
+        return f"v{self.latest_version}"
+
+    async def replace_upstream(self, old, version, serving_seconds, says_so):
+        """Starts an upstream of another version and then lets the old one leave, which serves for a while longer."""
+        name = old.name.split("-v")[0] + "-" + version
+        await self._add_upstream(name, old.service, old.zone, version)
+        await asyncio.sleep(self.random.uniform(0.1, 0.6))
+        await old.retire(serving_seconds, says_so)
+        self.upstreams.remove(old)
+        self.checker.upstreams.remove(old)
+
+    def choose_replaced(self, service, share):
+        """Chooses upstreams of a service that no release has chosen before."""
+        candidates = [upstream for upstream in self.upstreams if upstream.service == service and upstream not in self.replaced]
+        chosen = self.random.sample(candidates, min(len(candidates), max(1, round(share * len(candidates)))))
+        self.replaced.update(chosen)
+        return chosen
+
     def _with_proxy_address(self, kind, stored_object):
         if kind != "redwingseam-nodes":
             return stored_object
@@ -69,12 +92,28 @@
 
     def put_manifest(self):
         accounts = [{"name": "account-" + key.split("-")[1], "apiKeys": [key]} for key in self.keys if key not in self.checker.revoked]
-        self.store.put("config", "main", self.manifest.publish(accounts))
+        self.published_manifest = self.manifest.publish(accounts)
+        self.store.put("config", "main", self.published_manifest)
 
     def change_manifest(self):
         self.log(f"manifest {self.manifest.change()}")
         self.put_manifest()
 
+    async def restore_store(self, stored_copy):
+        """Brings the store back from a copy. The operator writes again at once, and the upstreams within two seconds."""
+        self.store.restore(stored_copy)
+        self.store.put("config", "main", self.published_manifest)
+        await asyncio.sleep(self.random.uniform(0.1, 2))
+        upstreams = {upstream.instance_id: upstream for upstream in self.upstreams if upstream.is_listed and upstream.server.is_serving()}
+        for name in [name for kind, name in self.store.objects if kind == "servers" and name not in upstreams]:
+            self.store.delete("servers", name)
+        for upstream in upstreams.values():
+            upstream.register()
+
+    def is_in_touch(self, connection, moment):
+        """Returns whether nothing has disturbed the gateway of this connection, nor the store, since then."""
+        return self.store.calm.holds_since(moment) and connection.gateway.was_undisturbed_since(connection.process, moment)
+
     def end_faults(self):
         """Restores what the faults have changed."""
         self.manifest.reset()
--- a/tools/soak/exchange.py
+++ b/tools/soak/exchange.py
@@ -1,8 +1,11 @@
 """What a client did and saw for one request."""
 
+import re
 from dataclasses import dataclass
 from typing import Any, Optional
 
+from connection import ProtocolError
+
 
 @dataclass
 class Exchange:
@@ -29,3 +32,13 @@
     # Another request was sent on the connection before the response was complete.
     has_follower: bool = False
     status: Any = None
+    # Seconds, or None if the response states none.
+    retry_after: Optional[float] = None
+    # What came of the try has been counted.
+    is_recorded: bool = False
+
+    def read_retry_after(self, message):
+        text = message.header("retry-after")
+        if text and not re.fullmatch(r"\d+(\.\d+)?", text):
+            raise ProtocolError(f"Retry-After: {text}")
+        self.retry_after = float(text) if text else None
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -51,10 +51,19 @@
         gateway.signal(signal.SIGCONT)
 
     async def _apply_to_proxy(self, proxy, seconds, **changes):
-        for name, value in changes.items():
-            setattr(proxy, name, value)
-        await asyncio.sleep(seconds)
-        proxy.clear_faults()
+        with proxy.calm.disturbed():
+            for name, value in changes.items():
+                setattr(proxy, name, value)
+            await asyncio.sleep(seconds)
+            proxy.clear_faults()
+
+    async def _apply_to_store(self, seconds, **changes):
+        store = self.deployment.store
+        with store.calm.disturbed():
+            for name, value in changes.items():
+                setattr(store, name, value)
+            await asyncio.sleep(seconds)
+            store.clear_faults()
 
     async def store_reset(self):
         self.choose_gateway().store_proxy.reset_all()
@@ -69,9 +78,7 @@
         await self._apply_to_proxy(self.choose_gateway().store_proxy, self.random.uniform(1, 4), delay=self.random.uniform(0.05, 0.6))
 
     async def store_down(self):
-        self.deployment.store.is_down = True
-        await asyncio.sleep(self.random.uniform(0.5, 4))
-        self.deployment.store.is_down = False
+        await self._apply_to_store(self.random.uniform(0.5, 4), is_down=True)
 
     async def store_drops_history(self):
         self.deployment.store.drop_history()
@@ -93,12 +100,7 @@
         await self.choose_upstream().hang(self.random.uniform(0.5, 2))
 
     async def drain_upstream(self):
-        upstream = self.choose_upstream()
-        upstream.register("draining")
-        await asyncio.sleep(1.5)
-        upstream.unregister()
-        await asyncio.sleep(0.5)
-        upstream.register()
+        await self.choose_upstream().drain(1.5)
 
     async def revoke_key(self):
         self.deployment.revoke(self.random)
@@ -136,7 +138,7 @@
 
     async def answer_fault(self):
         upstream = self.choose_upstream()
-        upstream.answer_fault = self.random.choice(ANSWER_FAULTS)
+        upstream.set_answer_fault(self.random.choice(ANSWER_FAULTS))
         self.deployment.log(f"{upstream.name} {upstream.answer_fault.__name__}")
         await asyncio.sleep(self.random.uniform(0.2, 2))
-        upstream.answer_fault = None
+        upstream.set_answer_fault(None)
--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -85,6 +85,11 @@
     def is_stopping(self):
         return self.process.terminated_at is not None
 
+    def was_undisturbed_since(self, process, moment):
+        """Returns whether this process ran since then, without signals that stop it and with sound links."""
+        is_process_sound = process is self.process and process.started_at <= moment and process.terminated_at is None and process.killed_at is None and not process.was_frozen_since(moment)
+        return is_process_sound and self.store_proxy.calm.holds_since(moment) and self.peer_proxy.calm.holds_since(moment)
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.readiness_port), 0.5)
--- a/tools/soak/history_checker.py
+++ b/tools/soak/history_checker.py
@@ -3,6 +3,8 @@
 import time
 
 from connection_checker import ConnectionChecker
+from serving_times import ServingTimes
+from stream_checker import StreamChecker
 
 
 class HistoryChecker:
@@ -10,9 +12,13 @@
         self.revoke_seconds = revoke_seconds
         self.manifest = manifest
         self.connections = ConnectionChecker(self, manifest)
+        self.streams = StreamChecker(self)
+        self.serving = ServingTimes()
         self.runs = {}
         self.responses = {}
         self.sent = {}
+        # Attempts with which clients tried again.
+        self.later_tries = set()
         self.bodies = {}
         # Attempts whose upstream stopped, fell silent or sent faulty bytes while it ran them.
         self.broken_off = set()
@@ -31,6 +37,8 @@
     def record_sent(self, request):
         self.sent[request.attempt] = (time.monotonic(), request.kind, request.key)
         self.bodies[request.attempt] = request.body
+        if request.is_later_try:
+            self.later_tries.add(request.attempt)
 
     def record_run(self, request, upstream):
         attempt = request.header("redwingseam-attempt-id")
@@ -58,6 +66,7 @@
     def finish(self, gateways):
         """Checks the guarantees that need the complete history."""
         self.connections.finish(gateways)
+        self.streams.finish()
         for attempt, (kind, status) in self.responses.items():
             if kind == "book" and status in (408, 421, 429, 503) and attempt in self.runs:
                 self.record_violation("refused after run", f"{attempt}: status {status}, but it ran at {self.runs[attempt]}")
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from calm import Calm
+
 
 class Proxy:
     """Forwards connections to the address that the function `target` returns."""
@@ -14,7 +16,7 @@
         self.refuses = False
         self.connections = set()
         self.address = ""
-        self.is_disturbed = False
+        self.calm = Calm()
 
     async def start(self):
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -22,6 +24,7 @@
         return self
 
     def reset_all(self):
+        self.calm.note()
         for writers in list(self.connections):
             for writer in writers:
                 writer.transport.abort()
--- /dev/null
+++ b/tools/soak/traffic.py
@@ -0,0 +1,20 @@
+"""What kinds of requests clients send, and how they use their connections."""
+
+from dataclasses import dataclass
+from typing import Tuple
+
+
+@dataclass(frozen=True)
+class Traffic:
+    kinds: Tuple[str, ...]
+    # Lengths of streams, in events.
+    min_events: int = 40
+    max_events: int = 40
+    # Share of the requests that the client abandons.
+    abandoned_share: float = 0.04
+    # Share of the streams whose connection the client loses and takes up again.
+    broken_share: float = 0.04
+
+
+MIXED_TRAFFIC = Traffic(("read", "book", "stream", "read", "book", "stream", "extra"))
+STREAM_TRAFFIC = Traffic(("stream", "stream", "stream", "stream", "stream", "stream", "stream", "read", "book"), 20, 120, 0.02, 0.5)
--- a/tools/soak/upstream.py
+++ b/tools/soak/upstream.py
@@ -6,7 +6,6 @@
 
 from http_messages import format_response, read_message
 
-EVENT_COUNT = 40
 EVENT_INTERVAL_SECONDS = 0.03
 PREFILL_SECONDS = 0.15
 PLAIN_RESPONSE_SECONDS = 0.02
@@ -19,18 +18,24 @@
     return (hashlib.sha256(attempt.encode()).hexdigest() * 10).encode()
 
 
-def expected_event(content, number):
-    """Returns the only correct event with this number in a stream. `content` is the body of the request."""
-    return f"id: {number}\ndata: {hashlib.sha256(content + str(number).encode()).hexdigest()[:16]}\n\n".encode()
+def event_start(content, number):
+    """Returns how the event with this number begins, whoever writes it. `content` is the body of the request."""
+    return f"id: {number}\ndata: {hashlib.sha256(content + str(number).encode()).hexdigest()[:16]} ".encode()
+
+
+def event_count(target):
+    """Returns the number of events in the stream with this target, which is the last part of its path."""
+    return int(target.rsplit("/", 1)[1])
 
 
 class Upstream:
-    """An upstream whose successive incarnations listen on the same port."""
+    """An upstream whose successive incarnations listen on the same port and run the same software version."""
 
-    def __init__(self, name, service, zone, store, checker, random):
+    def __init__(self, name, service, zone, version, store, checker, random):
         self.name = name
         self.service = service
         self.zone = zone
+        self.version = version
         self.store = store
         self.checker = checker
         self.random = random
@@ -39,6 +44,13 @@
         self.server = None
         self.writers = set()
         self.is_hung = False
+        self.is_draining = False
+        # Whether the store holds its entry, unless the store has lost it.
+        self.is_listed = False
+        # Doesn't come back after its end.
+        self.is_retired = False
+        self.started_at_ms = 0
+        self.sequence = 0
         self.kv_backups = set()
         self.instance_id = ""
         # Attempts in progress, by connection. An attempt may come on two connections at once.
@@ -48,42 +60,103 @@
         # Parts of a prompt under which the upstream crashes, and the seconds until it is back.
         self.deadly_parts = {}
 
-    async def start(self, port=0):
+    async def start(self, port=0, keeps_id=False):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.started_at_ms = int(time.time() * 1000)
+        self.sequence = 0
+        if not keeps_id:
+            self.take_new_id()
         self.register()
 
-    def register(self, state="ready"):
-        if state == "ready":
-            self.incarnation_count += 1
-            self.instance_id = f"i-{self.name}-{self.incarnation_count}"
-        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0, "seq": self.incarnation_count, "born": int(time.time() * 1000)}
+    @property
+    def serves(self):
+        """Whether gateways may send requests here and get the answers."""
+        return self.server is not None and self.server.is_serving() and not (self.is_hung or self.is_draining or self.is_retired or self.answer_fault)
+
+    def take_new_id(self):
+        self.incarnation_count += 1
+        self.instance_id = f"i-{self.name}-{self.incarnation_count}"
+
+    def register(self):
+        self.sequence += 1
+        state = "draining" if self.is_draining else "ready"
+        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": 16, "state": state, "coldLeftMs": 0, "seq": self.sequence, "born": self.started_at_ms}
         self.store.put("servers", self.instance_id, spec)
+        self.is_listed = True
+        self.note_change()
 
     def unregister(self):
         self.store.delete("servers", self.instance_id)
+        self.is_listed = False
+
+    def note_change(self):
+        self.checker.serving.note(self)
+
+    def set_answer_fault(self, answer_fault):
+        self.answer_fault = answer_fault
+        self.note_change()
+
+    def event(self, content, number):
+        """Returns an event that tells the checker who wrote it."""
+        return event_start(content, number) + f"{self.service} {self.version}\n\n".encode()
 
-    async def crash(self, seconds):
+    async def crash(self, seconds, keeps_id=False):
         """Resets all connections, refuses new ones, and restarts after the given time as a new incarnation."""
         if not self.server.is_serving():
             return
         port = int(self.address.split(":")[1])
+        self._end()
+        await asyncio.sleep(seconds)
+        if not keeps_id or self.is_retired:
+            self.unregister()
+        if not self.is_retired:
+            self.is_draining = False
+            await self.start(port, keeps_id)
+
+    def _end(self):
         self.server.close()
+        self.note_change()
         self.checker.broken_off.update(self.running.values())
         self.kv_backups.clear()
         for writer in list(self.writers):
             writer.transport.abort()
-        old_instance_id = self.instance_id
+
+    async def drain(self, seconds):
+        """Says that it is leaving, and comes back under a new id after a while."""
+        self.is_draining = True
+        self.register()
+        await asyncio.sleep(seconds)
+        if not self.is_retired:
+            self.unregister()
+            await asyncio.sleep(0.5)
+        if not self.is_retired and self.server.is_serving():
+            self.is_draining = False
+            self.take_new_id()
+            self.register()
+
+    async def retire(self, seconds, says_so):
+        """Takes its entry back, at once or after it has said that it is leaving, serves for the given time and ends."""
+        self.is_retired = True
+        self.is_draining = True
+        if says_so and self.server.is_serving():
+            self.register()
+        else:
+            self.unregister()
+            self.note_change()
         await asyncio.sleep(seconds)
-        self.store.delete("servers", old_instance_id)
-        await self.start(port)
+        self.unregister()
+        if self.server.is_serving():
+            self._end()
 
     async def hang(self, seconds):
         """Sends nothing for the given time, then resets all open connections."""
         self.is_hung = True
+        self.note_change()
         self.checker.broken_off.update(self.running.values())
         await asyncio.sleep(seconds)
         self.is_hung = False
+        self.note_change()
         self.checker.broken_off.update(self.running.values())
         for writer in list(self.writers):
             writer.transport.abort()
@@ -156,11 +229,11 @@
         head = "\r\n".join(["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in headers.items()] + ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"])
         writer.write(head.encode() + b"\r\n\r\n")
         backup = self.checker.upstream_with_address(request.header("redwingseam-kv-backup"))
-        for number in range(first, EVENT_COUNT + 1):
+        for number in range(first, event_count(request.target) + 1):
             await self._wait_while_hung()
             if writer.transport.is_closing():
                 return
-            data = expected_event(request.body, number)
+            data = self.event(request.body, number)
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
             if backup and number > first + 2:
