--- a/tests/soak/connection_checks_test.py
+++ b/tests/soak/connection_checks_test.py
@@ -179,6 +179,13 @@
         with self.assertRaises(ProtocolError):
             await connection.wait_idle(0.5)
 
+    async def test_connection_that_the_event_loop_has_closed_is_at_its_end(self):
+        connection = await self.connect(b"")
+        self.assertFalse(connection.is_end_pending())
+        connection.close()
+        await asyncio.sleep(0.01)
+        self.assertTrue(connection.is_end_pending())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/connection.py
+++ b/tools/soak/connection.py
@@ -50,8 +50,11 @@
 
     def is_end_pending(self):
         """Returns whether the gateway has closed the connection, whether or not the event loop knows it."""
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return True
         poll = select.poll()
-        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(descriptor, select.POLLRDHUP)
         return bool(poll.poll(0))
 
     async def send(self, head, body, pauses):
