Soak: a scenario of releases with streams that clients take up

Upstreams crash and come back at their address and version, under a new id or under the old one with a later start. Times of many faults (kills of half and of all gateways, series of SIGTERM, store silent, slow, down, losing answers, restored from a copy, resets) alternate with times in which store and most gateways are left alone.

--- a/tests/soak/take_up_test.py
+++ b/tests/soak/take_up_test.py
@@ -32,7 +32,7 @@
         self.checker = HistoryChecker(3, Manifest(random.Random(1)))
         deployment = types.SimpleNamespace(checker=self.checker, keys=["key-0"], is_in_touch=lambda connection, moment: True, choose_gateway_for_client=lambda: self.gateway,
                                            manifest=types.SimpleNamespace(limits=Limits()))
-        self.client = Client(deployment, random.Random(2), Traffic(("stream",), 5, 5, 0, 0))
+        self.client = Client(deployment, random.Random(2), Traffic(("stream",), 5, 5, 0, 0, take_up_pauses_seconds=(0,)))
 
     async def serve(self, reader, writer):
         request = await read_message(reader)
--- a/tools/soak/client.py
+++ b/tools/soak/client.py
@@ -1,12 +1,13 @@
 """Client that keeps using its connection until the gateway closes it, and checks every response."""
 
 import asyncio
+import contextlib
 import time
 
 from connection import Connection, ProtocolError
 from connection_checker import IDLE_PART, RESPONSE_TIMEOUT_SECONDS
 from exchange import Exchange
-from request import TIME_BUDGET_MS, Request
+from request import Request
 from stream_checker import STABLE_WINDOW_SECONDS
 from traffic import MIXED_TRAFFIC
 from upstream import expected_body
@@ -19,8 +20,6 @@
 PIPELINED_SHARE = 0.1
 PIPELINE_DELAY_SECONDS = 1.2
 MAX_TRIES = 5
-# A client whose stream broke comes back at once, after a short pause, or once in a while much later.
-TAKE_UP_PAUSES_SECONDS = [0, 0.3, 0.3, 0.3, 1, 4]
 MIN_REMAINING_SECONDS = 2
 FINAL_STATUSES = (200, 400, 401, 404, 413, 431)
 
@@ -32,8 +31,10 @@
         self.random = random
         self.traffic = traffic
         self.connection = None
+        self.stopping = asyncio.Event()
 
     async def run(self, stopping):
+        self.stopping = stopping
         while not stopping.is_set():
             try:
                 await self._pause()
@@ -102,12 +103,13 @@
 
     async def _take_up(self, request, exchange):
         """Goes on with a stream that broke, at any gateway and within the time that the client has."""
-        deadline = exchange.began_at + TIME_BUDGET_MS / 1000
-        pause = self.random.choice(TAKE_UP_PAUSES_SECONDS)
+        deadline = exchange.began_at + request.deadline_ms / 1000
+        pause = self.random.choice(self.traffic.take_up_pauses_seconds)
         for _ in range(MAX_TRIES):
-            await asyncio.sleep(pause)
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(self.stopping.wait(), pause)
             remaining = deadline - time.monotonic()
-            if remaining < MIN_REMAINING_SECONDS:
+            if self.stopping.is_set() or remaining < MIN_REMAINING_SECONDS:
                 return
             pause = self.random.uniform(0.1, 0.6)
             request = request.next_try(self.random, int(remaining * 1000))
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -4,6 +4,11 @@
 import signal
 
 from answer_faults import ANSWER_FAULTS
+from release import Release
+
+# In the scenario of software versions, times of many faults alternate with times in which the store and most gateways are left alone.
+MIN_DENSE_SECONDS, MAX_DENSE_SECONDS = 2, 4
+MIN_SPARSE_SECONDS, MAX_SPARSE_SECONDS = 6, 9
 
 
 class FaultInjector:
@@ -13,16 +18,38 @@
         self.faults = [self.kill, self.terminate, self.rolling_terminate, self.freeze, self.store_reset, self.store_cut, self.store_one_way, self.store_slow, self.store_down, self.store_drops_history,
                        self.peer_cut, self.peer_reset, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
                        self.manifest_series, self.manifest_series, self.repeated_signals, self.freeze_hub, self.answer_fault, self.answer_fault]
+        self.sparse_faults = [self.release, self.crash_upstream, self.crash_upstream, self.crash_under_same_id, self.hang, self.reload_settings]
+        self.dense_faults = [self.kill, self.kill_half, self.kill_all, self.kill_all, self.terminate, self.terminate_series, self.repeated_signals, self.freeze, self.store_silent, self.store_slow_for_all,
+                             self.store_down, self.store_loses_answers, self.store_restored, self.store_reset, self.peer_reset, self.release, self.release, self.crash_upstream, self.crash_under_same_id]
+        self.running = []
 
     async def run(self, seconds):
-        running = []
+        await self._inject(self.faults, seconds, 1.2)
+        await self._end()
+
+    async def run_versions(self, seconds):
+        """Injects faults around releases, sparsely and densely by turns."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + seconds
+        while loop.time() < deadline:
+            self._begin(self.release)
+            await self._inject(self.sparse_faults, min(self.random.uniform(MIN_SPARSE_SECONDS, MAX_SPARSE_SECONDS), deadline - loop.time()), 1.5)
+            self._begin(self.random.choice([self.kill_half, self.kill_all]))
+            await self._inject(self.dense_faults, min(self.random.uniform(MIN_DENSE_SECONDS, MAX_DENSE_SECONDS), deadline - loop.time()), 0.8)
+        await self._end()
+
+    async def _inject(self, faults, seconds, max_pause):
         deadline = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < deadline:
-            fault = self.random.choice(self.faults)
-            self.deployment.log(f"fault {fault.__name__}")
-            running.append(asyncio.create_task(fault()))
-            await asyncio.sleep(self.random.uniform(0.1, 1.2))
-        await asyncio.gather(*running)
+            self._begin(self.random.choice(faults))
+            await asyncio.sleep(self.random.uniform(0.1, max_pause))
+
+    def _begin(self, fault):
+        self.deployment.log(f"fault {fault.__name__}")
+        self.running.append(asyncio.create_task(fault()))
+
+    async def _end(self):
+        await asyncio.gather(*self.running)
         self.deployment.end_faults()
 
     def choose_gateway(self):
@@ -36,6 +63,17 @@
         gateway.signal(signal.SIGKILL)
         await asyncio.sleep(self.random.uniform(0, 1))
 
+    async def kill_half(self):
+        gateways = self.deployment.gateways
+        await self._kill(self.random.sample(gateways, (len(gateways) + 1) // 2))
+
+    async def kill_all(self):
+        await self._kill(self.deployment.gateways)
+
+    async def _kill(self, gateways):
+        for gateway in gateways:
+            gateway.signal(signal.SIGKILL)
+
     async def terminate(self):
         await self.choose_gateway().stop()
 
@@ -44,6 +82,15 @@
             await gateway.stop()
             await asyncio.sleep(0.8)
 
+    async def terminate_series(self):
+        """Stops half of the gateways, each shortly after the one before."""
+        gateways = self.deployment.gateways
+        stops = []
+        for gateway in self.random.sample(gateways, (len(gateways) + 1) // 2):
+            stops.append(asyncio.create_task(gateway.stop()))
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        await asyncio.gather(*stops)
+
     async def freeze(self):
         gateway = self.choose_gateway()
         gateway.signal(signal.SIGSTOP)
@@ -80,6 +127,24 @@
     async def store_down(self):
         await self._apply_to_store(self.random.uniform(0.5, 4), is_down=True)
 
+    async def store_silent(self):
+        await self._apply_to_store(self.random.uniform(0.5, 4), is_silent=True)
+
+    async def store_slow_for_all(self):
+        await self._apply_to_store(self.random.uniform(0.5, 4), delay=self.random.uniform(0.05, 0.6))
+
+    async def store_loses_answers(self):
+        """Answers to writes get lost; a call may have been executed, or be executed later, or not at all."""
+        await self._apply_to_store(self.random.uniform(1, 4), lost_answer_share=self.random.uniform(0.3, 1))
+
+    async def store_restored(self):
+        """The store goes down for a moment and comes back from a copy that is some seconds old."""
+        stored_copy = self.deployment.store.take_copy()
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        with self.deployment.store.calm.disturbed():
+            await self._apply_to_store(self.random.uniform(0.2, 1), is_down=True)
+            await self.deployment.restore_store(stored_copy)
+
     async def store_drops_history(self):
         self.deployment.store.drop_history()
 
@@ -92,6 +157,12 @@
     async def crash_upstream(self):
         await self.choose_upstream().crash(self.random.uniform(0.3, 2))
 
+    async def crash_under_same_id(self):
+        await self.choose_upstream().crash(self.random.uniform(0.3, 2), keeps_id=True)
+
+    async def release(self):
+        await Release(self.deployment, self.random).run()
+
     async def crash_zone(self):
         zone = self.random.choice(self.deployment.zones)
         await asyncio.gather(*(upstream.crash(1.2) for upstream in self.deployment.upstreams if upstream.zone == zone and upstream.service == "engines"))
--- a/tools/soak/request.py
+++ b/tools/soak/request.py
@@ -7,7 +7,6 @@
 
 LARGE_REQUEST_SHARE = 0.03
 SLOW_BODY_SHARE = 0.15
-TIME_BUDGET_MS = 10000
 
 
 def draw_attempt(random):
@@ -19,7 +18,7 @@
         self.attempt = draw_attempt(random)
         self.kind = random.choice(traffic.kinds)
         self.key = random.choice(keys)
-        self.deadline_ms = TIME_BUDGET_MS
+        self.deadline_ms = traffic.time_budget_ms
         has_body = self.kind in ("book", "stream")
         self.body = self.attempt.encode() * random.randint(1, 60) if has_body else b""
         self.path = f"/{self.kind}/{self.attempt}"
