--- a/tests/soak/stream_checks_test.py
+++ b/tests/soak/stream_checks_test.py
@@ -48,10 +48,12 @@
         self.record.read("a1", event(1) + event(2))
         self.record.read("a2", event(3, "v2"))
         self.assertEqual(self.broken(), ["order"])
+        self.assertEqual(self.checker.streams.joined_within_an_answer(), [])
 
     def test_second_version_within_one_answer_is_reported(self):
         self.record.read("a1", event(1) + event(2, "v2") + event(3))
         self.assertEqual(self.broken(), ["order"])
+        self.assertEqual(self.checker.streams.joined_within_an_answer(), [self.record])
 
     def test_each_stream_of_two_versions_is_counted(self):
         for _ in range(2):
--- a/tools/soak/stream_checker.py
+++ b/tools/soak/stream_checker.py
@@ -42,6 +42,9 @@
     def mixed_streams(self):
         return [record for record in self.records if len(record.versions()) > 1]
 
+    def joined_within_an_answer(self):
+        return [record for record in self.mixed_streams() if len(set(record.origins)) > len({attempt for _, attempt in record.origins})]
+
     @staticmethod
     def _describe(record):
         """Returns where each part of the stream came from."""
@@ -53,5 +56,5 @@
 
     def counts(self):
         resumed = [record for record in self.records if len({attempt for _, attempt in record.origins}) > 1]
-        return (f"{len(self.records)} streams, {len(resumed)} over several tries, {len(self.mixed_streams())} of two software versions ({ALLOWED_MIXED_STREAMS} allowed); "
+        return (f"{len(self.records)} streams, {len(resumed)} over several tries, {len(self.mixed_streams())} of two software versions ({ALLOWED_MIXED_STREAMS} allowed), {len(self.joined_within_an_answer())} of these within an answer; "
                 f"undisturbed: {sum(succeeded for succeeded, _ in self.went_on)} of {len(self.went_on)} taken up went on, {sum(self.begun)} of {len(self.begun)} began")
