Exchange: a stream that has begun waits for upstreams that could not be reached

Callers saw a stream closed in the middle of its answer although its deadline was far, after a time in which its node could establish no connection. Cause: an upstream to which no connection was established stayed excluded for the rest of the request, like one that had failed it. Once all were excluded, or the node had no descriptors, or all asked to wait, the stream was aborted after 0.12 of its latency objective. Class: a momentary lack ends what can get no other answer. Now such an upstream may be tried again once it is no longer suspected, and a stream that has begun looks for one every 200 ms until its deadline, as long as an unreached upstream still accepts requests or has said when it does. If all have failed it, or the unreached ones have left, it ends as before. Requests that can be refused as not run are refused as before. Evidence: UnreachableUpstreams. Before, eight of ten tests failed: with three upstreams the stream ended with the step 'fail' during 5 s without connections; with 280 it went on already, since connections that are not established count towards no limit.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -135,8 +135,22 @@
     return mayQueue() ? placeInTurn(now, random) : placeOrWait(now, random);
 }
 
+bool Exchange::readmitUnreached(base::Instant now)
+{
+    bool isAnyLeft = std::any_of(m_unreached.begin(), m_unreached.end(), [&](const auto& upstream) { return m_fleet.acceptsRequests(upstream, now); });
+    std::erase_if(m_unreached, [&](const fleet::UpstreamInstance& upstream) {
+        if (!m_fleet.takesWork(upstream, now))
+            return false;
+        std::erase(m_excluded, upstream.id);
+        return true;
+    });
+    return isAnyLeft;
+}
+
 Step Exchange::placeOrWait(base::Instant now, uint64_t random)
 {
+    if (now < m_nextPlacementAt)
+        return {};
     auto placement = m_fleet.place(query(now, random));
     if (placement)
         return send(std::move(*placement), now);
@@ -149,8 +163,14 @@
     bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
     if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
         return refuseWhileDeferred(*deferredUntil - now, now, random);
+    bool mayGoOn = readmitUnreached(now) || deferredUntil;
     if (now < waitsUntil)
         return {};
+    // The client can get nothing but the rest of the stream.
+    if (m_areHeadersSent && mayGoOn) {
+        m_nextPlacementAt = now + m_policy.placementInterval;
+        return {};
+    }
     // No attempt was made. A request that has not run is refused with NoUpstream.
     return giveUp(AttemptOutcome::NotConnected);
 }
@@ -285,8 +305,11 @@
         m_contacted.pop_back();
     if (m_noResourcesSince == base::Instant {})
         m_noResourcesSince = now;
-    if (now - m_noResourcesSince >= scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare))
+    bool isWaitOver = now - m_noResourcesSince >= scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
+    if (isWaitOver && !m_areHeadersSent)
         return giveUp(AttemptOutcome::NotConnected);
+    if (isWaitOver)
+        m_nextPlacementAt = now + m_policy.placementInterval;
     m_waitingSince = m_noResourcesSince;
     return {};
 }
@@ -317,6 +340,8 @@
             m_fleet.suspect(ended->target, *cause, now);
         if (outcome != AttemptOutcome::BackupMissing)
             m_excluded.push_back(ended->target.id);
+        if (outcome == AttemptOutcome::NotConnected)
+            m_unreached.push_back(ended->target);
         // A backup exists only after the run has produced an event.
         if (mayHaveRun(outcome) && ended->backup && m_hasEvent)
             m_backupAddress = ended->backup->address;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -84,6 +84,9 @@
 private:
     Step place(base::Instant now, uint64_t random);
     Step placeOrWait(base::Instant now, uint64_t random);
+    // Lets the upstreams that could not be reached be tried again once they are no longer suspected. Returns whether any of
+    // them still accepts requests.
+    bool readmitUnreached(base::Instant now);
     // Whether the request may be held back until an engine has room. Resumed streams and retries go first.
     bool mayQueue() const { return isEngineRequest() && !m_request.lastEventId && !m_sends; }
     Step placeInTurn(base::Instant now, uint64_t random);
@@ -143,6 +146,8 @@
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
+    // Those of them to which no connection was established.
+    std::vector<fleet::UpstreamInstance> m_unreached;
     // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
     // so the request is not sent again on a connection that may carry one.
     std::vector<base::UpstreamName> m_contacted;
@@ -176,6 +181,8 @@
     base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
+    // When a stream that has begun looks for an upstream again.
+    base::Instant m_nextPlacementAt {};
     // Since when this node lacks the resources to connect; zero if it has them.
     base::Instant m_noResourcesSince {};
     base::Instant m_lastActivity {};
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -18,6 +18,9 @@
     // Share of the latency objective for which a request waits for a usable upstream. A longer wait leaves the client
     // no time for a retry.
     double maxWaitObjectiveShare = 0.12;
+    // Interval at which a stream that has begun looks for an upstream after that. It waits for those that could not be
+    // reached until its deadline, because its client can get only the rest of it.
+    base::Duration placementInterval = std::chrono::milliseconds(200);
     // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
     // engine, when requests are queued.
     double firstEventReserveShare = 0.55;
