Exchange: a stream that has begun waits for the retry budget

Callers saw a stream closed in the middle of its answer, 3 to 9 s after it began, while its deadline was far. Cause: when the node's share of the retry budget was used up, a stream whose attempt had ended was aborted at once, although the budget is a sliding window. A full link makes all streams of a node silent within a second, and each takes a retry. The budget itself holds as before. Requests whose response has not begun get their answer at once, as before, since their client can come back.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -151,6 +151,9 @@
 {
     if (now < m_nextPlacementAt)
         return {};
+    if (m_isWaitingForRetry && !m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now))
+        return waitForRetry(now);
+    m_isWaitingForRetry = false;
     auto placement = m_fleet.place(query(now, random));
     if (placement)
         return send(std::move(*placement), now);
@@ -281,11 +284,21 @@
     recordAttemptEnd(outcome, now);
     if (isDeliverable(outcome))
         return { StepKind::Deliver };
-    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
+    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now))
         return giveUp(outcome);
+    if (!acquireRetry(outcome, now))
+        return m_areHeadersSent ? waitForRetry(now) : giveUp(outcome);
     return place(now, random);
 }
 
+Step Exchange::waitForRetry(base::Instant now)
+{
+    m_isWaitingForRetry = true;
+    m_waitingSince = now;
+    m_nextPlacementAt = now + m_policy.placementInterval;
+    return {};
+}
+
 AttemptOutcome Exchange::judgeStreamEnd()
 {
     bool isConfirmed = !m_areHeadersSent || m_hasEvent || m_isEndReported;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -132,6 +132,8 @@
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
     bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
+    // Lets a stream that has begun wait until the shared retry budget permits its next attempt.
+    Step waitForRetry(base::Instant now);
     void release();
     fleet::PlacementQuery query(base::Instant now, uint64_t random) const;
     base::Instant deadline() const;
@@ -161,6 +163,7 @@
     // Attempts that reached an upstream, whether or not it ran the request.
     unsigned m_reachedAttempts = 0;
     bool m_areHeadersSent = false;
+    bool m_isWaitingForRetry = false;
     bool m_isConnecting = false;
     // Whether the current attempt is the first at its upstream.
     bool m_isFirstContact = false;
--- a/tests/UnreachableUpstreamsTest.cpp
+++ b/tests/UnreachableUpstreamsTest.cpp
@@ -140,6 +140,22 @@
     checkGoesOn(failConnections(breakOffStream(request), seconds(5), connectTimeout));
 }
 
+TEST(UnreachableUpstreams, StreamGoesOnOnceTheRetryBudgetPermitsIt)
+{
+    addUpstreams("engines", 3);
+    fixture.fleet.setNodeCount(1);
+    auto request = fixture.makeRequest("/stream/x");
+    request.retries.ratio = 0;
+    request.retries.slack = 1;
+    CHECK_TRUE(fixture.fleet.tryAcquireRetry(request.service, request.retries, now()));
+    auto step = breakOffStream(request);
+    CHECK_TRUE_TEXT(step.kind == StepKind::Wait, base::nameOf(step.kind).data());
+    step = failConnections(step, seconds(8), connectTimeout);
+    LONGS_EQUAL(0, connects);
+    checkGoesOn(step);
+    CHECK_FALSE(fixture.fleet.tryAcquireRetry(request.service, request.retries, now()));
+}
+
 TEST(UnreachableUpstreams, StreamGoesOnAfterDescriptorsWereScarce)
 {
     addUpstreams("engines", 3);
