A stream waits a moment if no upstream at all is listed

Cause: a list without upstreams was taken for one without the version that began the stream. The version counts as gone only beside upstreams of other versions.

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -99,7 +99,8 @@
     Step refuseTakeUp(base::ResultCode, base::Instant now) const;
     // Records where the stream is sent, unless it has begun already.
     void recordStart(base::Instant now);
-    bool isVersionGone(base::Instant now) const { return m_origin && !m_fleet.serves(m_request.service, m_origin->version, now); }
+    // Whether the service has upstreams, and none of the version that began the stream.
+    bool isVersionGone(base::Instant now) const { return m_origin && !m_fleet.serves(m_request.service, m_origin->version, now) && m_fleet.serves(m_request.service, {}, now); }
     // Lets the upstreams that could not be reached be tried again once they are no longer suspected. Returns whether any of
     // them still accepts requests.
     bool readmitUnreached(base::Instant now);
