A begun stream waits for upstreams that ask to wait, whatever has failed it

Cause: the upstream that had failed the stream counts among those that must have asked to wait, and it hadn't. Now only upstreams that the request may still use count.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -88,9 +88,9 @@
     LOG(INFO) << log::LogLine("upstream_defers_requests").with("upstream", instance.id.text).with("incarnation", instance.incarnation).with("wait_ms", millis(bounded)).with("asked_ms", millis(wait)).text();
 }
 
-std::optional<base::Instant> Fleet::deferredUntil(const base::ServiceName& service, const base::SoftwareVersion& version, base::Instant now)
+std::optional<base::Instant> Fleet::deferredUntil(const PlacementQuery& query)
 {
-    return withPool(service, [&](UpstreamPool& pool) { return pool.deferredUntil(version, now); });
+    return withPool(query.service, [&](UpstreamPool& pool) { return pool.deferredUntil(query); });
 }
 
 bool Fleet::serves(const base::ServiceName& service, const base::SoftwareVersion& version, base::Instant now)
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -47,9 +47,9 @@
     // Records that the upstream has turned a request away and wants none from this node for `wait`, whatever clears
     // other suspicions. The other nodes are not concerned.
     void deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
-    // Returns when the first upstream of the service and the version accepts requests again if all that are eligible have
-    // asked this node to wait.
-    std::optional<base::Instant> deferredUntil(const base::ServiceName&, const base::SoftwareVersion&, base::Instant now);
+    // Returns when the first upstream that the query allows accepts requests again if all that are eligible have asked this
+    // node to wait.
+    std::optional<base::Instant> deferredUntil(const PlacementQuery&);
     // Returns whether the service has an eligible upstream of the version.
     bool serves(const base::ServiceName&, const base::SoftwareVersion&, base::Instant now);
     // Returns the versions of the service's upstreams that served at `since` or later. Includes the empty version if there
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -78,13 +78,14 @@
     return bounded;
 }
 
-std::optional<base::Instant> UpstreamPool::deferredUntil(const base::SoftwareVersion& version, base::Instant now) const
+std::optional<base::Instant> UpstreamPool::deferredUntil(const PlacementQuery& query) const
 {
     std::optional<base::Instant> until;
     for (const auto& entry : m_entries) {
-        if (!entry.isEligible(now) || !isCompatible(version, entry.instance.version))
+        bool isAllowed = isCompatible(query.version, entry.instance.version) && std::find(query.excluded.begin(), query.excluded.end(), entry.instance.id) == query.excluded.end();
+        if (!isAllowed || !entry.isEligible(query.now))
             continue;
-        if (!entry.refusal.isDeferred(now))
+        if (!entry.refusal.isDeferred(query.now))
             return std::nullopt;
         until = until ? std::min(*until, entry.refusal.deferredUntil) : entry.refusal.deferredUntil;
     }
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -42,8 +42,9 @@
     bool recordLeaving(const base::UpstreamName&, uint64_t incarnation, base::Instant now);
     // Records that the upstream wants no request from this node for `wait`. Returns the time that counts.
     base::Duration deferRequests(const UpstreamInstance&, base::Duration wait, base::Instant now);
-    // Returns when the first upstream of the version accepts requests again if all that are eligible have asked to wait.
-    std::optional<base::Instant> deferredUntil(const base::SoftwareVersion&, base::Instant now) const;
+    // Returns when the first upstream that the query allows accepts requests again if all that are eligible have asked to
+    // wait.
+    std::optional<base::Instant> deferredUntil(const PlacementQuery&) const;
     // Returns whether an upstream of the version is eligible.
     bool serves(const base::SoftwareVersion&, base::Instant now) const;
     VersionHistory& versions() { return m_versions; }
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -171,7 +171,7 @@
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
     auto waitsUntil = m_waitingSince + scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
-    auto deferredUntil = m_fleet.deferredUntil(m_request.service, m_origin ? m_origin->version : base::SoftwareVersion {}, now);
+    auto deferredUntil = m_fleet.deferredUntil(query(now, random));
     bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
     if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
         return refuseWhileDeferred(*deferredUntil - now, now, random);
