--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -22,17 +22,6 @@
     countDataCentres(readBegan);
 }
 
-void UpstreamPool::countVersions(const std::vector<UpstreamInstance>& listed, base::Instant readBegan)
-{
-    m_versionWeights.counts.clear();
-    for (const auto& instance : listed) {
-        m_versions.record(instance.version, readBegan);
-        m_versionWeights.counts[instance.version] += !instance.isDraining;
-    }
-    if (!listed.empty())
-        m_versions.recordListing(readBegan);
-}
-
 void UpstreamPool::removeUnlisted(base::Instant readBegan)
 {
     std::erase_if(m_entries, [&](const PoolEntry& entry) {
@@ -92,11 +81,6 @@
     return until;
 }
 
-bool UpstreamPool::serves(const base::SoftwareVersion& version, base::Instant now) const
-{
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const PoolEntry& entry) { return entry.isEligible(now) && isCompatible(version, entry.instance.version); });
-}
-
 bool UpstreamPool::areAllLeaving(base::Instant now) const
 {
     bool hasPresent = false;
