Right after a restore, streams are not assigned by what the store lists

Cause: the list of upstreams and the statement were both those of the copy from which the store had been restored, with upstreams of versions that had left, so they assigned the stream alike. A statement of an earlier era is no longer relied on, the leader begins a new entry in each era, and a history counts only when it has held for 5 s, since upstreams register again within about two.

--- a/src/origin/WeightHistory.cpp
+++ b/src/origin/WeightHistory.cpp
@@ -7,16 +7,29 @@
 // Far more than a release has steps within the life of a stream.
 static constexpr size_t maxEntries = 32;
 
+// Upstreams register again within about two seconds, and clocks differ by as much. In milliseconds.
+static constexpr uint64_t settlingTime = 5000;
+
 bool WeightHistory::record(const fleet::VersionWeights& current, uint64_t now)
 {
     if (!entries.empty() && entries.back().weights.isSimilar(current))
         return false;
+    restart(current, now);
+    return true;
+}
+
+void WeightHistory::restart(const fleet::VersionWeights& current, uint64_t now)
+{
     if (!entries.empty())
         entries.back().endedAt = now;
     entries.push_back({ current });
     if (entries.size() > maxEntries)
         entries.erase(entries.begin());
-    return true;
+}
+
+bool WeightHistory::isSettled(uint64_t now) const
+{
+    return std::all_of(entries.begin(), entries.end(), [&](const WeightEntry& entry) { return entry.endedAt + settlingTime <= now; });
 }
 
 bool WeightHistory::removeOlderThan(uint64_t oldest)
--- a/src/origin/WeightHistory.h
+++ b/src/origin/WeightHistory.h
@@ -13,6 +13,11 @@
 
     // Records the current numbers, unless they are about the same. Returns whether the history has changed.
     bool record(const fleet::VersionWeights&, uint64_t now);
+    // Begins a new entry even if the numbers are the same, since the list is that of a restored store.
+    void restart(const fleet::VersionWeights&, uint64_t now);
+    // Returns whether the numbers have held for long enough that they can be relied on: a restored store lists upstreams that
+    // have left, and lacks others until they register again.
+    bool isSettled(uint64_t now) const;
     // Removes what ended before `oldest`. Returns whether the history has changed.
     bool removeOlderThan(uint64_t oldest);
     // Returns all versions at which streams may have begun.
--- a/src/sync/OriginsTask.h
+++ b/src/sync/OriginsTask.h
@@ -117,7 +117,7 @@
         m_statement = origins.statement;
         for (auto& item : m_statement.services)
             item.second.removeOlderThan(oldestStatedTime());
-        m_origins.setStated(m_statement.services);
+        m_origins.setStated(reliableStatement(origins.era));
         if (m_knownEra != origins.era)
             applyStatement(origins.era, now);
         m_knownEra = origins.era;
@@ -144,6 +144,20 @@
     // Another leader, or an earlier call of which no response came, was first. The next poll reads the object.
     static base::Error errorUnlessConflict(const base::Error& error) { return error.code == base::ResultCode::PlatformConflict ? base::Error {} : error; }
 
+    // Returns what may be relied on to assign streams. What was stated before a restore may lack versions, and so may the list
+    // for a while after.
+    std::map<base::ServiceName, origin::WeightHistory> reliableStatement(uint64_t era) const
+    {
+        std::map<base::ServiceName, origin::WeightHistory> reliable;
+        if (m_statement.era != era)
+            return reliable;
+        for (const auto& [service, history] : m_statement.services) {
+            if (history.isSettled(m_wallClock.now()))
+                reliable.emplace(service, history);
+        }
+        return reliable;
+    }
+
     base::Error writeRecords(base::Instant now)
     {
         m_records.streams = m_origins.takeUnwritten(now);
@@ -174,7 +188,6 @@
             return errorUnlessConflict(revision.error());
         statement.revision = revision.value();
         m_statement = std::move(statement);
-        m_origins.setStated(m_statement.services);
         logStatement();
         return {};
     }
@@ -194,7 +207,10 @@
             if (hasUnknown)
                 weights.counts.try_emplace({}, 0);
             auto& history = statement.services[service];
-            hasChanged = history.record(weights, m_wallClock.now()) || hasChanged;
+            if (statement.era == m_statement.era)
+                hasChanged = history.record(weights, m_wallClock.now()) || hasChanged;
+            else
+                history.restart(weights, m_wallClock.now());
             hasChanged = history.removeOlderThan(oldestStatedTime()) || hasChanged;
         }
         return hasChanged;
