A request whose upstream pauses is no longer given up after four seconds

What callers saw: a request whose upstream took nothing for 6 s ended with 502 although its deadline was 20 s away.

Cause: each connection to an upstream had a TCP_USER_TIMEOUT of 4 s, so the kernel failed it.

Change: the bound now lies where the request is given up. A connection that is closed while its response is awaited and not all of the request is acknowledged is reset, so that the kernel sends no more of it; until then the request's own deadline is the kernel's limit, which also holds if the process is killed. An upstream that has acknowledged the whole request sees an ordinary close as before.

Weighed: no limit and none at the close (after a close the kernel would go on sending for many seconds); the old limit set at the close (a retransmission that is due late lets the request arrive after that). A plain close instead of the reset would tell an upstream of the end also where the reset is lost, but only together with the rest of the request.

Tests: PausedUpstream.RequestIsNotGivenUpWhileItsDeadlineIsFar (was known red), RequestDoesNotArriveAfterItsDeadline, RequestDoesNotArriveAfterItsClientHasGone. Not tested: the limit in a process that was killed.

--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -217,7 +217,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::writeRequest()
 {
-    m_upstream->send(serializeRequestHeaders(m_sendParameters), m_clientRequest.body(), isHeadRequest());
+    m_upstream->send(serializeRequestHeaders(m_sendParameters), m_clientRequest.body(), isHeadRequest(), m_sendParameters.timeout);
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -1,16 +1,17 @@
 #include "gateway/SocketCalls.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <limits>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace redwingseam::gateway {
 
 static constexpr int listenBacklog = 1024;
 static constexpr size_t readBlockBytes = 8192;
-// The kernel drops a connection whose upstream acknowledges no data for this long, so that it does not receive a request
-// long after the attempt was given up. Connections of clients have no such limit, since the deadline bounds a response.
-static constexpr unsigned upstreamTimeoutMillis = 4000;
 
 static void disableDelay(int descriptor)
 {
@@ -29,13 +30,32 @@
     if (!result.isOpen())
         return result;
     disableDelay(result.descriptor());
-    setsockopt(result.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &upstreamTimeoutMillis, sizeof upstreamTimeoutMillis);
     auto native = address.native();
     if (connect(result.descriptor(), reinterpret_cast<sockaddr*>(&native), sizeof native) && errno != EINPROGRESS)
         return {};
     return result;
 }
 
+void limitDelivery(int descriptor, base::Duration limit)
+{
+    // 0 stands for no limit.
+    auto millis = std::max<int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    auto value = static_cast<unsigned>(std::min<int64_t>(millis, std::numeric_limits<int>::max()));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
+bool hasUndeliveredOutput(int descriptor)
+{
+    int bytes = 0;
+    return !ioctl(descriptor, SIOCOUTQ, &bytes) && bytes;
+}
+
+void discardOutputAtClose(int descriptor)
+{
+    linger value { 1, 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
 int socketError(int descriptor)
 {
     int error = 0;
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -3,6 +3,7 @@
 #include "base/FileDescriptor.h"
 #include "gateway/ReadStatus.h"
 #include "http/SocketAddress.h"
+#include "redwingseam/base/Instant.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -11,6 +12,13 @@
 // Starts a non-blocking connect. Returns a closed socket if it fails immediately; `isScarcity` tells from the value of
 // errno whether the process lacks the resources for it.
 base::FileDescriptor startConnect(const http::SocketAddress&);
+// Fails the connection if the peer has not acknowledged what is sent after `limit`, counted from its first retransmission.
+// The limit also holds for what a closed or killed process has left to be sent.
+void limitDelivery(int descriptor, base::Duration limit);
+// Whether the peer has not acknowledged all that was sent.
+bool hasUndeliveredOutput(int descriptor);
+// Lets the close of the socket reset the connection, so that nothing is delivered any more.
+void discardOutputAtClose(int descriptor);
 // Returns and clears the pending error of a socket, such as that of a connect that has ended; 0 if there is none.
 int socketError(int descriptor);
 // Returns a non-blocking listening socket; closed if the address cannot be bound.
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -35,8 +35,9 @@
     // Starts to connect. The owner is told of the result in a later turn of the loop.
     ConnectStart connect(base::Instant now);
     // Writes a request once the connection is established. `headers` includes the request line. The response is reported
-    // to the owner's callbacks.
-    void send(std::string_view headers, std::string_view body, bool isHeadRequest);
+    // to the owner's callbacks. `timeout` is the time until the deadline of the request, which must not arrive after it.
+    void send(std::string_view headers, std::string_view body, bool isHeadRequest, base::Duration timeout);
+    // What the upstream has not received of a request that waits for its response is not sent any more.
     void close();
 
     void setOwner(Owner* owner) { m_owner = owner; }
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -27,8 +27,9 @@
 }
 
 template<typename Owner>
-void UpstreamConnection<Owner>::send(std::string_view headers, std::string_view body, bool isHeadRequest)
+void UpstreamConnection<Owner>::send(std::string_view headers, std::string_view body, bool isHeadRequest, base::Duration timeout)
 {
+    limitDelivery(m_socket.descriptor(), timeout);
     m_isHeadRequest = isHeadRequest;
     m_canReuse = false;
     m_writeBuffer.append(headers);
@@ -61,6 +62,9 @@
     if (!m_socket.isOpen())
         return;
     m_loop.remove(m_socket.descriptor());
+    bool isAwaitingResponse = m_parser.has_value();
+    if (isAwaitingResponse && hasUndeliveredOutput(m_socket.descriptor()))
+        discardOutputAtClose(m_socket.descriptor());
     m_socket = {};
     m_isConnected = false;
 }
--- a/tests/PausedUpstreamTest.cpp
+++ b/tests/PausedUpstreamTest.cpp
@@ -16,14 +16,21 @@
     GatewayFixture gateway;
     fakes::ManualUpstream upstream;
 
-    void checkServedAfterPause(int pauseMs)
+    // Lets the upstream receive the head of a request and no more. Returns the client's connection.
+    base::FileDescriptor beginRequest(size_t bytes, const std::string& timeoutMs)
     {
         gateway.addUpstream("e1", "engines", upstream.address());
-        auto request = GatewayFixture::post("/stream/x", std::string(bodyBytes, 'b'), "Redwingseam-Token-Usage: 100,10\r\n");
-        request.replace(request.find("2500"), 4, "20000");
+        auto request = GatewayFixture::post("/stream/x", std::string(bytes, 'b'), "Redwingseam-Token-Usage: 100,10\r\n");
+        request.replace(request.find("2500"), 4, timeoutMs);
         auto client = gateway.connectClient();
         GatewayFixture::write(client, request);
         CHECK_FALSE(upstream.acceptRequest().empty());
+        return client;
+    }
+
+    void checkServedAfterPause(int pauseMs)
+    {
+        auto client = beginRequest(bodyBytes, "20000");
         poll(nullptr, 0, pauseMs);
         upstream.respond(GatewayFixture::streamHead() + GatewayFixture::event(1) + "0\r\n\r\n");
         auto response = GatewayFixture::read(client);
@@ -40,3 +47,22 @@
 {
     checkServedAfterPause(6000);
 }
+
+TEST(PausedUpstream, RequestDoesNotArriveAfterItsDeadline)
+{
+    // The kernel takes all of it at once, and the upstream receives a part.
+    static constexpr size_t bytes = 1024 * 1024;
+    auto client = beginRequest(bytes, "1500");
+    CHECK_FALSE(GatewayFixture::read(client).empty());
+    CHECK_TRUE(upstream.readRest() < bytes / 2);
+}
+
+TEST(PausedUpstream, RequestDoesNotArriveAfterItsClientHasGone)
+{
+    static constexpr size_t bytes = 1024 * 1024;
+    auto client = beginRequest(bytes, "20000");
+    client = {};
+    for (int i = 0; i < 100 && gateway.state.openClients; ++i)
+        poll(nullptr, 0, 10);
+    CHECK_TRUE(upstream.readRest() < bytes / 2);
+}
--- a/tests/fakes/ManualUpstream.h
+++ b/tests/fakes/ManualUpstream.h
@@ -45,6 +45,20 @@
         return received;
     }
 
+    // Reads what the connection still brings until it ends or nothing arrives for a while. Returns the number of bytes.
+    size_t readRest()
+    {
+        size_t bytes = 0;
+        std::string buffer(64 * 1024, '\0');
+        while (isReadable(m_connection)) {
+            auto count = recv(m_connection.descriptor(), buffer.data(), buffer.size(), 0);
+            if (count <= 0)
+                break;
+            bytes += static_cast<size_t>(count);
+        }
+        return bytes;
+    }
+
     // `$ID` stands for the attempt id of the fixture's requests.
     void respond(std::string bytes) const
     {
