The last response of a connection has the patience of any other

What callers saw: a client that accepted nothing for 3 s lost the rest of a response that was complete at the node, if the connection closed after it; on a kept connection it had the idle timeout.

Cause: `lingerTimeout` bounded the client's input after the response and the response itself alike. Now it bounds the input only; the response's next bytes may take the idle timeout of the client, and 3 s at least. The end of such a connection is logged. A connection of a client that has vanished still ends, with the idle timeout.

Tests: StalledResponse.LastResponseIsNotCutOff (was known red) passes; LastResponseEndsWithTheIdleTimeoutIfTheClientIsGone guards the other side.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -61,7 +61,7 @@
     // A client that leaves more than this of its responses unread gets no further ones until it has read half of it.
     static constexpr size_t maxPendingResponseBytes = 64 * 1024;
     static constexpr double announcedIdleShare = 0.8;
-    // Time allowed for the next bytes of the last response to be accepted, and again for the client's input after them.
+    // Time allowed for the client's input after the last response. Its next bytes may take the idle timeout, but at least this.
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
     // A client that sends nothing for this long after the last response has seen its end.
     static constexpr base::Duration lingerQuietTime = std::chrono::seconds(1);
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -393,8 +393,15 @@
 template<typename Server>
 void ClientConnection<Server>::tickClosing(base::Instant now)
 {
-    bool isQuiet = m_isSendingShutDown && now - m_lastInputAt > lingerQuietTime;
-    if (isQuiet || now - m_phaseStartedAt > lingerTimeout)
+    auto waited = now - m_phaseStartedAt;
+    if (!m_isSendingShutDown) {
+        if (waited > lingerTimeout && isIdleTooLong(waited)) {
+            logIdleClose(waited);
+            disconnect();
+        }
+        return;
+    }
+    if (now - m_lastInputAt > lingerQuietTime || waited > lingerTimeout)
         disconnect();
 }
 
--- a/tests/StalledResponseTest.cpp
+++ b/tests/StalledResponseTest.cpp
@@ -28,8 +28,8 @@
     }
     void teardown() override { connection.reset(); }
 
-    // Completes a response of which the client reads nothing for five seconds.
-    void stallResponse(bool keepsAlive)
+    // Completes a response of which the client reads nothing for the time.
+    void stallResponse(bool keepsAlive, seconds stall = seconds(5))
     {
         static constexpr std::string_view request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
         send(client.descriptor(), request.data(), request.size(), MSG_NOSIGNAL);
@@ -39,7 +39,7 @@
         auto now = base::BootClock {}.now();
         connection->finishResponse(keepsAlive, now);
         CHECK_TRUE(connection->pendingBytes() > 0);
-        connection->tick(now + seconds(5));
+        connection->tick(now + stall);
     }
 };
 
@@ -54,3 +54,9 @@
     stallResponse(false);
     CHECK_TRUE(connection->isOpen());
 }
+
+TEST(StalledResponse, LastResponseEndsWithTheIdleTimeoutIfTheClientIsGone)
+{
+    stallResponse(false, seconds(16));
+    CHECK_FALSE(connection->isOpen());
+}
