A node whose own link is cut or full accuses no upstream

Connects of 350 ms and probes of 150 ms that fail at such a node were told to all nodes, which then avoided sound upstreams.

While the link is doubtful, failures to reach an upstream are not told, the upstream is avoided for 0.6 s only, and no data centre is held for dark. Resets, and responses of another instance, came over the link and are told as ever.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -52,6 +52,14 @@
 
 void Fleet::suspect(const UpstreamInstance& instance, SuspicionCause cause, base::Instant now)
 {
+    if (OwnLinkHealth::mayBeOwn(cause)) {
+        m_ownLink.recordFailure(instance, now);
+        if (m_ownLink.judge(now) == LinkJudgement::Doubtful) {
+            withPool(instance.service, [&](UpstreamPool& pool) { pool.avoidBriefly(instance.id, now); });
+            holdBackReports();
+            return;
+        }
+    }
     withPool(instance.service, [&](UpstreamPool& pool) { pool.suspect(instance.id, cause, now); });
     if (!isShared(cause))
         return;
@@ -60,6 +68,26 @@
         m_reports.push_back({ instance.id, instance.service, cause, now, instance.incarnation });
 }
 
+void Fleet::holdBackReports()
+{
+    size_t waiting = 0;
+    {
+        std::lock_guard guard(m_reportsMutex);
+        waiting = std::erase_if(m_reports, [](const SuspicionReport& report) { return OwnLinkHealth::mayBeOwn(report.cause); });
+    }
+    m_ownLink.countHeldBack(waiting + 1);
+}
+
+void Fleet::recordConnected(const UpstreamInstance& instance, base::Instant now)
+{
+    m_ownLink.recordConnected(instance, now);
+}
+
+void Fleet::recordPeerAnswer(base::Duration elapsed, base::Instant now)
+{
+    m_ownLink.recordPeerAnswer(elapsed, now);
+}
+
 void Fleet::clearSuspicion(const UpstreamInstance& instance)
 {
     withPool(instance.service, [&](UpstreamPool& pool) { pool.clearSuspicion(instance.id); });
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -2,6 +2,7 @@
 
 #include "fleet/LeavingReport.h"
 #include "fleet/LoadMap.h"
+#include "fleet/OwnLinkHealth.h"
 #include "fleet/SuspicionReport.h"
 #include "fleet/UpstreamPool.h"
 #include "redwingseam/base/Sharded.h"
@@ -33,7 +34,7 @@
     // Chooses another backup upstream after the target may have failed to reach the previous one.
     void replaceBackup(Placement&, const PlacementQuery&);
     // Ejects the upstream from selection as the cause requires, and queues a report for the other nodes if the cause
-    // indicates an outage.
+    // indicates an outage. While this node's own link is the likely cause, it only avoids the upstream for a moment.
     void suspect(const UpstreamInstance&, SuspicionCause, base::Instant now);
     // Ends the ejection after the upstream has responded to a request.
     void clearSuspicion(const UpstreamInstance&);
@@ -69,6 +70,10 @@
     bool areAllLeaving(const base::ServiceName&, base::Instant now);
     // Records that the upstream accepted a connection or sent bytes.
     void recordContact(const UpstreamInstance&, base::Instant now);
+    // Records that the upstream accepted a connection.
+    void recordConnected(const UpstreamInstance&, base::Instant now);
+    // Records that another node has answered, `elapsed` after it was asked.
+    void recordPeerAnswer(base::Duration elapsed, base::Instant now);
     // Returns when the upstream last accepted a connection or sent bytes, or a zero Instant if it never did.
     base::Instant lastContactAt(const UpstreamInstance&);
     // Returns whether an outage of the upstream's data centre is suspected.
@@ -112,11 +117,15 @@
         return m_pools.with(std::hash<base::ServiceName> {}(service), [&](PoolMap& pools) -> decltype(auto) { return function(pools[service]); });
     }
 
+    // Drops the reports that wait to be sent and may be due to this node's own link, and counts one more.
+    void holdBackReports();
+
     // The reports of each kind that wait to be sent; more are dropped.
     static constexpr size_t maxReports = 256;
 
     base::DataCentreName m_localDataCentre;
     base::Sharded<PoolMap> m_pools;
+    OwnLinkHealth m_ownLink;
     base::Mutex m_reportsMutex;
     std::vector<SuspicionReport> m_reports;
     std::vector<LeavingReport> m_leavingReports;
--- a/src/fleet/Suspicion.cpp
+++ b/src/fleet/Suspicion.cpp
@@ -30,6 +30,11 @@
     ++m_failures;
 }
 
+void Suspicion::addBriefly(base::Instant now)
+{
+    m_until = std::max(m_until, now + initialBackoff);
+}
+
 void Suspicion::clear()
 {
     m_until = {};
--- a/src/fleet/Suspicion.h
+++ b/src/fleet/Suspicion.h
@@ -14,6 +14,8 @@
 public:
     // `extraBackoff` is added to the backoff after an outage.
     void add(SuspicionCause, base::Instant now, base::Duration extraBackoff = {});
+    // Ejects the upstream for the initial backoff, whatever has failed before.
+    void addBriefly(base::Instant now);
     void clear();
     bool isActive(base::Instant now) const { return now < m_until; }
     bool isReplaced() const { return m_isReplaced; }
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -236,6 +236,12 @@
         m_dataCentres[entry->instance.dataCentre].recordFailure(id, now);
 }
 
+void UpstreamPool::avoidBriefly(const base::UpstreamName& id, base::Instant now)
+{
+    if (auto* entry = findEntry(id))
+        entry->suspicion.addBriefly(now);
+}
+
 void UpstreamPool::setPeerLoads(const LoadMap& loads)
 {
     for (auto& entry : m_entries) {
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -36,6 +36,8 @@
     // backup afterwards if no other upstream is usable.
     void replaceBackup(Placement&, const PlacementQuery&, const base::DataCentreName& localDataCentre);
     void suspect(const base::UpstreamName&, SuspicionCause, base::Instant now);
+    // Ejects an upstream that was not reached, most likely for a reason of this node's own.
+    void avoidBriefly(const base::UpstreamName&, base::Instant now);
     void clearSuspicion(const base::UpstreamName&);
     // Records that an incarnation takes no new work until it starts again, whatever the lists say. Returns whether this
     // is news.
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -13,6 +13,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::onUpstreamConnected(Upstream& connection)
 {
+    m_state.fleet.recordConnected(connection.instance(), now());
     if (&connection != m_probe.get()) {
         m_exchange->recordActivity(now());
         writeRequest();
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -315,6 +315,7 @@
     if (reply.hasLostStore)
         m_readerCutOffAt = now;
     auto queriedAt = pending.mapped().sentAt;
+    m_fleet.recordPeerAnswer(now - queriedAt, now);
     recordUnaskedState(reply, pending.mapped());
     applyManifest(reply, queriedAt, now);
     applyList(reply, queriedAt);
