Write buffers no longer keep what was sent

Cause: `WriteBuffer` freed what it had sent only once all was sent, and kept its largest block for ever. A client that is always a little behind, as on a full link, had the node keep everything it was ever sent in that time, whatever the limit on its pending bytes; a kept or pooled connection kept the size of its largest message.

Change: what was sent is removed once it is the larger part, and a block of over 64 KiB is freed when the buffer is empty.

Tests: WriteBuffer.BytesThatWereSentAreNotKeptWhileOthersWait (12.5 MB through a buffer with at most 0.5 MB waiting) and BlockOfALargeMessageIsNotKept failed before and pass now; BytesArriveInOrder guards both. They measure the C library's allocator, so a sanitizer's build checks the order only.

--- a/src/gateway/WriteBuffer.cpp
+++ b/src/gateway/WriteBuffer.cpp
@@ -5,6 +5,9 @@
 
 namespace redwingseam::gateway {
 
+// A block of up to this size is kept for the next bytes.
+static constexpr size_t maxKeptBytes = 64 * 1024;
+
 bool WriteBuffer::flush(int descriptor)
 {
     while (!isEmpty()) {
@@ -15,7 +18,13 @@
         }
         if (errno == EINTR)
             continue;
-        return errno == EAGAIN || errno == EWOULDBLOCK;
+        bool hasFailed = errno != EAGAIN && errno != EWOULDBLOCK;
+        // For a peer that is always a little behind, all that it was ever sent would be kept otherwise.
+        if (m_offset > maxKeptBytes && m_offset >= size()) {
+            m_bytes = m_bytes.substr(m_offset);
+            m_offset = 0;
+        }
+        return !hasFailed;
     }
     clear();
     return true;
@@ -23,6 +32,8 @@
 
 void WriteBuffer::clear()
 {
+    if (m_bytes.capacity() > maxKeptBytes)
+        m_bytes = {};
     m_bytes.clear();
     m_offset = 0;
 }
--- /dev/null
+++ b/tests/WriteBufferTest.cpp
@@ -0,0 +1,95 @@
+// The memory of buffers whose peers read more slowly than they are written to, or have read all.
+
+#include "gateway/WriteBuffer.h"
+#include "base/FileDescriptor.h"
+
+#include <CppUTest/TestHarness.h>
+#include <malloc.h>
+#include <sys/socket.h>
+
+using namespace redwingseam;
+
+TEST_GROUP(WriteBuffer)
+{
+    static constexpr size_t blockBytes = 64 * 1024;
+    static constexpr size_t maxKeptBytes = 2 * 1024 * 1024;
+
+    base::FileDescriptor writer;
+    base::FileDescriptor reader;
+
+    void setup() override
+    {
+        int sockets[2];
+        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, sockets);
+        writer = base::FileDescriptor(sockets[0]);
+        reader = base::FileDescriptor(sockets[1]);
+    }
+
+    // Returns the number of bytes that the process has allocated; 0 with the allocator of a sanitizer.
+    static size_t allocatedBytes()
+    {
+        auto info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    }
+
+    void read(size_t bytes)
+    {
+        std::string buffer(bytes, '\0');
+        CHECK_TRUE(recv(reader.descriptor(), buffer.data(), buffer.size(), 0) > 0);
+    }
+};
+
+TEST(WriteBuffer, BytesThatWereSentAreNotKeptWhileOthersWait)
+{
+    gateway::WriteBuffer buffer;
+    auto before = allocatedBytes();
+    static constexpr size_t waitingBytes = 4 * blockBytes;
+    for (int i = 0; i < 200; ++i) {
+        buffer.append(std::string(blockBytes, 'a'));
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+        while (buffer.size() > 2 * waitingBytes) {
+            read(blockBytes);
+            CHECK_TRUE(buffer.flush(writer.descriptor()));
+        }
+        CHECK_TRUE(i < 20 || !buffer.isEmpty());
+    }
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+}
+
+TEST(WriteBuffer, BlockOfALargeMessageIsNotKept)
+{
+    gateway::WriteBuffer buffer;
+    auto before = allocatedBytes();
+    buffer.append(std::string(4 * 1024 * 1024, 'a'));
+    while (!buffer.isEmpty()) {
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+        read(blockBytes);
+    }
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+}
+
+TEST(WriteBuffer, BytesArriveInOrder)
+{
+    gateway::WriteBuffer buffer;
+    std::string sent;
+    std::string received;
+    auto receive = [&] {
+        char bytes[1000];
+        auto count = recv(reader.descriptor(), bytes, sizeof bytes, 0);
+        if (count > 0)
+            received.append(bytes, static_cast<size_t>(count));
+    };
+    for (int i = 0; i < 4000; ++i) {
+        auto block = std::to_string(i) + std::string(static_cast<size_t>(i) % 997, 'x');
+        sent += block;
+        buffer.append(block);
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+        receive();
+    }
+    while (received.size() < sent.size()) {
+        receive();
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+    }
+    CHECK_TRUE(buffer.isEmpty());
+    CHECK_TRUE(received == sent);
+}
