Soak: faults between gateways also reach what they answer each other

A gateway that the soak cut off from its peers still got their answers, and so their lists, within 0.3 s (seen in the logs of a gateway that was cut off for 3.2 s: its list was never older than 0.5 s). Cause: each message states the address of its sender, and gateways pass on those of others.

The proxies now put their own addresses in the place of those that messages state, which have the same length. The first three gateways get proxies of their own towards each other gateway, so that one gateway can be cut off from the store and from all others, in both directions; a new fault of the general scenario does so for 1 to 5 s.

--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import functools
 import signal
 import time
 
@@ -9,10 +10,12 @@
 from gateway_log import GatewayLog
 from history_checker import HistoryChecker
 from manifest import Manifest
+from peer_addresses import PeerAddresses
 from store import Store
 from upstream import Upstream
 
 REVOKE_SECONDS = 3
+SEPARABLE_GATEWAYS = 3
 BOUNDS = {"bounds.drainMs": 3000, "bounds.configApplyMs": 3000, "bounds.graceS": TERMINATION_GRACE_SECONDS, "bounds.strictRevoke": "true", "bounds.revokeMs": REVOKE_SECONDS * 1000, "bounds.budgetRatio": 0.8,
           "bounds.budgetWindowS": 10, "bounds.retrySlack": 150}
 
@@ -42,8 +45,6 @@
             print(f"{time.monotonic() - self.started_at:7.3f} {text}", flush=True)
 
     async def start(self):
-        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
-        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         self.put_manifest()
         for zone in self.zones:
             for number in range(3):
@@ -51,11 +52,25 @@
             await self._add_upstream(f"{zone}-d", "desk", zone)
             await self._add_upstream(f"{zone}-a", "annex", zone)
         for number in range(self.gateway_count):
-            gateway = Gateway(f"node-{number}", self.zones[number % 3], self.binary, self.folder, address, BOUNDS)
-            self.gateways.append(gateway)
-            await gateway.prepare()
+            self.gateways.append(Gateway(f"node-{number}", self.zones[number % 3], self.binary, self.folder, BOUNDS))
+            await self.gateways[-1].prepare(self.store)
+        for gateway in self.separable_gateways():
+            await gateway.separate_exits(self.gateways)
+        self._keep_messages_in_proxies()
+        for gateway in self.gateways:
             await gateway.start()
 
+    def _keep_messages_in_proxies(self):
+        addresses = PeerAddresses()
+        for gateway in self.gateways:
+            gateway.peer_proxy.rewrite = functools.partial(addresses.rewrite_for, gateway)
+            for address in [gateway.peer_address, *(other.proxy_to(gateway).address for other in self.gateways)]:
+                addresses.add(address, gateway)
+
+    def separable_gateways(self):
+        """Returns the gateways that can be cut off from all others."""
+        return self.gateways[:SEPARABLE_GATEWAYS]
+
     async def _add_upstream(self, name, service, zone, version="v1"):
         upstream = Upstream(name, service, zone, version, self.store, self.checker, self.random)
         await upstream.start()
@@ -82,12 +97,12 @@
         self.replaced.update(chosen)
         return chosen
 
-    def _with_proxy_address(self, kind, stored_object):
+    def _with_proxy_address(self, kind, stored_object, reader):
         if kind != "redwingseam-nodes":
             return stored_object
         rewritten = copy.deepcopy(stored_object)
         gateway = next(gateway for gateway in self.gateways if gateway.name == stored_object["metadata"]["name"])
-        rewritten["spec"]["address"] = gateway.peer_proxy.address
+        rewritten["spec"]["address"] = reader.proxy_to(gateway).address
         return rewritten
 
     def put_manifest(self):
@@ -119,8 +134,7 @@
         self.manifest.reset()
         self.put_manifest()
         for gateway in self.gateways:
-            gateway.store_proxy.clear_faults()
-            gateway.peer_proxy.clear_faults()
+            gateway.clear_link_faults()
             gateway.signal(signal.SIGCONT)
 
     def hub(self):
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -16,7 +16,7 @@
         self.deployment = deployment
         self.random = random
         self.faults = [self.kill, self.terminate, self.rolling_terminate, self.freeze, self.store_reset, self.store_cut, self.store_one_way, self.store_slow, self.store_down, self.store_drops_history,
-                       self.peer_cut, self.peer_reset, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
+                       self.peer_cut, self.peer_reset, self.cut_off, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
                        self.manifest_series, self.manifest_series, self.repeated_signals, self.freeze_hub, self.answer_fault, self.answer_fault,
                        self.release, self.release, self.crash_under_same_id, self.kill_half, self.kill_all, self.store_silent, self.store_slow_for_all, self.store_loses_answers, self.store_restored]
         self.sparse_faults = [self.release, self.crash_upstream, self.crash_upstream, self.crash_under_same_id, self.hang, self.reload_settings]
@@ -152,6 +152,9 @@
     async def peer_cut(self):
         await self._apply_to_proxy(self.choose_gateway().peer_proxy, self.random.uniform(1, 5), drops_to_target=True, drops_from_target=True)
 
+    async def cut_off(self):
+        await self.random.choice(self.deployment.separable_gateways()).cut_off(self.random.uniform(1, 5))
+
     async def peer_reset(self):
         self.choose_gateway().peer_proxy.reset_all()
 
--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -48,7 +48,7 @@
 
 
 class Gateway:
-    def __init__(self, name, zone, binary, folder, store_address, bounds):
+    def __init__(self, name, zone, binary, folder, bounds):
         self.name = name
         self.zone = zone
         self.binary = binary
@@ -59,18 +59,43 @@
         self.client_port = allocate_port_pair()
         self.readiness_port = allocate_port_pair()
         self.first_internal_port = allocate_port_pair()
-        self.store_proxy = Proxy(lambda: store_address)
-        self.peer_proxy = Proxy(lambda: f"127.0.0.1:{self.first_internal_port + 1}")
+        self.store_address = ""
+        self.store_proxy = Proxy(lambda: self.store_address)
+        self.peer_proxy = Proxy(lambda: self.peer_address)
+        # Proxies on the way to other gateways, by name, of a gateway that can be cut off from all others.
+        self.exits = {}
         self.process = GatewayProcess(name)
         self.processes = []
 
-    async def prepare(self):
+    async def prepare(self, store):
+        server = await asyncio.start_server(lambda reader, writer: store.serve(reader, writer, self), "127.0.0.1", 0)
+        self.store_address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         await self.store_proxy.start()
         await self.peer_proxy.start()
         lines = {"nodeName": self.name, "zone": self.zone, "region": "r", "listen.front": f"127.0.0.1:{self.client_port}", "listen.ready": f"127.0.0.1:{self.readiness_port}",
                  "portRange": f"{self.first_internal_port},{self.first_internal_port + 15}", "platform.address": self.store_proxy.address, "limits.cores": "1"} | self.bounds
         self.settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
 
+    async def separate_exits(self, gateways):
+        for gateway in gateways:
+            if gateway is not self:
+                self.exits[gateway.name] = await Proxy(lambda gateway=gateway: gateway.peer_proxy.address).start()
+
+    @property
+    def peer_address(self):
+        """The address that the gateway listens at for its peers, and that it states to them."""
+        return f"127.0.0.1:{self.first_internal_port + 1}"
+
+    def proxy_to(self, gateway):
+        return self.exits.get(gateway.name, gateway.peer_proxy)
+
+    def link_proxies(self):
+        return [self.store_proxy, self.peer_proxy, *self.exits.values()]
+
+    def clear_link_faults(self):
+        for proxy in self.link_proxies():
+            proxy.clear_faults()
+
     async def start(self):
         process = GatewayProcess(self.name)
         await process.start(self.binary, "--settings", str(self.settings), log=self.log)
@@ -103,6 +128,14 @@
     def signal(self, number):
         self.process.signal(number)
 
+    async def cut_off(self, seconds):
+        """Lets nothing through between this gateway and the store or other gateways for a while."""
+        with self.store_proxy.calm.disturbed(), self.peer_proxy.calm.disturbed():
+            for proxy in self.link_proxies():
+                proxy.drops_to_target = proxy.drops_from_target = True
+            await asyncio.sleep(seconds)
+            self.clear_link_faults()
+
     async def stop(self):
         """Sends SIGTERM, and SIGKILL if the process still runs after the grace period."""
         process = self.process
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -16,6 +16,8 @@
         self.refuses = False
         self.connections = set()
         self.address = ""
+        # Returns the data on the way to the target as the target is to get them.
+        self.rewrite = lambda data: data
         self.calm = Calm()
 
     async def start(self):
@@ -45,17 +47,17 @@
             return
         writers = (writer, target_writer)
         self.connections.add(writers)
-        await asyncio.gather(self._pump(reader, target_writer, "drops_to_target"), self._pump(target_reader, writer, "drops_from_target"))
+        await asyncio.gather(self._pump(reader, target_writer, "drops_to_target", self.rewrite), self._pump(target_reader, writer, "drops_from_target", bytes))
         self.connections.discard(writers)
 
-    async def _pump(self, reader, writer, drop_flag):
+    async def _pump(self, reader, writer, drop_flag, rewrite):
         try:
             while data := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 # Data is lost without an error, as in a network partition; the connection is abandoned afterwards.
                 if not getattr(self, drop_flag):
-                    writer.write(data)
+                    writer.write(rewrite(data))
                     await writer.drain()
             writer.close()
         except (ConnectionError, asyncio.IncompleteReadError):
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -26,8 +26,8 @@
         self.history = []
         self.changed = asyncio.Event()
         self.clear_faults()
-        # Returns the object as a reader sees it, so that the soak can put proxies between nodes.
-        self.rewrite_for_reader = lambda kind, stored_object: stored_object
+        # Returns the object as a node sees it, so that the soak can put proxies between nodes.
+        self.rewrite_for_reader = lambda kind, stored_object, node: stored_object
 
     def clear_faults(self):
         self.is_down = False
@@ -84,14 +84,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, node=None):
         try:
             while request := await read_message(reader):
                 await asyncio.sleep(self.delay)
                 if self.is_silent or self._loses_answer(request):
                     return await self._ignore(reader)
                 era = self.era
-                status, body = (503, {}) if self.is_down else await self._respond(request)
+                status, body = (503, {}) if self.is_down else await self._respond(request, node)
                 if self.is_silent:
                     return await self._ignore(reader)
                 if era != self.era:
@@ -120,7 +120,7 @@
             asyncio.get_running_loop().call_later(self.random.uniform(0, LATE_EXECUTION_SECONDS), self._write_as_asked, request)
         return True
 
-    async def _respond(self, request):
+    async def _respond(self, request, node=None):
         if request.method != "GET":
             return self._write_as_asked(request)
         url = urlsplit(request.target)
@@ -128,10 +128,10 @@
         parts = url.path.removeprefix("/api/objects/").split("/")
         if len(parts) == 2:
             stored_object = self.objects.get((parts[0], parts[1]))
-            return (200, self.rewrite_for_reader(parts[0], stored_object)) if stored_object else (404, {})
+            return (200, self.rewrite_for_reader(parts[0], stored_object, node)) if stored_object else (404, {})
         if "watch" in query:
-            return await self._watch(parts[0], int(query["watch"]), int(query["waitMs"]) / 1000)
-        return self._list(parts[0], query.get("after", ""))
+            return await self._watch(parts[0], int(query["watch"]), int(query["waitMs"]) / 1000, node)
+        return self._list(parts[0], query.get("after", ""), node)
 
     def _write_as_asked(self, request):
         """Executes a call that writes, if its condition holds."""
@@ -154,17 +154,17 @@
             self._write(kind, name, finalizers, spec=sent.get("spec"))
         return 200, self.objects.get((kind, name), {})
 
-    def _list(self, kind, after):
+    def _list(self, kind, after, node):
         names = sorted(name for entry_kind, name in self.objects if entry_kind == kind and name > after)
-        items = [self.rewrite_for_reader(kind, self.objects[(kind, name)]) for name in names[:PAGE_SIZE]]
+        items = [self.rewrite_for_reader(kind, self.objects[(kind, name)], node) for name in names[:PAGE_SIZE]]
         return 200, {"items": items, "hasMore": len(names) > PAGE_SIZE, "at": self.revision}
 
-    async def _watch(self, kind, since, seconds):
+    async def _watch(self, kind, since, seconds, node):
         deadline = asyncio.get_running_loop().time() + seconds
         while True:
             if since > self.revision or (self.history and self.history[0][0] > since + 1):
                 return 410, {}
-            events = [{"object": self.rewrite_for_reader(kind, stored_object), "deleted": deleted} for revision, entry_kind, stored_object, deleted in self.history if entry_kind == kind and revision > since]
+            events = [{"object": self.rewrite_for_reader(kind, stored_object, node), "deleted": deleted} for revision, entry_kind, stored_object, deleted in self.history if entry_kind == kind and revision > since]
             remaining = deadline - asyncio.get_running_loop().time()
             if events or remaining <= 0:
                 return 200, {"events": events, "at": self.revision}
