Soak: releases while gateways get no news

No run of the soak did this: the general faults cut single links, and take-ups came to gateways by chance.

The scenario "out-of-step" keeps one or two gateways from the store and all other gateways for 1 to 5 s, or lets their processes stand still, begins a release within 0.2 s, and sends the take-ups of streams whose version such a gateway can't know there, nine in ten. Kills, stops, crashed and silent upstreams, resets and changes of the manifest come beside it. Take-ups at gateways that nothing has disturbed count as before; those at gateways without news are printed by themselves.

--- a/tests/soak/take_up_test.py
+++ b/tests/soak/take_up_test.py
@@ -25,13 +25,14 @@
     async def asyncSetUp(self):
         self.heads = []
         self.answers = []
+        self.out_of_step = []
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
         process = GatewayProcess("node-0")
         self.gateway = types.SimpleNamespace(process=process, client_port=server.sockets[0].getsockname()[1])
         self.checker = HistoryChecker(3, Manifest(random.Random(1)))
-        deployment = types.SimpleNamespace(checker=self.checker, keys=["key-0"], is_in_touch=lambda connection, moment: True, choose_gateway_for_client=lambda: self.gateway,
-                                           manifest=types.SimpleNamespace(limits=Limits()))
+        deployment = types.SimpleNamespace(checker=self.checker, keys=["key-0"], is_in_touch=lambda connection, moment: not self.out_of_step, choose_gateway_for_client=lambda: self.gateway,
+                                           choose_gateway_for_take_up=lambda stream: self.gateway, out_of_step=self.out_of_step, manifest=types.SimpleNamespace(limits=Limits()))
         self.client = Client(deployment, random.Random(2), Traffic(("stream",), 5, 5, 0, 0, take_up_pauses_seconds=(0,)))
 
     async def serve(self, reader, writer):
@@ -80,6 +81,13 @@
         self.assertEqual(self.checker.streams.begun, [True])
         self.assertEqual([succeeded for succeeded, _ in self.checker.streams.went_on], [False, True])
 
+    async def test_take_ups_at_a_gateway_without_news_are_counted_by_themselves(self):
+        self.checker.serving.two_since[("engines", "v1")] = 0
+        self.out_of_step.append(self.gateway)
+        await self.play((1, 2, "v1", False), (0, 0, None, False), (3, 5, "v1", True))
+        self.assertEqual(self.checker.streams.out_of_step, [False, True])
+        self.assertEqual((self.checker.streams.begun, self.checker.streams.went_on), ([], []))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/client.py
+++ b/tools/soak/client.py
@@ -114,7 +114,7 @@
             pause = self.random.uniform(0.1, 0.6)
             request = request.next_try(self.random, int(remaining * 1000))
             try:
-                exchange = await self.send_once(self.deployment.choose_gateway_for_client(), request, self._draw_break())
+                exchange = await self.send_once(self.deployment.choose_gateway_for_take_up(request.stream), request, self._draw_break())
             except (OSError, asyncio.TimeoutError):
                 # No connection was established.
                 continue
@@ -125,7 +125,7 @@
 
     def _draw_break(self):
         """Returns when the client loses the connection of a stream, or None."""
-        return self.random.uniform(0.2, 1.5) if self.random.random() < self.traffic.broken_share else None
+        return self.random.uniform(*self.traffic.break_seconds) if self.random.random() < self.traffic.broken_share else None
 
     async def send_once(self, gateway, request, abandon_after=None):
         """Sends a request on a connection of its own and returns what came of it."""
@@ -146,6 +146,7 @@
         exchange = Exchange(request.attempt, request.kind, request.key, connection.process, idle_seconds, now, len(request.head()), len(request.body), was_pipelined=is_pipelined)
         exchange.announced_idle_seconds = connection.announced_idle_seconds
         exchange.was_closed_before = connection.is_end_pending()
+        exchange.was_out_of_step = connection.gateway in self.deployment.out_of_step
         exchange.process.request_began()
         self.checker.record_sent(request)
         return exchange
@@ -202,6 +203,8 @@
         exchange.is_recorded = True
         if self.deployment.is_in_touch(connection, exchange.began_at - STABLE_WINDOW_SECONDS):
             self.checker.streams.record_try(exchange, request.stream, request.last_event_id > 0, succeeded)
+        elif exchange.was_out_of_step and request.last_event_id > 0:
+            self.checker.streams.out_of_step.append(succeeded)
 
     def _close(self):
         if self.connection:
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -16,6 +16,7 @@
 
 REVOKE_SECONDS = 3
 SEPARABLE_GATEWAYS = 3
+OUT_OF_STEP_TAKE_UP_SHARE = 0.9
 BOUNDS = {"bounds.drainMs": 3000, "bounds.configApplyMs": 3000, "bounds.graceS": TERMINATION_GRACE_SECONDS, "bounds.strictRevoke": "true", "bounds.revokeMs": REVOKE_SECONDS * 1000, "bounds.budgetRatio": 0.8,
           "bounds.budgetWindowS": 10, "bounds.retrySlack": 150}
 
@@ -39,6 +40,8 @@
         self.latest_version = 1
         # Upstreams that a release has chosen to replace.
         self.replaced = set()
+        # Gateways that get no news for now, with the latest version that they may know.
+        self.out_of_step = {}
 
     def log(self, text):
         if self.is_verbose:
@@ -77,6 +80,13 @@
         self.upstreams.append(upstream)
         self.checker.upstreams.append(upstream)
 
+    def set_out_of_step(self, gateways):
+        self.out_of_step.update((gateway, self.latest_version) for gateway in gateways)
+
+    def set_in_step(self, gateways):
+        for gateway in gateways:
+            self.out_of_step.pop(gateway, None)
+
     def next_version(self):
         self.latest_version += 1
         return f"v{self.latest_version}"
@@ -155,6 +165,13 @@
         running = [gateway for gateway in self.gateways if gateway.is_running and not gateway.is_stopping] or self.gateways
         return self.random.choice(running)
 
+    def choose_gateway_for_take_up(self, stream):
+        """Returns a gateway at which a client takes up its stream, mostly one that does not know the version that began it."""
+        candidates = [gateway for gateway, latest_version in self.out_of_step.items() if gateway.is_running and stream.first_version > latest_version]
+        if candidates and self.random.random() < OUT_OF_STEP_TAKE_UP_SHARE:
+            return self.random.choice(candidates)
+        return self.choose_gateway_for_client()
+
     async def restart_exited_gateways(self, stopping):
         """Restarts gateways whose process has exited."""
         while not stopping.is_set():
--- a/tools/soak/exchange.py
+++ b/tools/soak/exchange.py
@@ -25,6 +25,8 @@
     announced_idle_seconds: Optional[float] = None
     # The gateway had closed the connection already when the client began to send.
     was_closed_before: bool = False
+    # The gateway got no news when the request began.
+    was_out_of_step: bool = False
     is_head_received: bool = False
     # The connection was to be closed after an earlier response, as its headers said.
     is_close_announced: bool = False
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -4,11 +4,15 @@
 import signal
 
 from answer_faults import ANSWER_FAULTS
+from out_of_step import OutOfStep
 from release import Release
 
 # In the scenario of software versions, times of many faults alternate with times in which the store and most gateways are left alone.
 MIN_DENSE_SECONDS, MAX_DENSE_SECONDS = 2, 4
 MIN_SPARSE_SECONDS, MAX_SPARSE_SECONDS = 6, 9
+# Time before the first gateways are out of step, and from one group of them to the next.
+LEAD_SECONDS = 1
+MIN_STEP_SECONDS, MAX_STEP_SECONDS = 3, 7
 
 
 class FaultInjector:
@@ -22,6 +26,8 @@
         self.sparse_faults = [self.release, self.crash_upstream, self.crash_upstream, self.crash_under_same_id, self.hang, self.reload_settings]
         self.dense_faults = [self.kill, self.kill_half, self.kill_all, self.kill_all, self.terminate, self.terminate_series, self.repeated_signals, self.freeze, self.store_silent, self.store_slow_for_all,
                              self.store_down, self.store_loses_answers, self.store_restored, self.store_reset, self.peer_reset, self.release, self.release, self.crash_upstream, self.crash_under_same_id]
+        self.faults_beside_steps = [self.kill, self.kill_half, self.terminate, self.repeated_signals, self.peer_reset, self.crash_upstream, self.crash_upstream, self.hang, self.reload_settings,
+                                    self.change_manifest, self.release]
         self.running = []
 
     async def run(self, seconds):
@@ -39,6 +45,17 @@
             await self._inject(self.dense_faults, min(self.random.uniform(MIN_DENSE_SECONDS, MAX_DENSE_SECONDS), deadline - loop.time()), 0.8)
         await self._end()
 
+    async def run_out_of_step(self, seconds):
+        """Releases versions while some gateways get no news, beside other faults."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + seconds
+        await asyncio.sleep(LEAD_SECONDS)
+        while loop.time() < deadline:
+            self._begin(self.out_of_step)
+            await asyncio.sleep(self.random.uniform(0, 2))
+            await self._inject(self.faults_beside_steps, min(self.random.uniform(MIN_STEP_SECONDS, MAX_STEP_SECONDS), deadline - loop.time()), 1.5)
+        await self._end()
+
     async def _inject(self, faults, seconds, max_pause):
         deadline = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < deadline:
@@ -167,6 +184,9 @@
     async def release(self):
         await Release(self.deployment, self.random).run()
 
+    async def out_of_step(self):
+        await OutOfStep(self.deployment, self.random).run()
+
     async def crash_zone(self):
         zone = self.random.choice(self.deployment.zones)
         await asyncio.gather(*(upstream.crash(1.2) for upstream in self.deployment.upstreams if upstream.zone == zone and upstream.service == "engines"))
--- a/tools/soak/gateway.py
+++ b/tools/soak/gateway.py
@@ -128,6 +128,13 @@
     def signal(self, number):
         self.process.signal(number)
 
+    async def stand_still(self, seconds):
+        """Stops the process in its tracks for a while."""
+        process = self.process
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.signal(signal.SIGCONT)
+
     async def cut_off(self, seconds):
         """Lets nothing through between this gateway and the store or other gateways for a while."""
         with self.store_proxy.calm.disturbed(), self.peer_proxy.calm.disturbed():
--- a/tools/soak/stream_checker.py
+++ b/tools/soak/stream_checker.py
@@ -13,6 +13,8 @@
         # Whether each new stream began, and each stream that its client took up went on.
         self.begun = []
         self.went_on = []
+        # Whether each stream went on that its client took up at a gateway without news.
+        self.out_of_step = []
 
     def add(self, record):
         record.is_counted = True
@@ -57,4 +59,5 @@
         resumed = [record for record in self.records if len({attempt for _, attempt in record.origins}) > 1]
         failed = " ".join(attempt for succeeded, attempt in self.went_on if not succeeded)
         return (f"{len(self.records)} streams, {len(resumed)} over several tries, {len(self.mixed_streams())} of two software versions ({ALLOWED_MIXED_STREAMS} allowed), {len(self.joined_within_an_answer())} of these within an answer; "
-                f"undisturbed: {sum(succeeded for succeeded, _ in self.went_on)} of {len(self.went_on)} taken up went on{f' (not {failed})' if failed else ''}, {sum(self.begun)} of {len(self.begun)} began")
+                f"undisturbed: {sum(succeeded for succeeded, _ in self.went_on)} of {len(self.went_on)} taken up went on{f' (not {failed})' if failed else ''}, {sum(self.begun)} of {len(self.begun)} began; "
+                f"out of step: {sum(self.out_of_step)} of {len(self.out_of_step)} taken up went on")
--- a/tools/soak/stream_record.py
+++ b/tools/soak/stream_record.py
@@ -31,6 +31,11 @@
         """Service and software version that wrote the first event."""
         return self.origins[0][0] if self.origins else None
 
+    @property
+    def first_version(self):
+        """Number of the software version that wrote the first event, or 0 if there is none."""
+        return int(self.origins[0][0][1].removeprefix("v")) if self.origins else 0
+
     def versions(self):
         """Returns the software versions of the service with the most of them."""
         by_service = {}
