Take-ups: the log tells each answer, also by the only version, and the age of the list

A take-up answered by the only version that the node knows wrote no line, and no line told how old the list was. stream_origin and stream_origin_unknown now have list_age_ms, and stream_origin the number of versions known, so the three hypotheses of the node out of step can be told apart. No change of behaviour.

--- a/src/origin/StreamOrigins.cpp
+++ b/src/origin/StreamOrigins.cpp
@@ -30,7 +30,7 @@
         return conclude(attempt, Lookup { now }, *known, OriginSource::Memory, now);
     auto versions = versionsOf(service, now);
     if (m_isHistoryKnown && versions.size() == 1)
-        return Resolution { ResolutionKind::Known, { service, versions.front() } };
+        return conclude(attempt, Lookup { now }, { service, versions.front() }, OriginSource::OnlyVersion, now);
     return std::nullopt;
 }
 
@@ -78,14 +78,14 @@
     // What is only inferred is no knowledge to pass on.
     if (source == OriginSource::Store || source == OriginSource::Peer)
         m_records.learn({ attempt, origin }, false, now);
-    LOG(INFO) << log::LogLine("stream_origin").with("stream", attempt.text).with("service", origin.service.text).with("version", origin.version.text).with("from", base::nameOf(source)).with("waited_ms", millisOf(now - lookup.beganAt)).text();
+    LOG(INFO) << log::LogLine("stream_origin").with("stream", attempt.text).with("service", origin.service.text).with("version", origin.version.text).with("from", base::nameOf(source)).with("waited_ms", millisOf(now - lookup.beganAt)).with("list_age_ms", millisOf(now - m_fleet.listedAt())).with("versions", versionsOf(origin.service, now).size()).text();
     return { ResolutionKind::Known, origin };
 }
 
 Resolution StreamOrigins::concludeUnknown(const base::ClientAttemptId& attempt, base::Instant beganAt, base::Instant now)
 {
     m_lookups.end(attempt);
-    LOG(WARNING) << log::LogLine("stream_origin_unknown").with("stream", attempt.text).with("waited_ms", millisOf(now - beganAt)).text();
+    LOG(WARNING) << log::LogLine("stream_origin_unknown").with("stream", attempt.text).with("waited_ms", millisOf(now - beganAt)).with("list_age_ms", millisOf(now - m_fleet.listedAt())).text();
     return { ResolutionKind::Unknown };
 }
 
