A watch whose process stood still doesn't confirm the list for that time

The response of a watch may lie in the socket while the process stands still; the list was then taken for confirmed at the time when the response was read. A leader that stood still spoke for a list that was seconds old, for itself and for all nodes that rely on it. It is confirmed at most until the watch's own timeout now.

UpstreamListTask.WatchOfAProcessThatStoodStillDoesNotConfirmTheListForThatTime failed before.

--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -10,6 +10,7 @@
 #include "sync/StoreEra.h"
 #include "sync/UpstreamListCache.h"
 
+#include <algorithm>
 #include <glog/logging.h>
 #include <map>
 
@@ -99,6 +100,7 @@
 
     base::Result<base::Instant> watchChanges()
     {
+        auto startedAt = base::BootClock {}.now();
         auto result = m_store.watchUpstreams(m_version.revision, m_watchTimeout);
         if (!result)
             return result.error();
@@ -111,8 +113,9 @@
         m_version = version;
         for (const auto& change : result.value().changes)
             apply(change);
-        // A watch that ends without an error has returned all changes made before its end.
-        return now;
+        // A watch that ends without an error has returned all changes made before its end, which the process may have missed
+        // by standing still.
+        return std::min(now, startedAt + m_watchTimeout);
     }
 
     void apply(const UpstreamChange& change)
--- a/tests/UpstreamListTaskTest.cpp
+++ b/tests/UpstreamListTaskTest.cpp
@@ -59,3 +59,15 @@
         skipped.add({ std::to_string(i) + std::string(1000, 'x') });
     CHECK_TRUE(skipped.summary().size() < 1000);
 }
+
+// The response lay in the socket meanwhile, and tells nothing of the time since.
+TEST(UpstreamListTask, WatchOfAProcessThatStoodStillDoesNotConfirmTheListForThatTime)
+{
+    static constexpr base::Duration maxAge = std::chrono::milliseconds(30);
+    sync::UpstreamListTask<fakes::FakeUpstreamStore> shortTask { store, fleet, cache, role, era, maxAge };
+    store.list.list = { { 1, 4 }, { instance("a") } };
+    CHECK_TRUE(shortTask.poll());
+    store.standstill = std::chrono::milliseconds(50);
+    CHECK_TRUE(shortTask.poll());
+    CHECK_TRUE(fleet.listedAt() <= base::BootClock {}.now() - store.standstill + maxAge / 3);
+}
