A take-up without an attempt waits until the store has been read

A take-up that names no attempt was refused at once unless the node already knew that there is one version, which it learns by its first read of the store.

StreamOrigins.TakeUpWithoutAnAttemptWaitsUntilTheStoreHasBeenRead failed before.

--- a/src/origin/StreamOrigins.cpp
+++ b/src/origin/StreamOrigins.cpp
@@ -42,7 +42,7 @@
     if (only && isListCurrent)
         return conclude(takeUp, only->origin, only->source, now);
     if (takeUp.attempt.empty())
-        return resolveUnnamed(takeUp, only, now);
+        return resolveUnnamed(takeUp, isListCurrent, now);
     if (only)
         m_listCurrency.requestCheck(takeUp.arrivedAt, now);
     if (only && now - takeUp.arrivedAt < listCheckTime)
@@ -50,13 +50,15 @@
     return lookUp(takeUp, only, isListCurrent, now);
 }
 
-Resolution StreamOrigins::resolveUnnamed(const TakeUp& takeUp, const std::optional<InferredOrigin>& only, base::Instant now)
+Resolution StreamOrigins::resolveUnnamed(const TakeUp& takeUp, bool isListCurrent, base::Instant now)
 {
-    if (only && now - takeUp.arrivedAt < maxWait) {
+    bool mayBeOfOnlyVersion = versionsOf(takeUp.service, now).size() <= 1;
+    if (mayBeOfOnlyVersion && now - takeUp.arrivedAt < maxWait) {
         m_listCurrency.requestCheck(takeUp.arrivedAt, now);
         return { ResolutionKind::Pending };
     }
-    return concludeUnknown(takeUp, now);
+    auto only = onlyListedVersion(takeUp.service, now);
+    return only && isListCurrent ? conclude(takeUp, only->origin, only->source, now) : concludeUnknown(takeUp, now);
 }
 
 std::optional<InferredOrigin> StreamOrigins::onlyListedVersion(const base::ServiceName& service, base::Instant now)
--- a/src/origin/StreamOrigins.h
+++ b/src/origin/StreamOrigins.h
@@ -56,7 +56,7 @@
     // The same while the store has not told of versions that have left.
     std::optional<InferredOrigin> onlyListedVersion(const base::ServiceName&, base::Instant now);
     // Handles a take-up that doesn't name the attempt, which only a service with one version can serve.
-    Resolution resolveUnnamed(const TakeUp&, const std::optional<InferredOrigin>& onlyVersion, base::Instant now);
+    Resolution resolveUnnamed(const TakeUp&, bool isListCurrent, base::Instant now);
     Resolution lookUp(const TakeUp&, const std::optional<InferredOrigin>& onlyVersion, bool isListCurrent, base::Instant now);
     // Returns the answer if nobody knows the stream: the version to which the upstreams before and now assign it, if that is
     // the same one.
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -345,6 +345,22 @@
     checkUnknown(node.resolveAtLast("s2"));
 }
 
+// All nodes start again at the same moment, and clients come back before the store has been read.
+TEST(StreamOrigins, TakeUpWithoutAnAttemptWaitsUntilTheStoreHasBeenRead)
+{
+    stateOneVersion();
+    OriginNode node(store, "b");
+    auto arrivedAt = node.clock.now();
+    CHECK_TRUE(node.resolve("", arrivedAt).kind == ResolutionKind::Pending);
+    node.list({ "v1" });
+    CHECK_TRUE(node.resolve("", arrivedAt).kind == ResolutionKind::Pending);
+    checkKnown(node.resolveAtLast(""), "v1");
+    CHECK_TRUE(node.clock.now() - arrivedAt <= milliseconds(200));
+    // Which of several versions has begun it, nobody can tell.
+    node.list({ "v1", "v2" });
+    checkUnknown(node.resolve(""));
+}
+
 // An attempt whose upstream sent nothing goes to another one, and the first event comes from there.
 TEST(StreamOrigins, LastUpstreamBeforeTheFirstEventCounts)
 {
