Test of a last response states the idle timeout that bounds it

That is the bound that the known red test StalledResponse.LastResponseIsNotCutOff calls a fault, so both can't hold. The checks are unchanged; the test now sets an idle timeout of 3 s, so that "a client that reads nothing more does not hold the connection" is still held to 4 s. That the idle timeout is the bound is tested by StalledResponse.LastResponseEndsWithTheIdleTimeoutIfTheClientIsGone.

--- a/tests/ClientConnectionTest.cpp
+++ b/tests/ClientConnectionTest.cpp
@@ -77,6 +77,8 @@
 
 TEST(ClientConnection, LastResponseIsNotCutOffWhileTheClientKeepsReadingIt)
 {
+    server.limits.idleTimeout = seconds(3);
+    connect();
     write("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     LONGS_EQUAL(1, server.requests.size());
     connection->write(std::string(2 * 1024 * 1024, 'r'));
