Log why a silent attempt is replaced, failed probes and retries that the budget stops

attempt_replaced names the reason, the silence and the time since the last contact with this upstream and with any of the service; probe_failed the first failed probe of an attempt; retry_denied the first retry of a request that the budget stopped. Each is bounded by the attempts of a request. No change of behaviour.

SilentUpstream.ReasonForGivingUpAnAttemptIsTold shows the fields; they did not exist before.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -158,6 +158,16 @@
     });
 }
 
+base::Instant Fleet::lastContactAt(const base::ServiceName& service)
+{
+    return withPool(service, [](UpstreamPool& pool) {
+        base::Instant last {};
+        for (const auto& entry : pool.entries())
+            last = std::max(last, entry.lastContactAt);
+        return last;
+    });
+}
+
 bool Fleet::isOutageSuspected(const UpstreamInstance& instance, base::Instant now)
 {
     return withPool(instance.service, [&](UpstreamPool& pool) { return pool.isOutageSuspected(instance.dataCentre, now); });
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -71,6 +71,8 @@
     void recordContact(const UpstreamInstance&, base::Instant now);
     // Returns when the upstream last accepted a connection or sent bytes, or a zero Instant if it never did.
     base::Instant lastContactAt(const UpstreamInstance&);
+    // Returns when any upstream of the service last did, or a zero Instant if none ever did.
+    base::Instant lastContactAt(const base::ServiceName&);
     // Returns whether an outage of the upstream's data centre is suspected.
     bool isOutageSuspected(const UpstreamInstance&, base::Instant now);
     // Returns whether the upstream is eligible and not suspected. A suspected upstream gets new work only if there is
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -1,7 +1,9 @@
 #include "forward/Exchange.h"
 #include "base/ScaledDuration.h"
+#include "log/LogLine.h"
 
 #include <algorithm>
+#include <glog/logging.h>
 
 namespace redwingseam::forward {
 
@@ -160,7 +162,7 @@
 {
     if (now < m_nextPlacementAt)
         return {};
-    if (m_isWaitingForRetry && !m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now))
+    if (m_isWaitingForRetry && !acquireSharedRetry(now))
         return waitForRetry(now);
     m_isWaitingForRetry = false;
     auto placement = m_fleet.place(query(now, random));
@@ -293,7 +295,16 @@
 bool Exchange::acquireRetry(AttemptOutcome outcome, base::Instant now)
 {
     // An attempt that did not reach the upstream causes no load there, so it does not use the shared retry budget.
-    return outcome == AttemptOutcome::NotConnected || m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now);
+    return outcome == AttemptOutcome::NotConnected || acquireSharedRetry(now);
+}
+
+bool Exchange::acquireSharedRetry(base::Instant now)
+{
+    if (m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now))
+        return true;
+    if (!std::exchange(m_isRetryDenialLogged, true))
+        LOG(WARNING) << log::LogLine("retry_denied").with("request", m_request.attempt.text).with("service", m_request.service.text).with("sends", m_sends).with("runs", m_possibleRuns).with("in_flight", m_placement ? 1 : 0).text();
+    return false;
 }
 
 Step Exchange::attemptEnded(AttemptOutcome outcome, base::Instant now, uint64_t random)
@@ -380,7 +391,7 @@
     }
 }
 
-Step Exchange::replaceSilentAttempt(base::Instant now, uint64_t random)
+Step Exchange::replaceSilentAttempt(SilenceReason reason, base::Instant now, uint64_t random)
 {
     auto outcome = silentOutcome();
     auto possibleRuns = m_possibleRuns + (mayHaveRun(outcome) ? 1 : 0);
@@ -398,8 +409,24 @@
         m_fleet.release(*next);
         return {};
     }
+    auto replaced = describeSilence(reason, now);
     recordAttemptEnd(outcome, now);
-    return send(std::move(*next), now);
+    auto step = send(std::move(*next), now);
+    step.send.replaced = replaced;
+    return step;
+}
+
+SilentAttempt Exchange::describeSilence(SilenceReason reason, base::Instant now) const
+{
+    auto since = [&](base::Instant at) { return at == base::Instant {} ? std::nullopt : std::optional(now - at); };
+    SilentAttempt attempt;
+    attempt.reason = reason;
+    attempt.silence = now - m_lastActivity;
+    if (m_hasEvent)
+        attempt.sinceEvent = since(m_lastProgress);
+    attempt.sinceContact = since(m_fleet.lastContactAt(m_placement->target));
+    attempt.sinceAnyContact = since(m_fleet.lastContactAt(m_request.service));
+    return attempt;
 }
 
 void Exchange::recordProgress(base::Instant now)
@@ -511,7 +538,7 @@
     }
     // Other requests must avoid the upstream even if this one has to stay.
     m_fleet.suspect(m_placement->target, *suspicionCauseFor(silentOutcome()), now);
-    return replaceSilentAttempt(now, random);
+    return replaceSilentAttempt(SilenceReason::Unreachable, now, random);
 }
 
 Step Exchange::tick(base::Instant now, uint64_t random)
@@ -549,11 +576,11 @@
 {
     const auto& route = *m_request.route;
     if (route.kind == manifest::RouteKind::Idempotent)
-        return isIdempotentAttemptLate(now) ? replaceSilentAttempt(now, random) : Step {};
+        return isIdempotentAttemptLate(now) ? replaceSilentAttempt(SilenceReason::Late, now, random) : Step {};
     if (!isStream() || !route.isResumable || m_isProbing)
         return {};
     if (m_isUnreachable || isStreamStalled(now)) {
-        auto step = replaceSilentAttempt(now, random);
+        auto step = replaceSilentAttempt(m_isUnreachable ? SilenceReason::Unreachable : SilenceReason::Stalled, now, random);
         if (step.kind != StepKind::Wait)
             return step;
     }
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -141,7 +141,8 @@
     bool isStreamStalled(base::Instant now) const;
     // Abandons the attempt if another one can be started instead. Silence is no proof that there will be no response, so
     // otherwise the attempt goes on until the deadline.
-    Step replaceSilentAttempt(base::Instant now, uint64_t random);
+    Step replaceSilentAttempt(SilenceReason, base::Instant now, uint64_t random);
+    SilentAttempt describeSilence(SilenceReason, base::Instant now) const;
     // Updates the state after the end of the current attempt.
     void recordAttemptEnd(AttemptOutcome, base::Instant now);
     // Returns the outcome of the current attempt if it is abandoned for silence.
@@ -149,6 +150,8 @@
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
     bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
+    // As the shared retry budget. Logs the first time that it is used up for this request.
+    bool acquireSharedRetry(base::Instant now);
     // Lets a stream that has begun wait until the shared retry budget permits its next attempt.
     Step waitForRetry(base::Instant now);
     void release();
@@ -186,6 +189,7 @@
     unsigned m_reachedAttempts = 0;
     bool m_areHeadersSent = false;
     bool m_isWaitingForRetry = false;
+    bool m_isRetryDenialLogged = false;
     bool m_isConnecting = false;
     // Whether the current attempt is the first at its upstream.
     bool m_isFirstContact = false;
--- a/src/forward/SendParameters.h
+++ b/src/forward/SendParameters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Placement.h"
+#include "forward/SilentAttempt.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,8 @@
     // Whether a reused connection is allowed. The upstream may have closed such a connection, which is noticed only
     // after the request was sent.
     bool allowsReusedConnection = true;
+    // Set if an attempt was given up for this one because it was silent.
+    std::optional<SilentAttempt> replaced;
 };
 
 } // namespace redwingseam::forward
--- /dev/null
+++ b/src/forward/SilentAttempt.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "forward/SilenceReason.h"
+#include "redwingseam/base/Instant.h"
+
+#include <optional>
+
+namespace redwingseam::forward {
+
+// What was known of an attempt when it was given up for silence.
+struct SilentAttempt {
+    SilenceReason reason = SilenceReason::Unreachable;
+    // Since the last bytes of the response, or since the request was sent.
+    base::Duration silence {};
+    // Since the last event; nullopt if there was none.
+    std::optional<base::Duration> sinceEvent;
+    // Since the upstream last accepted a connection or sent bytes, also for other requests.
+    std::optional<base::Duration> sinceContact;
+    // Since any upstream of the service did. A long time points to this node's own link.
+    std::optional<base::Duration> sinceAnyContact;
+};
+
+} // namespace redwingseam::forward
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -71,8 +71,12 @@
     void startProbe();
     void endFailedProbe();
     // Counts and logs that the current attempt was given up because its upstream is silent.
-    void recordAbandonedAttempt();
+    void recordAbandonedAttempt(const forward::SendParameters& next);
     void endAttempt(forward::AttemptOutcome);
+    // Logs why the current attempt is replaced by one at `next`.
+    void logReplacement(const forward::SilentAttempt&, const fleet::UpstreamInstance& next) const;
+    // Logs the first failed probe of an attempt.
+    void logFailedProbe();
     // Logs once that this node lacks the resources to connect.
     void logNoResources();
     void finishBufferedResponse();
@@ -146,6 +150,7 @@
     // Whether the current attempt's connection has brought a response to another request.
     bool m_hasLateResponse = false;
     bool m_isNoResourcesLogged = false;
+    bool m_isFailedProbeLogged = false;
     base::Instant m_firstSentAt {};
     base::Instant m_firstEventAt {};
     base::Instant m_lastEventAt {};
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -163,6 +163,7 @@
     m_isEventStream = false;
     m_hasResponseLength = false;
     m_hasEventContent = false;
+    m_isFailedProbeLogged = false;
     if (parameters.allowsReusedConnection)
         m_upstream = m_worker.connectionPool().acquire(parameters.placement.target, now());
     m_isPooledConnection = m_upstream != nullptr;
@@ -241,17 +242,20 @@
 {
     m_worker.retire(std::move(m_probe));
     m_state.metrics.countProbe(false);
+    logFailedProbe();
     auto step = m_exchange->probeEnded(false, now(), random());
     if (step.kind == forward::StepKind::Send)
-        recordAbandonedAttempt();
+        recordAbandonedAttempt(step.send);
     execute(std::move(step));
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::recordAbandonedAttempt()
+void Session<Codec, Worker>::recordAbandonedAttempt(const forward::SendParameters& next)
 {
     bool isConnected = m_upstream && m_upstream->isConnected();
     recordAttempt(isConnected ? forward::AttemptOutcome::Silent : forward::AttemptOutcome::NotConnected, m_sendParameters.placement.target);
+    if (next.replaced)
+        logReplacement(*next.replaced, next.placement.target);
     m_isResuming = m_exchange->areHeadersSent();
 }
 
@@ -287,7 +291,7 @@
     bool hadPlacement = m_exchange->placement().has_value();
     auto step = m_exchange->tick(at, random());
     if (hadPlacement && step.kind == forward::StepKind::Send)
-        recordAbandonedAttempt();
+        recordAbandonedAttempt(step.send);
     execute(std::move(step));
 }
 
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -95,4 +95,31 @@
     LOG(INFO) << line.text();
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::logReplacement(const forward::SilentAttempt& silent, const fleet::UpstreamInstance& next) const
+{
+    log::LogLine line("attempt_replaced");
+    line.with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("reason", base::nameOf(silent.reason)).with("silent_ms", millisOf(silent.silence));
+    if (silent.sinceEvent)
+        line.with("since_event_ms", millisOf(*silent.sinceEvent));
+    if (silent.sinceContact)
+        line.with("since_contact_ms", millisOf(*silent.sinceContact));
+    if (silent.sinceAnyContact)
+        line.with("since_any_contact_ms", millisOf(*silent.sinceAnyContact));
+    LOG(WARNING) << line.with("next", next.id.text).with("next_data_centre", next.dataCentre.text).text();
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::logFailedProbe()
+{
+    if (std::exchange(m_isFailedProbeLogged, true))
+        return;
+    const auto& target = m_sendParameters.placement.target;
+    log::LogLine line("probe_failed");
+    line.with("request", m_requestMetadata.attempt.text).with("upstream", target.id.text).with("data_centre", target.dataCentre.text);
+    if (auto last = m_state.fleet.lastContactAt(target.service); last != base::Instant {})
+        line.with("since_any_contact_ms", millisOf(now() - last));
+    LOG(WARNING) << line.text();
+}
+
 } // namespace redwingseam::gateway
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -128,3 +128,25 @@
     CHECK_TRUE(runFor(exchange, seconds(5), true) == StepKind::Wait);
     CHECK_TRUE(fixture.fleet.tryAcquireRetry(request.service, request.retries, now()));
 }
+
+// Without it, nobody can tell from the log who cut a run, or whether the node's own link was the cause.
+TEST(SilentUpstream, ReasonForGivingUpAnAttemptIsTold)
+{
+    fixture.addEngines();
+    forward::Exchange exchange(fixture.makeRequest("/stream/x"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    exchange.begin(now(), 1);
+    exchange.recordActivity(now());
+    exchange.recordEvent(1, now());
+    fixture.advance(milliseconds(250));
+    CHECK_TRUE(exchange.tick(now(), 1).kind == StepKind::Probe);
+    fixture.advance(milliseconds(150));
+    auto step = exchange.probeEnded(false, now(), 1);
+    CHECK_TRUE(step.kind == StepKind::Send);
+    CHECK_TRUE(step.send.replaced.has_value());
+    const auto& replaced = *step.send.replaced;
+    CHECK_TRUE(replaced.reason == forward::SilenceReason::Unreachable);
+    CHECK_TRUE(replaced.silence == milliseconds(400));
+    CHECK_TRUE(replaced.sinceEvent == milliseconds(400));
+    CHECK_TRUE(replaced.sinceContact == milliseconds(400));
+    CHECK_TRUE(replaced.sinceAnyContact == milliseconds(400));
+}
