Records of streams are written again as soon as a restored store is back

Callers saw: after a restore and a kill of all nodes, take-ups were refused as unknown (503), again and again. Nodes whose pause ended in time lost nothing. Cause: the pause outlasts what it waits for. The node knows that the store is back from its other tasks. Change: a restore that was learned since the last call began ends the pause, for one call. Ruled out: the lookup (its reads of the store were answered), Retry-After (three tries within 9 s met the same answer). RecordsAreWrittenAgainAsSoonAsARestoredStoreIsBack failed before; CallsThatFailAfterARestoreArePaused guards the pause.

--- a/src/sync/OriginsTask.h
+++ b/src/sync/OriginsTask.h
@@ -42,10 +42,11 @@
     {
         auto now = m_clock.now();
         auto index = m_manifest.state().index;
-        if (!index || now < m_retryAt)
+        if (!index || (now < m_retryAt && !isRestoredSinceLastCall()))
             return true;
         m_lifetime = streamLifetime(index->manifest());
         m_origins.setLifetime(m_lifetime);
+        m_lastCallEra = m_era.current();
         auto error = synchronise(index->manifest(), now);
         recordResult(error, now);
         return true;
@@ -72,6 +73,9 @@
         return std::max(minLifetime, std::chrono::duration_cast<base::Duration>(longest * lifetimeMargin));
     }
 
+    // Whoever learned of the restore has read the store, which answers again and lacks records.
+    bool isRestoredSinceLastCall() const { return m_era.current() != m_lastCallEra; }
+
     base::Error synchronise(const manifest::Manifest& manifest, base::Instant now)
     {
         if (m_era.current() != m_usedEra)
@@ -266,6 +270,8 @@
     std::optional<uint64_t> m_knownEra;
     std::optional<uint64_t> m_usedEra;
     bool m_mustRead = true;
+    // The era that was known when the last call began.
+    std::optional<uint64_t> m_lastCallEra;
     base::Duration m_retryPause {};
     base::Instant m_retryAt {};
 };
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -218,6 +218,42 @@
     LONGS_EQUAL(1, store.content.nodes.front().streams.size());
 }
 
+// All nodes may be killed a moment after the store's return, while this one still pauses after calls that failed.
+TEST(StreamOrigins, RecordsAreWrittenAgainAsSoonAsARestoredStoreIsBack)
+{
+    OriginNode node(store, "b");
+    node.list({ "v1", "v2" });
+    node.run(milliseconds(300));
+    auto copy = store.content;
+    node.send("s1", "v1");
+    node.run(milliseconds(300));
+    store.isDown = true;
+    node.send("s2", "v2");
+    node.run(milliseconds(1700));
+    store.isDown = false;
+    store.restore(copy);
+    // Another task of the node has read the store.
+    node.era.learn(store.content.era, node.clock.now());
+    node.run(milliseconds(300));
+    LONGS_EQUAL(1, store.content.nodes.size());
+    LONGS_EQUAL(2, store.content.nodes.front().streams.size());
+}
+
+// A store that answers one task and fails another is not called without pauses.
+TEST(StreamOrigins, CallsThatFailAfterARestoreArePaused)
+{
+    OriginNode node(store, "b");
+    node.list({ "v1", "v2" });
+    node.run(milliseconds(300));
+    store.isDown = true;
+    node.send("s1", "v1");
+    node.run(milliseconds(1700));
+    node.era.learn(store.content.era + 1, node.clock.now());
+    auto failures = store.failures;
+    node.run(milliseconds(1000));
+    LONGS_EQUAL(failures + 1, store.failures);
+}
+
 // The copy is from before the second version came, and all nodes that knew of it are gone.
 TEST(StreamOrigins, StatementOfARestoredStoreDoesNotProveThatThereWasOneVersion)
 {
--- a/tests/fakes/FakeOriginStore.h
+++ b/tests/fakes/FakeOriginStore.h
@@ -11,6 +11,7 @@
     origin::StoredOrigins content { 1 };
     unsigned reads = 0;
     unsigned writes = 0;
+    unsigned failures = 0;
     bool isDown = false;
     bool losesResponses = false;
 
@@ -49,9 +50,12 @@
         content.era = era;
     }
 
-    static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
-
 private:
+    base::Error unavailable()
+    {
+        ++failures;
+        return { base::ResultCode::PlatformUnavailable, "down" };
+    }
     base::Result<uint64_t> acknowledge(uint64_t& revision)
     {
         revision = ++m_revision;
