--- a/tests/SoftwareVersionTest.cpp
+++ b/tests/SoftwareVersionTest.cpp
@@ -105,6 +105,42 @@
     CHECK_TRUE(step.code == base::ResultCode::SoftwareVersionGone);
 }
 
+// A new stream is refused early, since other nodes and upstreams may take it. This one can only go on at its version, and its
+// client has few tries left.
+TEST(SoftwareVersion, TakeUpWaitsForTheUpstreamsOfItsVersion)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e2", "engines", "dc-b", 1, {}, "v1");
+    fixture.addUpstream("e3", "engines", "dc-a", 1, {}, "v2");
+    fixture.update();
+    fixture.origins.recordSent({ "a1" }, { { "engines" }, { "v1" } }, fixture.clock.now());
+    for (size_t i = 0; i < 2; ++i)
+        fixture.fleet.deferRequests(fixture.instances[i], std::chrono::milliseconds(1000), fixture.clock.now());
+    forward::Exchange exchange(takenUp(fixture, "a1"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    auto step = exchange.begin(fixture.clock.now(), 0);
+    auto until = fixture.clock.now() + std::chrono::milliseconds(1400);
+    while (step.kind == forward::StepKind::Wait && fixture.clock.now() < until) {
+        fixture.advance(std::chrono::milliseconds(20));
+        step = exchange.tick(fixture.clock.now(), 0);
+    }
+    CHECK_TRUE_TEXT(step.kind == forward::StepKind::Send, base::nameOf(step.kind).data());
+    STRCMP_EQUAL("v1", step.send.placement.target.version.text.c_str());
+}
+
+// Its client gives the stream up before they take work again.
+TEST(SoftwareVersion, TakeUpIsRefusedAtOnceIfTheUpstreamsOfItsVersionAskToWaitForLonger)
+{
+    FleetFixture fixture;
+    fixture.addUpstream("e1", "engines", "dc-a", 1, {}, "v1");
+    fixture.addUpstream("e3", "engines", "dc-a", 1, {}, "v2");
+    fixture.update();
+    fixture.origins.recordSent({ "a1" }, { { "engines" }, { "v1" } }, fixture.clock.now());
+    fixture.fleet.deferRequests(fixture.instances.front(), std::chrono::seconds(5), fixture.clock.now());
+    forward::Exchange exchange(takenUp(fixture, "a1"), fixture.fleet, fixture.queue, fixture.crashes, fixture.origins, fixture.exchangePolicy);
+    CHECK_TRUE(exchange.begin(fixture.clock.now(), 0).kind == forward::StepKind::Refuse);
+}
+
 // A draining upstream takes no new work, so it doesn't serve its version.
 TEST(SoftwareVersion, UpstreamsThatLeaveDoNotServeTheirVersion)
 {
