A node that stood still no longer takes the nodes that it monitors for gone

Callers of redwingseamd would see running work taken over from nodes that are sound. Cause: the monitor compared the last heartbeat with the present time, although nothing was received while the process stood still. A pause of more than half of the timeout between two judgements (which are made each second, with a timeout of 4 s) is now taken off the silence of all others; a node that sends nothing after it still times out.

--- a/src/membership/HeartbeatMonitor.cpp
+++ b/src/membership/HeartbeatMonitor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
 namespace redwingseam::membership {
 
@@ -38,10 +39,21 @@
     m_lastHeartbeatAt[vm] = now;
 }
 
+void HeartbeatMonitor::discountStandstill(base::Instant now)
+{
+    auto lastCheckAt = std::exchange(m_lastCheckAt, now);
+    auto pause = now - lastCheckAt;
+    if (lastCheckAt == base::Instant {} || pause <= m_timeout / 2)
+        return;
+    for (auto& item : m_lastHeartbeatAt)
+        item.second = std::min(item.second + pause, now);
+}
+
 std::vector<base::VmName> HeartbeatMonitor::findTimedOut(std::span<const base::VmName> ring, base::Instant now)
 {
     auto candidates = monitoredVms(ring);
     std::lock_guard guard(m_mutex);
+    discountStandstill(now);
     std::vector<base::VmName> result;
     std::unordered_map<base::VmName, base::Instant> kept;
     for (const auto& vm : candidates) {
