A dead connection to an upstream is not awaited until the deadline

Since a request on a connection that acknowledges nothing at all (its packets are lost for good while the upstream accepts others, so that probes succeed) was failed by the kernel only at its deadline instead of after 4 s, and a stream before its first event has no other limit.

Change: the limit is 4 s, or the deadline if that is nearer, until the upstream has acknowledged a part of the request, which is looked at once after a second; then it is the deadline.

Tests: PausedUpstream.DeadConnectionIsNotAwaitedUntilTheDeadline failed before; it reads the limit of the socket, since the loopback loses nothing. The other four tests of the group pass. One line in Session::tick calls the connection's.

--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -274,6 +274,8 @@
             return;
     }
     matchReadingToClient(at);
+    if (m_upstream)
+        m_upstream->tick(at);
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
         endFailedProbe();
         return;
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -44,10 +44,10 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
-bool hasUndeliveredOutput(int descriptor)
+size_t undeliveredBytes(int descriptor)
 {
     int bytes = 0;
-    return !ioctl(descriptor, SIOCOUTQ, &bytes) && bytes;
+    return ioctl(descriptor, SIOCOUTQ, &bytes) ? 0 : static_cast<size_t>(bytes);
 }
 
 void discardOutputAtClose(int descriptor)
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -15,8 +15,8 @@
 // Fails the connection if the peer has not acknowledged what is sent after `limit`, counted from its first retransmission.
 // The limit also holds for what a closed or killed process has left to be sent.
 void limitDelivery(int descriptor, base::Duration limit);
-// Whether the peer has not acknowledged all that was sent.
-bool hasUndeliveredOutput(int descriptor);
+// Returns how many of the bytes that were sent the peer has not acknowledged.
+size_t undeliveredBytes(int descriptor);
 // Lets the close of the socket reset the connection, so that nothing is delivered any more.
 void discardOutputAtClose(int descriptor);
 // Returns and clears the pending error of a socket, such as that of a connect that has ended; 0 if there is none.
--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -39,6 +39,8 @@
     void send(std::string_view headers, std::string_view body, bool isHeadRequest, base::Duration timeout);
     // What the upstream has not received of a request that waits for its response is not sent any more.
     void close();
+    // Must be called at short intervals while a response is awaited.
+    void tick(base::Instant now);
 
     void setOwner(Owner* owner) { m_owner = owner; }
     const fleet::UpstreamInstance& instance() const { return m_instance; }
@@ -74,6 +76,11 @@
     static constexpr unsigned maxSkippedResponses = 2;
     static constexpr size_t maxSkippedBytes = 256 * 1024;
 
+    // A connection that acknowledges nothing of a request for this long is dead, though the upstream may accept others.
+    static constexpr base::Duration firstAcknowledgementTimeout = std::chrono::seconds(4);
+    // Time after which a request that the upstream has begun to read may take until its deadline.
+    static constexpr base::Duration acknowledgementCheckDelay = std::chrono::seconds(1);
+
     static void onEvents(void* self, uint32_t events) { static_cast<UpstreamConnection*>(self)->handle(events); }
     static void onDeferred(void* self, uint32_t) { static_cast<UpstreamConnection*>(self)->fail(ConnectionFailure::NotConnected); }
     void handle(uint32_t events);
@@ -106,6 +113,9 @@
     base::Instant m_connectStartedAt {};
     base::Instant m_idleSince {};
     base::Duration m_idleTimeout {};
+    base::Instant m_sentAt {};
+    base::Duration m_requestTimeout {};
+    size_t m_requestBytes = 0;
     bool m_isConnected = false;
     bool m_canReuse = true;
     bool m_isHeadRequest = false;
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -2,6 +2,7 @@
 
 #include "gateway/MessageFraming.h"
 #include "gateway/UpstreamConnection.h"
+#include "redwingseam/base/BootClock.h"
 
 #include <cerrno>
 
@@ -29,7 +30,10 @@
 template<typename Owner>
 void UpstreamConnection<Owner>::send(std::string_view headers, std::string_view body, bool isHeadRequest, base::Duration timeout)
 {
-    limitDelivery(m_socket.descriptor(), timeout);
+    limitDelivery(m_socket.descriptor(), std::min(timeout, firstAcknowledgementTimeout));
+    m_sentAt = base::BootClock {}.now();
+    m_requestTimeout = timeout;
+    m_requestBytes = headers.size() + body.size();
     m_isHeadRequest = isHeadRequest;
     m_canReuse = false;
     m_writeBuffer.append(headers);
@@ -42,6 +46,17 @@
         flush();
 }
 
+template<typename Owner>
+void UpstreamConnection<Owner>::tick(base::Instant now)
+{
+    if (!m_parser || m_sentAt == base::Instant {} || now - m_sentAt < acknowledgementCheckDelay)
+        return;
+    m_sentAt = {};
+    // An upstream that pauses has read a part.
+    if (m_requestTimeout > firstAcknowledgementTimeout && m_writeBuffer.size() + undeliveredBytes(m_socket.descriptor()) < m_requestBytes)
+        limitDelivery(m_socket.descriptor(), m_requestTimeout);
+}
+
 template<typename Owner>
 void UpstreamConnection<Owner>::beginResponse()
 {
@@ -63,7 +78,7 @@
         return;
     m_loop.remove(m_socket.descriptor());
     bool isAwaitingResponse = m_parser.has_value();
-    if (isAwaitingResponse && hasUndeliveredOutput(m_socket.descriptor()))
+    if (isAwaitingResponse && undeliveredBytes(m_socket.descriptor()))
         discardOutputAtClose(m_socket.descriptor());
     m_socket = {};
     m_isConnected = false;
--- a/tests/PausedUpstreamTest.cpp
+++ b/tests/PausedUpstreamTest.cpp
@@ -4,6 +4,7 @@
 #include "fakes/ManualUpstream.h"
 
 #include <CppUTest/TestHarness.h>
+#include <netinet/tcp.h>
 
 using namespace redwingseam;
 using fakes::GatewayFixture;
@@ -28,6 +29,24 @@
         return client;
     }
 
+    // Returns the limit of the gateway's connection to the upstream, in milliseconds.
+    int acknowledgementTimeout() const
+    {
+        static constexpr int maxDescriptor = 1024;
+        for (int descriptor = 0; descriptor < maxDescriptor; ++descriptor) {
+            sockaddr_in peer {};
+            socklen_t length = sizeof peer;
+            bool isPeerKnown = !getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &length) && peer.sin_family == AF_INET;
+            if (!isPeerKnown || "127.0.0.1:" + std::to_string(ntohs(peer.sin_port)) != upstream.address())
+                continue;
+            int millis = 0;
+            length = sizeof millis;
+            getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, &length);
+            return millis;
+        }
+        return -1;
+    }
+
     void checkServedAfterPause(int pauseMs)
     {
         auto client = beginRequest(bodyBytes, "20000");
@@ -66,3 +85,14 @@
         poll(nullptr, 0, 10);
     CHECK_TRUE(upstream.readRest() < bytes / 2);
 }
+
+// The bytes of a connection may be lost for good, while the upstream accepts others.
+TEST(PausedUpstream, DeadConnectionIsNotAwaitedUntilTheDeadline)
+{
+    auto client = beginRequest(1, "20000");
+    poll(nullptr, 0, 50);
+    // The loopback acknowledges each byte, so only the limit can be seen.
+    static constexpr int maxMillis = 4000;
+    auto limit = acknowledgementTimeout();
+    CHECK_TRUE(limit > 0 && limit <= maxMillis);
+}
