Keep a stream's silent attempt until another upstream has taken it over

Cause: Exchange::replaceSilentAttempt gave an attempt up as soon as another upstream could be *chosen*: after 0.21 s without a byte and a probe that was not answered within 150 ms, which on a full link of the node no probe is. For the time of a connect, of a refusal, or of a series of them, the client then had no attempt at all, though the silent one might have gone on.

Change: the attempt is kept while another upstream is connected, always by a new connection. If that fails, or the other refuses, the silent attempt is the current one again. After the request was written to the other, both are kept for 0.2 s; the first event decides, the other connection is closed, and only the one that was decided on writes to the client. Failed connections use one retry of the budget together.

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Fleet.h"
+#include "forward/Attempt.h"
 #include "forward/AttemptOutcome.h"
 #include "forward/CrashEvidence.h"
 #include "forward/ExchangePolicy.h"
@@ -13,7 +14,8 @@
 
 // The state machine of one client request from its arrival to its response: chooses the upstream and decides when to
 // retry and when to give up. Does no I/O: the caller carries out each Step and reports the result. A broken stream
-// resumes after its last event. Arguments named `random` are random bits for the choice of an upstream. Not
+// resumes after its last event. A stream's silent attempt is kept beside its replacement until one of them brings an event,
+// the replacement fails, or both have run for a moment. Arguments named `random` are random bits for the choice of an upstream. Not
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
@@ -35,10 +37,19 @@
     // Handles a request that was not run, possibly because the target could not reach the backup upstream. Sends it to
     // the same target again with another backup if the retry limits permit.
     Step backupRefused(base::Instant now, uint64_t random);
-    // Handles the result of a probe of the current upstream. Returns Send if its attempt is abandoned for another one.
+    // Handles the result of a probe of the current upstream. Returns Send if another attempt is to replace it.
     Step probeEnded(bool isReachable, base::Instant now, uint64_t random);
     // Handles a probe for which this node lacks the resources. It proves nothing.
-    void probeNotStarted() { m_isProbing = false; }
+    void probeNotStarted() { m_attempt.isProbing = false; }
+    // Returns whether the attempt before the current one is kept, because it may still go on.
+    bool isAttemptKept() const { return m_kept.has_value(); }
+    // Records bytes of the kept attempt that are no event.
+    void recordKeptActivity(base::Instant now);
+    // Makes the kept attempt the current one, because it has brought an event or its end. The connection of the attempt that
+    // was to replace it must already be closed.
+    void keptAttemptGoesOn(base::Instant now);
+    // Handles the failure of the kept attempt.
+    void keptAttemptEnded(AttemptOutcome, base::Instant now);
     // Handles timeouts. Must be called at least every few tens of milliseconds.
     Step tick(base::Instant now, uint64_t random);
 
@@ -52,11 +63,12 @@
 
     // Records that a new connection is being established for the current attempt. Until it is, nothing is sent, so the
     // attempt cannot run.
-    void recordConnecting() { m_isConnecting = true; }
+    void recordConnecting() { m_attempt.isConnecting = true; }
     // Records that the current upstream accepted the connection or that bytes of its response arrived. Bytes show that
     // the upstream lives, but only events are progress.
     void recordActivity(base::Instant now);
-    // Records an event that is about to be forwarded to the client; `eventId` is nullopt for an event without an id.
+    // Records an event of the current attempt that is about to be forwarded to the client, and ends the kept attempt;
+    // `eventId` is nullopt for an event without an id.
     void recordEvent(std::optional<uint64_t> eventId, base::Instant now);
     // Returns whether events of the current upstream may be forwarded. They may not if it was started again meanwhile, since
     // its version may be another one.
@@ -70,13 +82,11 @@
     void recordHeadersSent() { m_areHeadersSent = true; }
 
     const ExchangeRequest& request() const { return m_request; }
-    const std::optional<fleet::Placement>& placement() const { return m_placement; }
+    const std::optional<fleet::Placement>& placement() const { return m_attempt.placement; }
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
-    // Returns when the current attempt was started, or the last one if there is none.
-    base::Instant sentAt() const { return m_sentAt; }
     bool areHeadersSent() const { return m_areHeadersSent; }
-    // Returns the number of attempts that may have run.
-    unsigned possibleRuns() const { return m_possibleRuns; }
+    // Returns the number of attempts before the current one that may have run.
+    unsigned possibleRuns() const { return m_possibleRuns + (m_kept ? 1 : 0); }
     // Returns the number of times that the request was handed over for sending.
     unsigned sends() const { return m_sends; }
     // Returns whether the request waits for room at an engine.
@@ -135,18 +145,27 @@
     bool isSuspect(base::Instant now);
     Step refuseQuarantined(base::Instant now) const;
     void recordProgress(base::Instant now);
-    void updateCrashEvidence(AttemptOutcome, const fleet::UpstreamInstance&, base::Instant now);
+    void updateCrashEvidence(const Attempt&, AttemptOutcome, base::Instant now);
     Step handleSilence(base::Instant now, uint64_t random);
     bool isIdempotentAttemptLate(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
-    // Abandons the attempt if another one can be started instead. Silence is no proof that there will be no response, so
-    // otherwise the attempt goes on until the deadline.
+    // Starts another attempt if possible. Silence is no proof that there will be no response, so otherwise the attempt goes
+    // on until the deadline, and that of a stream is kept for a while.
     Step replaceSilentAttempt(SilenceReason, base::Instant now, uint64_t random);
     SilentAttempt describeSilence(SilenceReason, base::Instant now) const;
-    // Updates the state after the end of the current attempt.
-    void recordAttemptEnd(AttemptOutcome, base::Instant now);
-    // Returns the outcome of the current attempt if it is abandoned for silence.
-    AttemptOutcome silentOutcome() const { return m_isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
+    // Updates the state after the end of an attempt.
+    void recordAttemptEnd(Attempt&, AttemptOutcome, base::Instant now);
+    // Returns the outcome of an attempt that is abandoned for silence.
+    static AttemptOutcome silentOutcome(const Attempt& attempt) { return attempt.isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
+    // Returns the address of the upstream with a backup of the attempt's run.
+    static std::optional<std::string> backupAddressOf(const Attempt&);
+    // Makes the kept attempt the current one after the end of the other.
+    Step goBack();
+    // Ends the kept attempt, in whose place the current one goes on.
+    void dropKeptAttempt(base::Instant now);
+    bool isKeptAttemptOverdue(base::Instant now) const;
+    // Whether an earlier attempt or the kept one may have run the request.
+    bool mayHaveRunBefore() const { return m_mayHaveRun || m_kept; }
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
     bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
@@ -165,7 +184,10 @@
     CrashEvidence& m_crashes;
     origin::StreamOrigins& m_origins;
     const ExchangePolicy& m_policy;
-    std::optional<fleet::Placement> m_placement;
+    // The current attempt, or the last one.
+    Attempt m_attempt;
+    // The attempt before it, while that one may still go on.
+    std::optional<Attempt> m_kept;
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
@@ -190,34 +212,21 @@
     bool m_areHeadersSent = false;
     bool m_isWaitingForRetry = false;
     bool m_isRetryDenialLogged = false;
-    bool m_isConnecting = false;
-    // Whether the current attempt is the first at its upstream.
-    bool m_isFirstContact = false;
-    bool m_isProbing = false;
-    // Whether the last probe of the current attempt failed and nothing was received since.
-    bool m_isUnreachable = false;
-    // Whether the last probe of the current attempt was sent while an outage of the data centre was suspected.
-    bool m_isProbedDuringOutage = false;
+    // Whether a retry was taken from the shared budget for an attempt that did not reach an upstream.
+    bool m_hasUnusedRetry = false;
     bool m_mayHaveRun = false;
     // Whether a complete failure response of an upstream is buffered, for delivery if no later attempt succeeds.
     bool m_hasFailureResponse = false;
-    // Whether the current attempt has delivered an event.
-    bool m_hasEvent = false;
     // Whether an upstream has ended the stream after the last event, without a new one.
     bool m_isEndReported = false;
     // When the request was sent to try whether it or one of its prompt parts still crashes upstreams.
     std::optional<base::Instant> m_trialAt;
-    base::Instant m_sentAt {};
     // Since when no usable upstream has been found; zero if the request is not waiting for one.
     base::Instant m_waitingSince {};
     // When a stream that has begun looks for an upstream again.
     base::Instant m_nextPlacementAt {};
     // Since when this node lacks the resources to connect; zero if it has them.
     base::Instant m_noResourcesSince {};
-    base::Instant m_lastActivity {};
-    // When the last event of the current attempt arrived, or when its first event began; zero before that.
-    base::Instant m_lastProgress {};
-    base::Instant m_lastProbe {};
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -35,6 +35,9 @@
     // Multiple of the gap objective after which a silent stream is retried on another upstream even though its current
     // upstream accepts connections.
     double abandonGapMultiple = 1.6;
+    // How long the silent attempt of a stream is kept once the request was written to another upstream. Covers the refusal of
+    // that one, and is short because both may run the request.
+    base::Duration keepBesideReplacement = std::chrono::milliseconds(200);
     // Delay that a refused client is asked to wait before a retry.
     base::Duration retryAfter = std::chrono::milliseconds(300);
     // The same delay while this node drains, because another node can serve the client immediately.
--- a/src/forward/SendParameters.h
+++ b/src/forward/SendParameters.h
@@ -20,7 +20,7 @@
     // Whether a reused connection is allowed. The upstream may have closed such a connection, which is noticed only
     // after the request was sent.
     bool allowsReusedConnection = true;
-    // Set if an attempt was given up for this one because it was silent.
+    // Set if this attempt is to replace one that is silent.
     std::optional<SilentAttempt> replaced;
 };
 
--- a/src/forward/SilenceReason.h
+++ b/src/forward/SilenceReason.h
@@ -6,7 +6,7 @@
 
 namespace redwingseam::forward {
 
-// Why an attempt that has not ended was given up for another one.
+// Why another attempt was started in the place of one that has not ended.
 enum class SilenceReason : uint8_t {
     // A probe of the upstream failed and nothing was received since.
     Unreachable,
--- a/src/forward/SilentAttempt.h
+++ b/src/forward/SilentAttempt.h
@@ -7,9 +7,11 @@
 
 namespace redwingseam::forward {
 
-// What was known of an attempt when it was given up for silence.
+// What was known of a silent attempt when another one was started in its place.
 struct SilentAttempt {
     SilenceReason reason = SilenceReason::Unreachable;
+    // Whether the attempt is kept until it is known whether the other one goes on.
+    bool isKept = false;
     // Since the last bytes of the response, or since the request was sent.
     base::Duration silence {};
     // Since the last event; nullopt if there was none.
--- a/src/forward/StepKind.h
+++ b/src/forward/StepKind.h
@@ -21,6 +21,8 @@
     TimeOut,
     // Check whether the upstream still accepts connections.
     Probe,
+    // Go on with the attempt that was kept, after the end of the one that was to replace it.
+    GoBack,
 };
 
 } // namespace redwingseam::forward
@@ -36,5 +38,6 @@
         std::pair { StepKind::Fail, std::string_view { "fail" } },
         std::pair { StepKind::TimeOut, std::string_view { "time-out" } },
         std::pair { StepKind::Probe, std::string_view { "probe" } },
+        std::pair { StepKind::GoBack, std::string_view { "go-back" } },
     };
 };
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "forward/ChooseService.h"
-#include "forward/EventSplitter.h"
 #include "forward/Exchange.h"
-#include "gateway/BufferReservation.h"
-#include "gateway/BufferedResponse.h"
 #include "gateway/ClientConnection.h"
 #include "gateway/GatewayState.h"
 #include "gateway/HeaderCodec.h"
 #include "gateway/RequestSettingsOf.h"
 #include "gateway/SessionOutcome.h"
+#include "gateway/UpstreamAttempt.h"
 #include "gateway/UpstreamConnection.h"
 
 #include <memory>
@@ -23,6 +21,7 @@
 public:
     using Client = ClientConnection<Worker>;
     using Upstream = UpstreamConnection<Session>;
+    using Attempt = UpstreamAttempt<Upstream>;
 
     Session(Worker&, Client&, typename Client::Request, base::Instant now);
     Session(const Session&) = delete;
@@ -70,10 +69,24 @@
     std::string serializeRequestHeaders(const forward::SendParameters&) const;
     void startProbe();
     void endFailedProbe();
-    // Counts and logs that the current attempt was given up because its upstream is silent.
-    void recordAbandonedAttempt(const forward::SendParameters& next);
+    // Logs that the current attempt is to be replaced because its upstream is silent, and its end unless it is kept.
+    void recordReplacement(const forward::SendParameters& next);
+    bool isKept(const Upstream& connection) const { return m_kept && m_kept->connection.get() == &connection; }
+    Attempt& attemptOf(const Upstream& connection) { return isKept(connection) ? *m_kept : *m_attempt; }
+    void recordActivity(const Upstream&);
+    // Keeps the current attempt beside a new one.
+    void keepAttempt();
+    // Makes the kept attempt the current one again. The other one's connection must already be closed.
+    void goBack();
+    // Goes on with the kept attempt, and closes the one that was to replace it.
+    void goOnWithKept();
+    // Closes the kept attempt if the Exchange keeps it no longer.
+    void followExchange();
+    void closeKept(forward::AttemptOutcome);
+    // Handles the failure of the kept or the current attempt.
+    void failAttempt(const Upstream&, forward::AttemptOutcome);
     void endAttempt(forward::AttemptOutcome);
-    // Logs why the current attempt is replaced by one at `next`.
+    // Logs why the current attempt is to be replaced by one at `next`.
     void logReplacement(const forward::SilentAttempt&, const fleet::UpstreamInstance& next) const;
     // Logs the first failed probe of an attempt.
     void logFailedProbe();
@@ -82,6 +95,8 @@
     void finishBufferedResponse();
     void finishStream();
     forward::AttemptOutcome classifyResponse(const ResponseMetadata&) const;
+    // Ends the attempt if it has brought too much of an incomplete event. Returns whether it goes on.
+    bool limitPartialEvent(const Upstream&);
     void forwardEvent(const forward::StreamEvent&);
     void writeEvent(const forward::StreamEvent&);
     void recordEventTimes(base::Instant now);
@@ -98,7 +113,9 @@
     void end(SessionOutcome);
     // Adds the outcome to the error-budget report.
     void recordOutcome(SessionOutcome);
+    // Closes the connection of the current attempt, and the probe.
     void closeUpstream();
+    void closeConnection(std::unique_ptr<Upstream>&);
     void releaseUpstream(std::unique_ptr<Upstream>);
     // Decides whether the client connection goes on after this response. Called once, for the headers of the response: a
     // client that was not told otherwise may send its next request.
@@ -106,10 +123,10 @@
     void logAdmission(const forward::Admission&) const;
     void logOutcome(SessionOutcome) const;
     // Counts and logs the end of an attempt.
-    void recordAttempt(forward::AttemptOutcome, const fleet::UpstreamInstance&) const;
+    void recordAttempt(const Attempt&, forward::AttemptOutcome) const;
     base::Instant now() const { return base::BootClock {}.now(); }
     uint64_t random() { return m_worker.random(); }
-    bool isEventStream() const { return m_isEventStream; }
+    bool isEventStream() const { return m_attempt->isEventStream; }
     bool isHeadRequest() const { return m_clientRequest.method() == boost::beast::http::verb::head; }
 
     Worker& m_worker;
@@ -124,33 +141,21 @@
     // Why the gateway sent a local response or aborted the response.
     base::ResultCode m_errorCode = base::ResultCode::Ok;
     std::unique_ptr<forward::Exchange> m_exchange;
-    forward::SendParameters m_sendParameters;
-    std::unique_ptr<Upstream> m_upstream;
+    // The current attempt, or the last one. Never null.
+    std::unique_ptr<Attempt> m_attempt;
+    // The attempt that the Exchange keeps beside the current one.
+    std::unique_ptr<Attempt> m_kept;
     std::unique_ptr<Upstream> m_probe;
-    bool m_isUpstreamPaused = false;
     base::Instant m_lastTickAt {};
     // Whether the process did not run before the last tick.
     bool m_wasPaused = false;
-    BufferReservation m_responseReservation;
-    ResponseMetadata m_responseMetadata;
-    BufferedResponse m_response;
     // Failure response of an upstream, delivered if no later attempt returns a better one.
     std::optional<BufferedResponse> m_failureResponse;
-    forward::EventSplitter m_splitter;
-    bool m_isEventStream = false;
-    // Whether the response states where it ends.
-    bool m_hasResponseLength = false;
-    // Whether the current attempt has brought an event, whether or not it was forwarded.
-    bool m_hasEventContent = false;
     bool m_keepsClientConnection = false;
     bool m_isEnded = false;
     // Whether the connection to the upstream failed since the last event.
     bool m_isResuming = false;
-    bool m_isPooledConnection = false;
-    // Whether the current attempt's connection has brought a response to another request.
-    bool m_hasLateResponse = false;
     bool m_isNoResourcesLogged = false;
-    bool m_isFailedProbeLogged = false;
     base::Instant m_firstSentAt {};
     base::Instant m_firstEventAt {};
     base::Instant m_lastEventAt {};
@@ -162,3 +167,4 @@
 #include "gateway/SessionImpl.h"
 #include "gateway/SessionReportingImpl.h"
 #include "gateway/SessionResponsesImpl.h"
+#include "gateway/SessionSilenceImpl.h"
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -21,8 +21,8 @@
     , m_requestMetadata(Codec::readRequest(m_clientRequest))
     , m_number(m_state.nextRequest++)
     , m_arrivedAt(arrivedAt)
+    , m_attempt(std::make_unique<Attempt>(m_state.bufferedBodies))
     , m_lastTickAt(arrivedAt)
-    , m_responseReservation(m_state.bufferedBodies)
 {
     convertAbsoluteTarget(m_clientRequest);
 }
@@ -124,6 +124,9 @@
     case forward::StepKind::Probe:
         startProbe();
         return;
+    case forward::StepKind::GoBack:
+        goBack();
+        return;
     case forward::StepKind::Deliver:
         deliverResponse();
         return;
@@ -152,32 +155,29 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::startAttempt(const forward::SendParameters& parameters)
 {
-    closeUpstream();
+    if (parameters.replaced && parameters.replaced->isKept) {
+        keepAttempt();
+    } else {
+        closeUpstream();
+        m_attempt = std::make_unique<Attempt>(m_state.bufferedBodies);
+    }
     if (m_firstSentAt == base::Instant {})
         m_firstSentAt = now();
-    m_sendParameters = parameters;
-    m_splitter.clear();
-    m_response = {};
-    m_responseReservation.reset();
-    m_isUpstreamPaused = false;
-    m_isEventStream = false;
-    m_hasResponseLength = false;
-    m_hasEventContent = false;
-    m_isFailedProbeLogged = false;
+    m_attempt->parameters = parameters;
+    m_attempt->sentAt = now();
     if (parameters.allowsReusedConnection)
-        m_upstream = m_worker.connectionPool().acquire(parameters.placement.target, now());
-    m_isPooledConnection = m_upstream != nullptr;
-    m_hasLateResponse = false;
-    m_state.metrics.countConnection(!m_isPooledConnection);
-    if (m_upstream) {
-        m_upstream->setOwner(this);
+        m_attempt->connection = m_worker.connectionPool().acquire(parameters.placement.target, now());
+    m_attempt->isPooledConnection = m_attempt->connection != nullptr;
+    m_state.metrics.countConnection(!m_attempt->isPooledConnection);
+    if (m_attempt->connection) {
+        m_attempt->connection->setOwner(this);
         writeRequest();
         return;
     }
-    m_upstream = std::make_unique<Upstream>(m_worker.loop(), parameters.placement.target);
-    m_upstream->setOwner(this);
+    m_attempt->connection = std::make_unique<Upstream>(m_worker.loop(), parameters.placement.target);
+    m_attempt->connection->setOwner(this);
     m_exchange->recordConnecting();
-    switch (m_upstream->connect(now())) {
+    switch (m_attempt->connection->connect(now())) {
     case ConnectStart::Started:
         return;
     case ConnectStart::NoResources:
@@ -218,45 +218,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::writeRequest()
 {
-    m_upstream->send(serializeRequestHeaders(m_sendParameters), m_clientRequest.body(), isHeadRequest());
-}
-
-template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::startProbe()
-{
-    m_probe = std::make_unique<Upstream>(m_worker.loop(), m_sendParameters.placement.target);
-    m_probe->setOwner(this);
-    switch (m_probe->connect(now())) {
-    case ConnectStart::Started:
-        return;
-    case ConnectStart::NoResources:
-        logNoResources();
-        m_worker.retire(std::move(m_probe));
-        m_exchange->probeNotStarted();
-        return;
-    }
-}
-
-template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::endFailedProbe()
-{
-    m_worker.retire(std::move(m_probe));
-    m_state.metrics.countProbe(false);
-    logFailedProbe();
-    auto step = m_exchange->probeEnded(false, now(), random());
-    if (step.kind == forward::StepKind::Send)
-        recordAbandonedAttempt(step.send);
-    execute(std::move(step));
-}
-
-template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::recordAbandonedAttempt(const forward::SendParameters& next)
-{
-    bool isConnected = m_upstream && m_upstream->isConnected();
-    recordAttempt(isConnected ? forward::AttemptOutcome::Silent : forward::AttemptOutcome::NotConnected, m_sendParameters.placement.target);
-    if (next.replaced)
-        logReplacement(*next.replaced, next.placement.target);
-    m_isResuming = m_exchange->areHeadersSent();
+    m_attempt->connection->send(serializeRequestHeaders(m_attempt->parameters), m_clientRequest.body(), isHeadRequest());
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -278,8 +240,8 @@
         endFailedProbe();
         return;
     }
-    bool isConnecting = m_upstream && !m_upstream->isConnected();
-    if (isConnecting && at - m_upstream->connectStartedAt() > connectTimeout) {
+    bool isConnecting = m_attempt->connection && !m_attempt->connection->isConnected();
+    if (isConnecting && at - m_attempt->connection->connectStartedAt() > connectTimeout) {
         endAttempt(forward::AttemptOutcome::NotConnected);
         return;
     }
@@ -290,8 +252,9 @@
     }
     bool hadPlacement = m_exchange->placement().has_value();
     auto step = m_exchange->tick(at, random());
+    followExchange();
     if (hadPlacement && step.kind == forward::StepKind::Send)
-        recordAbandonedAttempt(step.send);
+        recordReplacement(step.send);
     execute(std::move(step));
 }
 
@@ -308,13 +271,13 @@
 void Session<Codec, Worker>::matchReadingToClient(base::Instant at)
 {
     auto sinceLastTick = at - std::exchange(m_lastTickAt, at);
-    if (!m_isUpstreamPaused || !m_upstream)
+    if (!m_attempt->isReadingPaused || !m_attempt->connection)
         return;
     m_exchange->discountPause(sinceLastTick, at);
     if (m_client.pendingBytes() > maxPendingClientBytes / 2)
         return;
-    m_isUpstreamPaused = false;
-    m_upstream->setReadingPaused(false);
+    m_attempt->isReadingPaused = false;
+    m_attempt->connection->setReadingPaused(false);
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -327,25 +290,28 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::closeUpstream()
 {
-    if (m_upstream) {
-        m_upstream->close();
-        m_worker.retire(std::move(m_upstream));
-    }
-    if (m_probe) {
-        m_probe->close();
-        m_worker.retire(std::move(m_probe));
-    }
+    closeConnection(m_attempt->connection);
+    closeConnection(m_probe);
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::closeConnection(std::unique_ptr<Upstream>& connection)
+{
+    if (!connection)
+        return;
+    connection->close();
+    m_worker.retire(std::move(connection));
 }
 
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::releaseUpstream(std::unique_ptr<Upstream> connection)
 {
-    if (!connection->isReusable() || m_responseMetadata.isLeaving) {
+    if (!connection->isReusable() || m_attempt->metadata.isLeaving) {
         connection->close();
         m_worker.retire(std::move(connection));
         return;
     }
-    auto idleTimeout = m_responseMetadata.keepAlive ? std::chrono::duration_cast<base::Duration>(*m_responseMetadata.keepAlive * keepAliveFraction) : defaultKeepAlive;
+    auto idleTimeout = m_attempt->metadata.keepAlive ? std::chrono::duration_cast<base::Duration>(*m_attempt->metadata.keepAlive * keepAliveFraction) : defaultKeepAlive;
     connection->markIdle(now(), idleTimeout);
     m_worker.connectionPool().release(std::move(connection));
 }
@@ -355,6 +321,8 @@
 {
     m_isEnded = true;
     closeUpstream();
+    if (m_kept)
+        closeConnection(m_kept->connection);
     auto kind = m_exchange ? m_exchange->request().route->kind : manifest::RouteKind::NonIdempotent;
     m_state.metrics.countOutcome(kind, outcome);
     recordOutcome(outcome);
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -72,24 +72,25 @@
 {
     if (std::exchange(m_isNoResourcesLogged, true))
         return;
-    LOG(WARNING) << log::LogLine("connect_without_resources").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).text();
+    LOG(WARNING) << log::LogLine("connect_without_resources").with("request", m_requestMetadata.attempt.text).with("upstream", m_attempt->parameters.placement.target.id.text).text();
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::recordAttempt(forward::AttemptOutcome outcome, const fleet::UpstreamInstance& upstream) const
+void Session<Codec, Worker>::recordAttempt(const Attempt& attempt, forward::AttemptOutcome outcome) const
 {
+    const auto& upstream = attempt.parameters.placement.target;
     m_state.metrics.countAttempt(outcome);
     log::LogLine line("attempt_ended");
     line.with("request", m_requestMetadata.attempt.text).with("outcome", base::nameOf(outcome)).with("upstream", upstream.id.text).with("data_centre", upstream.dataCentre.text).with("version", upstream.version.text);
-    line.with("connection", m_isPooledConnection ? "kept" : "new");
-    if (m_response.status)
-        line.with("status", m_response.status);
-    if (m_sendParameters.placement.backup)
-        line.with("backup", m_sendParameters.placement.backup->id.text);
-    if (m_sendParameters.usesBackup)
+    line.with("connection", attempt.isPooledConnection ? "kept" : "new");
+    if (attempt.response.status)
+        line.with("status", attempt.response.status);
+    if (attempt.parameters.placement.backup)
+        line.with("backup", attempt.parameters.placement.backup->id.text);
+    if (attempt.parameters.usesBackup)
         line.with("from_copy", 1);
     if (m_exchange && !forward::isDeliverable(outcome))
-        line.with("fingerprint", m_exchange->request().fingerprint.value).with("parts", forward::formatParts(m_exchange->request().promptParts)).with("sent_ms", millisOf(now() - m_exchange->sentAt())).with("partial_bytes", m_response.body.size() + m_splitter.partialBytes());
+        line.with("fingerprint", m_exchange->request().fingerprint.value).with("parts", forward::formatParts(m_exchange->request().promptParts)).with("sent_ms", millisOf(now() - attempt.sentAt)).with("partial_bytes", attempt.response.body.size() + attempt.splitter.partialBytes());
     if (m_exchange && m_exchange->lastEventId())
         line.with("last_event", *m_exchange->lastEventId());
     LOG(INFO) << line.text();
@@ -99,22 +100,22 @@
 void Session<Codec, Worker>::logReplacement(const forward::SilentAttempt& silent, const fleet::UpstreamInstance& next) const
 {
     log::LogLine line("attempt_replaced");
-    line.with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("reason", base::nameOf(silent.reason)).with("silent_ms", millisOf(silent.silence));
+    line.with("request", m_requestMetadata.attempt.text).with("upstream", m_attempt->parameters.placement.target.id.text).with("reason", base::nameOf(silent.reason)).with("silent_ms", millisOf(silent.silence));
     if (silent.sinceEvent)
         line.with("since_event_ms", millisOf(*silent.sinceEvent));
     if (silent.sinceContact)
         line.with("since_contact_ms", millisOf(*silent.sinceContact));
     if (silent.sinceAnyContact)
         line.with("since_any_contact_ms", millisOf(*silent.sinceAnyContact));
-    LOG(WARNING) << line.with("next", next.id.text).with("next_data_centre", next.dataCentre.text).text();
+    LOG(WARNING) << line.with("kept", silent.isKept ? 1 : 0).with("next", next.id.text).with("next_data_centre", next.dataCentre.text).text();
 }
 
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::logFailedProbe()
 {
-    if (std::exchange(m_isFailedProbeLogged, true))
+    if (std::exchange(m_attempt->isFailedProbeLogged, true))
         return;
-    const auto& target = m_sendParameters.placement.target;
+    const auto& target = m_attempt->parameters.placement.target;
     log::LogLine line("probe_failed");
     line.with("request", m_requestMetadata.attempt.text).with("upstream", target.id.text).with("data_centre", target.dataCentre.text);
     if (auto last = m_state.fleet.lastContactAt(target.service); last != base::Instant {})
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -28,30 +28,31 @@
 {
     const auto& responseHeader = static_cast<const boost::beast::http::response_header<>&>(headers);
     auto metadata = Codec::readResponse(responseHeader.result_int(), headers);
+    auto& attempt = attemptOf(connection);
     // Responses of another upstream at the address say nothing of this one.
     if (metadata.isLeaving && !metadata.isMisdirected)
         m_state.fleet.recordLeaving(connection.instance(), now());
     // This is a late response to an earlier request; the expected response follows it.
     if (!metadata.attempt.empty() && metadata.attempt != m_requestMetadata.attempt) {
-        m_hasLateResponse = true;
+        attempt.hasLateResponse = true;
         connection.skipResponse();
         return;
     }
     // A response that does not name its request may be a late one to an earlier request.
-    if (metadata.attempt.empty() && (m_isPooledConnection || m_hasLateResponse)) {
+    if (metadata.attempt.empty() && (attempt.isPooledConnection || attempt.hasLateResponse)) {
         LOG(WARNING) << log::LogLine("answer_without_id").with("request", m_requestMetadata.attempt.text).with("upstream", connection.instance().id.text).with("status", metadata.status).text();
-        endAttempt(forward::AttemptOutcome::Malformed);
+        failAttempt(connection, forward::AttemptOutcome::Malformed);
         return;
     }
-    m_exchange->recordActivity(now());
+    recordActivity(connection);
     applyRetryAfter(connection, metadata, headers);
-    m_responseMetadata = metadata;
-    m_response.status = metadata.status;
-    m_response.headers = headers;
-    m_hasResponseLength = hasLength;
+    attempt.metadata = metadata;
+    attempt.response.status = metadata.status;
+    attempt.response.headers = headers;
+    attempt.hasResponseLength = hasLength;
     if (!hasLength)
         LOG(INFO) << log::LogLine("answer_without_length").with("request", m_requestMetadata.attempt.text).with("status", metadata.status).with("headers", serializeHeaders(headers)).text();
-    m_isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned && !isHeadRequest();
+    attempt.isEventStream = m_exchange->request().route->kind == manifest::RouteKind::Stream && metadata.status == 200 && metadata.isSigned && !isHeadRequest();
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -68,29 +69,42 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::onUpstreamBody(Upstream&, std::string_view bytes)
+void Session<Codec, Worker>::onUpstreamBody(Upstream& connection, std::string_view bytes)
 {
-    if (!isEventStream()) {
-        auto size = m_response.body.size() + bytes.size();
-        if (size > maxResponseBodyBytes || !m_responseReservation.growTo(size)) {
+    auto& attempt = attemptOf(connection);
+    if (!attempt.isEventStream) {
+        auto size = attempt.response.body.size() + bytes.size();
+        if (size > maxResponseBodyBytes || !attempt.reservation.growTo(size)) {
             LOG(WARNING) << log::LogLine("answer_too_large").with("request", m_requestMetadata.attempt.text).with("bytes", size).with("buffered", m_state.bufferedBodies.usedBytes()).text();
-            endAttempt(forward::AttemptOutcome::Malformed);
+            failAttempt(connection, forward::AttemptOutcome::Malformed);
             return;
         }
-        m_response.body.append(bytes);
+        attempt.response.body.append(bytes);
         return;
     }
-    m_exchange->recordActivity(now());
-    auto events = m_splitter.push(bytes);
+    recordActivity(connection);
+    auto events = attempt.splitter.push(bytes);
+    if (isKept(connection)) {
+        auto first = std::find_if(events.begin(), events.end(), [](const auto& event) { return event.hasContent || !event.isWellFormed; });
+        if (first == events.end()) {
+            limitPartialEvent(connection);
+            return;
+        }
+        if (!first->isWellFormed) {
+            failAttempt(connection, forward::AttemptOutcome::Malformed);
+            return;
+        }
+        goOnWithKept();
+    }
     if (!events.empty() && !m_exchange->isUpstreamCurrent()) {
-        LOG(WARNING) << log::LogLine("upstream_restarted").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("version", m_sendParameters.placement.target.version.text).text();
+        LOG(WARNING) << log::LogLine("upstream_restarted").with("request", m_requestMetadata.attempt.text).with("upstream", m_attempt->parameters.placement.target.id.text).with("version", m_attempt->parameters.placement.target.version.text).text();
         endAttempt(forward::AttemptOutcome::Malformed);
         return;
     }
     for (const auto& event : events) {
         if (!event.isWellFormed) {
             static constexpr size_t maxLoggedBytes = 80;
-            LOG(WARNING) << log::LogLine("event_malformed").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).with("begin", event.bytes.substr(0, maxLoggedBytes)).text();
+            LOG(WARNING) << log::LogLine("event_malformed").with("request", m_requestMetadata.attempt.text).with("upstream", m_attempt->parameters.placement.target.id.text).with("begin", event.bytes.substr(0, maxLoggedBytes)).text();
             endAttempt(forward::AttemptOutcome::Malformed);
             return;
         }
@@ -98,16 +112,27 @@
         if (m_isEnded)
             return;
     }
-    if (m_splitter.partialBytes() > maxEventBytes || !m_responseReservation.growTo(m_splitter.partialBytes()))
-        endAttempt(forward::AttemptOutcome::Malformed);
-    else if (m_splitter.hasPartialContent())
+    if (limitPartialEvent(connection) && m_attempt->splitter.hasPartialContent())
         m_exchange->recordPartialEvent(now());
 }
 
+template<HeaderCodec Codec, typename Worker>
+bool Session<Codec, Worker>::limitPartialEvent(const Upstream& connection)
+{
+    auto& attempt = attemptOf(connection);
+    if (attempt.splitter.partialBytes() <= maxEventBytes && attempt.reservation.growTo(attempt.splitter.partialBytes()))
+        return true;
+    failAttempt(connection, forward::AttemptOutcome::Malformed);
+    return false;
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::forwardEvent(const forward::StreamEvent& event)
 {
-    m_hasEventContent = m_hasEventContent || event.hasContent;
+    m_attempt->hasEventContent = m_attempt->hasEventContent || event.hasContent;
+    // Until an event decides between two attempts, the client gets the response of neither.
+    if (m_kept && !event.hasContent)
+        return;
     auto last = m_exchange->lastEventId();
     if (event.id && last && *event.id <= *last) {
         LOG(WARNING) << log::LogLine("event_repeated").with("request", m_requestMetadata.attempt.text).with("event_id", *event.id).with("last_event", *last).text();
@@ -115,11 +140,12 @@
     }
     auto at = now();
     if (event.hasContent) {
-        recordEventTimes(at);
         m_exchange->recordEvent(event.id, at);
+        followExchange();
+        recordEventTimes(at);
     }
     if (!m_exchange->areHeadersSent())
-        writeResponseHeaders(m_response, "Transfer-Encoding: chunked\r\n");
+        writeResponseHeaders(m_attempt->response, "Transfer-Encoding: chunked\r\n");
     if (!m_isEnded)
         writeEvent(event);
 }
@@ -147,15 +173,17 @@
     std::snprintf(size.data(), size.size(), "%zx\r\n", event.bytes.size());
     std::string chunk(size.data());
     m_client.write(chunk.append(event.bytes).append("\r\n"));
-    if (m_isEnded || !m_upstream || m_client.pendingBytes() <= maxPendingClientBytes)
+    if (m_isEnded || !m_attempt->connection || m_client.pendingBytes() <= maxPendingClientBytes)
         return;
-    m_isUpstreamPaused = true;
-    m_upstream->setReadingPaused(true);
+    m_attempt->isReadingPaused = true;
+    m_attempt->connection->setReadingPaused(true);
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::onUpstreamComplete(Upstream&)
+void Session<Codec, Worker>::onUpstreamComplete(Upstream& connection)
 {
+    if (isKept(connection))
+        goOnWithKept();
     if (isEventStream())
         finishStream();
     else
@@ -166,19 +194,19 @@
 void Session<Codec, Worker>::finishStream()
 {
     // The end of the connection alone does not tell a stream without events from a crash.
-    bool isCutOff = !m_hasResponseLength && !m_hasEventContent;
-    if (isCutOff || m_splitter.hasPartial()) {
+    bool isCutOff = !m_attempt->hasResponseLength && !m_attempt->hasEventContent;
+    if (isCutOff || m_attempt->splitter.hasPartial()) {
         endAttempt(forward::AttemptOutcome::LostDuringResponse);
         return;
     }
     auto outcome = m_exchange->judgeStreamEnd();
     if (outcome != forward::AttemptOutcome::Completed) {
-        LOG(WARNING) << log::LogLine("stream_end_unconfirmed").with("request", m_requestMetadata.attempt.text).with("upstream", m_sendParameters.placement.target.id.text).text();
+        LOG(WARNING) << log::LogLine("stream_end_unconfirmed").with("request", m_requestMetadata.attempt.text).with("upstream", m_attempt->parameters.placement.target.id.text).text();
         endAttempt(outcome);
         return;
     }
-    releaseUpstream(std::move(m_upstream));
-    recordAttempt(forward::AttemptOutcome::Completed, m_sendParameters.placement.target);
+    releaseUpstream(std::move(m_attempt->connection));
+    recordAttempt(*m_attempt, forward::AttemptOutcome::Completed);
     execute(m_exchange->attemptEnded(forward::AttemptOutcome::Completed, now(), random()));
 }
 
@@ -197,7 +225,7 @@
     if (metadata.isMisdirected)
         return AttemptOutcome::Misdirected;
     if (metadata.isNotExecuted)
-        return m_sendParameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
+        return m_attempt->parameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
     if (promisesNotRun(metadata.status))
         return AttemptOutcome::Malformed;
     if (metadata.status >= 500)
@@ -213,18 +241,18 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::finishBufferedResponse()
 {
-    auto outcome = classifyResponse(m_responseMetadata);
-    releaseUpstream(std::move(m_upstream));
-    recordAttempt(outcome, m_sendParameters.placement.target);
+    auto outcome = classifyResponse(m_attempt->metadata);
+    releaseUpstream(std::move(m_attempt->connection));
+    recordAttempt(*m_attempt, outcome);
     if (outcome == forward::AttemptOutcome::NotRun)
-        LOG(INFO) << log::LogLine("attempt_refused").with("request", m_requestMetadata.attempt.text).with("body", m_response.body).with("headers", serializeHeaders(m_response.headers)).text();
+        LOG(INFO) << log::LogLine("attempt_refused").with("request", m_requestMetadata.attempt.text).with("body", m_attempt->response.body).with("headers", serializeHeaders(m_attempt->response.headers)).text();
     // The response does not tell whether the upstream itself refused the request or could not reach the backup.
-    bool isPossibleBackupRefusal = outcome == forward::AttemptOutcome::NotRun && m_response.status == 503 && m_sendParameters.placement.backup;
+    bool isPossibleBackupRefusal = outcome == forward::AttemptOutcome::NotRun && m_attempt->response.status == 503 && m_attempt->parameters.placement.backup;
     // Only a complete response to this request may be delivered later.
     if (outcome == forward::AttemptOutcome::UpstreamError)
-        m_failureResponse = std::move(m_response);
+        m_failureResponse = std::move(m_attempt->response);
     if (!forward::isDeliverable(outcome))
-        m_response = {};
+        m_attempt->response = {};
     if (isPossibleBackupRefusal) {
         execute(m_exchange->backupRefused(now(), random()));
         return;
@@ -241,16 +269,16 @@
     }
     switch (kind) {
     case ConnectionFailure::NotConnected:
-        endAttempt(forward::AttemptOutcome::NotConnected);
+        failAttempt(connection, forward::AttemptOutcome::NotConnected);
         return;
     case ConnectionFailure::BeforeResponse:
-        endAttempt(forward::AttemptOutcome::LostBeforeResponse);
+        failAttempt(connection, forward::AttemptOutcome::LostBeforeResponse);
         return;
     case ConnectionFailure::DuringResponse:
-        endAttempt(forward::AttemptOutcome::LostDuringResponse);
+        failAttempt(connection, forward::AttemptOutcome::LostDuringResponse);
         return;
     case ConnectionFailure::Malformed:
-        endAttempt(forward::AttemptOutcome::Malformed);
+        failAttempt(connection, forward::AttemptOutcome::Malformed);
         return;
     }
 }
@@ -258,7 +286,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::endAttempt(forward::AttemptOutcome outcome)
 {
-    recordAttempt(outcome, m_sendParameters.placement.target);
+    recordAttempt(*m_attempt, outcome);
     closeUpstream();
     discardResponse();
     m_isResuming = m_exchange->areHeadersSent();
@@ -268,8 +296,8 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::discardResponse()
 {
-    m_response = {};
-    m_isEventStream = false;
+    m_attempt->response = {};
+    m_attempt->isEventStream = false;
 }
 
 template<HeaderCodec Codec, typename Worker>
@@ -295,14 +323,14 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::deliverResponse()
 {
-    auto status = m_response.status;
+    auto status = m_attempt->response.status;
     if (isEventStream()) {
         if (!m_exchange->areHeadersSent())
-            writeResponseHeaders(m_response, "Transfer-Encoding: chunked\r\n");
+            writeResponseHeaders(m_attempt->response, "Transfer-Encoding: chunked\r\n");
         m_client.write("0\r\n\r\n");
     } else {
         // The buffered failure response is delivered if no later attempt returned a response.
-        const auto& chosen = m_response.status || !m_failureResponse ? m_response : *m_failureResponse;
+        const auto& chosen = m_attempt->response.status || !m_failureResponse ? m_attempt->response : *m_failureResponse;
         status = chosen.status;
         std::string length(chosen.headers[boost::beast::http::field::content_length]);
         if (!isHeadRequest() || length.empty())
--- a/tests/fakes/ExchangeRun.h
+++ b/tests/fakes/ExchangeRun.h
@@ -118,6 +118,11 @@
         auto* chosen = choose(detail, [](const Case& each) { return each.isSent && each.exchange->request().route->kind == manifest::RouteKind::Stream; });
         if (!chosen)
             return;
+        // Either of two attempts may be the first to go on, or the kept one is lost.
+        if (chosen->exchange->isAttemptKept() && detail % 3 == 0)
+            chosen->exchange->keptAttemptGoesOn(now());
+        else if (chosen->exchange->isAttemptKept() && detail % 3 == 1)
+            chosen->exchange->keptAttemptEnded(forward::AttemptOutcome::LostDuringResponse, now());
         chosen->exchange->recordActivity(now());
         chosen->exchange->recordEvent(chosen->nextEvent++, now());
         chosen->exchange->recordHeadersSent();
@@ -200,6 +205,10 @@
         case forward::StepKind::Probe:
             which.isProbing = true;
             return;
+        case forward::StepKind::GoBack:
+            which.isSent = true;
+            which.isProbing = false;
+            return;
         case forward::StepKind::Send:
             which.isSent = true;
             which.isProbing = false;
--- a/tests/fakes/ManualUpstream.h
+++ b/tests/fakes/ManualUpstream.h
@@ -3,6 +3,7 @@
 #include "base/FileDescriptor.h"
 
 #include <arpa/inet.h>
+#include <chrono>
 #include <poll.h>
 #include <string>
 #include <sys/socket.h>
@@ -55,6 +56,14 @@
         send(m_connection.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
     void closeConnection() { m_connection = {}; }
+    // Refuses further connections.
+    void stopListening() { m_listener = {}; }
+    // Returns whether the peer closes the connection within `duration`. It must send nothing meanwhile.
+    bool isClosedWithin(std::chrono::milliseconds duration) const
+    {
+        pollfd entry { m_connection.descriptor(), POLLIN | POLLRDHUP, 0 };
+        return poll(&entry, 1, static_cast<int>(duration.count())) > 0;
+    }
 
 private:
     static constexpr int timeoutMillis = 3000;
