Ask an upstream again that had no room for a stream that has begun

What callers saw: a stream was aborted in its middle (StreamLost) after each other upstream had been full once, however short a time. Cause: an attempt that the upstream did not run (AttemptOutcome::NotRun) excluded it for the rest of the request; only upstreams that could not be connected to were let in again. Change: a stream whose headers were sent asks such an upstream again 0.6 s later, within maxReachedAttempts, the retry budget and its deadline. Requests that have not begun are refused as before, since their clients can come back.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -100,13 +100,13 @@
     return mayQueue() ? placeInTurn(now, random) : placeOrWait(now, random);
 }
 
-bool Exchange::readmitUnreached(base::Instant now)
+bool Exchange::readmitUnserved(base::Instant now)
 {
-    bool isAnyLeft = std::any_of(m_unreached.begin(), m_unreached.end(), [&](const auto& upstream) { return m_fleet.acceptsRequests(upstream, now); });
-    std::erase_if(m_unreached, [&](const fleet::UpstreamInstance& upstream) {
-        if (!m_fleet.takesWork(upstream, now))
+    bool isAnyLeft = std::any_of(m_unserved.begin(), m_unserved.end(), [&](const auto& attempt) { return m_fleet.acceptsRequests(attempt.upstream, now); });
+    std::erase_if(m_unserved, [&](const UnservedAttempt& attempt) {
+        if (now < attempt.retryAt || !m_fleet.takesWork(attempt.upstream, now))
             return false;
-        std::erase(m_excluded, upstream.id);
+        std::erase(m_excluded, attempt.upstream.id);
         return true;
     });
     return isAnyLeft;
@@ -131,7 +131,7 @@
     bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
     if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
         return refuseWhileDeferred(*deferredUntil - now, now, random);
-    bool mayGoOn = readmitUnreached(now) || deferredUntil;
+    bool mayGoOn = readmitUnserved(now) || deferredUntil;
     if (now < waitsUntil)
         return {};
     // The client can get nothing but the rest of the stream.
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -8,6 +8,7 @@
 #include "forward/ExchangeRequest.h"
 #include "forward/PlacementQueue.h"
 #include "forward/Step.h"
+#include "forward/UnservedAttempt.h"
 #include "origin/StreamOrigins.h"
 
 namespace redwingseam::forward {
@@ -111,9 +112,9 @@
     void recordStart(base::Instant now);
     // Whether the service has upstreams, and none of the version that began the stream.
     bool isVersionGone(base::Instant now) const { return m_origin && !m_fleet.serves(m_request.service, m_origin->version, now) && m_fleet.serves(m_request.service, {}, now); }
-    // Lets the upstreams that could not be reached be tried again once they are no longer suspected. Returns whether any of
-    // them still accepts requests.
-    bool readmitUnreached(base::Instant now);
+    // Lets the upstreams that did not serve the request be tried again once they are no longer suspected. Returns whether any
+    // of them still accepts requests.
+    bool readmitUnserved(base::Instant now);
     // Whether the request may be held back until an engine has room. Resumed streams and retries go first.
     bool mayQueue() const { return isEngineRequest() && !m_request.lastEventId && !m_sends; }
     Step placeInTurn(base::Instant now, uint64_t random);
@@ -191,8 +192,8 @@
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
-    // Those of them to which no connection was established.
-    std::vector<fleet::UpstreamInstance> m_unreached;
+    // Those of them that may be asked again: no connection was established, or the stream has begun and they had no room.
+    std::vector<UnservedAttempt> m_unserved;
     // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
     // so the request is not sent again on a connection that may carry one.
     std::vector<base::UpstreamName> m_contacted;
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -146,7 +146,10 @@
     if (outcome != AttemptOutcome::BackupMissing)
         m_excluded.push_back(ended.target.id);
     if (outcome == AttemptOutcome::NotConnected)
-        m_unreached.push_back(ended.target);
+        m_unserved.push_back({ ended.target, now });
+    // The client can get nothing but the rest of the stream.
+    if (outcome == AttemptOutcome::NotRun && m_areHeadersSent)
+        m_unserved.push_back({ ended.target, now + m_policy.refusalPause });
     if (mayHaveRun(outcome)) {
         if (auto address = backupAddressOf(attempt))
             m_backupAddress = std::move(address);
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -21,6 +21,9 @@
     // Interval at which a stream that has begun looks for an upstream after that. It waits for those that could not be
     // reached until its deadline, because its client can get only the rest of it.
     base::Duration placementInterval = std::chrono::milliseconds(200);
+    // How long a stream that has begun leaves an upstream alone that had no room for it. It waits for room until its deadline,
+    // within `maxReachedAttempts`.
+    base::Duration refusalPause = std::chrono::milliseconds(600);
     // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
     // engine, when requests are queued.
     double firstEventReserveShare = 0.55;
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -25,7 +25,7 @@
         nextQuery.preferredAddress = backup;
     auto next = m_fleet.place(nextQuery);
     if (!next) {
-        readmitUnreached(now);
+        readmitUnserved(now);
         return {};
     }
     if (!acquireRetry(outcome, now)) {
--- /dev/null
+++ b/src/forward/UnservedAttempt.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "redwingseam/base/Instant.h"
+#include "redwingseam/fleet/UpstreamInstance.h"
+
+namespace redwingseam::forward {
+
+// An upstream that did not run the request, because it was not reached or had no room, and may be asked again.
+struct UnservedAttempt {
+    fleet::UpstreamInstance upstream;
+    // Not before this.
+    base::Instant retryAt {};
+};
+
+} // namespace redwingseam::forward
