--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -21,6 +21,9 @@
     // Interval at which a stream that has begun looks for an upstream after that. It waits for those that could not be
     // reached until its deadline, because its client can get only the rest of it.
     base::Duration placementInterval = std::chrono::milliseconds(200);
+    // How long a stream that has begun leaves an upstream alone that had no room for it. It waits for room until its deadline,
+    // within `maxReachedAttempts`.
+    base::Duration refusalPause = std::chrono::milliseconds(600);
     // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
     // engine, when requests are queued.
     double firstEventReserveShare = 0.55;
@@ -35,6 +38,9 @@
     // Multiple of the gap objective after which a silent stream is retried on another upstream even though its current
     // upstream accepts connections.
     double abandonGapMultiple = 1.6;
+    // How long the silent attempt of a stream is kept once the request was written to another upstream. Covers the refusal of
+    // that one, and is short because both may run the request.
+    base::Duration keepBesideReplacement = std::chrono::milliseconds(200);
     // Delay that a refused client is asked to wait before a retry.
     base::Duration retryAfter = std::chrono::milliseconds(300);
     // The same delay while this node drains, because another node can serve the client immediately.
