Both attempts of a session tell their connections the time

A kept attempt's connection is ticked too, so that an upstream that has acknowledged a part of its request isn't failed after four seconds.

--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -236,8 +236,10 @@
             return;
     }
     matchReadingToClient(at);
-    if (m_upstream)
-        m_upstream->tick(at);
+    for (auto* attempt : { m_attempt.get(), m_kept.get() }) {
+        if (attempt && attempt->connection)
+            attempt->connection->tick(at);
+    }
     if (m_probe && at - m_probe->connectStartedAt() > probeTimeout) {
         endFailedProbe();
         return;
