A kept attempt that ends badly no longer ends its replacement

Callers would see a stream aborted, or 502: a silent attempt that was kept beside its replacement brought a refusal, a failure or an event that was cut off, and the session closed the replacement, which was connected and perhaps reading the prompt, before it had judged that end. Now the end is judged first: one that can't be delivered drops the kept attempt only.

--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -80,6 +80,8 @@
     void goBack();
     // Goes on with the kept attempt, and closes the one that was to replace it.
     void goOnWithKept();
+    // Returns why the end of the kept attempt's response is no reason to go on with it, or nothing if it is.
+    std::optional<forward::AttemptOutcome> failureOfKeptEnd(Attempt&);
     // Closes the kept attempt if the Exchange keeps it no longer.
     void followExchange();
     void closeKept(forward::AttemptOutcome);
@@ -94,7 +96,9 @@
     void logNoResources();
     void finishBufferedResponse();
     void finishStream();
-    forward::AttemptOutcome classifyResponse(const ResponseMetadata&) const;
+    forward::AttemptOutcome classifyResponse(const Attempt&) const;
+    // Whether a stream has ended without being complete.
+    static bool isCutOff(const Attempt&);
     // Ends the attempt if it has brought too much of an incomplete event. Returns whether it goes on.
     bool limitPartialEvent(const Upstream&);
     void forwardEvent(const forward::StreamEvent&);
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -183,8 +183,13 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::onUpstreamComplete(Upstream& connection)
 {
-    if (isKept(connection))
+    if (isKept(connection)) {
+        if (auto failure = failureOfKeptEnd(attemptOf(connection))) {
+            failAttempt(connection, *failure);
+            return;
+        }
         goOnWithKept();
+    }
     if (isEventStream())
         finishStream();
     else
@@ -192,11 +197,16 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-void Session<Codec, Worker>::finishStream()
+bool Session<Codec, Worker>::isCutOff(const Attempt& attempt)
 {
     // The end of the connection alone does not tell a stream without events from a crash.
-    bool isCutOff = !m_attempt->hasResponseLength && !m_attempt->hasEventContent;
-    if (isCutOff || m_attempt->splitter.hasPartial()) {
+    return (!attempt.hasResponseLength && !attempt.hasEventContent) || attempt.splitter.hasPartial();
+}
+
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::finishStream()
+{
+    if (isCutOff(*m_attempt)) {
         endAttempt(forward::AttemptOutcome::LostDuringResponse);
         return;
     }
@@ -220,13 +230,14 @@
 }
 
 template<HeaderCodec Codec, typename Worker>
-forward::AttemptOutcome Session<Codec, Worker>::classifyResponse(const ResponseMetadata& metadata) const
+forward::AttemptOutcome Session<Codec, Worker>::classifyResponse(const Attempt& attempt) const
 {
     using forward::AttemptOutcome;
+    const auto& metadata = attempt.metadata;
     if (metadata.isMisdirected)
         return AttemptOutcome::Misdirected;
     if (metadata.isNotExecuted)
-        return m_attempt->parameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
+        return attempt.parameters.usesBackup ? AttemptOutcome::BackupMissing : AttemptOutcome::NotRun;
     if (promisesNotRun(metadata.status))
         return AttemptOutcome::Malformed;
     if (metadata.status >= 500)
@@ -242,7 +253,7 @@
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::finishBufferedResponse()
 {
-    auto outcome = classifyResponse(m_attempt->metadata);
+    auto outcome = classifyResponse(*m_attempt);
     releaseUpstream(std::move(m_attempt->connection));
     recordAttempt(*m_attempt, outcome);
     if (outcome == forward::AttemptOutcome::NotRun)
--- a/src/gateway/SessionSilenceImpl.h
+++ b/src/gateway/SessionSilenceImpl.h
@@ -82,6 +82,22 @@
     goBack();
 }
 
+template<HeaderCodec Codec, typename Worker>
+std::optional<forward::AttemptOutcome> Session<Codec, Worker>::failureOfKeptEnd(Attempt& attempt)
+{
+    using forward::AttemptOutcome;
+    if (attempt.isEventStream) {
+        if (isCutOff(attempt))
+            return AttemptOutcome::LostDuringResponse;
+        // An end without a new event is not confirmed.
+        return m_exchange->areHeadersSent() && !attempt.hasEventContent ? std::optional(AttemptOutcome::Malformed) : std::nullopt;
+    }
+    auto outcome = classifyResponse(attempt);
+    if (outcome == AttemptOutcome::UpstreamError)
+        m_failureResponse = std::move(attempt.response);
+    return forward::isDeliverable(outcome) ? std::nullopt : std::optional(outcome);
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::followExchange()
 {
