A stream's attempt is kept beside one of the same software version only, until its first event

Before its first event a stream has no version, and its record in the store and at the nodes names the one to which it was sent last.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -78,6 +78,8 @@
     query.preferredAddress = m_backupAddress;
     if (m_origin)
         query.version = m_origin->version;
+    else if (m_kept)
+        query.version = m_kept->placement->target.version;
     else if (isStream() && !m_request.attempt.empty())
         query.preferredVersion = m_fleet.assignedVersion(m_request.service, m_request.attempt);
     query.wantsBackup = m_request.route->isResumable;
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -23,7 +23,16 @@
     nextQuery.excluded.push_back(m_attempt.placement->target.id);
     if (backup)
         nextQuery.preferredAddress = backup;
+    // Before its first event either attempt may begin the stream, and its record names one version.
+    bool isVersionOpen = isKept && !m_origin;
+    if (isVersionOpen)
+        nextQuery.version = m_attempt.placement->target.version;
     auto next = m_fleet.place(nextQuery);
+    if (!next && isVersionOpen) {
+        isKept = false;
+        nextQuery.version = {};
+        next = m_fleet.place(nextQuery);
+    }
     if (!next) {
         readmitUnserved(now);
         return {};
