--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -23,7 +23,7 @@
                        self.peer_cut, self.peer_reset, self.cut_off, self.crash_upstream, self.crash_zone, self.hang, self.drain_upstream, self.revoke_key, self.change_manifest, self.reload_settings,
                        self.manifest_series, self.manifest_series, self.repeated_signals, self.freeze_hub, self.answer_fault, self.answer_fault,
                        self.release, self.release, self.out_of_step, self.crash_under_same_id, self.kill_half, self.kill_all, self.store_silent, self.store_slow_for_all, self.store_loses_answers, self.store_restored]
-        self.sparse_faults = [self.release, self.out_of_step, self.crash_upstream, self.crash_upstream, self.crash_under_same_id, self.hang, self.reload_settings]
+        self.sparse_faults = [self.release, self.crash_upstream, self.crash_upstream, self.crash_under_same_id, self.hang, self.reload_settings]
         self.dense_faults = [self.kill, self.kill_half, self.kill_all, self.kill_all, self.terminate, self.terminate_series, self.repeated_signals, self.freeze, self.store_silent, self.store_slow_for_all,
                              self.store_down, self.store_loses_answers, self.store_restored, self.store_reset, self.peer_reset, self.release, self.release, self.crash_upstream, self.crash_under_same_id]
         self.faults_beside_steps = [self.kill, self.kill_half, self.terminate, self.repeated_signals, self.peer_reset, self.crash_upstream, self.crash_upstream, self.hang, self.reload_settings,
