A watch confirms the list as of its start unless it was quiet for its whole time

A watch that ends with a change confirmed the list as of the receipt of its response, or of its timeout; a response that was late, or lay in the socket of a process that stood still, let the list cover take-ups that arrived after it was made, and all nodes inherit the age. Now it counts from the start of the watch, as for manifests. Not measured: calls to the store, since lists look up to 1.3 s older after a change.

--- a/src/sync/UpstreamListTask.h
+++ b/src/sync/UpstreamListTask.h
@@ -113,9 +113,10 @@
         m_version = version;
         for (const auto& change : result.value().changes)
             apply(change);
-        // A watch that ends without an error has returned all changes made before its end, which the process may have missed
-        // by standing still.
-        return std::min(now, startedAt + m_watchTimeout);
+        // A watch that ends without an error has returned all changes made before its end. Unless it lasted for its whole time,
+        // its end can't be told: the response may have been late, or the process may have stood still.
+        bool hasLasted = result.value().changes.empty() && now - startedAt >= m_watchTimeout;
+        return hasLasted ? startedAt + m_watchTimeout : startedAt;
     }
 
     void apply(const UpstreamChange& change)
