A check of the list needs the reply of the node that reads the store

A check passes only with the reply of a leader whose list is from a read since it became the leader, or since it went on after it stood still. A next leader's read, about a second later, ends the wait; else the take-up is looked up after 0.8 s as before.

ListCheck.LossOfHalfOfTheNodesDoesNotKeepTheOthersFrom Agreeing asserted that a check passes without the lost leader, which is the fault. It now asserts that none passes within a second, and, once the next leader has a list, one within the same 500 ms.

--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -151,7 +151,7 @@
     auto streams = Json::array();
     for (const auto& record : reply.streams)
         streams.push_back(Json::array({ record.attempt.text, record.origin.service.text, record.origin.version.text }));
-    return Json::array({ static_cast<int>(MessageKind::OriginReply), format(reply.from), std::move(streams), reply.listCheck, reply.listVersion.era, reply.listVersion.revision });
+    return Json::array({ static_cast<int>(MessageKind::OriginReply), format(reply.from), std::move(streams), reply.listCheck, reply.listVersion.era, reply.listVersion.revision, reply.isReader });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -421,6 +421,7 @@
         reply.listCheck = reader.number();
         reply.listVersion.era = reader.number();
         reply.listVersion.revision = reader.number();
+        reply.isReader = reader.flag();
     }
     return reply;
 }
--- a/src/replication/OriginReply.h
+++ b/src/replication/OriginReply.h
@@ -16,6 +16,8 @@
     uint64_t listCheck = 0;
     // The version of the list of upstreams that the sender holds.
     sync::StoreVersion listVersion;
+    // Whether the sender reads the store for the others, and has done so since it took this over.
+    bool isReader = false;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -79,6 +79,10 @@
     static constexpr base::Duration storeLossLifetime = std::chrono::milliseconds(1200);
     // Limits the memory for the text of a manifest from another node.
     static constexpr size_t maxManifestBytes = 4 * 1024 * 1024;
+    // Limits the number of messages while take-ups arrive all the time.
+    static constexpr base::Duration listCheckInterval = std::chrono::milliseconds(200);
+    // A leader that stood still for longer may have been replaced.
+    static constexpr base::Duration maxTickGap = std::chrono::milliseconds(400);
     // Limits the size of a message.
     static constexpr size_t maxAttemptsPerQuery = 256;
     // Older suspicions and crashes are neither applied nor forwarded.
@@ -95,6 +99,8 @@
     // Asks how new the lists of other nodes are while take-ups wait for it.
     void checkList(OutgoingMessages&, base::Instant now);
     void concludeListCheck(base::Instant now);
+    // Returns whether this node reads the store for the others, and has a list from a read since it took this over.
+    bool isReader() const;
     void logListCheck(sync::StoreVersion held, bool hasSucceeded, base::Instant now) const;
     // Returns whether this hub may ask its neighbour about quarantined prompt parts, as it does after a restart.
     bool lacksQuarantine(const StateQuery&) const;
@@ -158,6 +164,9 @@
     uint64_t m_sequence = 0;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     ListCheck m_listCheck;
+    base::Instant m_lastListCheck {};
+    // When this node became the leader, or began to tick again after it stood still.
+    base::Instant m_leaderSince {};
     StateTransfer m_stateTransfer;
     // Nodes of the earlier release, which send full state unasked. They are asked for state only by requests for full state.
     std::set<base::VmName> m_unaskedSenders;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -52,6 +52,8 @@
     bool isLeader = m_directory.isLeader(now);
     if (isHub == m_role.isHub() && isLeader == m_role.isLeader())
         return;
+    if (isLeader && !m_role.isLeader())
+        m_leaderSince = now;
     m_role.setHub(isHub);
     m_role.setLeader(isLeader);
     auto hub = m_directory.findHub(m_directory.self().dataCentre, now);
@@ -65,6 +67,8 @@
     auto requests = m_crashes.requests.takeReports();
     FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), std::move(requests.crashes), m_crashes.parts.takeReports(), std::move(requests.clearances), std::move(requests.trials), m_fleet.takeLeavingReports() };
     OutgoingMessages outgoing;
+    if (now - m_lastTick > maxTickGap)
+        m_leaderSince = now;
     m_lastTick = now;
     updateRole(now);
     m_role.setReaderCutOff(now - m_readerCutOffAt < storeLossLifetime);
--- a/src/replication/PeerSyncOriginsImpl.h
+++ b/src/replication/PeerSyncOriginsImpl.h
@@ -38,6 +38,7 @@
     if (isChecked) {
         reply.listCheck = query.listCheck;
         reply.listVersion = snapshot->list->version;
+        reply.isReader = isReader();
     }
     return { { query.from.peerAddress, std::move(reply) } };
 }
@@ -48,12 +49,19 @@
     m_directory.recordMessageFrom(reply.from, now);
     m_origins.lookups().answerFromPeer(reply.streams);
     if (reply.listCheck) {
-        m_listCheck.recordReply(reply.listCheck, reply.from, reply.listVersion);
+        m_listCheck.recordReply(reply);
         concludeListCheck(now);
     }
     return {};
 }
 
+template<ManifestParser Parser>
+bool PeerSync<Parser>::isReader() const
+{
+    auto snapshot = m_upstreamCache.snapshot();
+    return m_role.isLeader() && snapshot && snapshot->confirmedAt >= m_leaderSince;
+}
+
 // One check serves all take-ups that arrived before it.
 template<ManifestParser Parser>
 void PeerSync<Parser>::checkList(OutgoingMessages& outgoing, base::Instant now)
@@ -61,10 +69,12 @@
     concludeListCheck(now);
     // A node that has not learned of the others yet can't ask them.
     bool mayAsk = m_hasNodeList || m_directory.size() > 1;
-    if (!mayAsk || m_listCheck.isInProgress(now) || !m_origins.listCurrency().isCheckNeeded(now))
+    bool isTooSoon = m_listCheck.isInProgress(now) || now - m_lastListCheck < listCheckInterval;
+    if (!mayAsk || isTooSoon || !m_origins.listCurrency().isCheckNeeded(now))
         return;
     auto witnesses = m_directory.listWitnesses(now);
-    m_listCheck.begin(m_directory.self(), witnesses, now);
+    m_listCheck.begin(m_directory.self(), isReader(), witnesses, now);
+    m_lastListCheck = now;
     for (const auto& node : witnesses)
         outgoing.push_back({ node.peerAddress, OriginQuery { m_directory.self(), {}, m_listCheck.sequence() } });
     concludeListCheck(now);
