A take-up waits longer for upstreams of its version

Callers saw (readings): a take-up answered 503 after 0.48 s at a calm node, 0.12 of the objective. Cause: a take-up waited for an upstream like a new stream, which other nodes may place elsewhere. It can only go on at its version, so a refusal costs one of its client's few tries; and if the upstreams of the version asked to wait for longer than 0.12 of the objective, it was refused at once. Change: the wait of a stream that is bound to a version is 1.5 s, less than the 2 s after which clients give up at the earliest. A longer deferral is still refused at once.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -158,6 +158,9 @@
     return isAnyLeft;
 }
 
+// Clients give up a stream after a gap of two seconds or more.
+static constexpr base::Duration maxTakeUpWait = std::chrono::milliseconds(1500);
+
 Step Exchange::placeOrWait(base::Instant now, uint64_t random)
 {
     if (now < m_nextPlacementAt)
@@ -173,6 +176,9 @@
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
     auto waitsUntil = m_waitingSince + scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
+    // No other node has upstreams of another version for it, and the client has few tries left.
+    if (m_origin && isTakenUp())
+        waitsUntil = std::max(waitsUntil, m_waitingSince + maxTakeUpWait);
     auto deferredUntil = m_fleet.deferredUntil(query(now, random));
     bool canRefuse = !m_mayHaveRun && !m_areHeadersSent;
     if (deferredUntil && *deferredUntil >= waitsUntil && canRefuse)
