--- a/tests/KeptAttemptTest.cpp
+++ b/tests/KeptAttemptTest.cpp
@@ -104,6 +104,20 @@
     CHECK_TRUE(exchange->placement()->target == first);
 }
 
+// Another upstream is tried after 1.6 gap objectives, in time for one that hangs. One that goes on until then isn't cut.
+TEST(KeptAttempt, ReachableUpstreamThatIsSilentForASecondIsNotLeft)
+{
+    beginStream();
+    auto silentUntil = now() + milliseconds(1300);
+    waitForReplacement(true);
+    exchange->recordActivity(now());
+    CHECK_TRUE(runFor(silentUntil - now(), true).kind == StepKind::Wait);
+    CHECK_TRUE(exchange->isAttemptKept());
+    exchange->keptAttemptGoesOn(now());
+    exchange->recordEvent(2, now());
+    CHECK_TRUE(exchange->placement()->target == first);
+}
+
 TEST(KeptAttempt, DoesNotRunBesideTheOtherOneForLong)
 {
     beginStream();
