--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -114,7 +114,7 @@
     return isAnyLeft;
 }
 
-// Clients give up a stream after a gap of two seconds or more.
+// How long a stream that its client takes up waits for upstreams of its version. Clients give up after two seconds without an event.
 static constexpr base::Duration maxTakeUpWait = std::chrono::milliseconds(1500);
 
 Step Exchange::placeOrWait(base::Instant now, uint64_t random)
@@ -132,7 +132,7 @@
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
     auto waitsUntil = m_waitingSince + scaled(m_request.route->latencyObjective, m_policy.maxWaitObjectiveShare);
-    // No other node has upstreams of another version for it, and the client has few tries left.
+    // It can only go on at upstreams of its version, at whatever node, and the client has few tries left.
     if (m_origin && isTakenUp())
         waitsUntil = std::max(waitsUntil, m_waitingSince + maxTakeUpWait);
     auto deferredUntil = m_fleet.deferredUntil(query(now, random));
--- a/src/origin/InferredOrigin.h
+++ b/src/origin/InferredOrigin.h
@@ -5,7 +5,7 @@
 
 namespace redwingseam::origin {
 
-// Where a stream must have begun, by the list of upstreams. Holds only if that list is current.
+// Where a stream must have begun, by the list of upstreams. Holds only if that list is current (ListCurrency).
 struct InferredOrigin {
     StreamOrigin origin;
     OriginSource source = OriginSource::OnlyVersion;
