State transfer: a probe of the link tells a lost reply from a slow one

Cause: StateTransfer repeated a request by a timer that doubles, 2 s and 4 s. The requesting node knew neither the size of what was on its way nor what the link carries.

Now the usual query to that peer asks for a LinkProbe once a second while a transfer is in progress. The reply says which request the peer last answered with state and how large that was, and bears 16 KiB of padding. The time of this reply, scaled to the size of the state and doubled, bounds the time that the state needs on the same link. If that has passed, or the peer sent nothing since the request, the reply was lost and the request is repeated at once, three times in a row at most; from then on the timer applies as before. A probe that does not arrive says nothing, and the timer applies.

Messages without a probe are unchanged, and older nodes ignore the new fields.

Ruled out: a shorter fixed interval; parts of some KiB, which need a round trip each; the transport's acknowledgement, which only the sender has.

New: SlowReplyIsNotTakenForALostOne (no second copy within 2.2 s on a link that needs 1.7 s) and LinkThatLosesAllLargeRepliesCarriesFewCopies; these guard the new decision and were not run on the code before.

--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -53,7 +53,10 @@
 
 static Json format(const StateQuery& query, base::Instant)
 {
-    return Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listVersion.revision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState, query.acceptsCompression, query.listVersion.era });
+    auto fields = Json::array({ static_cast<int>(MessageKind::Query), query.sequence, format(query.from), query.manifestVersion, query.listVersion.revision, format(query.loads), query.wantsState, query.nodeCount, std::max(base::Duration {}, query.manifestAge).count(), std::max(base::Duration {}, query.listAge).count(), query.quarantineHash, query.wantsFullState, query.acceptsCompression, query.listVersion.era });
+    if (query.wantsProbe)
+        fields.push_back(true);
+    return fields;
 }
 
 static Json format(const std::vector<forward::QuarantinedRequest>& requests, base::Instant now)
@@ -126,8 +129,11 @@
 static Json format(const StateReply& reply, base::Instant now)
 {
     auto list = reply.list ? formatList(reply.list->upstreams) : Json();
-    return Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
+    auto fields = Json::array({ static_cast<int>(MessageKind::Reply), reply.sequence, format(reply.from), reply.manifestVersion, std::max(base::Duration {}, reply.manifestAge).count(),
         reply.manifestText, reply.listVersion.revision, std::max(base::Duration {}, reply.listAge).count(), reply.missingEntryGrace.count(), std::move(list), format(reply.loads), formatList(reply.nodes), format(reply.quarantined, now), reply.delta ? format(*reply.delta) : Json(), reply.isDeputy, format(reply.parts, now), reply.compressedManifest ? formatBytes(*reply.compressedManifest) : Json(), reply.listVersion.era, format(reply.clearances, now), reply.hasLostStore });
+    if (reply.probe)
+        fields.push_back(Json::array({ reply.probe->stateSequence, reply.probe->stateBytes, formatBytes(reply.probe->padding) }));
+    return fields;
 }
 
 static Json format(const FailureNotice& notice, base::Instant now)
@@ -285,6 +291,8 @@
     query.hasEra = reader.hasMore();
     if (query.hasEra)
         query.listVersion.era = reader.number();
+    if (reader.hasMore())
+        query.wantsProbe = reader.flag();
     return query;
 }
 
@@ -358,6 +366,14 @@
     reply.clearances = parseClearances(reader, now);
     if (reader.hasMore())
         reply.hasLostStore = reader.flag();
+    if (reader.hasMore()) {
+        reader.nested([&](FieldReader& item) {
+            auto& probe = reply.probe.emplace();
+            probe.stateSequence = item.number();
+            probe.stateBytes = item.number();
+            probe.padding = item.bytes();
+        });
+    }
     return reply;
 }
 
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -11,6 +11,7 @@
 #include "replication/OutgoingMessage.h"
 #include "replication/PeerLoadTable.h"
 #include "replication/PendingQuery.h"
+#include "replication/SentState.h"
 #include "replication/StateOnItsWay.h"
 #include "replication/StateTransfer.h"
 #include "replication/UnreadableManifest.h"
@@ -113,8 +114,11 @@
     static base::Duration missingEntryGraceFor(const StateReply&, const std::optional<sync::UpstreamSnapshot>& current, base::Instant queriedAt);
     // Returns whether the reply may hold full state.
     bool mayIncludeFullState(const StateQuery&, base::Instant now);
-    // Records what a node of the earlier release is sent.
+    // Records the full state that a node is sent.
     void recordSentState(const StateQuery&, const StateReply&, base::Instant now);
+    // Tells the node what full state it was last sent.
+    LinkProbe makeProbe(const base::VmName&) const;
+    void recordProbe(const StateReply&, base::Instant queriedAt, base::Instant now);
     // `held` is the version of the list that the receiver of the reply holds.
     void addListTo(const StateQuery&, StateReply&, sync::StoreVersion held);
     // Returns the version of the list that a message states, with the era of `current` if the message states none.
@@ -172,6 +176,7 @@
     std::set<base::VmName> m_unaskedSenders;
     UnreadableManifest m_unreadableManifest;
     std::map<base::VmName, StateOnItsWay> m_stateToOlderNodes;
+    std::map<base::VmName, SentState> m_sentStates;
     // The last text that was sent compressed, and its compressed form.
     std::shared_ptr<const std::string> m_compressedText;
     std::shared_ptr<const std::string> m_compressedManifest;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -103,6 +103,9 @@
     query.nodeCount = m_directory.size();
     query.quarantineHash = m_crashes.parts.quarantineHash();
     query.wantsState = !m_unaskedSenders.count(node.name);
+    query.wantsProbe = m_stateTransfer.isProbeDue(node.name, now);
+    if (query.wantsProbe)
+        m_stateTransfer.beginProbe(query.sequence, now);
     m_pendingQueries[query.sequence] = { now, replyTimeout };
     return { node.peerAddress, std::move(query) };
 }
@@ -241,6 +244,8 @@
         reply.parts = m_crashes.parts.evidence();
     reply.quarantined = m_crashes.requests.quarantinedRequests(now);
     reply.clearances = m_crashes.requests.clearedRequests();
+    if (query.wantsProbe)
+        reply.probe = makeProbe(query.from.name);
     recordSentState(query, reply, now);
     logSentState(query, reply);
     OutgoingMessages outgoing { { query.from.peerAddress, std::move(reply) } };
@@ -294,6 +299,7 @@
     applyList(reply, queriedAt);
     m_stateTransfer.recordOffer(reply.sequence, reply.from.name, { reply.manifestVersion, reply.listVersion });
     m_stateTransfer.recordReply(reply.sequence, carriesState(reply), now - queriedAt);
+    recordProbe(reply, queriedAt, now);
     for (const auto& request : reply.quarantined)
         m_crashes.requests.applyQuarantine(request);
     for (const auto& clearance : reply.clearances)
--- a/src/replication/PeerSyncStateImpl.h
+++ b/src/replication/PeerSyncStateImpl.h
@@ -21,10 +21,21 @@
     return carriesManifest(reply) || reply.list;
 }
 
+inline size_t manifestBytes(const StateReply& reply)
+{
+    return reply.compressedManifest ? reply.compressedManifest->size() : reply.manifestText.size();
+}
+
+inline size_t approximateBytes(const StateReply& reply)
+{
+    static constexpr size_t bytesPerUpstream = 128;
+    return manifestBytes(reply) + (reply.list ? reply.list->upstreams.size() * bytesPerUpstream : 0);
+}
+
 inline log::LogLine stateLine(const char* event, const char* peerField, const sync::NodeRecord& peer, const StateReply& reply)
 {
     log::LogLine line(event);
-    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", reply.compressedManifest ? reply.compressedManifest->size() : reply.manifestText.size());
+    line.with(peerField, peer.name.text).with("query", reply.sequence).with("manifest_version", reply.manifestVersion).with("manifest_bytes", manifestBytes(reply));
     line.with("upstreams", reply.list ? reply.list->upstreams.size() : 0);
     return line;
 }
@@ -39,6 +50,7 @@
     query.wantsState = true;
     query.wantsFullState = true;
     query.acceptsCompression = true;
+    query.wantsProbe = false;
     m_pendingQueries[query.sequence] = { now, StateTransfer::maxTimeout, true };
     m_stateTransfer.begin(query.sequence, node.name, { reply.manifestVersion, reply.listVersion }, now);
     return message;
@@ -58,6 +70,25 @@
         m_stateToOlderNodes.erase(query.from.name);
     else if (carriesState(reply))
         m_stateToOlderNodes[query.from.name].record(query, reply, now);
+    if (query.wantsFullState)
+        m_sentStates[query.from.name] = { query.sequence, approximateBytes(reply) };
+}
+
+template<ManifestParser Parser>
+LinkProbe PeerSync<Parser>::makeProbe(const base::VmName& receiver) const
+{
+    auto sent = m_sentStates.find(receiver);
+    auto state = sent == m_sentStates.end() ? SentState {} : sent->second;
+    return { state.sequence, state.bytes, std::string(LinkProbe::paddingBytes, ' ') };
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::recordProbe(const StateReply& reply, base::Instant queriedAt, base::Instant now)
+{
+    if (!reply.probe || !m_stateTransfer.recordProbe(reply.sequence, *reply.probe, now - queriedAt, now))
+        return;
+    auto probeMillis = std::chrono::duration_cast<std::chrono::milliseconds>(now - queriedAt).count();
+    LOG(WARNING) << log::LogLine("peer_state_lost").with("from", reply.from.name.text).with("state_query", reply.probe->stateSequence).with("state_bytes", reply.probe->stateBytes).with("probe_ms", static_cast<uint64_t>(probeMillis)).text();
 }
 
 template<ManifestParser Parser>
--- a/src/replication/StateQuery.h
+++ b/src/replication/StateQuery.h
@@ -34,6 +34,8 @@
     bool wantsFullState = false;
     // Whether the reply may hold the manifest in compressed form.
     bool acceptsCompression = false;
+    // Whether the reply should include a LinkProbe.
+    bool wantsProbe = false;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/StateReply.h
+++ b/src/replication/StateReply.h
@@ -5,6 +5,7 @@
 #include "forward/QuarantinedRequest.h"
 #include "forward/RequestClearance.h"
 #include "redwingseam/base/Instant.h"
+#include "replication/LinkProbe.h"
 #include "sync/NodeRecord.h"
 #include "sync/UpstreamDelta.h"
 #include "sync/UpstreamList.h"
@@ -51,6 +52,8 @@
     forward::PartReports parts;
     // Informs nodes that missed the notices of progress which ended a quarantine.
     std::vector<forward::RequestClearance> clearances;
+    // Set only if the query asks for it.
+    std::optional<LinkProbe> probe;
 };
 
 } // namespace redwingseam::replication
--- a/tests/StateTransferTest.cpp
+++ b/tests/StateTransferTest.cpp
@@ -154,3 +154,36 @@
     cluster.run(milliseconds(1500));
     LONGS_EQUAL(2, node.manifestVersion());
 }
+
+// A link on which no large message arrives must not be filled with copies.
+TEST(StateTransfer, LinkThatLosesAllLargeRepliesCarriesFewCopies)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& node = cluster.add("a2", "dc-a");
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    cluster.lossLimits["a2"] = textBytes / 2;
+    cluster.bytesSent = 0;
+    hub.confirm(largeText(2), cluster.now);
+    cluster.run(milliseconds(20'000));
+    LONGS_EQUAL(1, node.manifestVersion());
+    CHECK_TRUE_TEXT(cluster.bytesSent < 7 * textBytes, std::to_string(cluster.bytesSent).c_str());
+}
+
+// A reply that a slow link still carries is not lost.
+TEST(StateTransfer, SlowReplyIsNotTakenForALostOne)
+{
+    auto& hub = cluster.add("a1", "dc-a");
+    auto& slow = cluster.add("a2", "dc-a");
+    cluster.linkRates["a2"] = textBytes / 2;
+    cluster.shareNodeList();
+    hub.confirm(1, cluster.now);
+    cluster.run(milliseconds(1500));
+    cluster.bytesSent = 0;
+    hub.confirm(largeText(2), cluster.now);
+    cluster.run(milliseconds(2200));
+    CHECK_TRUE_TEXT(cluster.bytesSent < textBytes * 5 / 4, std::to_string(cluster.bytesSent).c_str());
+    cluster.run(milliseconds(4000));
+    LONGS_EQUAL(2, slow.manifestVersion());
+}
