Part register: losses at one upstream speak against the upstream

Callers saw: two losses at the same broken upstream quarantined a part that was new, and the session was refused until the first trial, 4 s later.

Cause: the analysis counted failures of one upstream, more than 500 ms apart, like those of several. Prompt affinity sends the requests of a session to the same upstream, so a broken one looks like a deadly part.

The analysis now counts the upstreams as well. If all failures are of one upstream, five are needed instead of two or three. Five is the number of crashes from which the limit on further ones counts, and it keeps the guard for a service with a single upstream. Requests with a deadly part that are retried, or that no affinity holds, crash another upstream with the second failure, and the thresholds are as before.

New: PartThatKeepsCrashingTheOnlyUpstreamIsQuarantined.

--- a/src/forward/BlameAnalysis.cpp
+++ b/src/forward/BlameAnalysis.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace redwingseam::forward {
@@ -39,10 +40,13 @@
         unsigned failures = 0;
         size_t position = 0;
         base::UpstreamName lastUpstream;
+        std::set<base::UpstreamName> upstreams;
 
         void add(const CrashEvent& event, base::Instant sentAt, bool isUnambiguous)
         {
             ++failures;
+            upstreams.insert(event.upstream);
+            blame.upstreams = upstreams.size();
             auto sinceLast = event.lostAt - blame.lastCrashAt;
             bool isLater = sentAt >= blame.lastCrashAt && sinceLast >= jointFailureSpan;
             bool isElsewhere = event.upstream != lastUpstream && sinceLast >= separateFailures;
--- a/src/forward/CrashBlame.h
+++ b/src/forward/CrashBlame.h
@@ -12,6 +12,8 @@
     unsigned crashes = 0;
     // Those of them in which no other prompt part can be the cause.
     unsigned unambiguousCrashes = 0;
+    // The number of different upstreams that crashed.
+    size_t upstreams = 0;
     base::Instant lastCrashAt {};
 };
 
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -275,6 +275,8 @@
     bool isProven = progressAt && blame.lastCrashAt - *progressAt <= soundnessPeriod;
     if (isProven)
         return blame.crashes >= provenThreshold;
+    if (blame.upstreams == 1)
+        return blame.crashes >= singleUpstreamThreshold;
     return blame.crashes >= ambiguousThreshold || blame.unambiguousCrashes >= unambiguousThreshold;
 }
 
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -55,6 +55,8 @@
     // them. Where other parts may be the cause as well, a third crash is needed.
     static constexpr unsigned unambiguousThreshold = 2;
     static constexpr unsigned ambiguousThreshold = 3;
+    // Losses at one upstream speak against that upstream in the first place.
+    static constexpr unsigned singleUpstreamThreshold = 5;
     // A part with recent progress is sound, unless upstreams changed. Other causes are far more likely.
     static constexpr unsigned provenThreshold = 6;
 
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -168,3 +168,14 @@
     crash(parts, "broken", { { 1 }, { 7 } });
     CHECK_FALSE(parts.isQuarantined(Parts { { 7 } }));
 }
+
+// Otherwise a service with a single upstream would crash for ever.
+TEST(PartQuarantineHealing, PartThatKeepsCrashingTheOnlyUpstreamIsQuarantined)
+{
+    PartRegister parts;
+    parts.recordProgress(Parts { { 1 } }, now);
+    for (int i = 0; i < 5; ++i)
+        crash(parts, "only", { { 1 }, { 7 } });
+    CHECK_TRUE(parts.isQuarantined(Parts { { 7 } }));
+    CHECK_FALSE(parts.isQuarantined(Parts { { 1 } }));
+}
