Part register: progress that a node has seen counts at all nodes

Callers saw: a node without progress of its own refused a shared part that its neighbours served, while several deadly parts were about; and nodes came to different verdicts on a part that one of them had served, and sent each other their evidence with every query.

Cause: a node reported progress only on a part that was accused on that node at that moment. If it saw progress between a crash and the notice of it, or before the crash, the crash did not accuse the part there, so nothing was reported; the others knew no progress and held the crash against the part.

A node that learns of a crash now reports the progress that it knows for the parts of the crashed request, if that says more about the crash than the progress reported so far: progress since the crash, or within the minute before it (Soundness). So one report for each part and minute suffices while nothing else changes. Notices drop reports that are older than a second; progress is exempt, since it speaks for a part for longer. Clearances that a reply repeats are taken for older by the time of the reply, as the other ages are, so that a repetition never makes progress younger.

New: ProgressOfSomeSecondsAgoReachesTheOtherNodes.

--- a/src/forward/PartEvidence.cpp
+++ b/src/forward/PartEvidence.cpp
@@ -5,16 +5,23 @@
 
 namespace redwingseam::forward {
 
+Soundness soundnessAt(base::Instant lostAt, std::optional<base::Instant> progressAt)
+{
+    if (!progressAt || lostAt - *progressAt > soundnessPeriod)
+        return Soundness::Unproven;
+    return *progressAt >= lostAt ? Soundness::ProvenSince : Soundness::ProvenBefore;
+}
+
 std::vector<base::PromptPartHash> possibleCauses(const PartCrash& crash, const LastProgress& lastProgress)
 {
     std::vector<base::PromptPartHash> withoutProgressSince;
     std::vector<base::PromptPartHash> unproven;
     for (auto part : crash.parts) {
-        auto progressAt = lastProgress(part);
-        if (progressAt >= crash.lostAt)
+        auto soundness = soundnessAt(crash.lostAt, lastProgress(part));
+        if (soundness == Soundness::ProvenSince)
             continue;
         withoutProgressSince.push_back(part);
-        if (!progressAt || crash.lostAt - *progressAt > soundnessPeriod)
+        if (soundness == Soundness::Unproven)
             unproven.push_back(part);
     }
     return unproven.empty() ? withoutProgressSince : unproven;
--- a/src/forward/PartEvidence.h
+++ b/src/forward/PartEvidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/PartCrash.h"
+#include "forward/Soundness.h"
 
 #include <functional>
 #include <optional>
@@ -14,6 +15,8 @@
 // Whether progress shortly before a crash, or after it, speaks for the part.
 inline constexpr base::Duration soundnessPeriod = std::chrono::seconds(60);
 
+Soundness soundnessAt(base::Instant lostAt, std::optional<base::Instant> progressAt);
+
 // Returns the parts of the crashed request that may have caused the crash: those without progress since it and for some
 // time before it. If all parts made progress before the crash, those without progress since are returned, because an
 // upstream may be changed so that it fails on a part that it served before.
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -72,9 +72,45 @@
         return false;
     evictCrashIfFull();
     crashes.push_back(crash);
+    reportProgress(crash);
     return true;
 }
 
+void PartRegister::reportProgress(const PartCrash& crash)
+{
+    for (auto part : crash.parts) {
+        auto progressAt = takeUnreportedProgress(part, crash.lostAt);
+        if (!progressAt)
+            continue;
+        addClearance({ part, *progressAt });
+        std::lock_guard guard(m_reportsMutex);
+        if (m_reports.clearances.size() < maxReports)
+            m_reports.clearances.push_back({ part, *progressAt });
+    }
+}
+
+std::optional<base::Instant> PartRegister::takeUnreportedProgress(base::PromptPartHash part, base::Instant lostAt)
+{
+    return withState(part, [&](States& states) -> std::optional<base::Instant> {
+        auto found = states.find(part);
+        if (found == states.end())
+            return std::nullopt;
+        auto& state = found->second;
+        if (soundnessAt(lostAt, state.lastProgressAt) <= soundnessAt(lostAt, state.reportedProgressAt))
+            return std::nullopt;
+        state.reportedProgressAt = state.lastProgressAt;
+        return state.lastProgressAt;
+    });
+}
+
+void PartRegister::setProgressReported(const PartClearance& clearance)
+{
+    withState(clearance.part, [&](States& states) {
+        auto& state = stateIn(states, clearance.part);
+        state.reportedProgressAt = std::max(state.reportedProgressAt, std::optional(clearance.progressAt));
+    });
+}
+
 void PartRegister::evictCrashIfFull()
 {
     auto& crashes = m_evidence.crashes;
@@ -106,8 +142,10 @@
     if (clearances.empty())
         return;
     std::lock_guard guard(m_mutex);
-    for (const auto& clearance : clearances)
+    for (const auto& clearance : clearances) {
+        setProgressReported(clearance);
         addClearance(clearance);
+    }
     updateVerdicts();
     std::lock_guard reportsGuard(m_reportsMutex);
     for (const auto& clearance : clearances) {
@@ -119,6 +157,8 @@
 void PartRegister::addClearance(const PartClearance& clearance)
 {
     auto& clearances = m_evidence.clearances;
+    if (std::any_of(clearances.begin(), clearances.end(), [&](const PartClearance& known) { return known.part == clearance.part && known.progressAt >= clearance.progressAt; }))
+        return;
     std::erase_if(clearances, [&](const PartClearance& known) { return known.part == clearance.part; });
     if (clearances.size() >= maxClearances)
         clearances.pop_front();
@@ -230,8 +270,9 @@
     if (!removeOldCrashes(now) && reports.isEmpty())
         return;
     for (const auto& clearance : reports.clearances) {
-        if (addProgress(clearance.part, clearance.progressAt))
-            addClearance(clearance);
+        addProgress(clearance.part, clearance.progressAt);
+        setProgressReported(clearance);
+        addClearance(clearance);
     }
     for (const auto& crash : reports.crashes)
         addCrash(crash, now);
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -93,6 +93,11 @@
     bool addCrash(const PartCrash&, base::Instant now);
     // Returns whether the part was a possible cause of a crash until then.
     bool addProgress(base::PromptPartHash, base::Instant at);
+    // Tells the other nodes of earlier progress that speaks for the parts of the crashed request, unless they know of progress
+    // that says the same.
+    void reportProgress(const PartCrash&);
+    std::optional<base::Instant> takeUnreportedProgress(base::PromptPartHash, base::Instant lostAt);
+    void setProgressReported(const PartClearance&);
     void addTrial(const PartTrial&);
     void addClearance(const PartClearance&);
     void evictCrashIfFull();
--- a/src/forward/PartState.h
+++ b/src/forward/PartState.h
@@ -11,6 +11,8 @@
 struct PartState {
     // When a request with the part last made progress on any node, if that is known.
     std::optional<base::Instant> lastProgressAt;
+    // The latest progress that all nodes have been told of.
+    std::optional<base::Instant> reportedProgressAt;
     // Whether there was a crash of a request with the part since.
     bool isPossibleCause = false;
     PartVerdict verdict = PartVerdict::Sound;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -281,6 +281,14 @@
     return filter->second.apply(loads, snapshot ? snapshot->list : nullptr);
 }
 
+// Replies repeat what the nodes know, so the time that they take must not make progress younger each time.
+inline forward::PartReports withOlderClearances(forward::PartReports reports, base::Duration delay)
+{
+    for (auto& clearance : reports.clearances)
+        clearance.progressAt -= delay;
+    return reports;
+}
+
 template<ManifestParser Parser>
 OutgoingMessages PeerSync<Parser>::receive(const StateReply& reply, base::Instant now)
 {
@@ -304,7 +312,7 @@
         m_crashes.requests.applyQuarantine(request);
     for (const auto& clearance : reply.clearances)
         m_crashes.requests.applyClearance(clearance);
-    m_crashes.parts.apply(reply.parts, now);
+    m_crashes.parts.apply(withOlderClearances(reply.parts, now - queriedAt), now);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
     if (isNeighbour(reply.from) && !m_role.isHub()) {
@@ -328,7 +336,7 @@
     std::erase_if(recent.clearances, [&](const forward::RequestClearance& clearance) { return isOld(clearance.progressAt); });
     std::erase_if(recent.trials, [&](const forward::RequestTrial& trial) { return isOld(trial.startedAt); });
     std::erase_if(recent.parts.crashes, [&](const forward::PartCrash& crash) { return isOld(crash.lostAt); });
-    std::erase_if(recent.parts.clearances, [&](const forward::PartClearance& clearance) { return isOld(clearance.progressAt); });
+    // Clearances are kept, since progress speaks for a part for longer.
     std::erase_if(recent.parts.trials, [&](const forward::PartTrial& trial) { return isOld(trial.startedAt); });
     for (const auto& suspicion : recent.suspicions)
         m_fleet.applySuspicionReport(suspicion);
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -179,3 +179,22 @@
     CHECK_TRUE(parts.isQuarantined(Parts { { 7 } }));
     CHECK_FALSE(parts.isQuarantined(Parts { { 1 } }));
 }
+
+// Progress that is older than the lifetime of a notice still speaks for the part.
+TEST(PartQuarantineHealing, ProgressOfSomeSecondsAgoReachesTheOtherNodes)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2", "b1", "b2" })
+        cluster.add(name, std::string("dc-") + name[0]);
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts part { { 1 } };
+    cluster.nodes[1]->crashes.parts.recordProgress(part, cluster.now);
+    cluster.run(seconds(10));
+    for (uint64_t i = 0; i < 3; ++i) {
+        cluster.nodes[2]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, part, cluster.now, cluster.now + milliseconds(1) }, cluster.now);
+        cluster.run(milliseconds(700));
+    }
+    for (const auto& node : cluster.nodes)
+        CHECK_FALSE(node->crashes.parts.isQuarantined(part));
+}
