--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -76,41 +76,6 @@
     return true;
 }
 
-void PartRegister::reportProgress(const PartCrash& crash)
-{
-    for (auto part : crash.parts) {
-        auto progressAt = takeUnreportedProgress(part, crash.lostAt);
-        if (!progressAt)
-            continue;
-        addClearance({ part, *progressAt });
-        std::lock_guard guard(m_reportsMutex);
-        if (m_reports.clearances.size() < maxReports)
-            m_reports.clearances.push_back({ part, *progressAt });
-    }
-}
-
-std::optional<base::Instant> PartRegister::takeUnreportedProgress(base::PromptPartHash part, base::Instant lostAt)
-{
-    return withState(part, [&](States& states) -> std::optional<base::Instant> {
-        auto found = states.find(part);
-        if (found == states.end())
-            return std::nullopt;
-        auto& state = found->second;
-        if (soundnessAt(lostAt, state.lastProgressAt) <= soundnessAt(lostAt, state.reportedProgressAt))
-            return std::nullopt;
-        state.reportedProgressAt = state.lastProgressAt;
-        return state.lastProgressAt;
-    });
-}
-
-void PartRegister::setProgressReported(const PartClearance& clearance)
-{
-    withState(clearance.part, [&](States& states) {
-        auto& state = stateIn(states, clearance.part);
-        state.reportedProgressAt = std::max(state.reportedProgressAt, std::optional(clearance.progressAt));
-    });
-}
-
 void PartRegister::evictCrashIfFull()
 {
     auto& crashes = m_evidence.crashes;
@@ -123,48 +88,6 @@
     crashes.erase(std::min_element(crashes.begin(), crashes.end(), [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
 }
 
-bool PartRegister::addProgress(base::PromptPartHash part, base::Instant at)
-{
-    return withState(part, [&](States& states) {
-        auto& state = stateIn(states, part);
-        state.lastProgressAt = std::max(state.lastProgressAt, std::optional(at));
-        return state.isPossibleCause;
-    });
-}
-
-void PartRegister::recordProgress(Parts parts, base::Instant now)
-{
-    std::vector<PartClearance> clearances;
-    for (auto part : parts) {
-        if (addProgress(part, now))
-            clearances.push_back({ part, now });
-    }
-    if (clearances.empty())
-        return;
-    std::lock_guard guard(m_mutex);
-    for (const auto& clearance : clearances) {
-        setProgressReported(clearance);
-        addClearance(clearance);
-    }
-    updateVerdicts();
-    std::lock_guard reportsGuard(m_reportsMutex);
-    for (const auto& clearance : clearances) {
-        if (m_reports.clearances.size() < maxReports)
-            m_reports.clearances.push_back(clearance);
-    }
-}
-
-void PartRegister::addClearance(const PartClearance& clearance)
-{
-    auto& clearances = m_evidence.clearances;
-    if (std::any_of(clearances.begin(), clearances.end(), [&](const PartClearance& known) { return known.part == clearance.part && known.progressAt >= clearance.progressAt; }))
-        return;
-    std::erase_if(clearances, [&](const PartClearance& known) { return known.part == clearance.part; });
-    if (clearances.size() >= maxClearances)
-        clearances.pop_front();
-    clearances.push_back(clearance);
-}
-
 bool PartRegister::isSuspect(Parts parts)
 {
     return m_hasAccused && std::any_of(parts.begin(), parts.end(), [&](auto part) { return stateOf(part).verdict != PartVerdict::Sound; });
@@ -175,95 +98,6 @@
     return quarantinedUntil(parts).has_value();
 }
 
-std::optional<base::Instant> PartRegister::quarantinedUntil(Parts parts)
-{
-    std::optional<base::Instant> until;
-    if (!m_quarantinedCount)
-        return until;
-    for (auto part : parts) {
-        if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
-            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state)));
-    }
-    return until;
-}
-
-bool PartRegister::isTrialDue(Parts parts, base::Instant now)
-{
-    {
-        std::lock_guard guard(m_mutex);
-        if (removeOldCrashes(now))
-            updateVerdicts();
-    }
-    return std::all_of(parts.begin(), parts.end(), [&](auto part) {
-        auto state = stateOf(part);
-        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, now);
-    });
-}
-
-bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
-{
-    if (!isTrialDue(parts, now))
-        return false;
-    std::vector<PartTrial> trials;
-    for (auto part : parts) {
-        auto verdict = PartVerdict::Sound;
-        bool isTurn = withState(part, [&](States& states) {
-            auto found = states.find(part);
-            verdict = found == states.end() ? PartVerdict::Sound : found->second.verdict;
-            if (verdict != PartVerdict::Quarantined)
-                return true;
-            if (!m_trials.isTurn(part, found->second, now))
-                return false;
-            found->second.lastTrialAt = now;
-            ++found->second.trials;
-            return true;
-        });
-        if (!isTurn)
-            return false;
-        if (verdict != PartVerdict::Quarantined)
-            continue;
-        trials.push_back({ part, now });
-        LOG(WARNING) << log::LogLine("prompt_part_tried").with("part", format(part)).text();
-    }
-    std::lock_guard guard(m_reportsMutex);
-    for (const auto& trial : trials) {
-        if (m_reports.trials.size() < maxReports)
-            m_reports.trials.push_back(trial);
-    }
-    return true;
-}
-
-void PartRegister::cancelTrial(Parts parts, base::Instant startedAt)
-{
-    for (auto part : parts) {
-        withState(part, [&](States& states) {
-            auto found = states.find(part);
-            if (found == states.end() || found->second.lastTrialAt != startedAt)
-                return;
-            found->second.lastTrialAt.reset();
-            found->second.trials -= std::min(1U, found->second.trials);
-        });
-    }
-    std::lock_guard guard(m_reportsMutex);
-    std::erase_if(m_reports.trials, [&](const PartTrial& trial) {
-        return trial.startedAt == startedAt && std::find(parts.begin(), parts.end(), trial.part) != parts.end();
-    });
-}
-
-void PartRegister::addTrial(const PartTrial& trial)
-{
-    withState(trial.part, [&](States& states) {
-        auto found = states.find(trial.part);
-        if (found == states.end())
-            return;
-        auto& state = found->second;
-        bool isAfterCrash = trial.startedAt >= state.lastCrashAt;
-        bool isNew = !state.lastTrialAt || trial.startedAt - *state.lastTrialAt >= TrialSchedule::minInterval;
-        state.trials += isAfterCrash && isNew;
-        state.lastTrialAt = std::max(state.lastTrialAt, std::optional(trial.startedAt));
-    });
-}
-
 void PartRegister::apply(const PartReports& reports, base::Instant now)
 {
     std::lock_guard guard(m_mutex);
