Part register: crashes of one account do not block a part of others

Callers saw: two requests of one account that crash upstreams by their body, and that name a prompt part of another account, quarantined the part for all.

Cause: a crash bore its parts and no account, so the register could not see that one account explains all crashes of a part.

Crashes now bear the hash of the account, in notices and replies too (older nodes ignore it; a crash without one counts against all). BlameAnalysis keeps the accounts that had a request in each failure. If that is a single one, the part stays quarantined for it as before, and requests of other accounts are tried at once, one at a time among all nodes, 2 s apart while they have no result. If one of them crashes too, the part is quarantined for all. If one makes progress, the part is cleared, as by any other trial. So a deadly part that several accounts name costs one more crash after the quarantine, and the limit of three requests after the fifth crash is kept.

Ruled out: a count for each account and part, which would let a deadly part crash upstreams anew for each account; the owner of a part, which no message states.

--- a/include/redwingseam/base/Ids.h
+++ b/include/redwingseam/base/Ids.h
@@ -27,6 +27,7 @@
 struct FingerprintTag;
 struct PromptPartHashTag;
 struct SoftwareVersionTag;
+struct ClientHashTag;
 
 using VmName = TaggedString<VmTag>;
 using DataCentreName = TaggedString<DataCentreTag>;
@@ -64,5 +65,7 @@
 using Fingerprint = TaggedNumber<FingerprintTag>;
 // Hash of the id of a prompt part, the same on every node.
 using PromptPartHash = TaggedNumber<PromptPartHashTag>;
+// Hash of the name of a client's account, the same on every node; 0 if there is none or it is not known.
+using ClientHash = TaggedNumber<ClientHashTag>;
 
 } // namespace redwingseam::base
--- a/src/forward/BlameAnalysis.cpp
+++ b/src/forward/BlameAnalysis.cpp
@@ -33,6 +33,12 @@
 
 namespace {
 
+    // How one failure speaks against a cause.
+    struct Charge {
+        base::Instant latestSentAt {};
+        std::set<base::ClientHash> accounts;
+    };
+
     // The failures that one cause can explain.
     struct Explanation {
         CrashBlame blame;
@@ -41,14 +47,17 @@
         size_t position = 0;
         base::UpstreamName lastUpstream;
         std::set<base::UpstreamName> upstreams;
+        // Those that had a request in each failure.
+        std::set<base::ClientHash> accounts;
 
-        void add(const CrashEvent& event, base::Instant sentAt, bool isUnambiguous)
+        void add(const CrashEvent& event, const Charge& charge, bool isUnambiguous)
         {
+            addAccounts(charge.accounts);
             ++failures;
             upstreams.insert(event.upstream);
             blame.upstreams = upstreams.size();
             auto sinceLast = event.lostAt - blame.lastCrashAt;
-            bool isLater = sentAt >= blame.lastCrashAt && sinceLast >= jointFailureSpan;
+            bool isLater = charge.latestSentAt >= blame.lastCrashAt && sinceLast >= jointFailureSpan;
             bool isElsewhere = event.upstream != lastUpstream && sinceLast >= separateFailures;
             if (blame.crashes && !isLater && !isElsewhere)
                 return;
@@ -58,6 +67,14 @@
             lastUpstream = event.upstream;
         }
 
+        void addAccounts(const std::set<base::ClientHash>& others)
+        {
+            if (!failures)
+                accounts = others;
+            std::erase_if(accounts, [&](auto account) { return !others.contains(account); });
+            blame.soleAccount = accounts.size() == 1 ? *accounts.begin() : base::ClientHash {};
+        }
+
         auto rank() const { return std::tuple(blame.crashes, failures, blame.cause.kind, position, blame.cause.value); }
     };
 
@@ -76,20 +93,21 @@
 
 static void explain(const CrashEvent& event, Explanations& explanations)
 {
-    std::map<CrashCause, base::Instant> sentAt;
+    std::map<CrashCause, Charge> charges;
     for (const auto& crash : event.lost) {
         size_t position = 0;
         for (auto cause : causesOf(crash)) {
-            auto& latest = sentAt.try_emplace(cause, crash.sentAt).first->second;
-            latest = std::max(latest, crash.sentAt);
+            auto& charge = charges.try_emplace(cause, Charge { crash.sentAt, {} }).first->second;
+            charge.latestSentAt = std::max(charge.latestSentAt, crash.sentAt);
+            charge.accounts.insert(crash.account);
             auto& explanation = explanations[cause];
             explanation.blame.cause = cause;
             explanation.position = std::max(explanation.position, position++);
         }
     }
     bool isUnambiguous = event.parts().size() == 1;
-    for (const auto& [cause, latestSentAt] : sentAt)
-        explanations[cause].add(event, latestSentAt, isUnambiguous);
+    for (const auto& [cause, charge] : charges)
+        explanations[cause].add(event, charge, isUnambiguous);
 }
 
 static std::optional<CrashBlame> mostCommonCause(const std::vector<const CrashEvent*>& events)
--- a/src/forward/CrashBlame.h
+++ b/src/forward/CrashBlame.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/CrashCause.h"
+#include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 
 namespace redwingseam::forward {
@@ -15,6 +16,8 @@
     // The number of different upstreams that crashed.
     size_t upstreams = 0;
     base::Instant lastCrashAt {};
+    // The only account that had a request in each failure; 0 if there is none.
+    base::ClientHash soleAccount;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/ExchangeTrials.cpp
+++ b/src/forward/ExchangeTrials.cpp
@@ -1,5 +1,6 @@
 // The part of an Exchange that weighs whether the request itself crashes upstreams.
 
+#include "base/Hash.h"
 #include "forward/Exchange.h"
 
 #include <algorithm>
@@ -8,6 +9,11 @@
 
 using base::ResultCode;
 
+static base::ClientHash accountOf(const ExchangeRequest& request)
+{
+    return { request.client.text.empty() ? 0 : base::hashBytes(request.client.text) };
+}
+
 bool Exchange::isQuarantined(base::Instant now)
 {
     return m_crashes.requests.isQuarantined(m_request.fingerprint, now) || m_crashes.parts.isQuarantined(m_request.promptParts);
@@ -17,7 +23,7 @@
 {
     if (!isQuarantined(now))
         return true;
-    return !m_sends && m_crashes.requests.isTrialDue(m_request.fingerprint, now) && m_crashes.parts.isTrialDue(m_request.promptParts, now);
+    return !m_sends && m_crashes.requests.isTrialDue(m_request.fingerprint, now) && m_crashes.parts.isTrialDue(m_request.promptParts, now, accountOf(m_request));
 }
 
 // A request that still waits to be sent does not hold up the trial of another one.
@@ -28,7 +34,7 @@
     if (!m_crashes.requests.tryBeginTrial(m_request.fingerprint, now))
         return false;
     m_trialAt = now;
-    if (m_crashes.parts.tryBeginTrial(m_request.promptParts, now))
+    if (m_crashes.parts.tryBeginTrial(m_request.promptParts, now, accountOf(m_request)))
         return true;
     cancelTrial();
     return false;
@@ -51,7 +57,7 @@
 Step Exchange::refuseQuarantined(base::Instant now) const
 {
     auto step = refuse(ResultCode::HarmfulRequest);
-    auto until = std::max(m_crashes.parts.quarantinedUntil(m_request.promptParts).value_or(now), m_crashes.requests.quarantinedUntil(m_request.fingerprint, now).value_or(now));
+    auto until = std::max(m_crashes.parts.quarantinedUntil(m_request.promptParts, accountOf(m_request)).value_or(now), m_crashes.requests.quarantinedUntil(m_request.fingerprint, now).value_or(now));
     step.retryAfter = std::clamp(std::min(until, now + m_policy.maxRetryAfter) - now, m_policy.retryAfter, m_policy.maxRetryAfter);
     return step;
 }
@@ -80,7 +86,7 @@
     if (!isOutage)
         m_crashes.requests.recordCrash({ m_request.fingerprint, attempt.sentAt, now });
     if (!isOutage || m_crashes.parts.isSuspect(m_request.promptParts))
-        m_crashes.parts.recordCrash({ 0, m_request.fingerprint, upstream.id, m_request.promptParts, attempt.sentAt, now }, now);
+        m_crashes.parts.recordCrash({ 0, m_request.fingerprint, upstream.id, m_request.promptParts, attempt.sentAt, now, accountOf(m_request) }, now);
 }
 
 } // namespace redwingseam::forward
--- a/src/forward/PartCrash.h
+++ b/src/forward/PartCrash.h
@@ -20,6 +20,7 @@
     // When the attempt was sent and when its connection was lost.
     base::Instant sentAt {};
     base::Instant lostAt {};
+    base::ClientHash account;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -166,6 +166,7 @@
             state.trials = 0;
         state.crashes = blame.crashes;
         state.lastCrashAt = blame.lastCrashAt;
+        state.soleAccount = blame.soleAccount;
         if (judgement.verdict != PartVerdict::Quarantined) {
             state.lastTrialAt.reset();
             state.trials = 0;
@@ -175,7 +176,7 @@
     bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
     if (!isChange)
         return;
-    LOG(WARNING) << log::LogLine("prompt_part_verdict").with("part", format(part)).with("verdict", base::nameOf(judgement.verdict)).with("before", base::nameOf(before)).with("crashes", blame.crashes).with("unambiguous_crashes", blame.unambiguousCrashes).text();
+    LOG(WARNING) << log::LogLine("prompt_part_verdict").with("part", format(part)).with("verdict", base::nameOf(judgement.verdict)).with("before", base::nameOf(before)).with("crashes", blame.crashes).with("unambiguous_crashes", blame.unambiguousCrashes).with("sole_account", blame.soleAccount.value).text();
 }
 
 std::vector<CrashEvent> PartRegister::findFailures(Judgements& judgements)
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -31,12 +31,12 @@
     // Returns whether a crash may have been caused by one of the parts.
     bool isSuspect(Parts);
     bool isQuarantined(Parts);
-    // Returns when a request with the parts may be tried again, if one of them is quarantined.
-    std::optional<base::Instant> quarantinedUntil(Parts);
-    // Returns whether this node may send a request with quarantined parts as a trial.
-    bool isTrialDue(Parts, base::Instant now);
+    // Returns when a request of the account with the parts may be tried again, if one of them is quarantined.
+    std::optional<base::Instant> quarantinedUntil(Parts, base::ClientHash account = {});
+    // Returns whether this node may send a request of the account with quarantined parts as a trial.
+    bool isTrialDue(Parts, base::Instant now, base::ClientHash account = {});
     // As isTrialDue, and records the trial if it is due.
-    bool tryBeginTrial(Parts, base::Instant now);
+    bool tryBeginTrial(Parts, base::Instant now, base::ClientHash account = {});
     // Withdraws a trial that this node began at `startedAt` if the request was not sent after all.
     void cancelTrial(Parts, base::Instant startedAt);
     TrialSchedule& trials() { return m_trials; }
--- a/src/forward/PartState.h
+++ b/src/forward/PartState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/PartVerdict.h"
+#include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 
 #include <optional>
@@ -19,6 +20,8 @@
     // The next fields are set only for a quarantined part.
     unsigned crashes = 0;
     base::Instant lastCrashAt {};
+    // The account whose requests explain all crashes; 0 if those of several crash.
+    base::ClientHash soleAccount;
     std::optional<base::Instant> lastTrialAt;
     // Trials since the last crash.
     unsigned trials = 0;
--- a/src/forward/PartTrials.cpp
+++ b/src/forward/PartTrials.cpp
@@ -11,19 +11,19 @@
 
 namespace redwingseam::forward {
 
-std::optional<base::Instant> PartRegister::quarantinedUntil(Parts parts)
+std::optional<base::Instant> PartRegister::quarantinedUntil(Parts parts, base::ClientHash account)
 {
     std::optional<base::Instant> until;
     if (!m_quarantinedCount)
         return until;
     for (auto part : parts) {
         if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
-            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state)));
+            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state, account)));
     }
     return until;
 }
 
-bool PartRegister::isTrialDue(Parts parts, base::Instant now)
+bool PartRegister::isTrialDue(Parts parts, base::Instant now, base::ClientHash account)
 {
     {
         std::lock_guard guard(m_mutex);
@@ -32,13 +32,13 @@
     }
     return std::all_of(parts.begin(), parts.end(), [&](auto part) {
         auto state = stateOf(part);
-        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, now);
+        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, account, now);
     });
 }
 
-bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
+bool PartRegister::tryBeginTrial(Parts parts, base::Instant now, base::ClientHash account)
 {
-    if (!isTrialDue(parts, now))
+    if (!isTrialDue(parts, now, account))
         return false;
     std::vector<PartTrial> trials;
     for (auto part : parts) {
@@ -48,7 +48,7 @@
             verdict = found == states.end() ? PartVerdict::Sound : found->second.verdict;
             if (verdict != PartVerdict::Quarantined)
                 return true;
-            if (!m_trials.isTurn(part, found->second, now))
+            if (!m_trials.isTurn(part, found->second, account, now))
                 return false;
             found->second.lastTrialAt = now;
             ++found->second.trials;
--- a/src/forward/TrialSchedule.h
+++ b/src/forward/TrialSchedule.h
@@ -11,15 +11,16 @@
 // Decides when and on which node one request with a quarantined part is tried again. The time between two trials grows
 // with each crash, and with each trial that had no result, slowly for a part that has made progress before: upstreams
 // may have been changed and changed back. One node after the other gets its turn, so that the nodes do not start trials
-// at the same time.
+// at the same time. While requests of one account explain all crashes, those of other accounts are tried at once and then one
+// at a time: something else in the requests of that account may be the cause.
 // Thread-safe.
 class TrialSchedule {
 public:
     // The order in which the nodes that share the trials get their turns.
     TurnOrder& turns() { return m_turns; }
-    // Returns when the next trial of a quarantined part may start on some node.
-    static base::Instant nextTrialAt(const PartState&);
-    bool isTurn(base::PromptPartHash, const PartState&, base::Instant now) const;
+    // Returns when the next trial of a quarantined part with a request of `account` may start on some node.
+    static base::Instant nextTrialAt(const PartState&, base::ClientHash account);
+    bool isTurn(base::PromptPartHash, const PartState&, base::ClientHash account, base::Instant now) const;
 
     // Two reports of trials of a part that are closer together are of the same trial: nodes differ a little about its time.
     static constexpr base::Duration minInterval = std::chrono::seconds(2);
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -96,7 +96,7 @@
     auto parts = Json::array();
     for (auto part : crash.parts)
         parts.push_back(Json::array({ part.value }));
-    return Json::array({ crash.id, crash.fingerprint.value, crash.upstream.text, std::move(parts), ageOf(crash.sentAt, now), ageOf(crash.lostAt, now) });
+    return Json::array({ crash.id, crash.fingerprint.value, crash.upstream.text, std::move(parts), ageOf(crash.sentAt, now), ageOf(crash.lostAt, now), crash.account.value });
 }
 
 static Json format(const forward::PartReports& reports, base::Instant now)
@@ -217,6 +217,8 @@
     item.forEach([&](FieldReader& part) { crash.parts.push_back({ part.number(UINT64_MAX) }); });
     crash.sentAt = now - parseAge(item);
     crash.lostAt = now - parseAge(item);
+    if (item.hasMore())
+        crash.account.value = item.number(UINT64_MAX);
     return crash;
 }
 
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -198,3 +198,24 @@
     for (const auto& node : cluster.nodes)
         CHECK_FALSE(node->crashes.parts.isQuarantined(part));
 }
+
+// An account that crashes upstreams by its bodies must not block the part on the nodes that it doesn't use.
+TEST(PartQuarantineHealing, OtherNodesKnowTheAccountWhoseRequestsCrash)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2" })
+        cluster.add(name, "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts part { { 1 } };
+    for (uint64_t i = 0; i < 2; ++i) {
+        cluster.nodes[0]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, part, cluster.now, cluster.now + milliseconds(1), { 5 } }, cluster.now);
+        cluster.run(milliseconds(700));
+    }
+    auto& parts = cluster.nodes[1]->crashes.parts;
+    CHECK_TRUE(parts.isQuarantined(part));
+    CHECK_FALSE(parts.isTrialDue(part, cluster.now, { 5 }));
+    // The nodes take turns.
+    cluster.run(milliseconds(1000));
+    CHECK_TRUE(parts.isTrialDue(part, cluster.now, { 6 }));
+}
