--- a/src/forward/PartRegister.cpp
+++ b/src/forward/PartRegister.cpp
@@ -72,6 +72,7 @@
         return false;
     evictCrashIfFull();
     crashes.push_back(crash);
+    reportProgress(crash);
     return true;
 }
 
@@ -87,44 +88,6 @@
     crashes.erase(std::min_element(crashes.begin(), crashes.end(), [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
 }
 
-bool PartRegister::addProgress(base::PromptPartHash part, base::Instant at)
-{
-    return withState(part, [&](States& states) {
-        auto& state = stateIn(states, part);
-        state.lastProgressAt = std::max(state.lastProgressAt, std::optional(at));
-        return state.isPossibleCause;
-    });
-}
-
-void PartRegister::recordProgress(Parts parts, base::Instant now)
-{
-    std::vector<PartClearance> clearances;
-    for (auto part : parts) {
-        if (addProgress(part, now))
-            clearances.push_back({ part, now });
-    }
-    if (clearances.empty())
-        return;
-    std::lock_guard guard(m_mutex);
-    for (const auto& clearance : clearances)
-        addClearance(clearance);
-    updateVerdicts();
-    std::lock_guard reportsGuard(m_reportsMutex);
-    for (const auto& clearance : clearances) {
-        if (m_reports.clearances.size() < maxReports)
-            m_reports.clearances.push_back(clearance);
-    }
-}
-
-void PartRegister::addClearance(const PartClearance& clearance)
-{
-    auto& clearances = m_evidence.clearances;
-    std::erase_if(clearances, [&](const PartClearance& known) { return known.part == clearance.part; });
-    if (clearances.size() >= maxClearances)
-        clearances.pop_front();
-    clearances.push_back(clearance);
-}
-
 bool PartRegister::isSuspect(Parts parts)
 {
     return m_hasAccused && std::any_of(parts.begin(), parts.end(), [&](auto part) { return stateOf(part).verdict != PartVerdict::Sound; });
@@ -135,103 +98,15 @@
     return quarantinedUntil(parts).has_value();
 }
 
-std::optional<base::Instant> PartRegister::quarantinedUntil(Parts parts)
-{
-    std::optional<base::Instant> until;
-    if (!m_quarantinedCount)
-        return until;
-    for (auto part : parts) {
-        if (auto state = stateOf(part); state.verdict == PartVerdict::Quarantined)
-            until = std::max(until, std::optional(TrialSchedule::nextTrialAt(state)));
-    }
-    return until;
-}
-
-bool PartRegister::isTrialDue(Parts parts, base::Instant now)
-{
-    {
-        std::lock_guard guard(m_mutex);
-        if (removeOldCrashes(now))
-            updateVerdicts();
-    }
-    return std::all_of(parts.begin(), parts.end(), [&](auto part) {
-        auto state = stateOf(part);
-        return state.verdict != PartVerdict::Quarantined || m_trials.isTurn(part, state, now);
-    });
-}
-
-bool PartRegister::tryBeginTrial(Parts parts, base::Instant now)
-{
-    if (!isTrialDue(parts, now))
-        return false;
-    std::vector<PartTrial> trials;
-    for (auto part : parts) {
-        auto verdict = PartVerdict::Sound;
-        bool isTurn = withState(part, [&](States& states) {
-            auto found = states.find(part);
-            verdict = found == states.end() ? PartVerdict::Sound : found->second.verdict;
-            if (verdict != PartVerdict::Quarantined)
-                return true;
-            if (!m_trials.isTurn(part, found->second, now))
-                return false;
-            found->second.lastTrialAt = now;
-            ++found->second.trials;
-            return true;
-        });
-        if (!isTurn)
-            return false;
-        if (verdict != PartVerdict::Quarantined)
-            continue;
-        trials.push_back({ part, now });
-        LOG(WARNING) << log::LogLine("prompt_part_tried").with("part", format(part)).text();
-    }
-    std::lock_guard guard(m_reportsMutex);
-    for (const auto& trial : trials) {
-        if (m_reports.trials.size() < maxReports)
-            m_reports.trials.push_back(trial);
-    }
-    return true;
-}
-
-void PartRegister::cancelTrial(Parts parts, base::Instant startedAt)
-{
-    for (auto part : parts) {
-        withState(part, [&](States& states) {
-            auto found = states.find(part);
-            if (found == states.end() || found->second.lastTrialAt != startedAt)
-                return;
-            found->second.lastTrialAt.reset();
-            found->second.trials -= std::min(1U, found->second.trials);
-        });
-    }
-    std::lock_guard guard(m_reportsMutex);
-    std::erase_if(m_reports.trials, [&](const PartTrial& trial) {
-        return trial.startedAt == startedAt && std::find(parts.begin(), parts.end(), trial.part) != parts.end();
-    });
-}
-
-void PartRegister::addTrial(const PartTrial& trial)
-{
-    withState(trial.part, [&](States& states) {
-        auto found = states.find(trial.part);
-        if (found == states.end())
-            return;
-        auto& state = found->second;
-        bool isAfterCrash = trial.startedAt >= state.lastCrashAt;
-        bool isNew = !state.lastTrialAt || trial.startedAt - *state.lastTrialAt >= TrialSchedule::minInterval;
-        state.trials += isAfterCrash && isNew;
-        state.lastTrialAt = std::max(state.lastTrialAt, std::optional(trial.startedAt));
-    });
-}
-
 void PartRegister::apply(const PartReports& reports, base::Instant now)
 {
     std::lock_guard guard(m_mutex);
     if (!removeOldCrashes(now) && reports.isEmpty())
         return;
     for (const auto& clearance : reports.clearances) {
-        if (addProgress(clearance.part, clearance.progressAt))
-            addClearance(clearance);
+        addProgress(clearance.part, clearance.progressAt);
+        setProgressReported(clearance);
+        addClearance(clearance);
     }
     for (const auto& crash : reports.crashes)
         addCrash(crash, now);
@@ -275,6 +150,8 @@
     bool isProven = progressAt && blame.lastCrashAt - *progressAt <= soundnessPeriod;
     if (isProven)
         return blame.crashes >= provenThreshold;
+    if (blame.upstreams == 1)
+        return blame.crashes >= singleUpstreamThreshold;
     return blame.crashes >= ambiguousThreshold || blame.unambiguousCrashes >= unambiguousThreshold;
 }
 
@@ -289,6 +166,7 @@
             state.trials = 0;
         state.crashes = blame.crashes;
         state.lastCrashAt = blame.lastCrashAt;
+        state.soleAccount = blame.soleAccount;
         if (judgement.verdict != PartVerdict::Quarantined) {
             state.lastTrialAt.reset();
             state.trials = 0;
@@ -298,7 +176,7 @@
     bool isChange = before != judgement.verdict && (before == PartVerdict::Quarantined || judgement.verdict == PartVerdict::Quarantined);
     if (!isChange)
         return;
-    LOG(WARNING) << log::LogLine("prompt_part_verdict").with("part", format(part)).with("verdict", base::nameOf(judgement.verdict)).with("before", base::nameOf(before)).with("crashes", blame.crashes).with("unambiguous_crashes", blame.unambiguousCrashes).text();
+    LOG(WARNING) << log::LogLine("prompt_part_verdict").with("part", format(part)).with("verdict", base::nameOf(judgement.verdict)).with("before", base::nameOf(before)).with("crashes", blame.crashes).with("unambiguous_crashes", blame.unambiguousCrashes).with("sole_account", blame.soleAccount.value).text();
 }
 
 std::vector<CrashEvent> PartRegister::findFailures(Judgements& judgements)
--- a/src/forward/PartRegister.h
+++ b/src/forward/PartRegister.h
@@ -31,12 +31,12 @@
     // Returns whether a crash may have been caused by one of the parts.
     bool isSuspect(Parts);
     bool isQuarantined(Parts);
-    // Returns when a request with the parts may be tried again, if one of them is quarantined.
-    std::optional<base::Instant> quarantinedUntil(Parts);
-    // Returns whether this node may send a request with quarantined parts as a trial.
-    bool isTrialDue(Parts, base::Instant now);
+    // Returns when a request of the account with the parts may be tried again, if one of them is quarantined.
+    std::optional<base::Instant> quarantinedUntil(Parts, base::ClientHash account = {});
+    // Returns whether this node may send a request of the account with quarantined parts as a trial.
+    bool isTrialDue(Parts, base::Instant now, base::ClientHash account = {});
     // As isTrialDue, and records the trial if it is due.
-    bool tryBeginTrial(Parts, base::Instant now);
+    bool tryBeginTrial(Parts, base::Instant now, base::ClientHash account = {});
     // Withdraws a trial that this node began at `startedAt` if the request was not sent after all.
     void cancelTrial(Parts, base::Instant startedAt);
     TrialSchedule& trials() { return m_trials; }
@@ -55,6 +55,8 @@
     // them. Where other parts may be the cause as well, a third crash is needed.
     static constexpr unsigned unambiguousThreshold = 2;
     static constexpr unsigned ambiguousThreshold = 3;
+    // Losses at one upstream speak against that upstream in the first place.
+    static constexpr unsigned singleUpstreamThreshold = 5;
     // A part with recent progress is sound, unless upstreams changed. Other causes are far more likely.
     static constexpr unsigned provenThreshold = 6;
 
@@ -91,6 +93,11 @@
     bool addCrash(const PartCrash&, base::Instant now);
     // Returns whether the part was a possible cause of a crash until then.
     bool addProgress(base::PromptPartHash, base::Instant at);
+    // Tells the other nodes of earlier progress that speaks for the parts of the crashed request, unless they know of progress
+    // that says the same.
+    void reportProgress(const PartCrash&);
+    std::optional<base::Instant> takeUnreportedProgress(base::PromptPartHash, base::Instant lostAt);
+    void setProgressReported(const PartClearance&);
     void addTrial(const PartTrial&);
     void addClearance(const PartClearance&);
     void evictCrashIfFull();
--- a/tests/PartQuarantineHealingTest.cpp
+++ b/tests/PartQuarantineHealingTest.cpp
@@ -168,3 +168,54 @@
     crash(parts, "broken", { { 1 }, { 7 } });
     CHECK_FALSE(parts.isQuarantined(Parts { { 7 } }));
 }
+
+// Otherwise a service with a single upstream would crash for ever.
+TEST(PartQuarantineHealing, PartThatKeepsCrashingTheOnlyUpstreamIsQuarantined)
+{
+    PartRegister parts;
+    parts.recordProgress(Parts { { 1 } }, now);
+    for (int i = 0; i < 5; ++i)
+        crash(parts, "only", { { 1 }, { 7 } });
+    CHECK_TRUE(parts.isQuarantined(Parts { { 7 } }));
+    CHECK_FALSE(parts.isQuarantined(Parts { { 1 } }));
+}
+
+// Progress that is older than the lifetime of a notice still speaks for the part.
+TEST(PartQuarantineHealing, ProgressOfSomeSecondsAgoReachesTheOtherNodes)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2", "b1", "b2" })
+        cluster.add(name, std::string("dc-") + name[0]);
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts part { { 1 } };
+    cluster.nodes[1]->crashes.parts.recordProgress(part, cluster.now);
+    cluster.run(seconds(10));
+    for (uint64_t i = 0; i < 3; ++i) {
+        cluster.nodes[2]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, part, cluster.now, cluster.now + milliseconds(1) }, cluster.now);
+        cluster.run(milliseconds(700));
+    }
+    for (const auto& node : cluster.nodes)
+        CHECK_FALSE(node->crashes.parts.isQuarantined(part));
+}
+
+// An account that crashes upstreams by its bodies must not block the part on the nodes that it doesn't use.
+TEST(PartQuarantineHealing, OtherNodesKnowTheAccountWhoseRequestsCrash)
+{
+    fakes::FakePeerCluster cluster;
+    for (const char* name : { "a1", "a2" })
+        cluster.add(name, "dc-a");
+    cluster.shareNodeList();
+    cluster.run(milliseconds(1000));
+    const Parts part { { 1 } };
+    for (uint64_t i = 0; i < 2; ++i) {
+        cluster.nodes[0]->crashes.parts.recordCrash({ 0, { ++nextFingerprint }, { "e" + std::to_string(i) }, part, cluster.now, cluster.now + milliseconds(1), { 5 } }, cluster.now);
+        cluster.run(milliseconds(700));
+    }
+    auto& parts = cluster.nodes[1]->crashes.parts;
+    CHECK_TRUE(parts.isQuarantined(part));
+    CHECK_FALSE(parts.isTrialDue(part, cluster.now, { 5 }));
+    // The nodes take turns.
+    cluster.run(milliseconds(1000));
+    CHECK_TRUE(parts.isTrialDue(part, cluster.now, { 6 }));
+}
