Exchange: the pair of attempts is a type of its own

What concerns one attempt alone (activity, pauses, its outcome if it is abandoned, the address of its backup) is with Attempt.

No behaviour changes; how long an attempt is kept beside the other is a parameter.

--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Placement.h"
+#include "forward/AttemptOutcome.h"
 #include "redwingseam/base/Instant.h"
 
 #include <optional>
@@ -30,6 +31,15 @@
     bool hasEvent = false;
     // Whether another upstream has said that it has no backup of this run.
     bool isBackupMissing = false;
+
+    // Records bytes of the response, or that the connection was established.
+    void recordActivity(base::Instant now);
+    // Excludes a time in which this process did not run, so that it does not count as silence.
+    void discountPause(base::Duration, base::Instant now);
+    // Returns the outcome if the attempt is abandoned for silence.
+    AttemptOutcome silentOutcome() const { return isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
+    // Returns the address of the upstream with a backup of the attempt's run.
+    std::optional<std::string> backupAddress() const;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -15,6 +15,7 @@
     , m_crashes(crashes)
     , m_origins(origins)
     , m_policy(policy)
+    , m_attempts(policy.keepBesideReplacement)
     , m_lastEventId(m_request.lastEventId)
 {
 }
@@ -22,18 +23,18 @@
 Exchange::~Exchange()
 {
     leaveQueue();
-    if (m_attempt.placement && m_attempt.isConnecting && !m_kept)
+    if (m_attempts.current().placement && m_attempts.current().isConnecting && !isAttemptKept())
         cancelTrial();
     release();
-    if (m_kept)
-        m_fleet.release(*m_kept->placement);
+    if (const auto& kept = m_attempts.kept())
+        m_fleet.release(*kept->placement);
 }
 
 void Exchange::release()
 {
-    if (m_attempt.placement)
-        m_fleet.release(*m_attempt.placement);
-    m_attempt.placement.reset();
+    if (m_attempts.current().placement)
+        m_fleet.release(*m_attempts.current().placement);
+    m_attempts.current().placement.reset();
 }
 
 base::Instant Exchange::deadline() const
@@ -73,13 +74,14 @@
     query.promptKey = m_request.promptKey;
     query.isResumption = m_request.lastEventId.has_value();
     query.excluded = m_excluded;
-    if (m_kept)
-        query.excluded.push_back(m_kept->placement->target.id);
+    const auto& kept = m_attempts.kept();
+    if (kept)
+        query.excluded.push_back(kept->placement->target.id);
     query.preferredAddress = m_backupAddress;
     if (m_origin)
         query.version = m_origin->version;
-    else if (m_kept)
-        query.version = m_kept->placement->target.version;
+    else if (kept)
+        query.version = kept->placement->target.version;
     else if (isStream() && !m_request.attempt.empty())
         query.preferredVersion = m_fleet.assignedVersion(m_request.service, m_request.attempt);
     query.wantsBackup = m_request.route->isResumable;
@@ -166,18 +168,12 @@
     // A reused connection may break for unrelated reasons, which would count as another crash of the request. Nor does it show
     // that this node still reaches the upstream, in whose favour a silent one is given up.
     bool wasContacted = std::find(m_contacted.begin(), m_contacted.end(), placement.target.id) != m_contacted.end();
-    parameters.allowsReusedConnection = !wasContacted && !isSuspect(now) && !m_kept;
+    parameters.allowsReusedConnection = !wasContacted && !isSuspect(now) && !isAttemptKept();
     if (!wasContacted)
         m_contacted.push_back(placement.target.id);
     m_backupAddress.reset();
     m_waitingSince = {};
-    m_attempt = {};
-    m_attempt.placement = std::move(placement);
-    m_attempt.isFirstContact = !wasContacted;
-    m_attempt.sentAt = now;
-    m_attempt.writtenAt = now;
-    m_attempt.lastActivity = now;
-    m_attempt.lastProbe = now;
+    m_attempts.begin(std::move(placement), !wasContacted, now);
     recordStart(now);
     ++m_sends;
     return { StepKind::Send, std::move(parameters) };
@@ -197,7 +193,7 @@
 
 Step Exchange::stopWaiting() const
 {
-    bool isWaiting = !m_attempt.placement && !m_mayHaveRun && !m_areHeadersSent;
+    bool isWaiting = !m_attempts.current().placement && !m_mayHaveRun && !m_areHeadersSent;
     return isWaiting ? refuseDraining() : Step {};
 }
 
@@ -212,7 +208,7 @@
 
 Step Exchange::abandon() const
 {
-    bool isInFlight = m_attempt.placement && !m_attempt.isConnecting;
+    bool isInFlight = m_attempts.current().placement && !m_attempts.current().isConnecting;
     bool hasRun = mayHaveRunBefore() || isInFlight;
     if (!hasRun && !m_areHeadersSent)
         return refuseDraining();
@@ -221,13 +217,12 @@
 
 void Exchange::recordActivity(base::Instant now)
 {
-    if (std::exchange(m_attempt.isConnecting, false))
-        m_attempt.writtenAt = now;
-    m_attempt.isUnreachable = false;
+    if (std::exchange(m_attempts.current().isConnecting, false))
+        m_attempts.current().writtenAt = now;
+    m_attempts.current().recordActivity(now);
     m_noResourcesSince = {};
-    m_attempt.lastActivity = now;
-    if (m_attempt.placement)
-        m_fleet.recordContact(m_attempt.placement->target, now);
+    if (m_attempts.current().placement)
+        m_fleet.recordContact(m_attempts.current().placement->target, now);
 }
 
 void Exchange::recordEvent(std::optional<uint64_t> eventId, base::Instant now)
@@ -236,49 +231,41 @@
     if (eventId)
         m_lastEventId = eventId;
     m_isEndReported = false;
-    m_attempt.lastActivity = now;
-    m_attempt.lastProgress = now;
-    if (!m_attempt.hasEvent && m_attempt.placement) {
+    m_attempts.current().lastActivity = now;
+    m_attempts.current().lastProgress = now;
+    if (!m_attempts.current().hasEvent && m_attempts.current().placement) {
         recordProgress(now);
-        m_fleet.markPrefilled(*m_attempt.placement);
-        m_fleet.clearSuspicion(m_attempt.placement->target);
+        m_fleet.markPrefilled(*m_attempts.current().placement);
+        m_fleet.clearSuspicion(m_attempts.current().placement->target);
     }
-    if (!m_origin && m_attempt.placement && isStream())
-        m_origin = { m_request.service, m_attempt.placement->target.version };
-    m_attempt.hasEvent = true;
+    if (!m_origin && m_attempts.current().placement && isStream())
+        m_origin = { m_request.service, m_attempts.current().placement->target.version };
+    m_attempts.current().hasEvent = true;
 }
 
 void Exchange::recordPartialEvent(base::Instant now)
 {
-    if (m_attempt.lastProgress == base::Instant {})
-        m_attempt.lastProgress = now;
+    if (m_attempts.current().lastProgress == base::Instant {})
+        m_attempts.current().lastProgress = now;
 }
 
 void Exchange::discountPause(base::Duration pause, base::Instant now)
 {
-    auto discount = [&](Attempt& attempt) {
-        for (auto* instant : { &attempt.sentAt, &attempt.lastActivity, &attempt.lastProgress, &attempt.lastProbe }) {
-            if (*instant != base::Instant {})
-                *instant = std::min(*instant + pause, now);
-        }
-    };
-    discount(m_attempt);
-    if (m_kept)
-        discount(*m_kept);
+    m_attempts.discountPause(pause, now);
 }
 
 Step Exchange::tick(base::Instant now, uint64_t random)
 {
     if (now >= deadline()) {
         // A refusal states that the request was not run, but an attempt in flight may be running it.
-        bool canRefuse = !m_mayHaveRun && !m_areHeadersSent && !m_attempt.placement;
+        bool canRefuse = !m_mayHaveRun && !m_areHeadersSent && !m_attempts.current().placement;
         if (canRefuse)
             return refuse(ResultCode::DeadlinePassed);
         return { StepKind::TimeOut, {}, ResultCode::DeadlinePassed };
     }
-    if (!m_attempt.placement)
+    if (!m_attempts.current().placement)
         return m_waitingSince == base::Instant {} && !m_queuedWork && !m_isAwaitingOrigin ? Step {} : place(now, random);
-    if (isKeptAttemptOverdue(now)) {
+    if (m_attempts.isKeptOverdue(now)) {
         dropKeptAttempt(now);
         return {};
     }
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/Fleet.h"
-#include "forward/Attempt.h"
 #include "forward/AttemptOutcome.h"
+#include "forward/AttemptPair.h"
 #include "forward/CrashEvidence.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/ExchangeRequest.h"
@@ -41,9 +41,9 @@
     // Handles the result of a probe of the current upstream. Returns Send if another attempt is to replace it.
     Step probeEnded(bool isReachable, base::Instant now, uint64_t random);
     // Handles a probe for which this node lacks the resources. It proves nothing.
-    void probeNotStarted() { m_attempt.isProbing = false; }
+    void probeNotStarted() { m_attempts.current().isProbing = false; }
     // Returns whether the attempt before the current one is kept, because it may still go on.
-    bool isAttemptKept() const { return m_kept.has_value(); }
+    bool isAttemptKept() const { return m_attempts.isAnyKept(); }
     // Records bytes of the kept attempt that are no event.
     void recordKeptActivity(base::Instant now);
     // Makes the kept attempt the current one, because it has brought an event or its end. The connection of the attempt that
@@ -64,7 +64,7 @@
 
     // Records that a new connection is being established for the current attempt. Until it is, nothing is sent, so the
     // attempt cannot run.
-    void recordConnecting() { m_attempt.isConnecting = true; }
+    void recordConnecting() { m_attempts.current().isConnecting = true; }
     // Records that the current upstream accepted the connection or that bytes of its response arrived. Bytes show that
     // the upstream lives, but only events are progress.
     void recordActivity(base::Instant now);
@@ -83,11 +83,11 @@
     void recordHeadersSent() { m_areHeadersSent = true; }
 
     const ExchangeRequest& request() const { return m_request; }
-    const std::optional<fleet::Placement>& placement() const { return m_attempt.placement; }
+    const std::optional<fleet::Placement>& placement() const { return m_attempts.current().placement; }
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
     bool areHeadersSent() const { return m_areHeadersSent; }
     // Returns the number of attempts before the current one that may have run.
-    unsigned possibleRuns() const { return m_possibleRuns + (m_kept ? 1 : 0); }
+    unsigned possibleRuns() const { return m_possibleRuns + (isAttemptKept() ? 1 : 0); }
     // Returns the number of times that the request was handed over for sending.
     unsigned sends() const { return m_sends; }
     // Returns whether the request waits for room at an engine.
@@ -156,17 +156,12 @@
     SilentAttempt describeSilence(SilenceReason, base::Instant now) const;
     // Updates the state after the end of an attempt.
     void recordAttemptEnd(Attempt&, AttemptOutcome, base::Instant now);
-    // Returns the outcome of an attempt that is abandoned for silence.
-    static AttemptOutcome silentOutcome(const Attempt& attempt) { return attempt.isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
-    // Returns the address of the upstream with a backup of the attempt's run.
-    static std::optional<std::string> backupAddressOf(const Attempt&);
     // Makes the kept attempt the current one after the end of the other.
-    Step goBack();
+    Step goBack(bool isBackupMissing = false);
     // Ends the kept attempt, in whose place the current one goes on.
     void dropKeptAttempt(base::Instant now);
-    bool isKeptAttemptOverdue(base::Instant now) const;
     // Whether an earlier attempt or the kept one may have run the request.
-    bool mayHaveRunBefore() const { return m_mayHaveRun || m_kept; }
+    bool mayHaveRunBefore() const { return m_mayHaveRun || isAttemptKept(); }
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
     bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
@@ -185,10 +180,7 @@
     CrashEvidence& m_crashes;
     origin::StreamOrigins& m_origins;
     const ExchangePolicy& m_policy;
-    // The current attempt, or the last one.
-    Attempt m_attempt;
-    // The attempt before it, while that one may still go on.
-    std::optional<Attempt> m_kept;
+    AttemptPair m_attempts;
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -54,23 +54,22 @@
     if (std::exchange(m_hasUnusedRetry, false) || m_fleet.tryAcquireRetry(m_request.service, m_request.retries, now))
         return true;
     if (!std::exchange(m_isRetryDenialLogged, true))
-        LOG(WARNING) << log::LogLine("retry_denied").with("request", m_request.attempt.text).with("service", m_request.service.text).with("sends", m_sends).with("runs", m_possibleRuns).with("in_flight", m_attempt.placement ? 1 : 0).text();
+        LOG(WARNING) << log::LogLine("retry_denied").with("request", m_request.attempt.text).with("service", m_request.service.text).with("sends", m_sends).with("runs", m_possibleRuns).with("in_flight", m_attempts.current().placement ? 1 : 0).text();
     return false;
 }
 
 Step Exchange::attemptEnded(AttemptOutcome outcome, base::Instant now, uint64_t random)
 {
     if (outcome == AttemptOutcome::Silent)
-        outcome = silentOutcome(m_attempt);
-    recordAttemptEnd(m_attempt, outcome, now);
+        outcome = m_attempts.current().silentOutcome();
+    recordAttemptEnd(m_attempts.current(), outcome, now);
     if (isDeliverable(outcome)) {
         dropKeptAttempt(now);
         return { StepKind::Deliver };
     }
-    if (m_kept) {
-        m_kept->isBackupMissing |= outcome == AttemptOutcome::BackupMissing;
+    if (isAttemptKept()) {
         m_hasUnusedRetry |= outcome == AttemptOutcome::NotConnected;
-        return goBack();
+        return goBack(outcome == AttemptOutcome::BackupMissing);
     }
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now))
         return giveUp(outcome);
@@ -89,22 +88,22 @@
 
 AttemptOutcome Exchange::judgeStreamEnd()
 {
-    bool isConfirmed = !m_areHeadersSent || m_attempt.hasEvent || m_isEndReported;
+    bool isConfirmed = !m_areHeadersSent || m_attempts.current().hasEvent || m_isEndReported;
     m_isEndReported = true;
     return isConfirmed ? AttemptOutcome::Completed : AttemptOutcome::Malformed;
 }
 
 Step Exchange::attemptNotStarted(base::Instant now)
 {
-    if (!m_attempt.placement)
+    if (!m_attempts.current().placement)
         return {};
     release();
     --m_sends;
     if (!mayHaveRunBefore())
         cancelTrial();
-    if (m_attempt.isFirstContact)
+    if (m_attempts.current().isFirstContact)
         m_contacted.pop_back();
-    if (m_kept) {
+    if (isAttemptKept()) {
         m_hasUnusedRetry = true;
         return goBack();
     }
@@ -138,7 +137,7 @@
     m_fleet.release(ended);
     updateCrashEvidence(attempt, outcome, now);
     auto cause = suspicionCauseFor(outcome);
-    bool isSuspected = attempt.isUnreachable && outcome == silentOutcome(attempt);
+    bool isSuspected = attempt.isUnreachable && outcome == attempt.silentOutcome();
     if (!cause)
         m_fleet.clearSuspicion(ended.target);
     else if (!isSuspected)
@@ -151,7 +150,7 @@
     if (outcome == AttemptOutcome::NotRun && m_areHeadersSent)
         m_unserved.push_back({ ended.target, now + m_policy.refusalPause });
     if (mayHaveRun(outcome)) {
-        if (auto address = backupAddressOf(attempt))
+        if (auto address = attempt.backupAddress())
             m_backupAddress = std::move(address);
     }
     attempt.placement.reset();
@@ -159,13 +158,13 @@
 
 Step Exchange::backupRefused(base::Instant now, uint64_t random)
 {
-    if (!m_attempt.placement)
+    if (!m_attempts.current().placement)
         return {};
     // If the upstream says that it takes no more work, the refusal is its own. A kept attempt may go on.
-    if (m_kept || !m_fleet.acceptsRequests(m_attempt.placement->target, now))
+    if (isAttemptKept() || !m_fleet.acceptsRequests(m_attempts.current().placement->target, now))
         return attemptEnded(AttemptOutcome::NotRun, now, random);
-    if (m_attempt.placement->backup)
-        m_fleet.suspect(*m_attempt.placement->backup, fleet::SuspicionCause::Unreachable, now);
+    if (m_attempts.current().placement->backup)
+        m_fleet.suspect(*m_attempts.current().placement->backup, fleet::SuspicionCause::Unreachable, now);
     ++m_reachedAttempts;
     if (!m_mayHaveRun)
         cancelTrial();
@@ -173,16 +172,8 @@
     auto outcome = AttemptOutcome::NotRun;
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
         return giveUp(outcome);
-    m_fleet.replaceBackup(*m_attempt.placement, query(now, random));
-    return send(*m_attempt.placement, now);
-}
-
-// A backup exists only after the run has produced an event.
-std::optional<std::string> Exchange::backupAddressOf(const Attempt& attempt)
-{
-    if (!attempt.hasEvent || attempt.isBackupMissing || !attempt.placement->backup)
-        return std::nullopt;
-    return attempt.placement->backup->address;
+    m_fleet.replaceBackup(*m_attempts.current().placement, query(now, random));
+    return send(*m_attempts.current().placement, now);
 }
 
 Step Exchange::giveUp(AttemptOutcome outcome) const
--- a/src/forward/ExchangeOrigin.cpp
+++ b/src/forward/ExchangeOrigin.cpp
@@ -50,12 +50,12 @@
 void Exchange::recordStart(base::Instant now)
 {
     if (isStream() && m_request.route->isResumable && !m_origin)
-        m_origins.recordSent(m_request.attempt, { m_request.service, m_attempt.placement->target.version }, now);
+        m_origins.recordSent(m_request.attempt, { m_request.service, m_attempts.current().placement->target.version }, now);
 }
 
 bool Exchange::isUpstreamCurrent() const
 {
-    return m_attempt.hasEvent || !m_attempt.placement || m_fleet.isCurrent(m_attempt.placement->target);
+    return m_attempts.current().hasEvent || !m_attempts.current().placement || m_fleet.isCurrent(m_attempts.current().placement->target);
 }
 
 } // namespace redwingseam::forward
