Idempotent requests: the late attempt is kept until one of two has ended

What clients saw: 502 OutcomeUnknown (or 500, 504) for an idempotent request whose upstream answered well before the deadline.

Cause: a decision that can't be taken back, before the substitute is there. Only a complete response is a substitute here, since the response is delivered whole. So the late attempt is kept beside the next one without a limit of time, until one of the two has ended; the first complete response is delivered and the other attempt is cancelled. Idempotent requests may run side by side. Its upstream is still suspected at once, so that other requests avoid it. The second attempt counts against maxAttempts and is taken from the shared retry budget as before; the kept one counts as a run. At most two run side by side: on a route with a third attempt the oldest makes room. Versions of the two may differ, unlike those of a stream.

Ruled out: keeping it until the other's headers only, which leaves nothing if that response is cut off.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -8,6 +8,12 @@
 using base::ResultCode;
 using base::scaled;
 
+// The response to an idempotent request is delivered only when it is complete, and such requests may run side by side.
+static std::optional<base::Duration> keepLimitFor(manifest::RouteKind kind, const ExchangePolicy& policy)
+{
+    return kind == manifest::RouteKind::Stream ? std::optional(policy.keepBesideReplacement) : std::nullopt;
+}
+
 Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, origin::StreamOrigins& origins, const ExchangePolicy& policy)
     : m_request(std::move(request))
     , m_fleet(fleet)
@@ -15,7 +21,7 @@
     , m_crashes(crashes)
     , m_origins(origins)
     , m_policy(policy)
-    , m_attempts(policy.keepBesideReplacement)
+    , m_attempts(keepLimitFor(m_request.route->kind, policy))
     , m_lastEventId(m_request.lastEventId)
 {
 }
@@ -80,7 +86,7 @@
     query.preferredAddress = m_backupAddress;
     if (m_origin)
         query.version = m_origin->version;
-    else if (kept)
+    else if (kept && isStream())
         query.version = kept->placement->target.version;
     else if (isStream() && !m_request.attempt.empty())
         query.preferredVersion = m_fleet.assignedVersion(m_request.service, m_request.attempt);
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -16,7 +16,8 @@
 // The state machine of one client request from its arrival to its response: chooses the upstream and decides when to
 // retry and when to give up. Does no I/O: the caller carries out each Step and reports the result. A broken stream
 // resumes after its last event. A stream's silent attempt is kept beside its replacement until one of them brings an event,
-// the replacement fails, or both have run for a moment. Arguments named `random` are random bits for the choice of an upstream. Not
+// the replacement fails, or both have run for a moment. The late attempt of an idempotent request is kept until one of the two has
+// ended, so that the first complete response is delivered. Arguments named `random` are random bits for the choice of an upstream. Not
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
@@ -151,7 +152,7 @@
     bool isIdempotentAttemptLate(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
     // Starts another attempt if possible. Silence is no proof that there will be no response, so otherwise the attempt goes
-    // on until the deadline, and that of a stream is kept for a while.
+    // on until the deadline, and is kept beside the other one.
     Step replaceSilentAttempt(SilenceReason, base::Instant now, uint64_t random);
     SilentAttempt describeSilence(SilenceReason, base::Instant now) const;
     // Updates the state after the end of an attempt.
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -9,22 +9,22 @@
 
 Step Exchange::replaceSilentAttempt(SilenceReason reason, base::Instant now, uint64_t random)
 {
-    // One of two attempts that may run is decided on first.
-    if (m_attempts.mayBothRun())
+    // One of two runs of a stream is decided on first.
+    if (isStream() && m_attempts.mayBothRun())
         return {};
     auto outcome = m_attempts.current().silentOutcome();
     auto possibleRuns = this->possibleRuns() + (mayHaveRun(outcome) ? 1 : 0);
     auto reachedAttempts = m_reachedAttempts + (outcome == AttemptOutcome::NotConnected ? 0 : 1);
     if (!isRetryAllowed(outcome, possibleRuns, reachedAttempts, now))
         return {};
-    bool isKept = isStream() && !m_attempts.current().isConnecting;
+    bool isKept = !m_attempts.current().isConnecting;
     auto backup = m_attempts.backupAddress();
     auto nextQuery = query(now, random);
     nextQuery.excluded.push_back(m_attempts.current().placement->target.id);
     if (backup)
         nextQuery.preferredAddress = backup;
     // Before its first event either attempt may begin the stream, and its record names one version.
-    bool isVersionOpen = isKept && !m_origin;
+    bool isVersionOpen = isStream() && isKept && !m_origin;
     if (isVersionOpen)
         nextQuery.version = m_attempts.current().placement->target.version;
     auto next = m_fleet.place(nextQuery);
@@ -43,10 +43,16 @@
     }
     auto replaced = describeSilence(reason, now);
     replaced.isKept = isKept;
-    if (isKept)
+    if (isKept) {
+        // At most two run side by side.
+        dropKeptAttempt(now);
+        // Other requests must avoid the upstream while this one waits for it.
+        if (reason == SilenceReason::Late)
+            m_fleet.suspect(m_attempts.current().placement->target, fleet::SuspicionCause::Silent, now);
         m_attempts.keepCurrent();
-    else
+    } else {
         recordAttemptEnd(m_attempts.current(), outcome, now);
+    }
     if (isAttemptKept())
         m_backupAddress = backup;
     auto step = send(std::move(*next), now);
@@ -134,7 +140,7 @@
 bool Exchange::isIdempotentAttemptLate(base::Instant now) const
 {
     const auto& route = *m_request.route;
-    if (m_possibleRuns + 1 >= route.maxAttempts)
+    if (possibleRuns() + 1 >= route.maxAttempts)
         return false;
     bool isSilent = now - m_attempts.current().lastActivity > scaled(route.latencyObjective, m_policy.attemptTimeoutShare);
     return isSilent || now - m_attempts.current().sentAt > route.latencyObjective;
