Streams: an upstream that was left for silence may be asked again

What clients saw: a stream that has begun, whose upstream fell silent for more than 1.1 s, and whose other upstream refuses it later than 0.2 s after it was sent: the silent attempt is closed by then, and its upstream was excluded until the deadline, so the stream waited for room at the one that refused, or ended as StreamLost.

Cause: the upstreams that a begun stream may ask again were those that were not reached or had no room, not those that were left for silence. They may be asked again now, as a last resort: when no other upstream takes the stream and the silent one is no longer suspected.

Weighed: keeping the silent attempt for longer than 0.2 s. A run may not go on elsewhere while the one before works on it 0.4 s later, and the cancel has to reach its upstream in that time, from another region too.

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -185,7 +185,8 @@
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
-    // Those of them that may be asked again: no connection was established, or the stream has begun and they had no room.
+    // Those of them that may be asked again: no connection was established, or the stream has begun and they had no room or were
+    // left for silence.
     std::vector<UnservedAttempt> m_unserved;
     // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
     // so the request is not sent again on a connection that may carry one.
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -149,6 +149,9 @@
     // The client can get nothing but the rest of the stream.
     if (outcome == AttemptOutcome::NotRun && m_areHeadersSent)
         m_unserved.push_back({ ended.target, now + m_policy.refusalPause });
+    // The upstream may be sound, and those that were preferred to it may refuse.
+    if (outcome == AttemptOutcome::Silent && m_areHeadersSent)
+        m_unserved.push_back({ ended.target, now });
     if (mayHaveRun(outcome)) {
         if (auto address = attempt.backupAddress())
             m_backupAddress = std::move(address);
--- a/src/forward/UnservedAttempt.h
+++ b/src/forward/UnservedAttempt.h
@@ -5,7 +5,7 @@
 
 namespace redwingseam::forward {
 
-// An upstream that did not run the request, because it was not reached or had no room, and may be asked again.
+// An upstream that did not serve the request, because it was not reached, had no room or was silent, and may be asked again.
 struct UnservedAttempt {
     fleet::UpstreamInstance upstream;
     // Not before this.
