redwingseamd: a standstill of the process is not a stall of its engines

What callers saw: a node that stood still for some seconds took each stream for stalled at its first tick after that, since the tokens of that time lay unread in the sockets: each stream got a hedged attempt, and each engine was marked as down until its next load report, all at once.

Cause: the silence of an engine was counted over a time in which the node itself received nothing. The node measures now by its ticks how long it stood still (node::StandstillMeter), and moves the last token of each attempt in flight by that. An engine that sends nothing after it is hedged as before, once its limit has passed in time that the node has run.

NodeStandstill.StandstillIsNoStallOfAnEngine failed before (1 suspicion, expected 0). With a pause at one moment only, and tokens more frequent than ticks, it did not fail: a token came first then. NodeStandstill (3 tests), StandstillMeter (3), Standstill, StreamFaults, Leaving and SettingsFaults pass. Not covered: the time of redwingseamd's other timers.

--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -11,6 +11,7 @@
 #include "node/PoolDirectory.h"
 #include "node/PoolShard.h"
 #include "node/RequestState.h"
+#include "node/StandstillMeter.h"
 #include "node/SuspectQueue.h"
 #include "node/TokenOutcome.h"
 #include "node/VmDirectory.h"
@@ -104,6 +105,8 @@
     void recordUpstreamTokenInterval(const TokenOutcome&, CallContext&);
     route::CrashId crashIdOf(const base::UpstreamName&);
     void requeueAfterLoss(base::RequestId, CallContext&);
+    // Excludes a time in which this process did not run from the silence of the upstreams.
+    void discountStandstill(CallContext&);
     void hedgeStalledRequests(CallContext&);
     void checkDeadlines(CallContext&);
     void queueHedge(base::RequestId, CallContext&);
@@ -170,6 +173,7 @@
     std::atomic<int64_t> m_lastHeartbeat { 0 };
     std::atomic<int64_t> m_lastDigest { 0 };
     std::atomic<int64_t> m_lastClientUsage { 0 };
+    StandstillMeter m_standstill { tickInterval };
     std::atomic<uint64_t> m_clientUsageSequence { 0 };
     std::atomic<bool> m_isWatching { false };
     base::Sharded<RequestMap> m_requests;
--- a/src/node/NodeCoreTimers.h
+++ b/src/node/NodeCoreTimers.h
@@ -25,6 +25,7 @@
     static constexpr base::Duration digestInterval = std::chrono::seconds(5);
     static constexpr base::Duration clientUsageInterval = std::chrono::seconds(5);
     checkDeadlines(context);
+    discountStandstill(context);
     hedgeStalledRequests(context);
     dispatchDueSuspects(context);
     for (size_t group = 0; group < claim::ShardedClaimLog::groupCount; ++group) {
@@ -94,6 +95,23 @@
         context.emit(Refuse { id, { base::ResultCode::OutcomeUnknown, "the call was sent and was not answered before the deadline; retry with the same Idempotency-Key to look it up" }, RunState::Unknown, {} });
 }
 
+// The tokens of that time may be handled after the tick.
+template<typename Rules>
+void NodeCore<Rules>::discountStandstill(CallContext& context)
+{
+    auto pause = m_standstill.pauseBefore(context.now);
+    if (pause == base::Duration {})
+        return;
+    m_requests.forEach([&](RequestMap& requests) {
+        for (auto& [id, state] : requests) {
+            for (auto* attempt : { &state.current, &state.hedge }) {
+                if (*attempt)
+                    (*attempt)->lastTokenAt = std::min((*attempt)->lastTokenAt + pause, context.now);
+            }
+        }
+    });
+}
+
 template<typename Rules>
 void NodeCore<Rules>::hedgeStalledRequests(CallContext& context)
 {
