--- a/tests/fakes/ExchangeRun.h
+++ b/tests/fakes/ExchangeRun.h
@@ -105,6 +105,13 @@
         auto* chosen = choose(detail, [](const Case& each) { return each.isSent; });
         if (!chosen)
             return;
+        // The kept attempt fails, or is the one that ends.
+        if (chosen->exchange->isAttemptKept() && detail % 3 == 0) {
+            chosen->exchange->keptAttemptEnded(forward::AttemptOutcome::LostBeforeResponse, now());
+            return;
+        }
+        if (chosen->exchange->isAttemptKept() && detail % 3 == 1)
+            chosen->exchange->keptAttemptGoesOn(now());
         auto outcome = static_cast<forward::AttemptOutcome>(detail / 16 % forward::attemptOutcomeCount);
         chosen->isProbing = false;
         chosen->isSent = false;
