--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/Fleet.h"
-#include "forward/Attempt.h"
 #include "forward/AttemptOutcome.h"
+#include "forward/AttemptPair.h"
 #include "forward/CrashEvidence.h"
 #include "forward/ExchangePolicy.h"
 #include "forward/ExchangeRequest.h"
@@ -16,7 +16,8 @@
 // The state machine of one client request from its arrival to its response: chooses the upstream and decides when to
 // retry and when to give up. Does no I/O: the caller carries out each Step and reports the result. A broken stream
 // resumes after its last event. A stream's silent attempt is kept beside its replacement until one of them brings an event,
-// the replacement fails, or both have run for a moment. Arguments named `random` are random bits for the choice of an upstream. Not
+// the replacement fails, or both have run for a moment. The late attempt of an idempotent request is kept until one of the two has
+// ended, so that the first complete response is delivered. Arguments named `random` are random bits for the choice of an upstream. Not
 // synchronised; the references must outlive the Exchange.
 class Exchange {
 public:
@@ -41,9 +42,9 @@
     // Handles the result of a probe of the current upstream. Returns Send if another attempt is to replace it.
     Step probeEnded(bool isReachable, base::Instant now, uint64_t random);
     // Handles a probe for which this node lacks the resources. It proves nothing.
-    void probeNotStarted() { m_attempt.isProbing = false; }
+    void probeNotStarted() { m_attempts.current().isProbing = false; }
     // Returns whether the attempt before the current one is kept, because it may still go on.
-    bool isAttemptKept() const { return m_kept.has_value(); }
+    bool isAttemptKept() const { return m_attempts.isAnyKept(); }
     // Records bytes of the kept attempt that are no event.
     void recordKeptActivity(base::Instant now);
     // Makes the kept attempt the current one, because it has brought an event or its end. The connection of the attempt that
@@ -64,7 +65,7 @@
 
     // Records that a new connection is being established for the current attempt. Until it is, nothing is sent, so the
     // attempt cannot run.
-    void recordConnecting() { m_attempt.isConnecting = true; }
+    void recordConnecting() { m_attempts.current().isConnecting = true; }
     // Records that the current upstream accepted the connection or that bytes of its response arrived. Bytes show that
     // the upstream lives, but only events are progress.
     void recordActivity(base::Instant now);
@@ -83,11 +84,11 @@
     void recordHeadersSent() { m_areHeadersSent = true; }
 
     const ExchangeRequest& request() const { return m_request; }
-    const std::optional<fleet::Placement>& placement() const { return m_attempt.placement; }
+    const std::optional<fleet::Placement>& placement() const { return m_attempts.current().placement; }
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
     bool areHeadersSent() const { return m_areHeadersSent; }
     // Returns the number of attempts before the current one that may have run.
-    unsigned possibleRuns() const { return m_possibleRuns + (m_kept ? 1 : 0); }
+    unsigned possibleRuns() const { return m_possibleRuns + (isAttemptKept() ? 1 : 0); }
     // Returns the number of times that the request was handed over for sending.
     unsigned sends() const { return m_sends; }
     // Returns whether the request waits for room at an engine.
@@ -151,22 +152,17 @@
     bool isIdempotentAttemptLate(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
     // Starts another attempt if possible. Silence is no proof that there will be no response, so otherwise the attempt goes
-    // on until the deadline, and that of a stream is kept for a while.
+    // on until the deadline, and is kept beside the other one.
     Step replaceSilentAttempt(SilenceReason, base::Instant now, uint64_t random);
     SilentAttempt describeSilence(SilenceReason, base::Instant now) const;
     // Updates the state after the end of an attempt.
     void recordAttemptEnd(Attempt&, AttemptOutcome, base::Instant now);
-    // Returns the outcome of an attempt that is abandoned for silence.
-    static AttemptOutcome silentOutcome(const Attempt& attempt) { return attempt.isConnecting ? AttemptOutcome::NotConnected : AttemptOutcome::Silent; }
-    // Returns the address of the upstream with a backup of the attempt's run.
-    static std::optional<std::string> backupAddressOf(const Attempt&);
     // Makes the kept attempt the current one after the end of the other.
-    Step goBack();
+    Step goBack(bool isBackupMissing = false);
     // Ends the kept attempt, in whose place the current one goes on.
     void dropKeptAttempt(base::Instant now);
-    bool isKeptAttemptOverdue(base::Instant now) const;
     // Whether an earlier attempt or the kept one may have run the request.
-    bool mayHaveRunBefore() const { return m_mayHaveRun || m_kept; }
+    bool mayHaveRunBefore() const { return m_mayHaveRun || isAttemptKept(); }
     // Whether the request may be sent again after `possibleRuns` and `reachedAttempts`, the last of which ended so.
     bool isRetryAllowed(AttemptOutcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now);
     bool acquireRetry(AttemptOutcome, base::Instant now);
@@ -185,14 +181,12 @@
     CrashEvidence& m_crashes;
     origin::StreamOrigins& m_origins;
     const ExchangePolicy& m_policy;
-    // The current attempt, or the last one.
-    Attempt m_attempt;
-    // The attempt before it, while that one may still go on.
-    std::optional<Attempt> m_kept;
+    AttemptPair m_attempts;
     std::optional<schedule::QueuedWork> m_queuedWork;
     // Upstreams on which an attempt has failed.
     std::vector<base::UpstreamName> m_excluded;
-    // Those of them that may be asked again: no connection was established, or the stream has begun and they had no room.
+    // Those of them that may be asked again: no connection was established, or the stream has begun and they had no room or were
+    // left for silence.
     std::vector<UnservedAttempt> m_unserved;
     // Upstreams to which the request was sent. A late copy of an upstream's earlier response bears the same attempt id,
     // so the request is not sent again on a connection that may carry one.
