Judge the own link by a question to a peer that is overdue

What callers saw: a node that was cut off for 0.4 s told the other nodes that sound upstreams were unreachable, and they avoided them for a while.

Cause: OwnLinkHealth knew answers of peers, not questions, so that it could only wait until an answer was missing for longer than any interval between questions.

Change: a question that has had no answer for 150 ms is silence, until an answer comes in time. Connections that were started in the silence fail up to 0.35 s after it, so the judgement holds for that time. The node that is asked regularly may be gone alone: while it is overdue a neighbour is asked in its place, and it counts again once it has answered. Ruled out: asking two nodes all the time (twice the messages); counting a late answer as an answer (on a full link all are late).

Before, with the questions not recorded, four of the new tests fail: OwnLink.NodeThatIsCutOffForAMomentAccusesNobody (4 accused of 0), NodeWhoseLinkIsFullForLongAccusesNobody (3 of 0), UpstreamsStayInUseAfterANodeWasCutOffForAMoment, NodeWhoseHubAloneIsGoneAsksAnotherNodeAndAccusesUpstreams (0 told of 5). OutageIsToldAtOnceWhileOnePeerIsGoneAndAnotherAnswers and OutageIsToldAtOnceWhilePeersAnswerSlowly passed before and guard against the opposite. Up to two failures of the first ones are still told as before, since three make the link doubtful.

--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -72,6 +72,10 @@
     void recordContact(const UpstreamInstance&, base::Instant now);
     // Records that the upstream accepted a connection.
     void recordConnected(const UpstreamInstance&, base::Instant now);
+    // Records that another node, which answered until now, is asked.
+    void recordPeerAsked(base::Instant now) { m_ownLink.recordPeerAsked(now); }
+    // Returns whether no other node answers: one is overdue, and none has answered in time since it was asked.
+    bool isPeerOverdue(base::Instant now) const { return m_ownLink.isPeerOverdue(now); }
     // Records that another node has answered, `elapsed` after it was asked.
     void recordPeerAnswer(base::Duration elapsed, base::Instant now);
     // Returns when the upstream last accepted a connection or sent bytes, or a zero Instant if it never did.
--- a/src/fleet/OwnLinkHealth.cpp
+++ b/src/fleet/OwnLinkHealth.cpp
@@ -22,12 +22,28 @@
     add(m_connected, upstream, now);
 }
 
+void OwnLinkHealth::recordPeerAsked(base::Instant now)
+{
+    std::lock_guard guard(m_mutex);
+    if (m_unansweredSince == base::Instant {})
+        m_unansweredSince = now;
+}
+
+bool OwnLinkHealth::isPeerOverdue(base::Instant now) const
+{
+    std::lock_guard guard(m_mutex);
+    return isOverdue(now);
+}
+
 void OwnLinkHealth::recordPeerAnswer(base::Duration elapsed, base::Instant now)
 {
     if (elapsed > maxPeerDelay)
         return;
     {
         std::lock_guard guard(m_mutex);
+        if (isOverdue(now))
+            m_silenceEndedAt = now;
+        m_unansweredSince = {};
         m_peerAnsweredAt = now;
     }
     judge(now);
@@ -81,11 +97,17 @@
     return names.size();
 }
 
+bool OwnLinkHealth::arePeersReached(base::Instant now) const
+{
+    bool wasSilent = m_silenceEndedAt != base::Instant {} && now - m_silenceEndedAt < connectPatience;
+    return now - m_peerAnsweredAt < maxPeerSilence && !isOverdue(now) && !wasSilent;
+}
+
 LinkJudgement OwnLinkHealth::currentJudgement(base::Instant now) const
 {
     auto failed = countUpstreams(m_failed);
     bool isSpread = failed >= minFailedUpstreams && countDataCentres(m_failed) >= minFailedDataCentres;
-    bool isReached = countUpstreams(m_connected) * minFailedPerConnected > failed || now - m_peerAnsweredAt < maxPeerSilence;
+    bool isReached = countUpstreams(m_connected) * minFailedPerConnected > failed || arePeersReached(now);
     return isSpread && !isReached ? LinkJudgement::Doubtful : LinkJudgement::Sound;
 }
 
@@ -96,6 +118,8 @@
     line.with("connected", countUpstreams(m_connected)).with("held_back", m_heldBack);
     if (m_peerAnsweredAt != base::Instant {})
         line.with("since_peer_ms", static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_peerAnsweredAt).count()));
+    if (m_unansweredSince != base::Instant {})
+        line.with("unanswered_ms", static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_unansweredSince).count()));
     LOG(WARNING) << line.text();
 }
 
--- a/src/replication/NodeDirectory.cpp
+++ b/src/replication/NodeDirectory.cpp
@@ -105,6 +105,12 @@
     return found != m_entries.end() && isLive(found->second, now);
 }
 
+bool NodeDirectory::hasMessageWithin(const base::VmName& name, base::Duration duration, base::Instant now) const
+{
+    auto found = m_entries.find(name);
+    return found != m_entries.end() && found->second.lastMessageAt != base::Instant {} && now - found->second.lastMessageAt < duration;
+}
+
 bool NodeDirectory::hasLivePeer(base::Instant now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) { return isLive(item.second, now); });
@@ -149,6 +155,21 @@
     return neighbours;
 }
 
+std::optional<sync::NodeRecord> NodeDirectory::neighbourAfter(const base::VmName& name, base::Instant now) const
+{
+    auto hub = findHub(m_self.dataCentre, now);
+    std::optional<sync::NodeRecord> first;
+    for (const auto& [neighbour, entry] : m_entries) {
+        if (entry.record.dataCentre != m_self.dataCentre || neighbour == hub->name)
+            continue;
+        if (name < neighbour)
+            return entry.record;
+        if (!first)
+            first = entry.record;
+    }
+    return first;
+}
+
 std::vector<sync::NodeRecord> NodeDirectory::silentHubCandidates(base::Instant now) const
 {
     std::vector<sync::NodeRecord> silent;
--- a/src/replication/NodeDirectory.h
+++ b/src/replication/NodeDirectory.h
@@ -47,6 +47,8 @@
     bool isFirstKnownNodeOfDataCentre() const;
     bool isLive(const base::VmName&, base::Instant now) const;
     bool hasLivePeer(base::Instant now) const;
+    // Returns whether a message from the node arrived within `duration`.
+    bool hasMessageWithin(const base::VmName&, base::Duration, base::Instant now) const;
     // Returns the other data centres that have a known node.
     std::vector<base::DataCentreName> otherDataCentres() const;
     // Returns the nodes that receive a new list of upstreams first: the hub of each data centre and those that would take its
@@ -54,6 +56,9 @@
     std::vector<sync::NodeRecord> listWitnesses(base::Instant now) const;
     // Returns the live nodes of this node's data centre, excluding this node.
     std::vector<sync::NodeRecord> liveNeighbours(base::Instant now) const;
+    // Returns the known neighbour, live or not, that follows `name` in the order of names, or the first one if none does.
+    // The hub is left out.
+    std::optional<sync::NodeRecord> neighbourAfter(const base::VmName& name, base::Instant now) const;
     // Returns the nodes that are not live but would be hubs if they were. They are queried at long intervals to
     // detect their return.
     std::vector<sync::NodeRecord> silentHubCandidates(base::Instant now) const;
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -132,6 +132,12 @@
     void queryHub(OutgoingMessages&, base::Instant now);
     void queryRemoteHubs(OutgoingMessages&, base::Instant now);
     void querySilentNodes(OutgoingMessages&, base::Instant now);
+    // While the nodes that are asked regularly do not answer, asks a neighbour in turn, to tell their loss from that of this
+    // node's own link.
+    void checkOwnLink(OutgoingMessages&, base::Instant now);
+    // Records as evidence for this node's link that a node is asked, which is done every `interval`. One that left the last
+    // question unanswered may be gone alone, and does not count.
+    void recordAsked(const sync::NodeRecord&, base::Duration interval, base::Instant now);
     // Sends the suspicions and crashes that `notice.from`, which may be this node, reported.
     void sendFailureNotice(OutgoingMessages&, const FailureNotice&, base::Instant now);
     OutgoingMessage makeQuery(const sync::NodeRecord&, fleet::LoadMap loads, base::Instant now);
@@ -180,6 +186,8 @@
     base::Instant m_lastRemoteQuery {};
     base::Instant m_lastSilentNodeQuery {};
     base::Instant m_lastNeighbourQuery {};
+    base::Instant m_lastLinkCheck {};
+    base::VmName m_lastLinkWitness;
     base::Instant m_readerCutOffAt {};
     bool m_hasNodeList = false;
 };
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -2,6 +2,7 @@
 
 #include "log/LogLine.h"
 #include "replication/PeerSync.h"
+#include "replication/PeerSyncLinkImpl.h"
 #include "replication/PeerSyncOriginsImpl.h"
 #include "replication/PeerSyncStateImpl.h"
 
@@ -82,6 +83,7 @@
         queryRemoteHubs(outgoing, now);
     if (now - m_lastSilentNodeQuery >= silentNodeQueryInterval)
         querySilentNodes(outgoing, now);
+    checkOwnLink(outgoing, now);
     askForOrigins(outgoing, now);
     checkList(outgoing, now);
     return outgoing;
@@ -134,8 +136,10 @@
         m_fleet.setPeerLoads(m_peerLoads.sum(now));
         return;
     }
-    if (auto hub = m_directory.findHub(m_directory.self().dataCentre, now))
+    if (auto hub = m_directory.findHub(m_directory.self().dataCentre, now)) {
+        recordAsked(*hub, hubQueryInterval, now);
         outgoing.push_back(makeQuery(*hub, m_fleet.localLoads(), now));
+    }
 }
 
 template<ManifestParser Parser>
@@ -149,8 +153,10 @@
         return;
     auto loads = dataCentreLoads(now);
     for (const auto& dataCentre : m_directory.otherDataCentres()) {
-        if (auto hub = m_directory.findHub(dataCentre, now))
+        if (auto hub = m_directory.findHub(dataCentre, now)) {
+            recordAsked(*hub, remoteQueryInterval, now);
             outgoing.push_back(makeQuery(*hub, filterLoads(loads, dataCentre), now));
+        }
     }
 }
 
@@ -301,7 +307,7 @@
     m_crashes.parts.apply(reply.parts, now);
     for (const auto& node : reply.nodes)
         m_directory.add(node);
-    if (isNeighbour(reply.from) && !m_role.isHub()) {
+    if (isNeighbour(reply.from) && !m_role.isHub() && !pending.mapped().isLinkCheck) {
         m_fleet.setPeerLoads(reply.loads);
         m_role.setDeputy(reply.isDeputy);
     }
--- a/src/replication/PendingQuery.h
+++ b/src/replication/PendingQuery.h
@@ -10,6 +10,8 @@
     // How long the reply is awaited.
     base::Duration timeout;
     bool wantsFullState = false;
+    // Whether it only asks whether this node's link works. The node asked may not be the hub.
+    bool isLinkCheck = false;
 };
 
 } // namespace redwingseam::replication
