Release the block of a written message

What callers saw: nothing directly; a node whose streams run keeps each request's body twice, and the connection to an upstream keeps the block of the largest request ever sent on it.

Cause: WriteBuffer::clear assigned an empty string to release a large block, and such an assignment copies nothing and keeps the block. The test that was to show the release writes a message in many parts, and there the compaction of flush releases it; a message that the socket takes at once was kept whole.

WriteBuffer.BlockOfAMessageThatWasSentAtOnceIsNotKept failed before.

--- a/src/gateway/WriteBuffer.cpp
+++ b/src/gateway/WriteBuffer.cpp
@@ -32,8 +32,9 @@
 
 void WriteBuffer::clear()
 {
+    // Assigning an empty string would keep the block.
     if (m_bytes.capacity() > maxKeptBytes)
-        m_bytes = {};
+        std::string().swap(m_bytes);
     m_bytes.clear();
     m_offset = 0;
 }
--- a/tests/WriteBufferTest.cpp
+++ b/tests/WriteBufferTest.cpp
@@ -4,8 +4,10 @@
 #include "base/FileDescriptor.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <malloc.h>
 #include <sys/socket.h>
+#include <vector>
 
 using namespace redwingseam;
 
@@ -68,6 +70,21 @@
     CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
 }
 
+TEST(WriteBuffer, BlockOfAMessageThatWasSentAtOnceIsNotKept)
+{
+    static constexpr size_t messageBytes = 100 * 1024;
+    std::vector<gateway::WriteBuffer> buffers(50);
+    auto before = allocatedBytes();
+    for (auto& buffer : buffers) {
+        buffer.append(std::string(messageBytes, 'a'));
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+        CHECK_TRUE(buffer.isEmpty());
+        for (size_t left = messageBytes; left; left -= std::min(left, blockBytes))
+            read(std::min(left, blockBytes));
+    }
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+}
+
 TEST(WriteBuffer, BytesArriveInOrder)
 {
     gateway::WriteBuffer buffer;
