Do not copy bodies that wait to be written to an upstream

What callers saw: nothing directly; when all streams of a node break and their requests are sent again over a full link, each body is held once more, or twice while a silent attempt is kept.

Cause: UpstreamConnection copied the body into its write buffer. The session keeps the body until it ends in any case, and its connections are closed by then.

Change: the write buffer refers to the session's body. What is waiting then is bounded by the budget, beside headers.

Bodies of up to about 2.6 MB show no growth on loopback, as the kernel takes them whole; what that memory counts for a VM was not measured.

--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -35,7 +35,7 @@
     // Starts to connect. The owner is told of the result in a later turn of the loop.
     ConnectStart connect(base::Instant now);
     // Writes a request once the connection is established. `headers` includes the request line. The response is reported
-    // to the owner's callbacks. `timeout` is the time until the deadline of the request, which must not arrive after it.
+    // to the owner's callbacks. The owner keeps `body` until the response is complete or the connection closed. `timeout` is the time until the deadline of the request, which must not arrive after it.
     void send(std::string_view headers, std::string_view body, bool isHeadRequest, base::Duration timeout);
     // What the upstream has not received of a request that waits for its response is not sent any more.
     void close();
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -37,7 +37,7 @@
     m_isHeadRequest = isHeadRequest;
     m_canReuse = false;
     m_writeBuffer.append(headers);
-    m_writeBuffer.append(body);
+    m_writeBuffer.appendReference(body);
     m_interimResponses = 0;
     m_skippedResponses = 0;
     m_skippedBytes = 0;
@@ -82,6 +82,7 @@
         discardOutputAtClose(m_socket.descriptor());
     m_socket = {};
     m_isConnected = false;
+    m_writeBuffer.clear();
 }
 
 template<typename Owner>
--- a/tests/WriteBufferTest.cpp
+++ b/tests/WriteBufferTest.cpp
@@ -110,3 +110,31 @@
     CHECK_TRUE(buffer.isEmpty());
     CHECK_TRUE(received == sent);
 }
+
+TEST(WriteBuffer, ReferencedBytesArriveInOrderAndAreNotCopied)
+{
+    gateway::WriteBuffer buffer;
+    const std::string body(4 * 1024 * 1024, 'b');
+    std::string received;
+    auto receive = [&] {
+        std::string bytes(blockBytes, '\0');
+        auto count = recv(reader.descriptor(), bytes.data(), bytes.size(), 0);
+        received.append(bytes, 0, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    };
+    auto before = allocatedBytes();
+    buffer.append("head");
+    buffer.appendReference(body);
+    LONGS_EQUAL(body.size() + 4, buffer.size());
+    CHECK_TRUE(buffer.flush(writer.descriptor()));
+    CHECK_FALSE(buffer.isEmpty());
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+    buffer.append("tail");
+    buffer.appendReference("end");
+    while (!buffer.isEmpty()) {
+        receive();
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+    }
+    while (received.size() < body.size() + 11)
+        receive();
+    CHECK_TRUE(received == "head" + body + "tailend");
+}
