State when a refused request may come again

Cause: the client connection refuses by itself, without the session that states Retry-After for other refusals.

BreakingStreams.NewRequestIsRefusedAsNotRunWhileTheBudgetIsUsedUp failed before.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -290,6 +290,8 @@
     m_isServing = true;
     m_server.onRejected(*this, status, code);
     LocalResponse response { status, code };
+    if (status == 503)
+        response.retryAfter = m_server.retryAfter();
     response.isHeadRequest = m_parser->get().method() == boost::beast::http::verb::head;
     write(serializeLocalResponse(response));
     if (isOpen())
--- a/src/gateway/Worker.h
+++ b/src/gateway/Worker.h
@@ -47,6 +47,8 @@
     void retire(std::unique_ptr<Upstream> connection) { m_retiredUpstreams.push_back(std::move(connection)); }
     GatewayState& state() { return m_state; }
     BufferBudget& bufferedBodies() { return m_state.bufferedBodies; }
+    // Returns when a client may come again whose request the node has no memory for.
+    base::Duration retryAfter() const { return m_state.exchangePolicy.retryAfter; }
     // Returns the limits of the newest known manifest.
     manifest::ClientLimits clientLimits() const;
     EventLoop& loop() { return m_loop; }
