--- a/tests/WriteBufferTest.cpp
+++ b/tests/WriteBufferTest.cpp
@@ -4,8 +4,10 @@
 #include "base/FileDescriptor.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <malloc.h>
 #include <sys/socket.h>
+#include <vector>
 
 using namespace redwingseam;
 
@@ -68,6 +70,21 @@
     CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
 }
 
+TEST(WriteBuffer, BlockOfAMessageThatWasSentAtOnceIsNotKept)
+{
+    static constexpr size_t messageBytes = 100 * 1024;
+    std::vector<gateway::WriteBuffer> buffers(50);
+    auto before = allocatedBytes();
+    for (auto& buffer : buffers) {
+        buffer.append(std::string(messageBytes, 'a'));
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+        CHECK_TRUE(buffer.isEmpty());
+        for (size_t left = messageBytes; left; left -= std::min(left, blockBytes))
+            read(std::min(left, blockBytes));
+    }
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+}
+
 TEST(WriteBuffer, BytesArriveInOrder)
 {
     gateway::WriteBuffer buffer;
@@ -93,3 +110,31 @@
     CHECK_TRUE(buffer.isEmpty());
     CHECK_TRUE(received == sent);
 }
+
+TEST(WriteBuffer, ReferencedBytesArriveInOrderAndAreNotCopied)
+{
+    gateway::WriteBuffer buffer;
+    const std::string body(4 * 1024 * 1024, 'b');
+    std::string received;
+    auto receive = [&] {
+        std::string bytes(blockBytes, '\0');
+        auto count = recv(reader.descriptor(), bytes.data(), bytes.size(), 0);
+        received.append(bytes, 0, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    };
+    auto before = allocatedBytes();
+    buffer.append("head");
+    buffer.appendReference(body);
+    LONGS_EQUAL(body.size() + 4, buffer.size());
+    CHECK_TRUE(buffer.flush(writer.descriptor()));
+    CHECK_FALSE(buffer.isEmpty());
+    CHECK_TRUE(allocatedBytes() < before + maxKeptBytes);
+    buffer.append("tail");
+    buffer.appendReference("end");
+    while (!buffer.isEmpty()) {
+        receive();
+        CHECK_TRUE(buffer.flush(writer.descriptor()));
+    }
+    while (received.size() < body.size() + 11)
+        receive();
+    CHECK_TRUE(received == "head" + body + "tailend");
+}
