Test: refusals that come at once end a stream that has begun

What callers see: the connection is closed in the middle of the response while all upstreams are full for a moment.

Cause: after a refusal the next upstream is asked at once, and maxReachedAttempts (8) counts refusals without regard to time. The cut attempt and seven refusals reach it, and Exchange::isRetryAllowed ends the stream, although refusalPause would let it ask again after 0.6 s.

Evidence: with nine engines, eight of which refuse without delay, the step after the seventh refusal is Fail. With two others (MomentaryLack.StreamGoesOnOnceAnUpstreamHasRoomAgain) it waits, so no test shows it.

--- a/tests/OngoingStreamTest.cpp
+++ b/tests/OngoingStreamTest.cpp
@@ -72,3 +72,17 @@
     CHECK_TRUE(exchange->placement()->backup.has_value());
     checkGoesOnWithNextBudget(exchange->backupRefused(now(), 1));
 }
+
+TEST(OngoingStream, WaitsForRoomAfterManyUpstreamsHaveRefusedItAtOnce)
+{
+    fixture.addEngines();
+    beginStream(fixture.makeRequest("/stream/x"));
+    auto step = exchange->attemptEnded(AttemptOutcome::LostDuringResponse, now(), 1);
+    for (unsigned refusals = 0; step.kind == StepKind::Send && refusals < fixture.instances.size(); ++refusals) {
+        exchange->recordActivity(now());
+        step = exchange->attemptEnded(AttemptOutcome::NotRun, now(), 1);
+    }
+    CHECK_TRUE_TEXT(step.kind == StepKind::Wait, base::nameOf(step.kind).data());
+    step = waitForSend(step);
+    CHECK_TRUE_TEXT(step.kind == StepKind::Send, base::nameOf(step.kind).data());
+}
