Test: upstreams that all leave end a stream before their successors are listed

What callers see: the connection is closed in the middle of the response, in a release or when a service is moved.

Cause: Exchange::placeOrWait gives up at once if areAllLeaving, which is meant for requests that another node or a later try can serve, for streams that have begun too. When the leaving upstreams are no longer listed, the same stream waits (MomentaryLack.StreamGoesOnOnceASuccessorOfItsUpstreamIsListed).

Evidence: Fail instead of Wait; the successor is listed 0.2 s later.

--- a/tests/OngoingStreamTest.cpp
+++ b/tests/OngoingStreamTest.cpp
@@ -86,3 +86,21 @@
     step = waitForSend(step);
     CHECK_TRUE_TEXT(step.kind == StepKind::Send, base::nameOf(step.kind).data());
 }
+
+// All upstreams of a service are replaced. Those that leave say so before the list names their successors.
+TEST(OngoingStream, WaitsForSuccessorsWhileAllUpstreamsAreLeaving)
+{
+    fixture.addUpstream("e0", "engines", "dc-a");
+    fixture.addUpstream("e1", "engines", "dc-b");
+    fixture.update();
+    beginStream(fixture.makeRequest("/stream/x"));
+    for (const auto& instance : fixture.instances)
+        fixture.fleet.recordLeaving(instance, now());
+    auto step = exchange->attemptEnded(AttemptOutcome::LostDuringResponse, now(), 1);
+    CHECK_TRUE_TEXT(step.kind == StepKind::Wait, base::nameOf(step.kind).data());
+    fixture.advance(milliseconds(200));
+    fixture.addUpstream("e2", "engines", "dc-a");
+    fixture.update();
+    step = waitForSend(exchange->tick(now(), 1));
+    CHECK_TRUE_TEXT(step.kind == StepKind::Send, base::nameOf(step.kind).data());
+}
