A stream that has begun waits for the retry budget after a refused backup too

Callers saw: a stream cut in the middle as soon as an upstream refused it (503) while the shared retry budget was used up, though the budget frees itself within seconds.

Evidence: OngoingStream.WaitsForTheRetryBudgetAfterARefusedBackup failed before (Fail instead of Wait); its control, the same steps by attemptEnded, passed.

--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -173,8 +173,14 @@
         cancelTrial();
     // A part may have been quarantined while the upstream tried to reach the backup.
     auto outcome = AttemptOutcome::NotRun;
-    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now) || !acquireRetry(outcome, now))
+    if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now))
         return giveUp(outcome);
+    if (!acquireRetry(outcome, now)) {
+        if (!m_areHeadersSent)
+            return giveUp(outcome);
+        release();
+        return waitForRetry(now);
+    }
     m_fleet.replaceBackup(*m_attempts.current().placement, query(now, random));
     return send(*m_attempts.current().placement, now);
 }
