A stream that has begun is not ended by many refusals at once

Callers saw: a stream whose upstream was lost cut in the middle when seven other upstreams refused it within milliseconds, for instance while all are full for a moment.

Cause: the limit of eight attempts that reach an upstream ended it. The pause of 0.6 s before a refusing upstream is asked again never applied, since each refusal led to another upstream at once.

From that limit on such a stream makes one attempt per pause, until its deadline. The shared retry budget still bounds all of them, and attempts that may run stay bounded by maxAttempts. Requests that have not begun are refused as before.

Evidence: OngoingStream.WaitsForRoomAfterManyUpstreamsHaveRefusedItAtOnce failed before (Fail instead of Wait).

--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -170,6 +170,7 @@
     bool acquireSharedRetry(base::Instant now);
     // Lets a stream that has begun wait until the shared retry budget permits its next attempt.
     Step waitForRetry(base::Instant now);
+    Step waitBeforePlacement(base::Duration pause, base::Instant now);
     void release();
     fleet::PlacementQuery query(base::Instant now, uint64_t random) const;
     base::Instant deadline() const;
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -38,7 +38,10 @@
 
 bool Exchange::isRetryAllowed(AttemptOutcome outcome, unsigned possibleRuns, unsigned reachedAttempts, base::Instant now)
 {
-    if (now >= deadline() || reachedAttempts >= m_policy.maxReachedAttempts || isQuarantined(now))
+    if (now >= deadline() || isQuarantined(now))
+        return false;
+    // Further attempts of a stream that has begun are spaced instead.
+    if (reachedAttempts >= m_policy.maxReachedAttempts && !m_areHeadersSent)
         return false;
     return !mayHaveRun(outcome) || (m_request.route->isRepeatable() && possibleRuns < m_request.route->maxAttempts);
 }
@@ -75,14 +78,21 @@
         return giveUp(outcome);
     if (!acquireRetry(outcome, now))
         return m_areHeadersSent ? waitForRetry(now) : giveUp(outcome);
+    if (m_reachedAttempts >= m_policy.maxReachedAttempts)
+        return waitBeforePlacement(m_policy.refusalPause, now);
     return place(now, random);
 }
 
 Step Exchange::waitForRetry(base::Instant now)
 {
     m_isWaitingForRetry = true;
+    return waitBeforePlacement(m_policy.placementInterval, now);
+}
+
+Step Exchange::waitBeforePlacement(base::Duration pause, base::Instant now)
+{
     m_waitingSince = now;
-    m_nextPlacementAt = now + m_policy.placementInterval;
+    m_nextPlacementAt = now + pause;
     return {};
 }
 
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -21,8 +21,8 @@
     // Interval at which a stream that has begun looks for an upstream after that. It waits for those that could not be
     // reached until its deadline, because its client can get only the rest of it.
     base::Duration placementInterval = std::chrono::milliseconds(200);
-    // How long a stream that has begun leaves an upstream alone that had no room for it. It waits for room until its deadline,
-    // within `maxReachedAttempts`.
+    // How long a stream that has begun leaves an upstream alone that had no room for it, and the pause between its attempts after
+    // `maxReachedAttempts`. It waits for room until its deadline.
     base::Duration refusalPause = std::chrono::milliseconds(600);
     // Share of a stream's latency objective that is reserved for its prefill, and for that of a prompt before it at the
     // engine, when requests are queued.
@@ -48,7 +48,7 @@
     // The longest delay that a client is asked to wait, for the next trial of a quarantined prompt part.
     base::Duration maxRetryAfter = std::chrono::seconds(60);
     // Maximum number of attempts of one request that reach an upstream, whether they run or not. Prevents endless
-    // loops among upstreams that all reject the request.
+    // loops among upstreams that all reject the request. A stream that has begun makes further ones with pauses.
     unsigned maxReachedAttempts = 8;
 };
 
