A stream that has begun waits for successors while all upstreams are leaving

Callers saw: a stream whose upstream was lost cut at once while all listed upstreams said that they leave, though their successors are listed a moment later. Once the leaving ones are unlisted, the same stream waited.

Cause: placeOrWait gave up without regard to what the client has received. It now waits as for a service that has no upstream listed: 0.12 of the latency objective, or until one that had not been reached is back.

Evidence: OngoingStream.WaitsForSuccessorsWhileAllUpstreamsAreLeaving failed before (Fail instead of Wait; the successor is listed 0.2 s later).

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -135,7 +135,8 @@
     auto placement = m_fleet.place(query(now, random));
     if (placement)
         return send(std::move(*placement), now);
-    if (m_fleet.areAllLeaving(m_request.service, now))
+    // Successors may be listed in a moment, and the client of a stream that has begun can get nothing but the rest of it.
+    if (m_fleet.areAllLeaving(m_request.service, now) && !m_areHeadersSent)
         return giveUp(AttemptOutcome::NotConnected);
     if (m_waitingSince == base::Instant {})
         m_waitingSince = now;
