--- a/src/gateway/BufferReservation.h
+++ b/src/gateway/BufferReservation.h
@@ -8,8 +8,9 @@
 // synchronised.
 class BufferReservation {
 public:
-    explicit BufferReservation(BufferBudget& budget)
+    BufferReservation(BufferBudget& budget, BufferUse use)
         : m_budget(budget)
+        , m_use(use)
     {
     }
     ~BufferReservation() { reset(); }
@@ -21,7 +22,7 @@
     {
         if (bytes <= m_bytes)
             return true;
-        if (!m_budget.tryReserve(bytes - m_bytes))
+        if (!m_budget.tryReserve(bytes - m_bytes, m_use))
             return false;
         m_bytes = bytes;
         return true;
@@ -34,6 +35,7 @@
 
 private:
     BufferBudget& m_budget;
+    const BufferUse m_use;
     size_t m_bytes = 0;
 };
 
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -25,7 +25,7 @@
     , m_idleTimeout(m_limits.idleTimeout)
     , m_eventHandler { this, &ClientConnection::onEvents }
     , m_deferredHandler { this, &ClientConnection::onDeferred }
-    , m_bodyReservation(server.bufferedBodies())
+    , m_bodyReservation(server.bufferedBodies(), BufferUse::Request)
     , m_phaseStartedAt(now)
 {
     beginRequest();
--- a/src/gateway/UpstreamAttempt.h
+++ b/src/gateway/UpstreamAttempt.h
@@ -14,7 +14,7 @@
 template<typename Connection>
 struct UpstreamAttempt {
     explicit UpstreamAttempt(BufferBudget& budget)
-        : reservation(budget)
+        : reservation(budget, BufferUse::Response)
     {
     }
 
