Headers that have arrived and wait to be read are not missing

Callers saw: 408 for a request whose headers were all sent in time, when the process read them after the header timeout.

A client that sends a byte now and then has no unread input at most ticks, and is rejected at the next of them.

Evidence: UnreadHeader.RequestWhoseRestWaitsToBeReadIsServed failed before.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -375,6 +375,8 @@
     }
     auto waited = now - m_phaseStartedAt;
     if (m_hasRequestBytes && !m_parser->is_header_done() && waited > m_limits.headerTimeout) {
+        if (hasUnreadInput())
+            return;
         reject(408, base::ResultCode::RequestTimeout);
         return;
     }
