Streams are kept for as long as clients state that they wait

Cause: records and stated numbers of upstreams were kept for half as long again as the longest timeout of a resumable route (12 s there), while clients stated 20 s. What was older counted as "the service has had one version".

Now a node remembers the longest time that a client of such a stream has stated, up to 2 min, and the leader writes it to its statement, so that a node that starts knows it. Nothing changes while clients state no more than the route's timeout.

Ruled out: a longer fixed time, which keeps records for clients that don't exist and still has an end.

Test that failed before: StreamOrigins.StreamOfAPatientClientIsNotTakenForOneOfTheVersionThatIsLeft (it fails if the stated times are dropped). Open: a client with more time than any that the leader has seen.

--- a/src/forward/ExchangeOrigin.cpp
+++ b/src/forward/ExchangeOrigin.cpp
@@ -49,8 +49,10 @@
 
 void Exchange::recordStart(base::Instant now)
 {
-    if (isStream() && m_request.route->isResumable && !m_origin)
-        m_origins.recordSent(m_request.attempt, { m_request.service, m_attempt.placement->target.version }, now);
+    if (!isStream() || !m_request.route->isResumable || m_origin)
+        return;
+    m_origins.recordClientTime(m_request.clientTimeout);
+    m_origins.recordSent(m_request.attempt, { m_request.service, m_attempt.placement->target.version }, now);
 }
 
 bool Exchange::isUpstreamCurrent() const
--- a/src/origin/StreamOrigins.cpp
+++ b/src/origin/StreamOrigins.cpp
@@ -2,6 +2,7 @@
 
 #include "log/LogLine.h"
 
+#include <algorithm>
 #include <glog/logging.h>
 #include <mutex>
 
@@ -19,6 +20,13 @@
         m_records.recordSent({ attempt, origin }, now);
 }
 
+void StreamOrigins::recordClientTime(base::Duration time)
+{
+    auto bounded = std::min(time, maxClientTime);
+    auto longest = m_longestClientTime.load();
+    while (longest < bounded && !m_longestClientTime.compare_exchange_weak(longest, bounded)) { }
+}
+
 std::vector<base::SoftwareVersion> StreamOrigins::versionsOf(const base::ServiceName& service, base::Instant now)
 {
     return m_fleet.versionsSince(service, now - m_lifetime.load());
--- a/src/origin/StreamOrigins.h
+++ b/src/origin/StreamOrigins.h
@@ -29,6 +29,10 @@
 
     // Sets how long after its start a client may take a stream up.
     void setLifetime(base::Duration lifetime) { m_lifetime = lifetime; }
+    // Records how long a client that begins a stream will wait, which may be longer than its route's timeout.
+    void recordClientTime(base::Duration);
+    // Returns the longest such time, which is bounded.
+    base::Duration longestClientTime() const { return m_longestClientTime; }
     // Records that this node knows all versions that have served within the lifetime.
     void setHistoryKnown() { m_isHistoryKnown = true; }
 
@@ -70,6 +74,9 @@
     // stream is looked up as if there were several.
     static constexpr base::Duration listCheckTime = std::chrono::milliseconds(800);
 
+    // Bounds the records that clients can make a node keep.
+    static constexpr base::Duration maxClientTime = std::chrono::seconds(120);
+
     fleet::Fleet& m_fleet;
     ListCurrency m_listCurrency;
     base::Mutex m_statedMutex;
@@ -77,6 +84,7 @@
     RecordTable m_records;
     LookupTable m_lookups;
     std::atomic<base::Duration> m_lifetime { std::chrono::seconds(40) };
+    std::atomic<base::Duration> m_longestClientTime { base::Duration {} };
     std::atomic<bool> m_isHistoryKnown { false };
 };
 
--- a/src/origin/VersionStatement.h
+++ b/src/origin/VersionStatement.h
@@ -2,6 +2,7 @@
 
 #include "origin/WeightHistory.h"
 #include "redwingseam/base/Ids.h"
+#include "redwingseam/base/Instant.h"
 
 #include <cstdint>
 #include <map>
@@ -16,6 +17,8 @@
     uint64_t era = 0;
     // A service with several versions has a record of each stream. The empty version stands for others that are not known.
     std::map<base::ServiceName, WeightHistory> services;
+    // How long clients of streams have said that they will wait; zero if no leader has stated it.
+    base::Duration longestClientTime {};
 };
 
 } // namespace redwingseam::origin
--- a/src/sync/OriginsTask.h
+++ b/src/sync/OriginsTask.h
@@ -44,8 +44,8 @@
         auto index = m_manifest.state().index;
         if (!index || (now < m_retryAt && !isRestoredSinceLastCall()))
             return true;
-        m_lifetime = streamLifetime(index->manifest());
-        m_origins.setLifetime(m_lifetime);
+        m_routeLifetime = streamLifetime(index->manifest());
+        setLifetime();
         m_lastCallEra = m_era.current();
         auto error = synchronise(index->manifest(), now);
         recordResult(error, now);
@@ -70,9 +70,21 @@
             if (hasTakeUps(route))
                 longest = std::max(longest, route.timeout);
         }
-        return std::max(minLifetime, std::chrono::duration_cast<base::Duration>(longest * lifetimeMargin));
+        return std::max(minLifetime, withMargin(longest));
+    }
+
+    void setLifetime()
+    {
+        m_lifetime = std::max(m_routeLifetime, withMargin(clientTime()));
+        m_origins.setLifetime(m_lifetime);
     }
 
+    static base::Duration withMargin(base::Duration clientTime) { return std::chrono::duration_cast<base::Duration>(clientTime * lifetimeMargin); }
+
+    // Returns how long clients will wait for streams, as far as they have told this node or an earlier leader. They may wait
+    // for longer than the route's timeout, over several attempts.
+    base::Duration clientTime() const { return std::max(m_origins.longestClientTime(), m_statement.longestClientTime); }
+
     // Whoever learned of the restore has read the store, which answers again and lacks records.
     bool isRestoredSinceLastCall() const { return m_era.current() != m_lastCallEra; }
 
@@ -119,6 +131,7 @@
                 m_origins.records().learn(record, true, now);
         }
         m_statement = origins.statement;
+        setLifetime();
         for (auto& item : m_statement.services)
             item.second.removeOlderThan(oldestStatedTime());
         m_origins.setStated(reliableStatement(origins.era));
@@ -184,6 +197,10 @@
         auto statement = m_statement;
         statement.era = m_era.current().value_or(0);
         bool hasChanged = recordWeights(statement, manifest, now);
+        if (withMargin(clientTime()) > m_routeLifetime && clientTime() > statement.longestClientTime) {
+            statement.longestClientTime = clientTime();
+            hasChanged = true;
+        }
         if (statement.services.empty() || (!hasChanged && statement.era == m_statement.era))
             return {};
         auto revision = m_store.writeStatement(statement);
@@ -265,6 +282,8 @@
     // What this node writes, with the revision of its object in the store.
     origin::NodeRecords m_records;
     origin::VersionStatement m_statement;
+    // How long streams live by the timeouts of their routes, and by what clients have stated.
+    base::Duration m_routeLifetime {};
     base::Duration m_lifetime {};
     // The era in which this task last read the store, and the one in which its records and revisions hold.
     std::optional<uint64_t> m_knownEra;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -116,7 +116,7 @@
 TEST(PlatformCodec, FormattedOriginsAreParsedAndInvalidOnesSkipped)
 {
     origin::NodeRecords records { { "n" }, 7, { { { "a1" }, { { "s" }, { "v1" } } }, { { "a2" }, { { "s" }, { "v1" } } }, { { "a3" }, { { "s" }, { "v2" } } } } };
-    origin::VersionStatement statement { 8, 3, {} };
+    origin::VersionStatement statement { 8, 3, {}, std::chrono::seconds(60) };
     statement.services[{ "one" }].record({ { { { "v1" }, 4 } } }, 1000);
     statement.services[{ "several" }].record({ { { { "v1" }, 8 } } }, 1000);
     statement.services[{ "several" }].record({ { { { "v1" }, 0 }, { { "v2" }, 7 } } }, 2000);
@@ -125,7 +125,7 @@
     CHECK_TRUE(next.has_value() && next.value().empty());
     LONGS_EQUAL(1, read.nodes.size());
     CHECK_TRUE(read.nodes.front().node == records.node && read.nodes.front().revision == 7 && read.nodes.front().streams == records.streams);
-    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.services == statement.services);
+    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.longestClientTime == std::chrono::seconds(60) && read.statement.services == statement.services);
     CHECK_TRUE(platform::parseRevision(platform::formatRecords(records)).value() == 7);
     CHECK_FALSE(platform::parseRevision("{}").has_value());
     CHECK_FALSE(platform::parseOriginPage("[]", read).has_value());
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -397,6 +397,42 @@
     checkUnknown(node.resolve(""));
 }
 
+// Its client has more time than the route's timeout, and takes the stream up after the earlier version has left for longer
+// than streams of other clients live.
+TEST(StreamOrigins, StreamOfAPatientClientIsNotTakenForOneOfTheVersionThatIsLeft)
+{
+    OriginNode leader(store, "a");
+    leader.role.setLeader(true);
+    leader.list({ "v1" });
+    leader.run(seconds(1));
+    leader.origins.recordClientTime(seconds(60));
+    leader.send("s1", "v1");
+    leader.list({ "v1", "v2" });
+    leader.run(seconds(1));
+    leader.list({ "v2" });
+    leader.run(lifetime + seconds(1));
+    OriginNode node(store, "c", leader.clock.now());
+    node.list({ "v2" });
+    node.run(seconds(1));
+    checkKnown(node.resolveAtLast("s1"), "v1");
+    // A node that knows neither the client nor its stream.
+    checkUnknown(node.resolveAtLast(node.attemptAssignedTo("v2")));
+}
+
+// Clients may state any time.
+TEST(StreamOrigins, RecordsOfPatientClientsAreBounded)
+{
+    OriginNode node(store, "b");
+    node.list({ "v1", "v2" });
+    node.run(milliseconds(300));
+    node.origins.recordClientTime(std::chrono::hours(1000));
+    node.send("s1", "v1");
+    node.run(seconds(185));
+    node.send("s2", "v2");
+    node.run(milliseconds(300));
+    LONGS_EQUAL(1, store.content.nodes.front().streams.size());
+}
+
 // An attempt whose upstream sent nothing goes to another one, and the first event comes from there.
 TEST(StreamOrigins, LastUpstreamBeforeTheFirstEventCounts)
 {
