A stream that nobody knows is assigned by the numbers of the times without records

The streams had begun while no record could be written, so no node can have one. They were not assigned, since the numbers of upstreams had changed later.

Cause: an absent record was taken to say nothing of its time, so all numbers stated within the life of a stream had to agree.

Now each node's object in the store tells through which version of the list of upstreams its records are complete, and in which gaps they are not; a process that starts states the gap since the last write of the one before; nodes that are asked and don't know a stream say since which list they have kept all; and the statement tells between which versions of the list its numbers held. A stream that nobody knows is assigned if the numbers of all times in which it can have begun assign it clearly alike, allowing for the tenth by which numbers may differ from those stated. Where that isn't so it is refused as before. A leader that has lived through a restore states what it knows again, as the copy lacks it.

Ruled out: a statement by the leader of who could not write (it is killed too); clocks (up to 2 s off, more than the time from the kill to the release); a heartbeat of each node in the store (billed, and its last interval reaches up to now).

--- a/src/fleet/VersionWeights.cpp
+++ b/src/fleet/VersionWeights.cpp
@@ -18,8 +18,7 @@
     base::SoftwareVersion best;
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [version, count] : counts) {
-        auto uniform = (static_cast<double>(base::hashBytes(version.text, key)) + 1) / 0x1p64;
-        auto cost = -std::log(std::min(uniform, 1.0)) / count;
+        auto cost = costOf(version, key) / count;
         if (count && cost < lowest) {
             lowest = cost;
             best = version;
@@ -28,6 +27,23 @@
     return best;
 }
 
+base::SoftwareVersion VersionWeights::clearlyAssigned(const base::ClientAttemptId& attempt) const
+{
+    auto best = assigned(attempt);
+    auto key = base::hashBytes(attempt.text);
+    auto highestCost = costOf(best, key) / std::max(0.0, shareOf(best) - maxDifference);
+    bool isClear = counts.size() < 2 || std::all_of(counts.begin(), counts.end(), [&](const auto& item) {
+        return item.first == best || highestCost < costOf(item.first, key) / (shareOf(item.first) + maxDifference);
+    });
+    return isClear ? best : base::SoftwareVersion {};
+}
+
+double VersionWeights::costOf(const base::SoftwareVersion& version, uint64_t attemptHash)
+{
+    auto uniform = (static_cast<double>(base::hashBytes(version.text, attemptHash)) + 1) / 0x1p64;
+    return -std::log(std::min(uniform, 1.0));
+}
+
 double VersionWeights::shareOf(const base::SoftwareVersion& version) const
 {
     double total = 0;
--- a/src/fleet/VersionWeights.h
+++ b/src/fleet/VersionWeights.h
@@ -15,6 +15,8 @@
 
     // Returns the empty version if there are no upstreams.
     base::SoftwareVersion assigned(const base::ClientAttemptId&) const;
+    // Returns the version to which all similar weights assign the stream, or the empty version if they differ.
+    base::SoftwareVersion clearlyAssigned(const base::ClientAttemptId&) const;
     // Returns whether the shares of all versions are about the same in both, and so most assignments.
     bool isSimilar(const VersionWeights&) const;
 
@@ -22,6 +24,8 @@
 
 private:
     double shareOf(const base::SoftwareVersion&) const;
+    // The version with the lowest cost in proportion to its share gets the stream.
+    static double costOf(const base::SoftwareVersion&, uint64_t attemptHash);
 };
 
 } // namespace redwingseam::fleet
--- a/src/forward/ExchangeOrigin.cpp
+++ b/src/forward/ExchangeOrigin.cpp
@@ -12,7 +12,7 @@
 {
     if (m_origin || !isTakenUp())
         return std::nullopt;
-    auto resolution = m_origins.resolve({ m_request.resumedAttempt, m_request.service, m_request.arrivedAt }, now);
+    auto resolution = m_origins.resolve({ m_request.resumedAttempt, m_request.service, m_request.arrivedAt, deadline() - now }, now);
     m_isAwaitingOrigin = resolution.kind == origin::ResolutionKind::Pending;
     switch (resolution.kind) {
     case origin::ResolutionKind::Pending:
--- a/src/origin/Lookup.h
+++ b/src/origin/Lookup.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "origin/Disclaimer.h"
 #include "origin/OriginSource.h"
 #include "origin/StreamOrigin.h"
 #include "redwingseam/base/Instant.h"
 
 #include <optional>
+#include <vector>
 
 namespace redwingseam::origin {
 
@@ -16,13 +18,16 @@
     bool isMissingInStore = false;
     // Zero until the other nodes have been asked.
     base::Instant peersAskedAt {};
+    // The nodes that have been asked; nothing unless they are all that are known.
+    std::optional<std::vector<base::VmName>> askedNodes;
+    std::vector<Disclaimer> disclaimers;
     std::optional<StreamOrigin> answer;
     OriginSource source = OriginSource::Store;
 
     // Returns whether no further answer is to be expected.
     bool isExhausted(base::Instant now) const { return isMissingInStore && peersAskedAt != base::Instant {} && now - peersAskedAt >= peerReplyTime; }
 
-    // Several round trips between regions. Only nodes that know the stream reply.
+    // Several round trips between regions. A node that doesn't reply is gone, or of the release before and doesn't know the stream.
     static constexpr base::Duration peerReplyTime = std::chrono::milliseconds(300);
 };
 
--- a/src/origin/LookupTable.cpp
+++ b/src/origin/LookupTable.cpp
@@ -41,6 +41,24 @@
     answer(records, OriginSource::Peer);
 }
 
+void LookupTable::recordAsked(const std::vector<base::ClientAttemptId>& attempts, const std::vector<base::VmName>& nodes)
+{
+    std::lock_guard guard(m_mutex);
+    for (const auto& attempt : attempts) {
+        if (auto found = m_lookups.find(attempt); found != m_lookups.end())
+            found->second.askedNodes = nodes;
+    }
+}
+
+void LookupTable::recordDisclaimer(const std::vector<base::ClientAttemptId>& attempts, const Disclaimer& disclaimer)
+{
+    std::lock_guard guard(m_mutex);
+    for (const auto& attempt : attempts) {
+        if (auto found = m_lookups.find(attempt); found != m_lookups.end())
+            found->second.disclaimers.push_back(disclaimer);
+    }
+}
+
 void LookupTable::answer(const std::vector<StreamRecord>& records, OriginSource source)
 {
     for (const auto& record : records) {
--- a/src/origin/LookupTable.h
+++ b/src/origin/LookupTable.h
@@ -20,6 +20,10 @@
     // Applies a read of the store that began at `readBegan`.
     void answerFromStore(const std::vector<StreamRecord>&, base::Instant readBegan);
     void answerFromPeer(const std::vector<StreamRecord>&);
+    // Records that all nodes that are known are asked about the attempts.
+    void recordAsked(const std::vector<base::ClientAttemptId>&, const std::vector<base::VmName>& nodes);
+    // Records that a node doesn't know the attempts.
+    void recordDisclaimer(const std::vector<base::ClientAttemptId>&, const Disclaimer&);
     // Returns the attempts about which the other nodes are to be asked now, each once, and ends lookups that nobody uses.
     std::vector<base::ClientAttemptId> takeQuestions(base::Instant now);
 
--- a/src/origin/NodeRecords.h
+++ b/src/origin/NodeRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "origin/RecordCoverage.h"
 #include "origin/StreamRecord.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
     // Revision of the stored object; 0 if there is none.
     uint64_t revision = 0;
     std::vector<StreamRecord> streams;
+    RecordCoverage coverage;
 };
 
 } // namespace redwingseam::origin
--- a/src/origin/OriginSource.h
+++ b/src/origin/OriginSource.h
@@ -14,6 +14,9 @@
     OnlyVersion,
     // Records may be lost, and the numbers of upstreams before and now assign the stream to the same version.
     Assignment,
+    // Nobody has a record, and the numbers of upstreams in the times of which records may be missing assign the stream to the
+    // same version.
+    Absence,
     Peer,
     Store,
 };
@@ -27,6 +30,7 @@
         std::pair { OriginSource::Memory, std::string_view { "memory" } },
         std::pair { OriginSource::OnlyVersion, std::string_view { "only-version" } },
         std::pair { OriginSource::Assignment, std::string_view { "assignment" } },
+        std::pair { OriginSource::Absence, std::string_view { "absence" } },
         std::pair { OriginSource::Peer, std::string_view { "peer" } },
         std::pair { OriginSource::Store, std::string_view { "store" } },
     };
--- a/src/origin/RecordTable.h
+++ b/src/origin/RecordTable.h
@@ -20,9 +20,9 @@
     void learn(const StreamRecord&, bool isOwn, base::Instant now);
     std::optional<StreamOrigin> find(const base::ClientAttemptId&);
     // Returns this node's own streams of the services for which `isIncluded` returns true, and nothing if all of them are
-    // written. Removes streams that began before `oldest`.
+    // written, unless `wantsAll`. Removes streams that began before `oldest`.
     template<typename Predicate>
-    std::vector<StreamRecord> takeUnwritten(base::Instant oldest, Predicate&& isIncluded)
+    std::vector<StreamRecord> takeUnwritten(base::Instant oldest, bool wantsAll, Predicate&& isIncluded)
     {
         std::vector<StreamRecord> records;
         bool hasUnwritten = false;
@@ -35,7 +35,7 @@
                 records.push_back({ attempt, entry.origin });
             }
         });
-        return hasUnwritten ? records : std::vector<StreamRecord> {};
+        return hasUnwritten || wantsAll ? records : std::vector<StreamRecord> {};
     }
     // Records that the store has acknowledged the records. One that has changed since stays unwritten.
     void markWritten(const std::vector<StreamRecord>&);
--- a/src/origin/StreamOrigins.cpp
+++ b/src/origin/StreamOrigins.cpp
@@ -85,7 +85,7 @@
     bool isLate = now - lookup.beganAt >= maxWait;
     if (!lookup.isExhausted(now) && !isLate)
         return { ResolutionKind::Pending };
-    auto inferred = only ? only : inferUnanswered(takeUp, now);
+    auto inferred = only ? only : inferUnanswered(takeUp, lookup, now);
     if (inferred && isListCurrent)
         return conclude(takeUp, inferred->origin, inferred->source, now);
     if (!inferred || isLate)
@@ -94,7 +94,7 @@
     return { ResolutionKind::Pending };
 }
 
-std::optional<InferredOrigin> StreamOrigins::inferUnanswered(const TakeUp& takeUp, base::Instant now)
+std::optional<InferredOrigin> StreamOrigins::inferUnanswered(const TakeUp& takeUp, const Lookup& lookup, base::Instant now)
 {
     WeightHistory stated;
     {
@@ -105,9 +105,24 @@
     auto assigned = m_fleet.assignedVersion(takeUp.service, takeUp.attempt);
     if (!assigned.empty() && assigned == stated.assigned(takeUp.attempt))
         return InferredOrigin { { takeUp.service, assigned }, OriginSource::Assignment };
+    if (auto inferred = inferFromAbsence(takeUp, lookup, now))
+        return inferred;
     return onlyListedVersion(takeUp.service, now);
 }
 
+std::optional<InferredOrigin> StreamOrigins::inferFromAbsence(const TakeUp& takeUp, const Lookup& lookup, base::Instant now)
+{
+    auto oldest = m_unrecordedTimes.timeOfDay(now - (m_lifetime.load() - takeUp.timeLeft));
+    auto gaps = m_unrecordedTimes.gapsOf(lookup, oldest);
+    if (!gaps)
+        return std::nullopt;
+    auto present = m_fleet.versionWeights(takeUp.service);
+    std::lock_guard guard(m_statedMutex);
+    auto found = m_statedInEra.find(takeUp.service);
+    auto assigned = found == m_statedInEra.end() ? base::SoftwareVersion {} : found->second.assignedWithin(*gaps, oldest, present, takeUp.attempt);
+    return assigned.empty() ? std::nullopt : std::optional(InferredOrigin { { takeUp.service, assigned }, OriginSource::Absence });
+}
+
 void StreamOrigins::setStated(const std::map<base::ServiceName, WeightHistory>& stated)
 {
     std::lock_guard guard(m_statedMutex);
@@ -131,15 +146,22 @@
     return { ResolutionKind::Unknown };
 }
 
-std::vector<StreamRecord> StreamOrigins::takeUnwritten(base::Instant now)
+void StreamOrigins::setStatedInEra(const std::map<base::ServiceName, WeightHistory>& stated)
+{
+    std::lock_guard guard(m_statedMutex);
+    m_statedInEra = stated;
+}
+
+std::vector<StreamRecord> StreamOrigins::takeUnwritten(base::Instant now, bool wantsAll)
 {
     std::map<base::ServiceName, bool> hasSeveral;
-    return m_records.takeUnwritten(now - m_lifetime.load(), [&](const base::ServiceName& service) {
+    auto isRecorded = [&](const base::ServiceName& service) {
         auto [item, isNew] = hasSeveral.try_emplace(service, false);
         if (isNew)
             item->second = versionsOf(service, now).size() > 1;
         return item->second;
-    });
+    };
+    return m_records.takeUnwritten(now - m_lifetime.load(), wantsAll, isRecorded);
 }
 
 std::vector<StreamRecord> StreamOrigins::find(const std::vector<base::ClientAttemptId>& attempts)
--- a/src/origin/StreamOrigins.h
+++ b/src/origin/StreamOrigins.h
@@ -7,6 +7,7 @@
 #include "origin/RecordTable.h"
 #include "origin/Resolution.h"
 #include "origin/TakeUp.h"
+#include "origin/UnrecordedTimes.h"
 #include "origin/WeightHistory.h"
 
 #include <atomic>
@@ -47,10 +48,13 @@
     RecordTable& records() { return m_records; }
     LookupTable& lookups() { return m_lookups; }
     ListCurrency& listCurrency() { return m_listCurrency; }
+    UnrecordedTimes& unrecordedTimes() { return m_unrecordedTimes; }
     // Sets what the store says of the numbers of upstreams, by which earlier nodes have assigned streams to versions.
     void setStated(const std::map<base::ServiceName, WeightHistory>&);
-    // Returns the streams to record in the store, or nothing if there is no news.
-    std::vector<StreamRecord> takeUnwritten(base::Instant now);
+    // Sets what a leader has stated in this era of the store, also if the present numbers are not settled.
+    void setStatedInEra(const std::map<base::ServiceName, WeightHistory>&);
+    // Returns the streams to record in the store, or nothing if there is no news and all of them are not wanted.
+    std::vector<StreamRecord> takeUnwritten(base::Instant now, bool wantsAll = false);
     // Returns what this node knows of the attempts.
     std::vector<StreamRecord> find(const std::vector<base::ClientAttemptId>&);
 
@@ -64,7 +68,10 @@
     Resolution lookUp(const TakeUp&, const std::optional<InferredOrigin>& onlyVersion, bool isListCurrent, base::Instant now);
     // Returns the answer if nobody knows the stream: the version to which the upstreams before and now assign it, if that is
     // the same one.
-    std::optional<InferredOrigin> inferUnanswered(const TakeUp&, base::Instant now);
+    std::optional<InferredOrigin> inferUnanswered(const TakeUp&, const Lookup&, base::Instant now);
+    // Returns the version to which the numbers of upstreams assigned the stream at all times in which it can have begun without a
+    // record.
+    std::optional<InferredOrigin> inferFromAbsence(const TakeUp&, const Lookup&, base::Instant now);
     Resolution conclude(const TakeUp&, const StreamOrigin&, OriginSource, base::Instant now);
     Resolution concludeUnknown(const TakeUp&, base::Instant now);
 
@@ -81,6 +88,8 @@
     ListCurrency m_listCurrency;
     base::Mutex m_statedMutex;
     std::map<base::ServiceName, WeightHistory> m_stated;
+    std::map<base::ServiceName, WeightHistory> m_statedInEra;
+    UnrecordedTimes m_unrecordedTimes;
     RecordTable m_records;
     LookupTable m_lookups;
     std::atomic<base::Duration> m_lifetime { std::chrono::seconds(40) };
--- a/src/origin/TakeUp.h
+++ b/src/origin/TakeUp.h
@@ -13,6 +13,8 @@
     base::ServiceName service;
     // The stream began earlier.
     base::Instant arrivedAt {};
+    // The time that the client has left. It had no more than its whole time when the stream began.
+    base::Duration timeLeft {};
 };
 
 } // namespace redwingseam::origin
--- a/src/origin/VersionStatement.h
+++ b/src/origin/VersionStatement.h
@@ -19,6 +19,8 @@
     std::map<base::ServiceName, WeightHistory> services;
     // How long clients of streams have said that they will wait; zero if no leader has stated it.
     base::Duration longestClientTime {};
+
+    bool operator==(const VersionStatement&) const = default;
 };
 
 } // namespace redwingseam::origin
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -138,12 +138,17 @@
     return Json::array({ static_cast<int>(MessageKind::FailureNotice), format(notice.from), std::move(list), format(notice.crashes, now), format(notice.parts, now), format(notice.clearances, now), format(notice.trials, now), formatList(notice.leaving) });
 }
 
+static Json formatAttempts(const std::vector<base::ClientAttemptId>& attempts)
+{
+    auto list = Json::array();
+    for (const auto& attempt : attempts)
+        list.push_back(Json::array({ attempt.text }));
+    return list;
+}
+
 static Json format(const OriginQuery& query, base::Instant)
 {
-    auto attempts = Json::array();
-    for (const auto& attempt : query.attempts)
-        attempts.push_back(Json::array({ attempt.text }));
-    return Json::array({ static_cast<int>(MessageKind::OriginQuery), format(query.from), std::move(attempts), query.listCheck });
+    return Json::array({ static_cast<int>(MessageKind::OriginQuery), format(query.from), formatAttempts(query.attempts), query.listCheck });
 }
 
 static Json format(const OriginReply& reply, base::Instant)
@@ -151,7 +156,7 @@
     auto streams = Json::array();
     for (const auto& record : reply.streams)
         streams.push_back(Json::array({ record.attempt.text, record.origin.service.text, record.origin.version.text }));
-    return Json::array({ static_cast<int>(MessageKind::OriginReply), format(reply.from), std::move(streams), reply.listCheck, reply.listVersion.era, reply.listVersion.revision, reply.isReader });
+    return Json::array({ static_cast<int>(MessageKind::OriginReply), format(reply.from), std::move(streams), reply.listCheck, reply.listVersion.era, reply.listVersion.revision, reply.isReader, formatAttempts(reply.unknown), reply.keptSince.era, reply.keptSince.revision });
 }
 
 std::string formatMessage(const Message& message, base::Instant now)
@@ -423,6 +428,11 @@
         reply.listVersion.revision = reader.number();
         reply.isReader = reader.flag();
     }
+    if (reader.hasMore()) {
+        reader.forEach([&](FieldReader& item) { reply.unknown.push_back({ item.text() }); });
+        reply.keptSince.era = reader.number();
+        reply.keptSince.revision = reader.number();
+    }
     return reply;
 }
 
--- a/src/replication/OriginQuery.h
+++ b/src/replication/OriginQuery.h
@@ -7,7 +7,7 @@
 namespace redwingseam::replication {
 
 // Asks the other nodes where streams began, by the client attempts that began them, or how new their lists of upstreams are.
-// To a query without a list check only nodes that know a stream reply.
+// A node that doesn't know a stream replies only if it knows all that it began since its earlier process ended.
 struct OriginQuery {
     sync::NodeRecord from;
     std::vector<base::ClientAttemptId> attempts;
--- a/src/replication/OriginReply.h
+++ b/src/replication/OriginReply.h
@@ -18,6 +18,9 @@
     sync::StoreVersion listVersion;
     // Whether the sender reads the store for the others, and has done so since it took this over.
     bool isReader = false;
+    // The attempts that the sender doesn't know, and the version of the list since which it knows all that it began.
+    std::vector<base::ClientAttemptId> unknown {};
+    sync::StoreVersion keptSince {};
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/PeerSyncOriginsImpl.h
+++ b/src/replication/PeerSyncOriginsImpl.h
@@ -5,7 +5,9 @@
 #include "log/LogLine.h"
 #include "replication/PeerSync.h"
 
+#include <algorithm>
 #include <glog/logging.h>
+#include <iterator>
 #include <utility>
 
 namespace redwingseam::replication {
@@ -15,10 +17,19 @@
 void PeerSync<Parser>::askForOrigins(OutgoingMessages& outgoing, base::Instant now)
 {
     auto attempts = m_origins.lookups().takeQuestions(now);
+    auto nodes = m_directory.nodes();
+    if (m_hasNodeList && !attempts.empty()) {
+        std::vector<base::VmName> names;
+        for (const auto& node : nodes) {
+            if (node.name != m_directory.self().name)
+                names.push_back(node.name);
+        }
+        m_origins.lookups().recordAsked(attempts, names);
+    }
     for (size_t begin = 0; begin < attempts.size(); begin += maxAttemptsPerQuery) {
         auto end = std::min(attempts.size(), begin + maxAttemptsPerQuery);
         OriginQuery query { m_directory.self(), { attempts.begin() + static_cast<ptrdiff_t>(begin), attempts.begin() + static_cast<ptrdiff_t>(end) } };
-        for (const auto& node : m_directory.nodes()) {
+        for (const auto& node : nodes) {
             if (node.name != m_directory.self().name)
                 outgoing.push_back({ node.peerAddress, query });
         }
@@ -32,9 +43,17 @@
     auto found = m_origins.find(query.attempts);
     auto snapshot = m_upstreamCache.snapshot();
     bool isChecked = query.listCheck && snapshot;
-    if (found.empty() && !isChecked)
+    auto keptSince = m_origins.unrecordedTimes().keptSince();
+    bool disclaims = keptSince && found.size() < query.attempts.size();
+    if (found.empty() && !isChecked && !disclaims)
         return {};
     OriginReply reply { m_directory.self(), std::move(found) };
+    if (disclaims) {
+        reply.keptSince = *keptSince;
+        std::copy_if(query.attempts.begin(), query.attempts.end(), std::back_inserter(reply.unknown), [&](const auto& attempt) {
+            return std::none_of(reply.streams.begin(), reply.streams.end(), [&](const auto& record) { return record.attempt == attempt; });
+        });
+    }
     if (isChecked) {
         reply.listCheck = query.listCheck;
         reply.listVersion = snapshot->list->version;
@@ -48,6 +67,7 @@
 {
     m_directory.recordMessageFrom(reply.from, now);
     m_origins.lookups().answerFromPeer(reply.streams);
+    m_origins.lookups().recordDisclaimer(reply.unknown, { reply.from.name, reply.keptSince });
     if (reply.listCheck) {
         m_listCheck.recordReply(reply);
         concludeListCheck(now);
--- a/src/sync/OriginsTask.h
+++ b/src/sync/OriginsTask.h
@@ -8,13 +8,16 @@
 #include "redwingseam/base/BootClock.h"
 #include "sync/NodeRole.h"
 #include "sync/OriginStore.h"
+#include "sync/ResumableServices.h"
+#include "sync/StatedVersions.h"
 #include "sync/StoreEra.h"
+#include "sync/UpstreamListCache.h"
 
 #include <algorithm>
 #include <glog/logging.h>
-#include <map>
 #include <optional>
-#include <set>
+#include <utility>
+#include <vector>
 
 namespace redwingseam::sync {
 
@@ -24,16 +27,18 @@
 template<OriginStore Client, typename Clock = base::BootClock, typename WallClock = base::WallClock>
 class OriginsTask {
 public:
-    OriginsTask(Client& client, const manifest::ManifestHolder& manifest, fleet::Fleet& fleet, origin::StreamOrigins& origins, const NodeRole& role, StoreEra& era, base::VmName self, Clock clock = {}, WallClock wallClock = {})
+    OriginsTask(Client& client, const manifest::ManifestHolder& manifest, fleet::Fleet& fleet, origin::StreamOrigins& origins, const UpstreamListCache& upstreamCache, const NodeRole& role, StoreEra& era, base::VmName self, Clock clock = {}, WallClock wallClock = {})
         : m_store(client)
         , m_manifest(manifest)
         , m_fleet(fleet)
         , m_origins(origins)
+        , m_upstreamCache(upstreamCache)
         , m_role(role)
         , m_era(era)
         , m_clock(std::move(clock))
         , m_wallClock(std::move(wallClock))
         , m_records { std::move(self) }
+        , m_stated(fleet, origins)
     {
     }
 
@@ -41,6 +46,7 @@
     bool poll()
     {
         auto now = m_clock.now();
+        observeList(now);
         auto index = m_manifest.state().index;
         if (!index || (now < m_retryAt && !isRestoredSinceLastCall()))
             return true;
@@ -61,8 +67,6 @@
     // A list that is older than this, as after a pause of the process, is no basis for a statement.
     static constexpr base::Duration maxListAge = std::chrono::seconds(2);
 
-    static bool hasTakeUps(const manifest::Route& route) { return route.kind == manifest::RouteKind::Stream && route.isResumable; }
-
     static base::Duration streamLifetime(const manifest::Manifest& manifest)
     {
         base::Duration longest {};
@@ -83,7 +87,17 @@
 
     // Returns how long clients will wait for streams, as far as they have told this node or an earlier leader. They may wait
     // for longer than the route's timeout, over several attempts.
-    base::Duration clientTime() const { return std::max(m_origins.longestClientTime(), m_statement.longestClientTime); }
+    base::Duration clientTime() const { return std::max(m_origins.longestClientTime(), m_stated.statement().longestClientTime); }
+
+    // The fleet receives a list a moment after the cache, so only the version of the poll before is surely in force.
+    void observeList(base::Instant now)
+    {
+        if (m_startedAt == base::Instant {})
+            m_startedAt = now;
+        m_earlierList = m_observedList;
+        if (auto snapshot = m_upstreamCache.snapshot())
+            m_observedList = snapshot->list->version;
+    }
 
     // Whoever learned of the restore has read the store, which answers again and lacks records.
     bool isRestoredSinceLastCall() const { return m_era.current() != m_lastCallEra; }
@@ -96,9 +110,12 @@
             if (auto error = read(now); error.code != base::ResultCode::Ok)
                 return error;
         }
-        if (auto error = writeRecords(now); error.code != base::ResultCode::Ok)
+        if (auto error = writeRecords(manifest, now); error.code != base::ResultCode::Ok)
             return error;
-        return m_role.isLeader() ? writeStatement(manifest, now) : base::Error {};
+        if (m_role.isLeader())
+            return writeStatement(manifest, now);
+        m_stated.loseTrack();
+        return {};
     }
 
     // The store may have lost what it acknowledged, and other nodes' writes.
@@ -106,6 +123,7 @@
     {
         m_usedEra = m_era.current();
         m_mustRead = true;
+        m_mustWriteCoverage = true;
         m_origins.records().markAllUnwritten();
     }
 
@@ -126,17 +144,19 @@
             m_records.revision = node.revision;
             if (m_knownEra)
                 continue;
+            m_records.coverage = node.coverage;
             // Records of an earlier process of this node, which this one's writes would replace.
             for (const auto& record : node.streams)
                 m_origins.records().learn(record, true, now);
         }
-        m_statement = origins.statement;
+        if (!m_knownEra)
+            m_records.coverage.beginGap();
+        m_stated.learn(origins, m_role.isLeader());
         setLifetime();
-        for (auto& item : m_statement.services)
-            item.second.removeOlderThan(oldestStatedTime());
-        m_origins.setStated(reliableStatement(origins.era));
+        m_stated.publish(origins.era, oldestStatedTime(), m_wallClock.now());
+        m_origins.unrecordedTimes().setStored(origins.nodes, now, m_wallClock.now());
         if (m_knownEra != origins.era)
-            applyStatement(origins.era, now);
+            m_stated.applyVersions(origins.era, now);
         m_knownEra = origins.era;
         m_usedEra = m_era.current();
         m_mustRead = false;
@@ -145,47 +165,61 @@
         return {};
     }
 
-    // Versions that have left, or that a restored store no longer tells of, may have begun streams that are taken up now.
-    void applyStatement(uint64_t era, base::Instant now)
+    // Another leader, or an earlier call of which no response came, was first. The next poll reads the object.
+    static base::Error errorUnlessConflict(const base::Error& error) { return error.code == base::ResultCode::PlatformConflict ? base::Error {} : error; }
+
+    // The earlier process of this node had no list newer than one that was read from the store after this process started.
+    void endGaps()
     {
-        for (const auto& [service, stated] : m_statement.services) {
-            for (const auto& version : stated.versions())
-                m_fleet.recordVersion(service, version, now);
-            auto listed = m_fleet.versionsSince(service, now);
-            bool isDoubtful = m_statement.era != era && listed.size() != 1;
-            if (isDoubtful)
-                m_fleet.recordVersion(service, {}, now);
+        if (!m_knownEra || m_fleet.listedAt() < m_startedAt)
+            return;
+        if (m_records.coverage.endGaps(m_observedList, m_wallClock.now())) {
+            m_mustWriteCoverage = true;
+            m_origins.unrecordedTimes().setKeptSince(m_records.node, m_observedList);
         }
+        m_records.coverage.removeOlderThan(oldestStatedTime());
     }
 
-    // Another leader, or an earlier call of which no response came, was first. The next poll reads the object.
-    static base::Error errorUnlessConflict(const base::Error& error) { return error.code == base::ResultCode::PlatformConflict ? base::Error {} : error; }
+    // A list that has not been confirmed for a while may be that of before a pause of the process.
+    bool hasSeveralVersions(const manifest::Manifest& manifest, base::Instant now) const
+    {
+        auto services = servicesWithTakeUps(manifest);
+        bool isFresh = now - m_fleet.listedAt() <= maxListAge;
+        return isFresh && std::any_of(services.begin(), services.end(), [&](const auto& service) { return m_origins.versionsOf(service, now).size() > 1; });
+    }
 
-    // Returns what may be relied on to assign streams. What was stated before a restore may lack versions, and so may the list
-    // for a while after.
-    std::map<base::ServiceName, origin::WeightHistory> reliableStatement(uint64_t era) const
+    std::vector<fleet::VersionWeights> weightsOf(const manifest::Manifest& manifest) const
     {
-        std::map<base::ServiceName, origin::WeightHistory> reliable;
-        if (m_statement.era != era)
-            return reliable;
-        for (const auto& [service, history] : m_statement.services) {
-            if (history.isSettled(m_wallClock.now()))
-                reliable.emplace(service, history);
-        }
-        return reliable;
+        std::vector<fleet::VersionWeights> weights;
+        for (const auto& service : servicesWithTakeUps(manifest))
+            weights.push_back(m_fleet.versionWeights(service));
+        return weights;
+    }
+
+    static bool areSimilar(const std::vector<fleet::VersionWeights>& some, const std::vector<fleet::VersionWeights>& others)
+    {
+        return std::equal(some.begin(), some.end(), others.begin(), others.end(), [](const auto& one, const auto& other) { return one.isSimilar(other); });
     }
 
-    base::Error writeRecords(base::Instant now)
+    // A gap that begins here is not to reach back to other numbers than those of its time, also if this node begins no stream for long.
+    base::Error writeRecords(const manifest::Manifest& manifest, base::Instant now)
     {
-        m_records.streams = m_origins.takeUnwritten(now);
-        if (m_records.streams.empty())
+        endGaps();
+        auto earlierWeights = std::exchange(m_weights, weightsOf(manifest));
+        bool isNew = m_mustWriteCoverage || !areSimilar(m_weights, m_writtenWeights);
+        bool mustWriteCoverage = isNew && hasSeveralVersions(manifest, now);
+        m_records.streams = m_origins.takeUnwritten(now, mustWriteCoverage);
+        if (m_records.streams.empty() && !mustWriteCoverage)
             return {};
+        m_records.coverage.writtenThrough = m_earlierList;
         auto revision = m_store.writeRecords(m_records);
         // The outcome of a failed call is not known, and neither is the revision.
         m_mustRead = !revision;
         if (!revision)
             return errorUnlessConflict(revision.error());
         m_records.revision = revision.value();
+        m_mustWriteCoverage = false;
+        m_writtenWeights = std::move(earlierWeights);
         m_origins.records().markWritten(m_records.streams);
         return {};
     }
@@ -194,72 +228,27 @@
     {
         if (now - m_fleet.listedAt() > maxListAge)
             return {};
-        auto statement = m_statement;
-        statement.era = m_era.current().value_or(0);
-        bool hasChanged = recordWeights(statement, manifest, now);
-        if (withMargin(clientTime()) > m_routeLifetime && clientTime() > statement.longestClientTime) {
+        auto statement = m_stated.next({ m_era.current().value_or(0), m_observedList, oldestStatedTime(), now, m_wallClock.now() }, servicesWithTakeUps(manifest));
+        bool isTimeNew = withMargin(clientTime()) > m_routeLifetime && clientTime() > m_stated.statement().longestClientTime;
+        if (isTimeNew)
             statement.longestClientTime = clientTime();
-            hasChanged = true;
-        }
-        if (statement.services.empty() || (!hasChanged && statement.era == m_statement.era))
+        bool isNew = isTimeNew || statement != m_stated.statement();
+        if (!isNew || statement.services.empty()) {
+            m_stated.confirm(m_earlierList);
             return {};
+        }
         auto revision = m_store.writeStatement(statement);
         m_mustRead = !revision;
         if (!revision)
             return errorUnlessConflict(revision.error());
         statement.revision = revision.value();
-        m_statement = std::move(statement);
-        logStatement();
+        m_stated.replace(std::move(statement), m_earlierList);
         return {};
     }
 
-    // Returns whether the numbers of upstreams, or the versions at which streams may have begun, are other than those stated.
-    bool recordWeights(origin::VersionStatement& statement, const manifest::Manifest& manifest, base::Instant now)
-    {
-        auto services = servicesWithTakeUps(manifest);
-        bool hasChanged = std::erase_if(statement.services, [&](const auto& item) { return !services.contains(item.first); }) > 0;
-        for (const auto& service : services) {
-            auto versions = m_origins.versionsOf(service, now);
-            bool hasUnknown = std::find(versions.begin(), versions.end(), base::SoftwareVersion {}) != versions.end();
-            // Upstreams that a node of an earlier release listed have no version.
-            if (versions.empty() || (hasUnknown && versions.size() == 1))
-                continue;
-            auto weights = m_fleet.versionWeights(service);
-            if (hasUnknown)
-                weights.counts.try_emplace({}, 0);
-            auto& history = statement.services[service];
-            if (statement.era == m_statement.era)
-                hasChanged = history.record(weights, m_wallClock.now()) || hasChanged;
-            else
-                history.restart(weights, m_wallClock.now());
-            hasChanged = history.removeOlderThan(oldestStatedTime()) || hasChanged;
-        }
-        return hasChanged;
-    }
-
-    static std::set<base::ServiceName> servicesWithTakeUps(const manifest::Manifest& manifest)
-    {
-        std::set<base::ServiceName> services;
-        for (const auto& route : manifest.routes) {
-            for (const auto& weighted : route.services) {
-                if (hasTakeUps(route))
-                    services.insert(weighted.service);
-            }
-        }
-        return services;
-    }
-
     // Streams that began before, by the clocks of the nodes, are not taken up any more.
     uint64_t oldestStatedTime() const { return m_wallClock.now() - static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_lifetime).count()); }
 
-    void logStatement() const
-    {
-        for (const auto& [service, stated] : m_statement.services) {
-            for (const auto& [version, count] : stated.entries.back().weights.counts)
-                LOG(INFO) << log::LogLine("stream_version_stated").with("service", service.text).with("version", version.text).with("upstreams", count).with("entries", stated.entries.size()).text();
-        }
-    }
-
     void recordResult(const base::Error& error, base::Instant now)
     {
         bool isFailed = error.code != base::ResultCode::Ok;
@@ -275,16 +264,25 @@
     const manifest::ManifestHolder& m_manifest;
     fleet::Fleet& m_fleet;
     origin::StreamOrigins& m_origins;
+    const UpstreamListCache& m_upstreamCache;
     const NodeRole& m_role;
     StoreEra& m_era;
     Clock m_clock;
     WallClock m_wallClock;
     // What this node writes, with the revision of its object in the store.
     origin::NodeRecords m_records;
-    origin::VersionStatement m_statement;
+    StatedVersions m_stated;
     // How long streams live by the timeouts of their routes, and by what clients have stated.
     base::Duration m_routeLifetime {};
     base::Duration m_lifetime {};
+    base::Instant m_startedAt {};
+    // The versions of the list of upstreams at the last poll and at the one before.
+    StoreVersion m_observedList;
+    StoreVersion m_earlierList;
+    bool m_mustWriteCoverage = true;
+    // The numbers of upstreams by service, at the last poll and at a list through which the written records are complete.
+    std::vector<fleet::VersionWeights> m_weights;
+    std::vector<fleet::VersionWeights> m_writtenWeights;
     // The era in which this task last read the store, and the one in which its records and revisions hold.
     std::optional<uint64_t> m_knownEra;
     std::optional<uint64_t> m_usedEra;
--- a/tests/PeerMessageTest.cpp
+++ b/tests/PeerMessageTest.cpp
@@ -168,6 +168,27 @@
     }
 }
 
+TEST(PeerMessage, WordThatAStreamIsNotKnownSurvivesTheCodecAndMayBeMissing)
+{
+    base::Instant now(std::chrono::seconds(100));
+    sync::NodeRecord from { { "n" }, { "dc" }, "127.0.0.1:1" };
+    auto bytes = replication::formatMessage(replication::OriginReply { from, {}, 0, {}, false, { { "a1" }, { "a2" } }, { 2, 30 } }, now);
+    auto read = replication::parseMessage(bytes, now);
+    CHECK_TRUE(read.has_value());
+    LONGS_EQUAL(2, std::get<replication::OriginReply>(*read).unknown.size());
+    CHECK_TRUE((std::get<replication::OriginReply>(*read).keptSince == sync::StoreVersion { 2, 30 }));
+    // Messages of the release before end with the check of the list.
+    static constexpr size_t fieldsBefore = 7;
+    auto older = nlohmann::json::from_cbor(bytes);
+    while (older.size() > fieldsBefore)
+        older.erase(older.size() - 1);
+    std::string olderBytes;
+    nlohmann::json::to_cbor(older, olderBytes);
+    read = replication::parseMessage(olderBytes, now);
+    CHECK_TRUE(read.has_value());
+    CHECK_TRUE(std::get<replication::OriginReply>(*read).unknown.empty());
+}
+
 // A node of the release before lists upstreams without their software version.
 TEST(PeerMessage, SoftwareVersionOfAnUpstreamSurvivesTheCodecAndMayBeMissing)
 {
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -131,6 +131,25 @@
     CHECK_FALSE(platform::parseOriginPage("[]", read).has_value());
 }
 
+TEST(PlatformCodec, TimesWithoutRecordsAreParsedAndUnknownIfTheyAreMissing)
+{
+    origin::NodeRecords records { { "n" }, 7, {}, { { 2, 30 }, { { { 1, 10 }, { 2, 20 }, 1000 }, { { 2, 25 } } } } };
+    origin::VersionStatement statement { 8, 3, {} };
+    statement.services[{ "s" }].record({ { { { "v1" }, 8 } } }, 1000, { {}, { 1, 10 } });
+    statement.services[{ "s" }].record({ { { { "v2" }, 8 } } }, 2000, { sync::StoreVersion { 1, 19 }, { 1, 20 } });
+    origin::StoredOrigins read;
+    CHECK_TRUE(platform::parseOriginPage(originPage(platform::formatRecords(records) + ',' + platform::formatStatement(statement)), read).has_value());
+    CHECK_TRUE(read.nodes.front().coverage == records.coverage);
+    CHECK_TRUE(read.statement.services == statement.services);
+    LONGS_EQUAL(19, read.statement.services.at({ "s" }).entries.back().from.revision);
+    LONGS_EQUAL(20, read.statement.services.at({ "s" }).entries.front().until.revision);
+    // A gap that cannot be read is unbounded.
+    origin::StoredOrigins older;
+    CHECK_TRUE(platform::parseOriginPage(originPage(R"({"metadata":{"name":"node.x","revision":4},"spec":{"streams":{}}},{"metadata":{"name":"node.y","revision":4},"spec":{"coverage":{"through":[1,9],"gaps":[7]}}})"), older).has_value());
+    CHECK_TRUE(older.nodes.front().coverage == origin::RecordCoverage {});
+    CHECK_TRUE(older.nodes.back().coverage.gaps.front() == origin::RecordGap {});
+}
+
 // One that cannot be read must not look like a service with one version.
 TEST(PlatformCodec, StatementThatCannotBeReadStandsForSeveralVersions)
 {
--- a/tests/fakes/OriginNode.h
+++ b/tests/fakes/OriginNode.h
@@ -23,8 +23,9 @@
     static constexpr base::Duration pollInterval = std::chrono::milliseconds(100);
 
     OriginNode(FakeOriginStore& store, const std::string& name, base::Instant startedAt = base::Instant(std::chrono::seconds(1000)))
-        : origins(fleet)
-        , task(store, manifest, fleet, origins, role, era, { name }, Clock { &clock }, WallClock { &clock })
+        : name { name }
+        , origins(fleet)
+        , task(store, manifest, fleet, origins, upstreamCache, role, era, { name }, Clock { &clock }, WallClock { &clock })
     {
         clock.moveTo(startedAt);
         manifest.update(FleetFixture::makeManifest(), {}, clock.now());
@@ -37,7 +38,7 @@
         listed.clear();
         for (const auto& version : versions)
             listed.push_back({ { "e-" + version }, { "engines" }, "127.0.0.1:" + std::to_string(8000 + listed.size()), { "dc-a" }, 1, 6, false, { version } });
-        fleet.update(listed, clock.now(), {});
+        receiveList();
     }
 
     void send(const std::string& attempt, const std::string& version) { origins.recordSent({ attempt }, { { "engines" }, { version } }, clock.now()); }
@@ -47,7 +48,7 @@
     {
         for (auto end = clock.now() + duration; clock.now() < end; clock.moveTo(clock.now() + pollInterval)) {
             if (!isOutOfStep)
-                fleet.update(listed, clock.now(), {});
+                receiveList();
             task.poll();
         }
     }
@@ -84,12 +85,43 @@
         return resolveAtLast(attempt, [](const auto&) {});
     }
 
+    // The store's revision follows the time.
+    void receiveList()
+    {
+        sync::StoreVersion version { era.current().value_or(1), WallClock { &clock }.now() };
+        upstreamCache.update({ std::make_shared<const sync::UpstreamList>(sync::UpstreamList { version, listed }), clock.now(), {} });
+        fleet.update(listed, clock.now(), {});
+    }
+
+    // The same with the others asked. Those that are gone are known, but don't reply.
+    origin::Resolution resolveWith(const std::string& attempt, const std::vector<OriginNode*>& others, const std::vector<base::VmName>& gone = {})
+    {
+        return resolveAtLast(attempt, [&](const std::vector<base::ClientAttemptId>& questions) {
+            auto asked = gone;
+            for (auto* other : others)
+                asked.push_back(other->name);
+            origins.lookups().recordAsked(questions, asked);
+            for (auto* other : others)
+                ask(*other, questions);
+        });
+    }
+    void ask(OriginNode& other, const std::vector<base::ClientAttemptId>& questions)
+    {
+        auto found = other.origins.find(questions);
+        origins.lookups().answerFromPeer(found);
+        auto keptSince = other.origins.unrecordedTimes().keptSince();
+        if (found.empty() && keptSince)
+            origins.lookups().recordDisclaimer(questions, { other.name, *keptSince });
+    }
+
     // No confirmation of the list reaches the node.
     bool isOutOfStep = false;
+    base::VmName name;
     FakeClock clock;
     fleet::Fleet fleet { { "dc-a" } };
     origin::StreamOrigins origins;
     manifest::ManifestHolder manifest;
+    sync::UpstreamListCache upstreamCache;
     sync::NodeRole role;
     sync::StoreEra era;
     std::vector<fleet::UpstreamInstance> listed;
