--- a/tests/UnrecordedStreamsTest.cpp
+++ b/tests/UnrecordedStreamsTest.cpp
@@ -43,7 +43,7 @@
         leader->list(versions);
         other->list(versions);
     }
-    void run(base::Duration duration)
+    void runBoth(base::Duration duration)
     {
         for (auto end = leader->clock.now() + duration; leader->clock.now() < end;) {
             leader->run(OriginNode::pollInterval);
@@ -55,7 +55,7 @@
     {
         auto versions = listed;
         start(leader->clock.now() + seconds(1), versions);
-        run(seconds(2));
+        runBoth(seconds(2));
     }
     // Returns a stream that goes to v1 beside v1 and v2, whatever their shares within what a statement leaves open, and to v3 once
     // that has joined.
@@ -75,12 +75,12 @@
     {
         listed = { "v1", "v2" };
         start(base::Instant(seconds(1000)), listed);
-        run(seconds(50));
+        runBoth(seconds(50));
         store.isDown = true;
-        run(seconds(1));
+        runBoth(seconds(1));
         stream = streamThatANewVersionWouldGet();
         other->send(stream, "v1");
-        run(seconds(1));
+        runBoth(seconds(1));
         store.isDown = false;
         killAll();
     }
@@ -89,7 +89,7 @@
     {
         listed = { "v1", "v2", "v3" };
         list(listed);
-        run(seconds(3));
+        runBoth(seconds(3));
     }
     origin::Resolution takeUp() { return leader->resolveWith(stream, { other.get() }); }
 
@@ -130,7 +130,7 @@
     loseARecord();
     release();
     other->send("later", "v3");
-    run(milliseconds(300));
+    runBoth(milliseconds(300));
     killAll();
     checkUnknown(takeUp());
     // What was recorded is known.
@@ -142,17 +142,17 @@
 {
     listed = { "v1", "v2" };
     start(base::Instant(seconds(1000)), listed);
-    run(seconds(50));
+    runBoth(seconds(50));
     store.isDown = true;
-    run(seconds(1));
+    runBoth(seconds(1));
     listed = { "v1", "v2", "v3" };
     list(listed);
     stream = streamThatANewVersionWouldGet();
     other->send(stream, "v3");
-    run(seconds(1));
+    runBoth(seconds(1));
     store.isDown = false;
     killAll();
-    run(seconds(10));
+    runBoth(seconds(10));
     checkUnknown(takeUp());
 }
 
@@ -161,17 +161,17 @@
 {
     loseARecord();
     leader->role.setLeader(false);
-    run(seconds(1));
+    runBoth(seconds(1));
     listed = { "v1", "v2", "v3" };
     list(listed);
-    run(seconds(1));
+    runBoth(seconds(1));
     stream = streamThatANewVersionWouldGet();
     store.isDown = true;
     other->send(stream, "v3");
-    run(seconds(1));
+    runBoth(seconds(1));
     store.isDown = false;
     killAll();
-    run(seconds(10));
+    runBoth(seconds(10));
     checkUnknown(takeUp());
 }
 
@@ -180,11 +180,11 @@
 {
     listed = { "v1", "v2" };
     start(base::Instant(seconds(1000)), listed);
-    run(seconds(5));
+    runBoth(seconds(5));
     auto releasedAt = OriginNode::WallClock { &other->clock }.now();
     release();
     auto writes = store.writes;
-    run(seconds(30));
+    runBoth(seconds(30));
     // Entries that are too old are taken from the statement.
     CHECK_TRUE(store.writes - writes <= 1);
     for (const auto& node : store.content.nodes)
@@ -196,11 +196,11 @@
 {
     loseARecord();
     auto copy = store.content;
-    run(seconds(3));
+    runBoth(seconds(3));
     store.restore(copy);
     for (auto* node : { leader.get(), other.get() })
         node->era.learn(store.content.era, node->clock.now());
-    run(seconds(1));
+    runBoth(seconds(1));
     killAll();
     release();
     checkKnown(takeUp(), "v1");
@@ -211,18 +211,18 @@
 {
     listed = { "v1", "v2" };
     start(base::Instant(seconds(1000)), listed);
-    run(seconds(50));
+    runBoth(seconds(50));
     auto copy = store.content;
     release();
     stream = streamThatANewVersionWouldGet();
     other->send(stream, "v3");
-    run(seconds(1));
+    runBoth(seconds(1));
     store.restore(copy);
     // Upstreams of the new version register again after a while.
     listed = { "v1", "v2" };
     killAll();
     release();
-    run(seconds(20));
+    runBoth(seconds(20));
     checkUnknown(takeUp());
 }
 
