--- a/src/forward/ExchangeOrigin.cpp
+++ b/src/forward/ExchangeOrigin.cpp
@@ -12,7 +12,7 @@
 {
     if (m_origin || !isTakenUp())
         return std::nullopt;
-    auto resolution = m_origins.resolve({ m_request.resumedAttempt, m_request.service, m_request.arrivedAt }, now);
+    auto resolution = m_origins.resolve({ m_request.resumedAttempt, m_request.service, m_request.arrivedAt, deadline() - now }, now);
     m_isAwaitingOrigin = resolution.kind == origin::ResolutionKind::Pending;
     switch (resolution.kind) {
     case origin::ResolutionKind::Pending:
@@ -49,8 +49,10 @@
 
 void Exchange::recordStart(base::Instant now)
 {
-    if (isStream() && m_request.route->isResumable && !m_origin)
-        m_origins.recordSent(m_request.attempt, { m_request.service, m_attempts.current().placement->target.version }, now);
+    if (!isStream() || !m_request.route->isResumable || m_origin)
+        return;
+    m_origins.recordClientTime(m_request.clientTimeout);
+    m_origins.recordSent(m_request.attempt, { m_request.service, m_attempts.current().placement->target.version }, now);
 }
 
 bool Exchange::isUpstreamCurrent() const
--- a/src/origin/StreamOrigins.h
+++ b/src/origin/StreamOrigins.h
@@ -7,6 +7,7 @@
 #include "origin/RecordTable.h"
 #include "origin/Resolution.h"
 #include "origin/TakeUp.h"
+#include "origin/UnrecordedTimes.h"
 #include "origin/WeightHistory.h"
 
 #include <atomic>
@@ -29,6 +30,10 @@
 
     // Sets how long after its start a client may take a stream up.
     void setLifetime(base::Duration lifetime) { m_lifetime = lifetime; }
+    // Records how long a client that begins a stream will wait, which may be longer than its route's timeout.
+    void recordClientTime(base::Duration);
+    // Returns the longest such time, which is bounded.
+    base::Duration longestClientTime() const { return m_longestClientTime; }
     // Records that this node knows all versions that have served within the lifetime.
     void setHistoryKnown() { m_isHistoryKnown = true; }
 
@@ -43,10 +48,13 @@
     RecordTable& records() { return m_records; }
     LookupTable& lookups() { return m_lookups; }
     ListCurrency& listCurrency() { return m_listCurrency; }
+    UnrecordedTimes& unrecordedTimes() { return m_unrecordedTimes; }
     // Sets what the store says of the numbers of upstreams, by which earlier nodes have assigned streams to versions.
     void setStated(const std::map<base::ServiceName, WeightHistory>&);
-    // Returns the streams to record in the store, or nothing if there is no news.
-    std::vector<StreamRecord> takeUnwritten(base::Instant now);
+    // Sets what a leader has stated in this era of the store, also if the present numbers are not settled.
+    void setStatedInEra(const std::map<base::ServiceName, WeightHistory>&);
+    // Returns the streams to record in the store, or nothing if there is no news and all of them are not wanted.
+    std::vector<StreamRecord> takeUnwritten(base::Instant now, bool wantsAll = false);
     // Returns what this node knows of the attempts.
     std::vector<StreamRecord> find(const std::vector<base::ClientAttemptId>&);
 
@@ -60,7 +68,10 @@
     Resolution lookUp(const TakeUp&, const std::optional<InferredOrigin>& onlyVersion, bool isListCurrent, base::Instant now);
     // Returns the answer if nobody knows the stream: the version to which the upstreams before and now assign it, if that is
     // the same one.
-    std::optional<InferredOrigin> inferUnanswered(const TakeUp&, base::Instant now);
+    std::optional<InferredOrigin> inferUnanswered(const TakeUp&, const Lookup&, base::Instant now);
+    // Returns the version to which the numbers of upstreams assigned the stream at all times in which it can have begun without a
+    // record.
+    std::optional<InferredOrigin> inferFromAbsence(const TakeUp&, const Lookup&, base::Instant now);
     Resolution conclude(const TakeUp&, const StreamOrigin&, OriginSource, base::Instant now);
     Resolution concludeUnknown(const TakeUp&, base::Instant now);
 
@@ -70,13 +81,19 @@
     // stream is looked up as if there were several.
     static constexpr base::Duration listCheckTime = std::chrono::milliseconds(800);
 
+    // Bounds the records that clients can make a node keep.
+    static constexpr base::Duration maxClientTime = std::chrono::seconds(120);
+
     fleet::Fleet& m_fleet;
     ListCurrency m_listCurrency;
     base::Mutex m_statedMutex;
     std::map<base::ServiceName, WeightHistory> m_stated;
+    std::map<base::ServiceName, WeightHistory> m_statedInEra;
+    UnrecordedTimes m_unrecordedTimes;
     RecordTable m_records;
     LookupTable m_lookups;
     std::atomic<base::Duration> m_lifetime { std::chrono::seconds(40) };
+    std::atomic<base::Duration> m_longestClientTime { base::Duration {} };
     std::atomic<bool> m_isHistoryKnown { false };
 };
 
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -116,7 +116,7 @@
 TEST(PlatformCodec, FormattedOriginsAreParsedAndInvalidOnesSkipped)
 {
     origin::NodeRecords records { { "n" }, 7, { { { "a1" }, { { "s" }, { "v1" } } }, { { "a2" }, { { "s" }, { "v1" } } }, { { "a3" }, { { "s" }, { "v2" } } } } };
-    origin::VersionStatement statement { 8, 3, {} };
+    origin::VersionStatement statement { 8, 3, {}, std::chrono::seconds(60) };
     statement.services[{ "one" }].record({ { { { "v1" }, 4 } } }, 1000);
     statement.services[{ "several" }].record({ { { { "v1" }, 8 } } }, 1000);
     statement.services[{ "several" }].record({ { { { "v1" }, 0 }, { { "v2" }, 7 } } }, 2000);
@@ -125,12 +125,31 @@
     CHECK_TRUE(next.has_value() && next.value().empty());
     LONGS_EQUAL(1, read.nodes.size());
     CHECK_TRUE(read.nodes.front().node == records.node && read.nodes.front().revision == 7 && read.nodes.front().streams == records.streams);
-    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.services == statement.services);
+    CHECK_TRUE(read.statement.revision == 8 && read.statement.era == 3 && read.statement.longestClientTime == std::chrono::seconds(60) && read.statement.services == statement.services);
     CHECK_TRUE(platform::parseRevision(platform::formatRecords(records)).value() == 7);
     CHECK_FALSE(platform::parseRevision("{}").has_value());
     CHECK_FALSE(platform::parseOriginPage("[]", read).has_value());
 }
 
+TEST(PlatformCodec, TimesWithoutRecordsAreParsedAndUnknownIfTheyAreMissing)
+{
+    origin::NodeRecords records { { "n" }, 7, {}, { { 2, 30 }, { { { 1, 10 }, { 2, 20 }, 1000 }, { { 2, 25 } } } } };
+    origin::VersionStatement statement { 8, 3, {} };
+    statement.services[{ "s" }].record({ { { { "v1" }, 8 } } }, 1000, { {}, { 1, 10 } });
+    statement.services[{ "s" }].record({ { { { "v2" }, 8 } } }, 2000, { sync::StoreVersion { 1, 19 }, { 1, 20 } });
+    origin::StoredOrigins read;
+    CHECK_TRUE(platform::parseOriginPage(originPage(platform::formatRecords(records) + ',' + platform::formatStatement(statement)), read).has_value());
+    CHECK_TRUE(read.nodes.front().coverage == records.coverage);
+    CHECK_TRUE(read.statement.services == statement.services);
+    LONGS_EQUAL(19, read.statement.services.at({ "s" }).entries.back().from.revision);
+    LONGS_EQUAL(20, read.statement.services.at({ "s" }).entries.front().until.revision);
+    // A gap that cannot be read is unbounded.
+    origin::StoredOrigins older;
+    CHECK_TRUE(platform::parseOriginPage(originPage(R"({"metadata":{"name":"node.x","revision":4},"spec":{"streams":{}}},{"metadata":{"name":"node.y","revision":4},"spec":{"coverage":{"through":[1,9],"gaps":[7]}}})"), older).has_value());
+    CHECK_TRUE(older.nodes.front().coverage == origin::RecordCoverage {});
+    CHECK_TRUE(older.nodes.back().coverage.gaps.front() == origin::RecordGap {});
+}
+
 // One that cannot be read must not look like a service with one version.
 TEST(PlatformCodec, StatementThatCannotBeReadStandsForSeveralVersions)
 {
