Test: a cancelled late attempt counts as another failure of its upstream

What callers see: a slow but sound upstream takes no requests of this node for up to 1.2 s more, and other nodes are told a second time.

Cause: replaceSilentAttempt suspects the upstream when its attempt is kept, and dropKeptAttempt suspects it again (Silent) when the other attempt was served. If the first suspicion, 0.6 s, is over by then, the second one doubles the time.

--- a/tests/KeptReadTest.cpp
+++ b/tests/KeptReadTest.cpp
@@ -137,3 +137,14 @@
     waitForReplacement();
     CHECK_TRUE(exchange->isAttemptKept());
 }
+
+// The attempt is cancelled because the other one has ended, which says nothing new of its upstream.
+TEST(KeptRead, UpstreamIsNotSuspectedAgainWhenItsAttemptIsCancelled)
+{
+    begin(2);
+    waitForReplacement();
+    runFor(milliseconds(700));
+    CHECK_TRUE(fixture.fleet.takesWork(first, now()));
+    CHECK_TRUE(exchange->attemptEnded(AttemptOutcome::Completed, now(), 1).kind == StepKind::Deliver);
+    CHECK_TRUE(fixture.fleet.takesWork(first, now()));
+}
