Test: the oldest of three attempts is closed before the third is connected

What callers see: on a route that permits three attempts an idempotent request may fail although the upstream asked first answers before the deadline.

Cause: replaceSilentAttempt drops the kept attempt before it sends the third, which may be refused or not connect. Until the third is connected only two run, so the oldest could go on until then, as the silent attempt of a stream does.

--- a/tests/KeptReadTest.cpp
+++ b/tests/KeptReadTest.cpp
@@ -138,6 +138,19 @@
     CHECK_TRUE(exchange->isAttemptKept());
 }
 
+// The other upstream may be gone, and the oldest attempt is the next to answer.
+TEST(KeptRead, OldestAttemptGoesOnUntilTheThirdIsConnected)
+{
+    begin(3);
+    waitForReplacement();
+    auto step = runFor(milliseconds(600));
+    CHECK_TRUE(step.kind == StepKind::Send);
+    exchange->recordConnecting();
+    CHECK_FALSE(step.send.placement.target == first);
+    CHECK_TRUE(exchange->attemptEnded(AttemptOutcome::NotConnected, now(), 1).kind == StepKind::GoBack);
+    CHECK_TRUE(exchange->isAttemptKept());
+}
+
 // The attempt is cancelled because the other one has ended, which says nothing new of its upstream.
 TEST(KeptRead, UpstreamIsNotSuspectedAgainWhenItsAttemptIsCancelled)
 {
