A late attempt that is cancelled is no further failure of its upstream

Callers saw: a slow but sound upstream got no requests of this node for up to 1.2 s more, and other nodes were told of it a second time, once the request's other attempt had been served.

Cause: the upstream is suspected when its late attempt is kept beside another one, and was again when that attempt was cancelled.

--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -25,6 +25,8 @@
     bool isProbing = false;
     // Whether the last probe failed and nothing was received since.
     bool isUnreachable = false;
+    // Whether its upstream was suspected when another attempt was started beside this one.
+    bool isSuspectedAsLate = false;
     // Whether the last probe was sent while an outage of the data centre was suspected.
     bool isProbedDuringOutage = false;
     // Whether the attempt has delivered an event.
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -147,7 +147,7 @@
     m_fleet.release(ended);
     updateCrashEvidence(attempt, outcome, now);
     auto cause = suspicionCauseFor(outcome);
-    bool isSuspected = attempt.isUnreachable && outcome == attempt.silentOutcome();
+    bool isSuspected = (attempt.isUnreachable || attempt.isSuspectedAsLate) && outcome == attempt.silentOutcome();
     if (!cause)
         m_fleet.clearSuspicion(ended.target);
     else if (!isSuspected)
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -47,8 +47,10 @@
         // At most two run side by side.
         dropKeptAttempt(now);
         // Other requests must avoid the upstream while this one waits for it.
-        if (reason == SilenceReason::Late)
+        if (reason == SilenceReason::Late) {
             m_fleet.suspect(m_attempts.current().placement->target, fleet::SuspicionCause::Silent, now);
+            m_attempts.current().isSuspectedAsLate = true;
+        }
         m_attempts.keepCurrent();
     } else {
         recordAttemptEnd(m_attempts.current(), outcome, now);
