Show that a stream is not joined by another upstream at a listed address

The request names the upstream that it is meant for; any other one at the address answers 421 and runs nothing, and the stream goes on elsewhere: Misdirected.StreamIsNotContinuedByAnotherUpstreamAtAListedAddress, which passes without a change of the code.

Not covered: an upstream that starts again under its own id at another software version while the list is stale. Neither the request nor the response names the start or the version, so Exchange::isUpstreamCurrent can be deceived there; open.

--- a/tests/MisdirectedTest.cpp
+++ b/tests/MisdirectedTest.cpp
@@ -58,3 +58,24 @@
     CHECK_TRUE(contains(gateway.exchange(GatewayFixture::post("/book/x", "b")), "\r\n\r\none"));
     CHECK_TRUE(contains(gateway.exchange(GatewayFixture::post("/book/x", "b")), "\r\n\r\ntwo"));
 }
+
+// The list still names the upstream that had the address, at the version of the stream. What has the address now, at whatever
+// version, is not the upstream that the request names.
+TEST(Misdirected, StreamIsNotContinuedByAnotherUpstreamAtAListedAddress)
+{
+    ScriptedUpstream first({ { GatewayFixture::streamHead() + GatewayFixture::event(1), true } });
+    gateway.addUpstream("e1", "engines", first, "dc-a", "v1");
+    auto client = gateway.connectClient();
+    ScriptedUpstream replaced({ { misdirected("") } });
+    ScriptedUpstream other({ { GatewayFixture::streamHead() + GatewayFixture::event(2) + "0\r\n\r\n" } });
+    gateway.addUpstream("e2", "engines", replaced, "dc-b", "v1");
+    GatewayFixture::write(client, GatewayFixture::get("/stream/x"));
+    for (int i = 0; i < 100 && replaced.requests().empty(); ++i)
+        poll(nullptr, 0, 20);
+    gateway.addUpstream("e3", "engines", other, "dc-c", "v1");
+    auto response = GatewayFixture::read(client);
+    CHECK_TRUE_TEXT(contains(response, "data: e1\n\n") && contains(response, "data: e2\n\n"), response.c_str());
+    LONGS_EQUAL(1, replaced.requests().size());
+    CHECK_TRUE(contains(replaced.requests().front(), "\r\nRedwingseam-Target-Instance: e2\r\n"));
+    CHECK_TRUE(contains(other.requests().front(), "\r\nRedwingseam-Target-Instance: e3\r\n"));
+}
