--- a/src/origin/Disclaimer.h
+++ b/src/origin/Disclaimer.h
@@ -5,7 +5,7 @@
 
 namespace redwingseam::origin {
 
-// A node's word that it doesn't know a stream, so that none of its streams since `keptSince` is this one. A plain value.
+// A node's statement that it doesn't know a stream, so that none of its streams since `keptSince` is this one. A plain value.
 struct Disclaimer {
     base::VmName node;
     // The version of the list of upstreams at or before which the node's earlier process ended.
