Gateway: count the memory that clients make a process hold

Cause: only bodies were counted. A parsed header line takes 64 bytes or more, so 300 legal requests of short lines took a process from 16 to 95 MB, 167 MB with chunked bodies; requests sent ahead and unread answers were bounded by connection only, and freed memory was not returned. Change: BufferBudget counts heads at their cost, read-ahead, unread responses and bodies, against a quarter of limits.memoryMb; the stalled request that holds most is refused first, usual heads always have room; heads are parsed when they are complete; the heap is trimmed after a crowd. The ports for readiness and metrics take few connections, redwingseamd bounds the bodies that it receives. A test fixture states 64 MB, so that the buffers in tests are the 16 MB that they were; the check of EndlessInput keeps that bound.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -59,7 +59,7 @@
     if (!components.io.peerServer.start(config.peerAddress))
         return listenError(config.peerAddress);
     components.node.node().start();
-    components.adminServer = std::make_unique<http::BlockingServer<AdminHandler>>(components.admin, config.adminAddress);
+    components.adminServer = std::make_unique<http::BlockingServer<AdminHandler>>(components.admin, config.adminAddress, http::adminLimits);
     if (!components.adminServer->isListening())
         return listenError(config.adminAddress);
     if (!components.io.callerServer.start(config.callerAddress))
--- a/src/gateway/AdminHandler.cpp
+++ b/src/gateway/AdminHandler.cpp
@@ -9,7 +9,7 @@
 AdminHandler::Response AdminHandler::handle(const http::ServerRequest& request)
 {
     if (request.path == "/metrics")
-        return { 200, m_state.metrics.text() + quarantineMetric(), "text/plain; version=0.0.4" };
+        return { 200, m_state.metrics.text() + quarantineMetric() + bufferMetrics(), "text/plain; version=0.0.4" };
     if (request.path == "/status")
         return { 200, status() };
     if (request.path == "/report")
@@ -27,6 +27,15 @@
     return "# TYPE redwingseam_quarantined_parts gauge\nredwingseam_quarantined_parts " + std::to_string(m_state.crashes.parts.quarantinedCount()) + "\n";
 }
 
+std::string AdminHandler::bufferMetrics() const
+{
+    std::string text = "# TYPE redwingseam_buffered_bytes gauge\n";
+    for (const auto& [use, name] : base::EnumNames<BufferUse>::entries)
+        text += "redwingseam_buffered_bytes{use=\"" + std::string(name) + "\"} " + std::to_string(m_state.buffers.usedBytes(use)) + "\n";
+    auto limit = m_state.buffers.limitBytes(BufferUse::Response);
+    return text + "# TYPE redwingseam_buffer_limit_bytes gauge\nredwingseam_buffer_limit_bytes " + std::to_string(limit) + "\n";
+}
+
 std::string AdminHandler::status() const
 {
     auto now = base::BootClock {}.now();
--- a/src/gateway/AdminHandler.h
+++ b/src/gateway/AdminHandler.h
@@ -20,6 +20,7 @@
 
 private:
     std::string quarantineMetric() const;
+    std::string bufferMetrics() const;
     std::string status() const;
 
     GatewayState& m_state;
--- a/src/gateway/BufferBudget.h
+++ b/src/gateway/BufferBudget.h
@@ -2,14 +2,16 @@
 
 #include "gateway/BufferUse.h"
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 
 namespace redwingseam::gateway {
 
-// Limits the bytes of bodies that a process buffers at the same time, so that bodies without end cannot exhaust the
-// memory of a small VM. An eighth is left to responses, so that requests do not take the room of those that are being
-// received. Thread-safe.
+// Limits the memory that clients and upstreams make a process hold at the same time, so that they cannot exhaust that of a
+// small VM. A use that can be refused or put off gets less of it: what clients send ahead or do not read may fill half,
+// large headers five eighths, and the bodies of requests leave an eighth to responses, so that requests do not take the room
+// of those that are being received. Thread-safe.
 class BufferBudget {
 public:
     explicit BufferBudget(size_t totalBytes)
@@ -20,18 +22,43 @@
     // Returns whether `bytes` fit, and counts them if so. The caller must `release` them.
     bool tryReserve(size_t bytes, BufferUse use = BufferUse::Request)
     {
-        if (m_used.fetch_add(bytes) + bytes <= limitBytes(use))
+        if (m_used.fetch_add(bytes) + bytes <= limitBytes(use)) {
+            m_usedFor[indexOf(use)] += bytes;
             return true;
+        }
         m_used -= bytes;
         return false;
     }
-    void release(size_t bytes) { m_used -= bytes; }
-    size_t limitBytes(BufferUse use = BufferUse::Request) const { return use == BufferUse::Response ? m_total : m_total - m_total / 8; }
+    void release(size_t bytes, BufferUse use = BufferUse::Request)
+    {
+        m_used -= bytes;
+        m_usedFor[indexOf(use)] -= bytes;
+    }
+    // Returns how much all uses together may take for one more of this use to fit.
+    size_t limitBytes(BufferUse use = BufferUse::Request) const
+    {
+        switch (use) {
+        case BufferUse::ReadAhead:
+        case BufferUse::UnreadResponse:
+            return m_total / 2;
+        case BufferUse::Head:
+            return m_total / 8 * 5;
+        case BufferUse::Request:
+            return m_total - m_total / 8;
+        case BufferUse::Response:
+            break;
+        }
+        return m_total;
+    }
     size_t usedBytes() const { return m_used; }
+    size_t usedBytes(BufferUse use) const { return m_usedFor[indexOf(use)]; }
 
 private:
+    static size_t indexOf(BufferUse use) { return static_cast<size_t>(use); }
+
     const size_t m_total;
     std::atomic<size_t> m_used { 0 };
+    std::array<std::atomic<size_t>, bufferUseCount> m_usedFor {};
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/BufferReservation.h
+++ b/src/gateway/BufferReservation.h
@@ -4,7 +4,7 @@
 
 namespace redwingseam::gateway {
 
-// The part of a BufferBudget that one body uses; released by the destructor. The budget must outlive it. Not
+// The part of a BufferBudget that one buffer uses; released by the destructor. The budget must outlive it. Not
 // synchronised.
 class BufferReservation {
 public:
@@ -27,11 +27,16 @@
         m_bytes = bytes;
         return true;
     }
-    void reset()
+    // Lowers the reservation to `bytes`; a larger value changes nothing.
+    void shrinkTo(size_t bytes)
     {
-        m_budget.release(m_bytes);
-        m_bytes = 0;
+        if (bytes >= m_bytes)
+            return;
+        m_budget.release(m_bytes - bytes, m_use);
+        m_bytes = bytes;
     }
+    void reset() { shrinkTo(0); }
+    size_t bytes() const { return m_bytes; }
 
 private:
     BufferBudget& m_budget;
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -46,6 +46,12 @@
     bool isServing() const { return m_isServing; }
     // Whether the last response has been written and no byte of another request has arrived.
     bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && !m_isParseDeferred && m_writeBuffer.isEmpty(); }
+    // Returns the size of the buffers that were reserved for this client.
+    size_t heldBytes() const { return m_headReservation.bytes() + m_inputReservation.bytes() + m_outputReservation.bytes() + m_bodyReservation.bytes(); }
+    // Whether a request has begun to arrive, and nothing of it came of late.
+    bool isStalled(base::Instant now) const { return !m_isServing && !m_isClosing && m_hasRequestBytes && now - m_lastInputAt >= stallTime; }
+    // Refuses the request that has begun to arrive, because the memory is needed for others.
+    void turnAway() { reject(503, base::ResultCode::BuffersExhausted); }
     // Whether bytes of the client, or the end of its input, wait to be read.
     bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
     // Closes the connection if the client takes too long to send a request, after a response with status 408 if a part of
@@ -65,6 +71,8 @@
     static constexpr base::Duration lingerTimeout = std::chrono::seconds(3);
     // A client that sends nothing for this long after the last response has seen its end.
     static constexpr base::Duration lingerQuietTime = std::chrono::seconds(1);
+    // A client that sends nothing of its request for this long makes no progress.
+    static constexpr base::Duration stallTime = std::chrono::milliseconds(500);
     static constexpr size_t maxDiscardedBytes = 16 * 1024 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<ClientConnection*>(self)->handle(events); }
@@ -78,6 +86,14 @@
     void read();
     void parse();
     size_t put(boost::beast::error_code&);
+    // Whether the headers of the current request have arrived. Until then they are kept as they came, because parsed ones take
+    // many times as much memory.
+    bool areHeadersComplete();
+    // Reserves memory for headers that take `bytes`. Returns false if there is none, also from clients that hold more and
+    // make no progress.
+    bool reserveHead(size_t bytes);
+    // Counts the responses that the client has not read.
+    void countPendingResponses();
     // Checks the headers of the current request once they are complete. Returns false if it rejects them.
     bool acceptHeaders();
     Request takeRequest();
@@ -116,7 +132,12 @@
     std::optional<Parser> m_parser;
     // The headers of a request in chunks, whose parser adds the fields of the trailer to them.
     std::optional<Request::header_type> m_chunkedHeaders;
+    BufferReservation m_headReservation;
+    BufferReservation m_inputReservation;
+    BufferReservation m_outputReservation;
     BufferReservation m_bodyReservation;
+    // How much of the buffer was searched for the end of the headers.
+    size_t m_searchedBytes = 0;
     bool m_isServing = false;
     bool m_hasRequestBytes = false;
     bool m_isContinueSent = false;
@@ -125,6 +146,8 @@
     bool m_isParseDeferred = false;
     // The client does not read its responses, so its requests are not read.
     bool m_isInputPaused = false;
+    // There is no memory for more of the responses that the client does not read.
+    bool m_isOutputOverBudget = false;
     // The last response is complete; further input is discarded.
     bool m_isClosing = false;
     bool m_isSendingShutDown = false;
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -2,6 +2,7 @@
 
 #include "base/ScaledDuration.h"
 #include "gateway/ClientConnection.h"
+#include "gateway/HeadCost.h"
 #include "gateway/HeaderUtils.h"
 #include "gateway/LocalResponse.h"
 #include "gateway/MessageFraming.h"
@@ -25,7 +26,10 @@
     , m_idleTimeout(m_limits.idleTimeout)
     , m_eventHandler { this, &ClientConnection::onEvents }
     , m_deferredHandler { this, &ClientConnection::onDeferred }
-    , m_bodyReservation(server.bufferedBodies(), BufferUse::Request)
+    , m_headReservation(server.buffers(), BufferUse::Head)
+    , m_inputReservation(server.buffers(), BufferUse::ReadAhead)
+    , m_outputReservation(server.buffers(), BufferUse::UnreadResponse)
+    , m_bodyReservation(server.buffers(), BufferUse::Request)
     , m_phaseStartedAt(now)
 {
     beginRequest();
@@ -37,6 +41,8 @@
 {
     m_parser.emplace();
     m_bodyReservation.reset();
+    m_headReservation.reset();
+    m_searchedBytes = 0;
     m_chunkedHeaders.reset();
     m_hasRequestBytes = false;
     m_isContinueSent = false;
@@ -114,13 +120,14 @@
         endConnection(errno);
         return;
     }
+    countPendingResponses();
     // The client is not idle while it reads the response.
     bool isResponseComplete = !m_isServing && !m_hasRequestBytes;
     if (isResponseComplete && m_writeBuffer.size() < pendingBefore)
         m_phaseStartedAt = base::BootClock {}.now();
     if (m_writeBuffer.isEmpty() && m_isClosing && !m_isSendingShutDown)
         shutDownSending();
-    if (m_isInputPaused && m_writeBuffer.size() <= maxPendingResponseBytes / 2) {
+    if (m_isInputPaused && m_writeBuffer.size() <= maxPendingResponseBytes / 2 && !m_isOutputOverBudget) {
         m_isInputPaused = false;
         deferParsing();
     }
@@ -130,7 +137,9 @@
 template<typename Server>
 void ClientConnection<Server>::read()
 {
-    auto status = readInto(m_socket.descriptor(), m_buffer, m_isServing ? maxReadAhead : maxBufferedBytes());
+    bool mayReadAhead = !m_isServing || m_inputReservation.growTo(maxReadAhead);
+    auto maxBytes = m_isServing ? maxReadAhead : maxBufferedBytes();
+    auto status = mayReadAhead ? readInto(m_socket.descriptor(), m_buffer, maxBytes) : ReadStatus::Open;
     if (status != ReadStatus::Open) {
         endConnection(status == ReadStatus::Reset ? errno : 0);
         return;
@@ -140,8 +149,8 @@
         discardInput();
         return;
     }
-    if (m_isServing && m_buffer.size() >= maxReadAhead) {
-        // The read-ahead buffer is full, so only the end of the connection is watched until the response is
+    if (m_isServing && (!mayReadAhead || m_buffer.size() >= maxReadAhead)) {
+        // The read-ahead buffer is full, or there is no memory for one, so only the end of the connection is watched until the response is
         // complete.
         updateInterest(m_writeBuffer.isEmpty() ? EPOLLRDHUP : EPOLLRDHUP | EPOLLOUT);
         return;
@@ -186,6 +195,12 @@
             m_phaseStartedAt = base::BootClock {}.now();
             applyLimits();
         }
+        if (!reserveHead(m_parser->is_header_done() ? 0 : m_buffer.size())) {
+            reject(503, base::ResultCode::BuffersExhausted);
+            return;
+        }
+        if (!areHeadersComplete())
+            return;
         boost::beast::error_code error;
         auto count = put(error);
         m_buffer.consume(count);
@@ -259,10 +274,21 @@
     }
     // The parser reserves memory for the whole body.
     auto length = m_parser->content_length();
-    if (length && *length > m_server.bufferedBodies().limitBytes()) {
+    if (length && *length > m_server.buffers().limitBytes()) {
         reject(413, base::ResultCode::RequestTooLarge);
         return false;
     }
+    size_t lines = 0;
+    size_t bytes = request.target().size();
+    for (const auto& line : request) {
+        ++lines;
+        bytes += line.name_string().size() + line.value().size();
+    }
+    // The fields of a request in chunks are kept twice.
+    if (!reserveHead(headCost(bytes, lines) * (m_parser->chunked() ? 2 : 1))) {
+        reject(503, base::ResultCode::BuffersExhausted);
+        return false;
+    }
     if (m_parser->chunked())
         m_chunkedHeaders = request.base();
     m_parser->eager(true);
@@ -281,7 +307,53 @@
 template<typename Server>
 bool ClientConnection<Server>::reserveBody()
 {
-    return !m_parser->is_header_done() || m_bodyReservation.growTo(m_parser->get().body().size());
+    if (!m_parser->is_header_done())
+        return true;
+    // A body in chunks has no length by which memory could be allocated at once.
+    const auto& body = m_parser->get().body();
+    auto bytes = m_parser->chunked() ? body.capacity() : body.size();
+    while (!m_bodyReservation.growTo(bytes)) {
+        if (!m_server.turnAwayHeavier(*this, bytes))
+            return false;
+    }
+    return true;
+}
+
+template<typename Server>
+bool ClientConnection<Server>::areHeadersComplete()
+{
+    static constexpr std::string_view end = "\r\n\r\n";
+    if (m_parser->is_header_done())
+        return true;
+    auto data = m_buffer.data();
+    std::string_view text(static_cast<const char*>(data.data()), data.size());
+    auto from = m_searchedBytes < end.size() ? 0 : m_searchedBytes - end.size() + 1;
+    m_searchedBytes = text.size();
+    // The parser tells what is wrong with headers beyond the limit, and with bytes that are no request.
+    bool isTooLong = text.size() >= m_limits.maxHeaderBytes;
+    bool hasRequestLine = text.find("\r\n") != std::string_view::npos;
+    return isTooLong || !hasRequestLine || text.find(end, from) != std::string_view::npos;
+}
+
+template<typename Server>
+bool ClientConnection<Server>::reserveHead(size_t bytes)
+{
+    if (bytes <= ordinaryHeadCost)
+        return true;
+    while (!m_headReservation.growTo(bytes)) {
+        if (!m_server.turnAwayHeavier(*this, bytes))
+            return false;
+    }
+    return true;
+}
+
+template<typename Server>
+void ClientConnection<Server>::countPendingResponses()
+{
+    static constexpr size_t usualPendingBytes = 8 * 1024;
+    auto pending = m_writeBuffer.size() > usualPendingBytes ? m_writeBuffer.size() : 0;
+    m_outputReservation.shrinkTo(pending);
+    m_isOutputOverBudget = !m_outputReservation.growTo(pending);
 }
 
 template<typename Server>
@@ -326,11 +398,18 @@
         m_buffer.clear();
         m_parser.reset();
         m_bodyReservation.reset();
+        m_headReservation.reset();
+        m_inputReservation.reset();
+        m_chunkedHeaders.reset();
         flush();
         return;
     }
     beginRequest();
-    m_isInputPaused = m_writeBuffer.size() > maxPendingResponseBytes;
+    m_isInputPaused = m_writeBuffer.size() > maxPendingResponseBytes || m_isOutputOverBudget;
+    if (!m_buffer.size()) {
+        m_inputReservation.reset();
+        m_buffer.shrink_to_fit();
+    }
     watchInput();
     if (!m_isInputPaused)
         deferParsing();
--- a/src/gateway/GatewayMetrics.cpp
+++ b/src/gateway/GatewayMetrics.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayMetrics.h"
 
+#include <algorithm>
 #include <cmath>
 #include <pthread.h>
 
@@ -34,6 +35,14 @@
     ++m_probes[isReachable];
 }
 
+void GatewayMetrics::countRejection(base::ResultCode code)
+{
+    const auto& entries = base::EnumNames<base::ResultCode>::entries;
+    auto found = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry.first == code; });
+    if (found != entries.end())
+        ++m_rejections[static_cast<size_t>(found - entries.begin())];
+}
+
 void GatewayMetrics::countConnection(bool isNew)
 {
     ++m_connections[isNew];
@@ -91,6 +100,11 @@
     text += "# TYPE redwingseam_attempts_total counter\n";
     for (const auto& [outcome, name] : base::EnumNames<forward::AttemptOutcome>::entries)
         appendSample(text, "redwingseam_attempts_total", label("outcome", outcome), m_attempts[indexOf(outcome)]);
+    text += "# TYPE redwingseam_rejections_total counter\n";
+    for (size_t i = 0; i < m_rejections.size(); ++i) {
+        if (auto count = m_rejections[i].load())
+            appendSample(text, "redwingseam_rejections_total", label("code", base::EnumNames<base::ResultCode>::entries[i].first), count);
+    }
     text += "# TYPE redwingseam_probes_total counter\n";
     appendSample(text, "redwingseam_probes_total", "reachable=\"no\"", m_probes[0]);
     appendSample(text, "redwingseam_probes_total", "reachable=\"yes\"", m_probes[1]);
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include "gateway/LatencyKind.h"
 #include "gateway/SessionOutcome.h"
 #include "redwingseam/base/Instant.h"
+#include "redwingseam/base/ResultCode.h"
 #include "redwingseam/base/Sharded.h"
 #include "redwingseam/manifest/RouteKind.h"
 
@@ -20,6 +21,8 @@
     void countOutcome(manifest::RouteKind, SessionOutcome);
     void countAttempt(forward::AttemptOutcome);
     void countProbe(bool isReachable);
+    // Counts a request that was turned away before it had arrived.
+    void countRejection(base::ResultCode);
     void countConnection(bool isNew);
     void countStoreCall(bool isAnswered);
     void record(LatencyKind, base::Duration);
@@ -42,6 +45,7 @@
 
     std::array<std::array<std::atomic<uint64_t>, sessionOutcomeCount>, manifest::routeKindCount> m_outcomes {};
     std::array<std::atomic<uint64_t>, forward::attemptOutcomeCount> m_attempts {};
+    std::array<std::atomic<uint64_t>, base::EnumNames<base::ResultCode>::entries.size()> m_rejections {};
     std::array<std::atomic<uint64_t>, 2> m_probes {};
     std::array<std::atomic<uint64_t>, 2> m_connections {};
     std::array<std::atomic<uint64_t>, 2> m_storeCalls {};
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -25,6 +25,8 @@
     http::SocketAddress storeAddress;
     // Number of processor cores of the VM.
     unsigned cores = 1;
+    // Memory that the process may use, in bytes; 0 if the settings do not say, so that it is that of the machine.
+    size_t memoryBytes = 0;
     // Time after which a revoked key must no longer be accepted; zero if there is no such requirement.
     base::Duration revocationBound {};
     // Time within which a change of the manifest must take effect.
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -10,6 +10,8 @@
 #include "gateway/BufferBudget.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/HeapTrimmer.h"
+#include "gateway/MemoryLimit.h"
 #include "gateway/StopTimes.h"
 #include "manifest/ManifestHolder.h"
 #include "origin/StreamOrigins.h"
@@ -28,6 +30,7 @@
         , origins(fleet)
         , admission(maxConfirmationAge(given.revocationBound))
         , drain(StopTimes { given.terminationGrace }.abandonAt())
+        , buffers(bufferBytesFor(given.memoryBytes ? given.memoryBytes : detectedMemoryBytes()))
     {
     }
 
@@ -35,9 +38,6 @@
     // slightly later.
     static constexpr base::Duration revocationMargin = std::chrono::milliseconds(400);
 
-    // Leaves most of the memory of the smallest VMs to connections, lists and the manifest.
-    static constexpr size_t maxBufferedBodyBytes = 16 * 1024 * 1024;
-
     // Returns how long after its last confirmation a manifest still authorises keys; zero means no limit. It is at least
     // half of the bound, because the margin may exceed a short bound, and zero would disable the limit.
     static base::Duration maxConfirmationAge(base::Duration bound)
@@ -60,8 +60,9 @@
     forward::StreamDurations streamDurations;
     const forward::ExchangePolicy exchangePolicy;
     GatewayMetrics metrics;
-    // Shared by the request and response bodies of all connections.
-    BufferBudget bufferedBodies { maxBufferedBodyBytes };
+    // Shared by all connections.
+    BufferBudget buffers;
+    HeapTrimmer heap;
     report::SloRecorder recorder;
     // When the node began to drain; a default Instant before that.
     std::atomic<base::Instant> drainStartedAt { base::Instant {} };
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -21,7 +21,7 @@
     , m_requestMetadata(Codec::readRequest(m_clientRequest))
     , m_number(m_state.nextRequest++)
     , m_arrivedAt(arrivedAt)
-    , m_attempt(std::make_unique<Attempt>(m_state.bufferedBodies))
+    , m_attempt(std::make_unique<Attempt>(m_state.buffers))
     , m_lastTickAt(arrivedAt)
 {
     convertAbsoluteTarget(m_clientRequest);
@@ -159,7 +159,7 @@
         keepAttempt();
     } else {
         closeUpstream();
-        m_attempt = std::make_unique<Attempt>(m_state.bufferedBodies);
+        m_attempt = std::make_unique<Attempt>(m_state.buffers);
     }
     if (m_firstSentAt == base::Instant {})
         m_firstSentAt = now();
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -76,7 +76,7 @@
     if (!attempt.isEventStream) {
         auto size = attempt.response.body.size() + bytes.size();
         if (size > maxResponseBodyBytes || !attempt.reservation.growTo(size)) {
-            LOG(WARNING) << log::LogLine("answer_too_large").with("request", m_requestMetadata.attempt.text).with("bytes", size).with("buffered", m_state.bufferedBodies.usedBytes()).text();
+            LOG(WARNING) << log::LogLine("answer_too_large").with("request", m_requestMetadata.attempt.text).with("bytes", size).with("buffered", m_state.buffers.usedBytes()).text();
             failAttempt(connection, forward::AttemptOutcome::Malformed);
             return;
         }
--- a/src/gateway/SessionSilenceImpl.h
+++ b/src/gateway/SessionSilenceImpl.h
@@ -64,7 +64,7 @@
     closeConnection(m_probe);
     if (m_kept)
         closeKept(forward::AttemptOutcome::Silent);
-    m_kept = std::exchange(m_attempt, std::make_unique<Attempt>(m_state.bufferedBodies));
+    m_kept = std::exchange(m_attempt, std::make_unique<Attempt>(m_state.buffers));
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/gateway/Worker.h
+++ b/src/gateway/Worker.h
@@ -46,7 +46,10 @@
     // has been handled.
     void retire(std::unique_ptr<Upstream> connection) { m_retiredUpstreams.push_back(std::move(connection)); }
     GatewayState& state() { return m_state; }
-    BufferBudget& bufferedBodies() { return m_state.bufferedBodies; }
+    BufferBudget& buffers() { return m_state.buffers; }
+    // Refuses the client that holds most memory for a request of which nothing came of late, if that is more than the
+    // `bytes` that another one needs. Returns whether there is one.
+    bool turnAwayHeavier(const Client&, size_t bytes);
     // Returns when a client may come again whose request the node has no memory for.
     base::Duration retryAfter() const { return m_state.exchangePolicy.retryAfter; }
     // Returns the limits of the newest known manifest.
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -94,6 +94,7 @@
     if (now - m_lastIdleTick < idleTickInterval)
         return;
     m_lastIdleTick = now;
+    m_state.heap.update(m_state.buffers.usedBytes(), now);
     m_connectionPool.tick(now);
     std::vector<Client*> current;
     current.reserve(m_clients.size());
@@ -134,10 +135,26 @@
 }
 
 template<HeaderCodec Codec>
-void Worker<Codec>::onRejected(Client&, unsigned status, base::ResultCode code)
+bool Worker<Codec>::turnAwayHeavier(const Client& asking, size_t bytes)
 {
+    auto now = base::BootClock {}.now();
+    Client* heaviest = nullptr;
+    for (const auto& [key, client] : m_clients) {
+        if (key != &asking && client->isOpen() && client->isStalled(now) && client->heldBytes() > bytes && (!heaviest || client->heldBytes() > heaviest->heldBytes()))
+            heaviest = key;
+    }
+    if (!heaviest)
+        return false;
+    heaviest->turnAway();
+    return true;
+}
+
+template<HeaderCodec Codec>
+void Worker<Codec>::onRejected(Client& client, unsigned status, base::ResultCode code)
+{
+    m_state.metrics.countRejection(code);
     m_state.metrics.countOutcome(manifest::RouteKind::NonIdempotent, SessionOutcome::Rejected);
-    LOG(WARNING) << log::LogLine("request_rejected").with("status", status).with("code", base::nameOf(code)).text();
+    LOG(WARNING) << log::LogLine("request_rejected").with("status", status).with("code", base::nameOf(code)).with("held_bytes", client.heldBytes()).with("buffered_bytes", m_state.buffers.usedBytes()).text();
 }
 
 template<HeaderCodec Codec>
--- a/src/http/BlockingServer.h
+++ b/src/http/BlockingServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/ServerLimits.h"
 #include "http/ServerRequest.h"
 #include "http/ServerResponse.h"
 #include "http/SocketAddress.h"
@@ -19,20 +20,19 @@
 public:
     using Response = ServerResponse<typename Handler::Stream>;
 
-    BlockingServer(Handler& handler, const SocketAddress& address)
+    BlockingServer(Handler& handler, const SocketAddress& address, const ServerLimits& limits = {})
         : m_handler(handler)
     {
         static constexpr size_t stackBytes = 256 * 1024;
-        static constexpr unsigned idleTimeoutSeconds = 120;
-        static constexpr unsigned maxConnections = 8192;
         auto native = address.native();
         m_daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, address.port, nullptr, nullptr,
             &BlockingServer::onRequest, this,
             MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&native),
             MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
             MHD_OPTION_THREAD_STACK_SIZE, stackBytes,
-            MHD_OPTION_CONNECTION_LIMIT, maxConnections,
-            MHD_OPTION_CONNECTION_TIMEOUT, idleTimeoutSeconds,
+            MHD_OPTION_CONNECTION_LIMIT, limits.connections,
+            MHD_OPTION_PER_IP_CONNECTION_LIMIT, limits.connectionsPerAddress,
+            MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds,
             MHD_OPTION_NOTIFY_COMPLETED, &BlockingServer::onCompleted, nullptr,
             MHD_OPTION_END);
     }
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -17,6 +17,10 @@
     // Request body; after the request has been parsed, the tokens of a response that is not streamed.
     std::string body;
     bool isBodyTooLarge = false;
+    // The server had no memory for the body when it arrived.
+    bool isBodyRefused = false;
+    // What the body takes of the server's memory for bodies.
+    size_t reservedBytes = 0;
 
     base::RequestId id;
     base::ClientName client;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -66,6 +66,9 @@
     static void onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode);
     static ssize_t onRead(void*, uint64_t, char* buffer, size_t size);
 
+    // Reserves memory for `bytes` more of the body. Returns false if there is none.
+    bool reserveBody(CallerConnection&, size_t bytes);
+    void releaseBody(CallerConnection&);
     MHD_Result receiveBody(CallerConnection&, const char* upload, size_t* uploadSize);
     MHD_Result startRequest(const ConnectionPointer&, const std::string& method);
     MHD_Result queueResponse(const ConnectionPointer&);
@@ -82,6 +85,8 @@
     stream::ResumeTokenCodec m_resumeTokens;
     std::atomic<uint64_t> m_nextId;
     std::atomic<size_t> m_unfinishedRequests { 0 };
+    // Bodies of requests that are being received.
+    std::atomic<size_t> m_bufferedBytes { 0 };
     base::Sharded<ConnectionMap> m_connections;
     std::atomic<bool> m_isStopping { false };
     base::Mutex m_stopMutex;
--- a/src/http/CallerServerImpl.h
+++ b/src/http/CallerServerImpl.h
@@ -13,10 +13,13 @@
 #include <glog/logging.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace redwingseam::http {
 
 inline constexpr size_t maxRequestBodyBytes = 1024 * 1024;
+// Of the bodies that all callers together are sending. Callers beyond it are asked to come back.
+inline constexpr size_t maxBufferedBodyBytes = 32 * 1024 * 1024;
 inline constexpr size_t maxIdempotencyKeyBytes = 200;
 inline constexpr unsigned callerServerThreads = 2;
 // A connection without any activity for this long, such as a stalled upload, is closed.
@@ -130,14 +133,37 @@
     return server.startRequest(connection, method);
 }
 
+template<CallerEventHandler Handler>
+bool CallerServer<Handler>::reserveBody(CallerConnection& connection, size_t bytes)
+{
+    if (m_bufferedBytes.fetch_add(bytes) + bytes > maxBufferedBodyBytes) {
+        m_bufferedBytes -= bytes;
+        return false;
+    }
+    connection.reservedBytes += bytes;
+    return true;
+}
+
+template<CallerEventHandler Handler>
+void CallerServer<Handler>::releaseBody(CallerConnection& connection)
+{
+    m_bufferedBytes -= std::exchange(connection.reservedBytes, 0);
+}
+
 template<CallerEventHandler Handler>
 MHD_Result CallerServer<Handler>::receiveBody(CallerConnection& connection, const char* upload, size_t* uploadSize)
 {
     // Reads and discards the rest of an oversized body, so that the caller can receive the error response.
     if (connection.body.size() + *uploadSize > maxRequestBodyBytes)
         connection.isBodyTooLarge = true;
+    else if (connection.isBodyRefused || !reserveBody(connection, *uploadSize))
+        connection.isBodyRefused = true;
     else
         connection.body.append(upload, *uploadSize);
+    if (connection.isBodyTooLarge || connection.isBodyRefused) {
+        connection.body = {};
+        releaseBody(connection);
+    }
     *uploadSize = 0;
     return MHD_YES;
 }
@@ -148,6 +174,7 @@
     node::CallerRequest request;
     auto error = parse(*connection, method, request);
     connection->hasStarted = true;
+    releaseBody(*connection);
     ++m_unfinishedRequests;
     if (error.code != base::ResultCode::Ok) {
         setErrorResponse(*connection, error, "not-run");
@@ -173,6 +200,8 @@
 {
     if (connection.isBodyTooLarge)
         return { base::ResultCode::RequestTooLarge, "the request body is longer than 1 MiB" };
+    if (connection.isBodyRefused)
+        return { base::ResultCode::BuffersExhausted, "this VM buffers too many request bodies; come back later" };
     if (method != "POST")
         return { base::ResultCode::UnknownRoute, "unknown route " + method + " " + connection.path + ": expected POST /v1/completions or POST /v1/services/NAME" };
     const char* authorization = MHD_lookup_connection_value(connection.native, MHD_HEADER_KIND, "Authorization");
@@ -283,6 +312,8 @@
 {
     auto& server = *static_cast<CallerServer*>(self);
     std::unique_ptr<ConnectionPointer> connection(static_cast<ConnectionPointer*>(*state));
+    if (connection)
+        server.releaseBody(**connection);
     if (!connection || !(*connection)->hasStarted)
         return;
     if (!--server.m_unfinishedRequests && server.m_isStopping) {
--- a/tests/BreakingStreamsTest.cpp
+++ b/tests/BreakingStreamsTest.cpp
@@ -85,7 +85,7 @@
 
 TEST(BreakingStreams, NewRequestIsRefusedAsNotRunWhileTheBudgetIsUsedUp)
 {
-    while (gateway.state.bufferedBodies.tryReserve(1000)) { }
+    while (gateway.state.buffers.tryReserve(1000)) { }
     gateway.addUpstream("e1", "engines", breaking.address());
     auto response = gateway.exchange(GatewayFixture::post("/stream/x", std::string(100 * 1000, 'x')));
     CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 503 "), response.c_str());
--- a/tests/EndlessInputTest.cpp
+++ b/tests/EndlessInputTest.cpp
@@ -68,9 +68,9 @@
         CHECK_TRUE_TEXT(contains(response, "HTTP/1.1 502 "), endless.name);
         CHECK_TRUE_TEXT(run.upstream.sentBytes() < maxSentBytes, endless.name);
         LONGS_EQUAL_TEXT(0, run.other.requests().size(), endless.name);
-        for (int i = 0; i < 100 && run.gateway.state.bufferedBodies.usedBytes(); ++i)
+        for (int i = 0; i < 100 && run.gateway.state.buffers.usedBytes(); ++i)
             poll(nullptr, 0, 10);
-        LONGS_EQUAL_TEXT(0, run.gateway.state.bufferedBodies.usedBytes(), endless.name);
+        LONGS_EQUAL_TEXT(0, run.gateway.state.buffers.usedBytes(), endless.name);
     }
 }
 
@@ -156,5 +156,6 @@
         refused += contains(GatewayFixture::read(clients.back(), "HTTP/1.1 503", 50), "HTTP/1.1 503");
     }
     CHECK_TRUE(refused > 0);
-    CHECK_TRUE(gateway.state.bufferedBodies.usedBytes() <= gateway::GatewayState::maxBufferedBodyBytes);
+    static constexpr size_t maxBufferedBytes = 16 * 1024 * 1024;
+    CHECK_TRUE(gateway.state.buffers.usedBytes() <= maxBufferedBytes);
 }
--- a/tests/ExhaustedBuffersTest.cpp
+++ b/tests/ExhaustedBuffersTest.cpp
@@ -25,15 +25,15 @@
 
     void takeBuffers()
     {
-        taken = gateway.state.bufferedBodies.limitBytes() - gateway.state.bufferedBodies.usedBytes();
-        CHECK_TRUE(gateway.state.bufferedBodies.tryReserve(taken));
+        taken = gateway.state.buffers.limitBytes() - gateway.state.buffers.usedBytes();
+        CHECK_TRUE(gateway.state.buffers.tryReserve(taken));
     }
 
     // Frees the buffers after a moment.
     void freeBuffers()
     {
         poll(nullptr, 0, 50);
-        gateway.state.bufferedBodies.release(taken);
+        gateway.state.buffers.release(taken);
         poll(nullptr, 0, 50);
     }
 };
--- a/tests/UnansweredRequestTest.cpp
+++ b/tests/UnansweredRequestTest.cpp
@@ -81,7 +81,7 @@
     auto response = GatewayFixture::read(client, "<never>", 1500);
     CHECK_TRUE_TEXT(contains(response, "HTTP/1.1 413 "), response.c_str());
     CHECK_TRUE(contains(response, "<closed>"));
-    CHECK_TRUE(waitUntil([&] { return !gateway.state.bufferedBodies.usedBytes(); }));
+    CHECK_TRUE(waitUntil([&] { return !gateway.state.buffers.usedBytes(); }));
     client = {};
     CHECK_TRUE(waitUntil([&] { return !gateway.state.openClients; }));
 }
--- a/tests/fakes/GatewayFixture.h
+++ b/tests/fakes/GatewayFixture.h
@@ -130,6 +130,8 @@
         settings.dataCentre.text = "dc-a";
         settings.revocationBound = std::chrono::hours(1);
         settings.terminationGrace = terminationGrace;
+        // Buffers of 16 MiB.
+        settings.memoryBytes = 64 * 1024 * 1024;
         settings.retries = { 0.8, 1000, std::chrono::seconds(10) };
         return settings;
     }
--- a/tests/fakes/RecordingClientServer.h
+++ b/tests/fakes/RecordingClientServer.h
@@ -16,7 +16,9 @@
     std::vector<unsigned> rejections;
     unsigned disconnects = 0;
 
-    gateway::BufferBudget& bufferedBodies() { return budget; }
+    gateway::BufferBudget& buffers() { return budget; }
+    template<typename Client>
+    bool turnAwayHeavier(const Client&, size_t) { return false; }
     manifest::ClientLimits clientLimits() const { return limits; }
     static base::Duration retryAfter() { return std::chrono::seconds(1); }
     void onRequest(Connection&, Connection::Request request) { requests.push_back(std::move(request)); }
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -76,10 +76,10 @@
     using OriginsPoller = sync::StorePoller<sync::OriginsTask<platform::StoreApi>>;
     using UpstreamListPoller = sync::StorePoller<sync::UpstreamListTask<platform::StoreApi>>;
     m_nodesPoller = std::make_unique<NodesPoller>("nodes", m_nodesTask, nodesPollSchedule(), m_role);
-    m_readinessServer = std::make_unique<http::BlockingServer<gateway::ReadinessHandler>>(m_readiness, settings.readinessAddress);
+    m_readinessServer = std::make_unique<http::BlockingServer<gateway::ReadinessHandler>>(m_readiness, settings.readinessAddress, http::adminLimits);
     if (!m_readinessServer->isListening())
         return listenError(settings.readinessAddress);
-    m_adminServer = std::make_unique<http::BlockingServer<gateway::AdminHandler>>(m_admin, settings.adminAddress);
+    m_adminServer = std::make_unique<http::BlockingServer<gateway::AdminHandler>>(m_admin, settings.adminAddress, http::adminLimits);
     if (!m_adminServer->isListening())
         return listenError(settings.adminAddress);
     // Clients that connect early wait in the listener's backlog until the node has the manifest and the upstreams.
--- a/tools/redwingseam-gateway/Main.cpp
+++ b/tools/redwingseam-gateway/Main.cpp
@@ -56,7 +56,7 @@
         LOG(ERROR) << log::LogLine("start_failed").with("detail", error.detail).text();
         return 1;
     }
-    LOG(INFO) << log::LogLine("started").with("vm", settings.vmName.text).with("clients", settings.clientAddress.text()).text();
+    LOG(INFO) << log::LogLine("started").with("vm", settings.vmName.text).with("clients", settings.clientAddress.text()).with("memory_bytes", settings.memoryBytes).with("buffer_limit_bytes", process.state().buffers.limitBytes(gateway::BufferUse::Response)).text();
     int received = 0;
     while (!sigwait(&signals, &received) && received == SIGHUP)
         checkSettingsFile(path);
