Gateway: answers that are cut off during the upload, or have no status, are none

Cause: a write that fails takes the error of the connection, so the read after it saw an orderly end and a part of an answer without a length was delivered as a whole one. The library takes any three digits for a status, so 000 was delivered. Change: such an answer is whole only if its request was written and no write failed; a status outside 100 to 599 is malformed, with libcurl as well.

--- a/src/gateway/UpstreamConnection.h
+++ b/src/gateway/UpstreamConnection.h
@@ -90,6 +90,8 @@
     void parse(ReadStatus);
     // Returns false once the connection has closed or changed its owner.
     bool parseNext();
+    // Whether the status is one that HTTP knows.
+    bool isStatusSound() const;
     // Whether the length of the response is beyond doubt and may be true.
     bool isFramingSound() const;
     bool forwardBody();
@@ -123,6 +125,8 @@
     bool m_isSkipping = false;
     bool m_hasResponseBytes = false;
     bool m_isEofReceived = false;
+    // Whether the connection failed while the request was written.
+    bool m_isRequestCutOff = false;
     bool m_isReadingPaused = false;
     unsigned m_interimResponses = 0;
     unsigned m_skippedResponses = 0;
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -36,6 +36,7 @@
     m_requestBytes = headers.size() + body.size();
     m_isHeadRequest = isHeadRequest;
     m_canReuse = false;
+    m_isRequestCutOff = false;
     m_writeBuffer.append(headers);
     m_writeBuffer.appendReference(body);
     m_interimResponses = 0;
@@ -123,9 +124,11 @@
 template<typename Owner>
 void UpstreamConnection<Owner>::flush()
 {
-    // The next read reports a write error again.
-    if (!m_writeBuffer.flush(m_socket.descriptor()))
+    // The next read may take the end of the connection for an orderly one, because the error was reported here.
+    if (!m_writeBuffer.flush(m_socket.descriptor())) {
         m_writeBuffer.clear();
+        m_isRequestCutOff = true;
+    }
     updateInterest();
 }
 
@@ -204,7 +207,7 @@
     }
     if (!m_parser->is_header_done())
         return true;
-    if (!m_areHeadersReceived && !isFramingSound()) {
+    if (!m_areHeadersReceived && (!isStatusSound() || !isFramingSound())) {
         fail(ConnectionFailure::Malformed);
         return false;
     }
@@ -227,6 +230,15 @@
     return m_parser->is_done() ? finishResponse() : true;
 }
 
+template<typename Owner>
+bool UpstreamConnection<Owner>::isStatusSound() const
+{
+    static constexpr unsigned lowest = 100;
+    static constexpr unsigned highest = 599;
+    auto status = m_parser->get().result_int();
+    return status >= lowest && status <= highest;
+}
+
 template<typename Owner>
 bool UpstreamConnection<Owner>::isFramingSound() const
 {
@@ -282,11 +294,12 @@
         return;
     }
     // A response without a length ends when the upstream closes the connection normally. A reset means that it
-    // is truncated.
+    // is truncated, and so does an end before the request was written: the upstream did not wait for its rest.
     boost::beast::error_code error;
     if (status == ReadStatus::Closed && m_areHeadersReceived && !m_isSkipping)
         m_parser->put_eof(error);
-    bool isWhole = status == ReadStatus::Closed && m_areHeadersReceived && !m_isSkipping && !error && m_parser->is_done();
+    bool isRequestWritten = m_writeBuffer.isEmpty() && !m_isRequestCutOff;
+    bool isWhole = status == ReadStatus::Closed && isRequestWritten && m_areHeadersReceived && !m_isSkipping && !error && m_parser->is_done();
     if (!isWhole) {
         fail(m_areHeadersReceived ? ConnectionFailure::DuringResponse : ConnectionFailure::BeforeResponse);
         return;
--- a/src/http/ResponseHead.h
+++ b/src/http/ResponseHead.h
@@ -20,9 +20,10 @@
     bool isWholeResponse(CURL* easy, CURLcode code) const
     {
         static constexpr long firstFinalStatus = 200;
+        static constexpr long lastStatus = 599;
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        return code == CURLE_OK && m_isEnded && status >= firstFinalStatus;
+        return code == CURLE_OK && m_isEnded && status >= firstFinalStatus && status <= lastStatus;
     }
 
 private:
