Plain services: full upstreams are asked about as often as they accept

Change: each node keeps how many of its latest requests each upstream refused as full. New requests are sent at 1.15 times the accepted share, one that was refused isn't carried on while most upstreams are full, and the others are refused at once as not run, with spread times to return. Switched on by the settings (contracts with pool).

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -255,6 +255,41 @@
     withPool(service, [&](UpstreamPool& pool) { pool.retryBudget().countRequest(now); });
 }
 
+void Fleet::recordAcceptance(const UpstreamInstance& instance, bool isRefused, base::Instant now)
+{
+    double share = 0;
+    bool isNews = withPool(instance.service, [&](UpstreamPool& pool) {
+        bool hasChanged = pool.recordAcceptance(instance.id, isRefused, now);
+        share = pool.acceptedShare(now);
+        return hasChanged;
+    });
+    static constexpr double percent = 100;
+    if (isNews)
+        LOG(INFO) << log::LogLine(isRefused ? "service_crowded" : "service_has_room").with("service", instance.service.text).with("accepted_percent", static_cast<uint64_t>(percent * share)).text();
+}
+
+bool Fleet::isCrowded(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.isCrowded(now); });
+}
+
+std::vector<base::ServiceName> Fleet::crowdedServices(base::Instant now)
+{
+    std::vector<base::ServiceName> crowded;
+    m_pools.forEach([&](PoolMap& pools) {
+        for (const auto& [service, pool] : pools) {
+            if (pool.isCrowded(now))
+                crowded.push_back(service);
+        }
+    });
+    return crowded;
+}
+
+double Fleet::acceptedShare(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.acceptedShare(now); });
+}
+
 bool Fleet::tryAcquireRetry(const base::ServiceName& service, const RetryLimits& limits, base::Instant now)
 {
     auto nodeLimits = limits;
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -106,6 +106,14 @@
     // Sets the number of nodes that share the retry limits.
     void setNodeCount(uint32_t count) { m_nodeCount = count; }
     uint32_t nodeCount() const { return m_nodeCount; }
+    // Records whether the upstream refused a request as full.
+    void recordAcceptance(const UpstreamInstance&, bool isRefused, base::Instant now);
+    // See UpstreamPool::isCrowded.
+    bool isCrowded(const base::ServiceName&, base::Instant now);
+    // Returns the services whose upstreams are mostly full.
+    std::vector<base::ServiceName> crowdedServices(base::Instant now);
+    // See UpstreamPool::acceptedShare.
+    double acceptedShare(const base::ServiceName&, base::Instant now);
     // Returns whether one more retry fits in this node's share of the limits, and counts it if so.
     bool tryAcquireRetry(const base::ServiceName&, const RetryLimits&, base::Instant now);
 
--- a/src/fleet/PoolEntry.h
+++ b/src/fleet/PoolEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/PlacementQuery.h"
+#include "fleet/RefusalWindow.h"
 #include "fleet/Suspicion.h"
 #include "fleet/UpstreamLoad.h"
 #include "fleet/WorkRefusal.h"
@@ -16,6 +17,7 @@
     // Load booked by the other nodes, as last reported.
     UpstreamLoad peerLoad;
     Suspicion suspicion;
+    RefusalWindow refusals;
     WorkRefusal refusal;
     // When the upstream last accepted a connection or sent bytes, for any request or probe of this node.
     base::Instant lastContactAt {};
--- a/src/fleet/UpstreamPool.cpp
+++ b/src/fleet/UpstreamPool.cpp
@@ -242,6 +242,38 @@
         entry->suspicion.addBriefly(now);
 }
 
+bool UpstreamPool::recordAcceptance(const base::UpstreamName& id, bool isRefused, base::Instant now)
+{
+    if (auto* entry = findEntry(id))
+        entry->refusals.record(isRefused, now);
+    bool isNews = isCrowded(now) != m_isReportedCrowded && now - m_crowdingReportedAt >= minCrowdingInterval;
+    if (isNews) {
+        m_isReportedCrowded = !m_isReportedCrowded;
+        m_crowdingReportedAt = now;
+    }
+    return isNews;
+}
+
+double UpstreamPool::acceptedShare(base::Instant now) const
+{
+    // Counts as accepted, so that a single refusal is no flood.
+    static constexpr double assumedAccepted = 2;
+    double asked = 0;
+    double refused = 0;
+    const PoolEntry* worst = nullptr;
+    for (const auto& entry : m_entries) {
+        asked += entry.refusals.asked(now);
+        refused += entry.refusals.refused(now);
+        if (!worst || entry.refusals.refused(now) > worst->refusals.refused(now))
+            worst = &entry;
+    }
+    if (m_entries.size() > 1) {
+        asked -= worst->refusals.asked(now);
+        refused -= worst->refusals.refused(now);
+    }
+    return 1 - refused / (asked + assumedAccepted);
+}
+
 void UpstreamPool::setPeerLoads(const LoadMap& loads)
 {
     for (auto& entry : m_entries) {
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -62,8 +62,23 @@
     const PoolEntry* find(const base::UpstreamName&) const;
     const std::vector<PoolEntry>& entries() const { return m_entries; }
     RetryBudget& retryBudget() { return m_retryBudget; }
+    // Records whether the upstream refused a request as full. Returns whether it is news that most upstreams are full, or that
+    // they are not any more.
+    bool recordAcceptance(const base::UpstreamName&, bool isRefused, base::Instant now);
+    // Returns whether so many requests are refused that one which was refused is not carried to another upstream.
+    bool isCrowded(base::Instant now) const { return acceptedShare(now) < minAcceptedShare; }
+    // Returns the share of this node's latest requests that were accepted, from 0 to 1; 1 while there is nothing to judge by. The
+    // upstream that refused most is left out if there are several, since one that refuses everything is no flood.
+    //
+    // Answers the load pattern of a flood beyond what the upstreams of a plain service can run: where most are full, a
+    // request that is carried from one to the next takes their time and connections and is refused in the end.
+    double acceptedShare(base::Instant now) const;
 
 private:
+    static constexpr double minAcceptedShare = 0.7;
+    // A change that lasts for less is not reported.
+    static constexpr base::Duration minCrowdingInterval = std::chrono::seconds(1);
+
     PoolEntry* findEntry(const base::UpstreamName&);
     template<typename Predicate>
     PoolEntry* chooseCheapest(const PlacementQuery&, const PromptAffinity&, const base::DataCentreName& localDataCentre, Predicate&&);
@@ -93,6 +108,8 @@
     VersionHistory m_versions;
     VersionWeights m_versionWeights;
     RetryBudget m_retryBudget;
+    bool m_isReportedCrowded = false;
+    base::Instant m_crowdingReportedAt {};
 };
 
 } // namespace redwingseam::fleet
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -51,6 +51,8 @@
 Step Exchange::begin(base::Instant now, uint64_t random)
 {
     m_fleet.countRequest(m_request.service, now);
+    if (auto refusal = refuseWhileCrowded(now, random))
+        return *refusal;
     return place(now, random);
 }
 
@@ -160,6 +162,18 @@
     return giveUp(AttemptOutcome::NotConnected);
 }
 
+std::optional<Step> Exchange::refuseWhileCrowded(base::Instant now, uint64_t random) const
+{
+    if (!isCrowdingBounded())
+        return std::nullopt;
+    // Independent of the bits that choose the upstream.
+    static constexpr uint64_t steps = 4096;
+    static constexpr unsigned shift = 40;
+    auto drawn = static_cast<double>((random >> shift) % steps) / static_cast<double>(steps);
+    auto askedShare = m_policy.crowdedAskRatio * m_fleet.acceptedShare(m_request.service, now);
+    return drawn < askedShare ? std::nullopt : std::optional(refuseUntilRoom(deadline() - now, now, random));
+}
+
 Step Exchange::send(fleet::Placement placement, base::Instant now)
 {
     if (!tryBeginTrial(now)) {
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -132,6 +132,10 @@
     Step refuseWhileDeferred(base::Duration wait, base::Instant now, uint64_t random) const;
     // Returns when a refused client should come back: after `firstShare` of the wait or later, by rank and spread.
     base::Duration spreadReturn(base::Duration wait, double firstShare, base::Instant now, uint64_t random) const;
+    // Whether the upstreams of a plain service are to be asked less while they are full.
+    bool isCrowdingBounded() const { return m_policy.boundsCrowding && !isEngineRequest(); }
+    // Returns a refusal if the request would most likely be refused by the upstreams of a plain service.
+    std::optional<Step> refuseWhileCrowded(base::Instant now, uint64_t random) const;
     Step send(fleet::Placement, base::Instant now);
     Step giveUp(AttemptOutcome) const;
     Step refuse(base::ResultCode) const;
--- a/src/forward/ExchangeEnds.cpp
+++ b/src/forward/ExchangeEnds.cpp
@@ -65,6 +65,8 @@
 {
     if (outcome == AttemptOutcome::Silent)
         outcome = m_attempts.current().silentOutcome();
+    if (isCrowdingBounded() && m_attempts.current().placement && outcome != AttemptOutcome::NotConnected)
+        m_fleet.recordAcceptance(m_attempts.current().placement->target, outcome == AttemptOutcome::NotRun, now);
     recordAttemptEnd(m_attempts.current(), outcome, now);
     if (isDeliverable(outcome)) {
         dropKeptAttempt(now);
@@ -74,6 +76,9 @@
         m_hasUnusedRetry |= outcome == AttemptOutcome::NotConnected;
         return goBack(outcome == AttemptOutcome::BackupMissing);
     }
+    bool isTurnedAway = isCrowdingBounded() && outcome == AttemptOutcome::NotRun && !m_mayHaveRun && m_fleet.isCrowded(m_request.service, now);
+    if (isTurnedAway)
+        return refuseUntilRoom(deadline() - now, now, random);
     if (!isRetryAllowed(outcome, m_possibleRuns, m_reachedAttempts, now))
         return giveUp(outcome);
     if (!acquireRetry(outcome, now))
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -47,6 +47,10 @@
     base::Duration retryElsewhereAfter = std::chrono::milliseconds(30);
     // The longest delay that a client is asked to wait, for the next trial of a quarantined prompt part.
     base::Duration maxRetryAfter = std::chrono::seconds(60);
+    // Whether requests to plain services are turned away at once while most of their upstreams are full, and how much more often
+    // than they accept requests they are asked then.
+    bool boundsCrowding = false;
+    double crowdedAskRatio = 1.15;
     // Maximum number of attempts of one request that reach an upstream, whether they run or not. Prevents endless
     // loops among upstreams that all reject the request. A stream that has begun makes further ones with pauses.
     unsigned maxReachedAttempts = 8;
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -144,6 +144,9 @@
     const auto& route = *m_request.route;
     if (possibleRuns() + 1 >= route.maxAttempts)
         return false;
+    // Where the upstreams are full, responses are late for that reason, and a second run takes the room of another request.
+    if (isCrowdingBounded() && m_fleet.isCrowded(m_request.service, now))
+        return false;
     bool isSilent = now - m_attempts.current().lastActivity > scaled(route.latencyObjective, m_policy.attemptTimeoutShare);
     return isSilent || now - m_attempts.current().sentAt > route.latencyObjective;
 }
--- a/src/gateway/AdminHandler.cpp
+++ b/src/gateway/AdminHandler.cpp
@@ -49,6 +49,9 @@
         degraded.push_back("manifest");
     if (m_state.fleet.listedAt() == base::Instant {} || now - m_state.fleet.listedAt() > m_state.settings.upstreamRemovalBound)
         degraded.push_back("upstreams");
+    auto crowded = nlohmann::json::array();
+    for (const auto& service : m_state.fleet.crowdedServices(now))
+        crowded.push_back(service.text);
     nlohmann::json document {
         { "vm", m_state.settings.vmName.text },
         { "data_centre", m_state.settings.dataCentre.text },
@@ -59,6 +62,7 @@
         { "vms_live", m_state.fleet.nodeCount() },
         { "draining", m_state.isDraining() },
         { "degraded", std::move(degraded) },
+        { "crowded_services", std::move(crowded) },
         { "quarantined_parts", m_state.crashes.parts.quarantinedCount() },
         { "harmful_requests", m_state.crashes.requests.quarantinedRequests(now).size() },
     };
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -36,6 +36,8 @@
     base::Duration upstreamRemovalBound {};
     // Time from SIGTERM until the process is killed.
     base::Duration terminationGrace {};
+    // Whether the upstreams of plain services are shared with so many nodes that these must not ask full ones again and again.
+    bool boundsCrowding = false;
     // Retry limits per service, shared by all nodes.
     fleet::RetryLimits retries;
 };
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -30,6 +30,7 @@
         , origins(fleet)
         , admission(maxConfirmationAge(given.revocationBound))
         , drain(StopTimes { given.terminationGrace }.abandonAt())
+        , exchangePolicy(policyFor(given))
         , buffers(bufferBytesFor(given.memoryBytes ? given.memoryBytes : detectedMemoryBytes()))
     {
     }
@@ -47,6 +48,13 @@
         return std::max<base::Duration>(bound - revocationMargin, bound / 2);
     }
 
+    static forward::ExchangePolicy policyFor(const GatewaySettings& settings)
+    {
+        forward::ExchangePolicy policy;
+        policy.boundsCrowding = settings.boundsCrowding;
+        return policy;
+    }
+
     bool isDraining() const { return drainStartedAt.load() != base::Instant {}; }
 
     const GatewaySettings settings;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -49,6 +49,21 @@
     }
 }
 
+TEST(PlatformCodec, SettingsOfLoadAndMemoryAreOptional)
+{
+    auto without = platform::parseBootSettings(completeSettings).value();
+    LONGS_EQUAL(0, without.memoryBytes);
+    CHECK_FALSE(without.boundsCrowding);
+    auto with = platform::parseBootSettings(std::string(completeSettings) + "limits.memoryMb=88\ncontracts=base,pool,stream\n").value();
+    LONGS_EQUAL(88 * 1024 * 1024, with.memoryBytes);
+    CHECK_TRUE(with.boundsCrowding);
+    for (const char* other : { "limits.memoryMb=x\ncontracts=base,pools\n", "limits.memoryMb=-5\ncontracts=\n" }) {
+        auto settings = platform::parseBootSettings(std::string(completeSettings) + other).value();
+        LONGS_EQUAL(0, settings.memoryBytes);
+        CHECK_FALSE(settings.boundsCrowding);
+    }
+}
+
 TEST(PlatformCodec, RevocationBoundIsOffWithoutStrictRevoke)
 {
     auto settings = platform::parseBootSettings(settingsWithout("bounds.strictRevoke") + "bounds.strictRevoke=false\n").value();
