Command line: check a manifest before it is sent

Cause: an operator learnt from refused requests that a route never matches or that two limits contradict each other; check and diff know the project's own settings tree only. Change: redwingseam check-manifest FILE [--against FILE] reads the platform's format through the adapter and prints errors, entries that can never match, contradictions, and what differs from the version in force. Not built: the version in force from the store, unknown fields, sizes against a node's memory.

--- a/tools/fuzz/Main.cpp
+++ b/tools/fuzz/Main.cpp
@@ -82,6 +82,8 @@
         return fuzzPeerMessage(bytes);
     case ParserKind::Manifest:
         return (void)platform::parseManifest(bytes);
+    case ParserKind::ManifestFile:
+        return (void)platform::parseManifestFile(bytes);
     case ParserKind::UpstreamPage:
         return (void)platform::parseUpstreamPage(bytes);
     case ParserKind::UpstreamChanges:
--- a/tools/fuzz/ParserKind.h
+++ b/tools/fuzz/ParserKind.h
@@ -19,9 +19,10 @@
     LogLine,
     Request,
     Answer,
+    ManifestFile,
 };
 
-inline constexpr size_t parserKindCount = 10;
+inline constexpr size_t parserKindCount = 11;
 
 } // namespace redwingseam::fuzz
 
@@ -39,5 +40,6 @@
         std::pair { ParserKind::LogLine, std::string_view { "log-line" } },
         std::pair { ParserKind::Request, std::string_view { "request" } },
         std::pair { ParserKind::Answer, std::string_view { "answer" } },
+        std::pair { ParserKind::ManifestFile, std::string_view { "manifest-file" } },
     };
 };
--- a/tools/redwingseam/Commands.h
+++ b/tools/redwingseam/Commands.h
@@ -8,6 +8,7 @@
 // Each function implements one subcommand. It prints its result, as JSON with --json, and returns the
 // exit code of the process.
 ExitCode check(const CommandLine&);
+ExitCode checkManifest(const CommandLine&);
 ExitCode explain(const CommandLine&);
 ExitCode diff(const CommandLine&);
 ExitCode pull(const CommandLine&);
--- a/tools/redwingseam/Main.cpp
+++ b/tools/redwingseam/Main.cpp
@@ -28,6 +28,10 @@
         add("vm", "Admin address (ip:port) of a VM; may be repeated", cxxopts::value<Strings>());
     if (subcommand == Subcommand::Report)
         add("html", "Also writes the report as an HTML page to this file", cxxopts::value<std::string>());
+    if (subcommand == Subcommand::CheckManifest) {
+        add("against", "Manifest in force, to show what differs", cxxopts::value<std::string>());
+        add("strict", "Any finding but a difference is a problem");
+    }
     if (subcommand == Subcommand::MintKey)
         add("settings", "Settings file of a VM, from which the secret is read", cxxopts::value<std::string>());
     return options;
@@ -38,6 +42,8 @@
     switch (subcommand) {
     case Subcommand::Check:
         return check(commandLine);
+    case Subcommand::CheckManifest:
+        return checkManifest(commandLine);
     case Subcommand::Explain:
         return explain(commandLine);
     case Subcommand::Diff:
@@ -64,6 +70,7 @@
 {
     std::cout << "usage: redwingseam COMMAND [OPTION...]; run redwingseam COMMAND --help for its options\n\n"
                  "  check     validates a settings tree\n"
+                 "  check-manifest FILE [--against FILE]: checks a manifest of the platform before it is sent\n"
                  "  explain   shows the effective settings of a branch and the branch that sets each of them\n"
                  "  diff      shows the differences between the local files and the platform's store\n"
                  "  pull      downloads the store's branches into the local files\n"
--- a/tools/redwingseam/Subcommand.h
+++ b/tools/redwingseam/Subcommand.h
@@ -9,6 +9,7 @@
 // Subcommands of the redwingseam command line.
 enum class Subcommand : uint8_t {
     Check,
+    CheckManifest,
     Explain,
     Diff,
     Pull,
@@ -27,6 +28,7 @@
     using Subcommand = redwingseam::cli::Subcommand;
     static constexpr std::array entries {
         std::pair { Subcommand::Check, std::string_view { "check" } },
+        std::pair { Subcommand::CheckManifest, std::string_view { "check-manifest" } },
         std::pair { Subcommand::Explain, std::string_view { "explain" } },
         std::pair { Subcommand::Diff, std::string_view { "diff" } },
         std::pair { Subcommand::Pull, std::string_view { "pull" } },
