Requests that were read ahead are not counted twice

Cause: found in the read-through. While memory is short, a usual client that sends several requests at once could be refused for the bytes of those behind the first, which are counted as read-ahead already. Change: the bytes of a head are counted only if they were not read ahead. Measured: groups ClientMemory, PipelinedRequests and ClientConnection pass.

--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -195,7 +195,9 @@
             m_phaseStartedAt = base::BootClock {}.now();
             applyLimits();
         }
-        if (!reserveHead(m_parser->is_header_done() ? 0 : m_buffer.size())) {
+        // What was read ahead is counted already, and may hold several requests.
+        bool isCounted = m_parser->is_header_done() || m_inputReservation.bytes();
+        if (!reserveHead(isCounted ? 0 : m_buffer.size())) {
             reject(503, base::ResultCode::BuffersExhausted);
             return;
         }
