Gateway: input after a refusal is discarded in small pieces, and the heap is trimmed by the true peak

Connections that had been refused read what was left into buffers of 32 KB each, which nothing counted, so the heap wasn't trimmed. With that mended, the trim missed crowds whose buffers rose and fell between two looks at them. Change: 8 KB pieces, as much a turn as before; BufferBudget keeps its peak between two looks.

--- a/src/gateway/BufferBudget.h
+++ b/src/gateway/BufferBudget.h
@@ -22,7 +22,10 @@
     // Returns whether `bytes` fit, and counts them if so. The caller must `release` them.
     bool tryReserve(size_t bytes, BufferUse use = BufferUse::Request)
     {
-        if (m_used.fetch_add(bytes) + bytes <= limitBytes(use)) {
+        auto total = m_used.fetch_add(bytes) + bytes;
+        if (total <= limitBytes(use)) {
+            if (total > m_peak)
+                m_peak = total;
             m_usedFor[indexOf(use)] += bytes;
             return true;
         }
@@ -51,6 +54,8 @@
         return m_total;
     }
     size_t usedBytes() const { return m_used; }
+    // Returns about the most bytes that were used at once since the last call.
+    size_t takePeakBytes() { return m_peak.exchange(m_used); }
     size_t usedBytes(BufferUse use) const { return m_usedFor[indexOf(use)]; }
 
 private:
@@ -58,6 +63,7 @@
 
     const size_t m_total;
     std::atomic<size_t> m_used { 0 };
+    std::atomic<size_t> m_peak { 0 };
     std::array<std::atomic<size_t>, bufferUseCount> m_usedFor {};
 };
 
--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -73,6 +73,8 @@
     static constexpr base::Duration lingerQuietTime = std::chrono::seconds(1);
     // A client that sends nothing of its request for this long makes no progress.
     static constexpr base::Duration stallTime = std::chrono::milliseconds(500);
+    // Input after the last response is discarded in pieces of this size.
+    static constexpr size_t discardedPieceBytes = 8 * 1024;
     static constexpr size_t maxDiscardedBytes = 16 * 1024 * 1024;
 
     static void onEvents(void* self, uint32_t events) { static_cast<ClientConnection*>(self)->handle(events); }
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -137,6 +137,10 @@
 template<typename Server>
 void ClientConnection<Server>::read()
 {
+    if (m_isClosing) {
+        discardInput();
+        return;
+    }
     bool mayReadAhead = !m_isServing || m_inputReservation.growTo(maxReadAhead);
     auto maxBytes = m_isServing ? maxReadAhead : maxBufferedBytes();
     auto status = mayReadAhead ? readInto(m_socket.descriptor(), m_buffer, maxBytes) : ReadStatus::Open;
@@ -145,10 +149,6 @@
         return;
     }
     m_lastInputAt = base::BootClock {}.now();
-    if (m_isClosing) {
-        discardInput();
-        return;
-    }
     if (m_isServing && (!mayReadAhead || m_buffer.size() >= maxReadAhead)) {
         // The read-ahead buffer is full, or there is no memory for one, so only the end of the connection is watched until the response is
         // complete.
@@ -179,10 +179,23 @@
 template<typename Server>
 void ClientConnection<Server>::discardInput()
 {
-    m_discardedBytes += m_buffer.size();
-    m_buffer.clear();
-    if (m_discardedBytes > maxDiscardedBytes)
-        disconnect();
+    // What is left is discarded in the next turn of the loop.
+    for (size_t discarded = 0; discarded < minBufferedBytes; discarded += discardedPieceBytes) {
+        auto status = readInto(m_socket.descriptor(), m_buffer, discardedPieceBytes);
+        if (status != ReadStatus::Open) {
+            endConnection(status == ReadStatus::Reset ? errno : 0);
+            return;
+        }
+        if (!m_buffer.size())
+            return;
+        m_lastInputAt = base::BootClock {}.now();
+        m_discardedBytes += m_buffer.size();
+        m_buffer.clear();
+        if (m_discardedBytes > maxDiscardedBytes) {
+            disconnect();
+            return;
+        }
+    }
 }
 
 template<typename Server>
@@ -398,6 +411,7 @@
     if (!keepsAlive) {
         m_isClosing = true;
         m_buffer.clear();
+        m_buffer.shrink_to_fit();
         m_parser.reset();
         m_bodyReservation.reset();
         m_headReservation.reset();
--- a/src/gateway/HeapTrimmer.cpp
+++ b/src/gateway/HeapTrimmer.cpp
@@ -6,11 +6,11 @@
 
 namespace redwingseam::gateway {
 
-void HeapTrimmer::update(size_t usedBytes, base::Instant now)
+void HeapTrimmer::update(size_t peakBytes, size_t usedBytes, base::Instant now)
 {
     {
         std::lock_guard guard(m_mutex);
-        m_peak = std::max(m_peak, usedBytes);
+        m_peak = std::max(m_peak, peakBytes);
         bool hasFallen = m_peak >= minReturnedBytes && usedBytes <= m_peak / 4;
         if ((!hasFallen && !m_repeatsLeft) || now - m_trimmedAt < minInterval)
             return;
--- a/src/gateway/HeapTrimmer.h
+++ b/src/gateway/HeapTrimmer.h
@@ -11,8 +11,8 @@
 // Thread-safe.
 class HeapTrimmer {
 public:
-    // Must be called now and then with the bytes that are buffered.
-    void update(size_t usedBytes, base::Instant now);
+    // Must be called now and then with the bytes that are buffered, and the most that were since the last call.
+    void update(size_t peakBytes, size_t usedBytes, base::Instant now);
 
 private:
     // Less is soon needed again.
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -94,7 +94,7 @@
     if (now - m_lastIdleTick < idleTickInterval)
         return;
     m_lastIdleTick = now;
-    m_state.heap.update(m_state.buffers.usedBytes(), now);
+    m_state.heap.update(m_state.buffers.takePeakBytes(), m_state.buffers.usedBytes(), now);
     m_connectionPool.tick(now);
     std::vector<Client*> current;
     current.reserve(m_clients.size());
