Platform: times and counts of a manifest are bounded when they are read

The conversion from a number of the manifest to the duration type overflows, which is undefined. Times of routes and limits and the settings' times were converted in the same way. Counts were cut to 32 bits, so that 4,294,967,296 places were read as 0. Ruled out: a fault in the check of manifests, whose seed led the fuzzer there; the read of the store is the same code.

The input is a seed of the fuzzer, so that every machine tries it.

--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -1,4 +1,6 @@
 #include "platform/BootSettings.h"
+#include "platform/BoundedDuration.h"
+#include "platform/ManifestCodec.h"
 #include "platform/NodeCodec.h"
 #include "platform/OriginCodec.h"
 #include "platform/PlatformHeaderCodec.h"
@@ -183,6 +185,26 @@
     CHECK_TRUE(*platform::PlatformHeaderCodec::readResponse(200, headers).keepAlive == std::chrono::hours(24));
 }
 
+TEST(PlatformCodec, HugeTimesAndCountsOfAManifestAreBounded)
+{
+    // Found by the fuzzer on x86-64: the conversion to the duration type overflowed.
+    auto manifest = platform::parseManifest(R"({"spec":{"version":1,"routes":[{"host":"h","pathPrefix":"/","routeType":"streaming","service":"s","timeoutMs":2e29,"priority":4294967296}],
+        "services":[{"name":"s","maxConnections":4294967298,"engine":{"slots":4294967296,"handleS":2.00444e29}}],"limits":{"idleTimeoutMs":1e300}}})")
+                        .value();
+    CHECK_TRUE(manifest.routes.front().timeout == platform::longestDuration);
+    CHECK_TRUE(manifest.routes.front().priority == UINT32_MAX);
+    CHECK_TRUE(manifest.services.front().maxConnections == UINT32_MAX);
+    CHECK_TRUE(manifest.services.front().engine->slots == UINT32_MAX);
+    CHECK_TRUE(manifest.services.front().engine->backupLifetime == platform::longestDuration);
+    CHECK_TRUE(manifest.limits.idleTimeout == platform::longestDuration);
+}
+
+TEST(PlatformCodec, HugeTimesOfTheSettingsAreBounded)
+{
+    auto settings = platform::parseBootSettings(settingsWithout("bounds.graceS") + "bounds.graceS=1e29\n").value();
+    CHECK_TRUE(settings.terminationGrace == platform::longestDuration);
+}
+
 TEST(PlatformCodec, RequestHeadersAreParsed)
 {
     boost::beast::http::fields headers;
