Forward: a stalled stream stays while others take as long to begin

Cause: in a flood engines read prompts all the time, and every stream on them has pauses over its gap objective. A stream without an event for 1.6 gap objectives moved to another engine even if its own answered probes; its prompt was read again behind those of others.

Change: each node measures how long its streams of a service take to begin (fleet::FirstEventTime). A stalled stream at an engine that can be reached stays for that time, between 1.6 and 4 gap objectives. Switched on with the settings' contract "pool". The log line of the move states the measured time.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -297,6 +297,16 @@
     return withPool(service, [&](UpstreamPool& pool) { return pool.retryBudget().tryAcquireRetry(nodeLimits, now); });
 }
 
+void Fleet::recordFirstEvent(const base::ServiceName& service, base::Duration duration, base::Instant now)
+{
+    withPool(service, [&](UpstreamPool& pool) { pool.firstEventTime().record(duration, now); });
+}
+
+base::Duration Fleet::firstEventTime(const base::ServiceName& service, base::Instant now)
+{
+    return withPool(service, [&](UpstreamPool& pool) { return pool.firstEventTime().mean(now); });
+}
+
 std::vector<PoolEntry> Fleet::entries()
 {
     std::vector<PoolEntry> all;
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -120,6 +120,10 @@
     // Returns when the read of the last applied list started, or a zero Instant if there is none.
     base::Instant listedAt() const { return m_listedAt.load(); }
     // Returns copies of the entries of all services.
+    // Records that a stream whose prompt had to be read began so long after it was sent.
+    void recordFirstEvent(const base::ServiceName&, base::Duration, base::Instant now);
+    // Returns the time in which streams of the service have begun lately, or zero if it is not known.
+    base::Duration firstEventTime(const base::ServiceName&, base::Instant now);
     std::vector<PoolEntry> entries();
 
 private:
--- a/src/fleet/UpstreamPool.h
+++ b/src/fleet/UpstreamPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/DataCentreHealth.h"
+#include "fleet/FirstEventTime.h"
 #include "fleet/LoadMap.h"
 #include "fleet/Placement.h"
 #include "fleet/PlacementQuery.h"
@@ -62,6 +63,7 @@
     const PoolEntry* find(const base::UpstreamName&) const;
     const std::vector<PoolEntry>& entries() const { return m_entries; }
     RetryBudget& retryBudget() { return m_retryBudget; }
+    FirstEventTime& firstEventTime() { return m_firstEventTime; }
     // Records whether the upstream refused a request as full. Returns whether it is news that most upstreams are full, or that
     // they are not any more.
     bool recordAcceptance(const base::UpstreamName&, bool isRefused, base::Instant now);
@@ -108,6 +110,7 @@
     VersionHistory m_versions;
     VersionWeights m_versionWeights;
     RetryBudget m_retryBudget;
+    FirstEventTime m_firstEventTime;
     bool m_isReportedCrowded = false;
     base::Instant m_crowdingReportedAt {};
 };
--- a/src/forward/Attempt.h
+++ b/src/forward/Attempt.h
@@ -20,6 +20,8 @@
     base::Instant lastProgress {};
     base::Instant lastProbe {};
     bool isConnecting = false;
+    // Whether the stream goes on from a copy of its run's memory.
+    bool isFromCopy = false;
     // Whether the attempt is the first at its upstream.
     bool isFirstContact = false;
     bool isProbing = false;
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -195,6 +195,7 @@
     m_backupAddress.reset();
     m_waitingSince = {};
     m_attempts.begin(std::move(placement), !wasContacted, now);
+    m_attempts.current().isFromCopy = parameters.usesBackup;
     recordStart(now);
     ++m_sends;
     return { StepKind::Send, std::move(parameters) };
@@ -256,6 +257,7 @@
     m_attempts.current().lastProgress = now;
     if (!m_attempts.current().hasEvent && m_attempts.current().placement) {
         recordProgress(now);
+        recordFirstEvent(now);
         m_fleet.markPrefilled(*m_attempts.current().placement);
         m_fleet.clearSuspicion(m_attempts.current().placement->target);
     }
@@ -264,6 +266,13 @@
     m_attempts.current().hasEvent = true;
 }
 
+void Exchange::recordFirstEvent(base::Instant now)
+{
+    const auto& attempt = m_attempts.current();
+    if (isEngineRequest() && !attempt.isFromCopy)
+        m_fleet.recordFirstEvent(m_request.service, now - attempt.sentAt, now);
+}
+
 void Exchange::recordPartialEvent(base::Instant now)
 {
     if (m_attempts.current().lastProgress == base::Instant {})
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -151,9 +151,12 @@
     bool isSuspect(base::Instant now);
     Step refuseQuarantined(base::Instant now) const;
     void recordProgress(base::Instant now);
+    void recordFirstEvent(base::Instant now);
     void updateCrashEvidence(const Attempt&, AttemptOutcome, base::Instant now);
     Step handleSilence(base::Instant now, uint64_t random);
     bool isIdempotentAttemptLate(base::Instant now) const;
+    // Returns the time without an event after which a stream is given up at an upstream that can be reached.
+    base::Duration stallLimit(base::Instant now) const;
     bool isStreamStalled(base::Instant now) const;
     // Starts another attempt if possible. Silence is no proof that there will be no response, so otherwise the attempt goes
     // on until the deadline, and is kept beside the other one.
--- a/src/forward/ExchangePolicy.h
+++ b/src/forward/ExchangePolicy.h
@@ -38,6 +38,10 @@
     // Multiple of the gap objective after which a silent stream is retried on another upstream even though its current
     // upstream accepts connections.
     double abandonGapMultiple = 1.6;
+    // Whether a stream whose reachable upstream has stalled stays there for as long as its prompt would take to be read elsewhere,
+    // as far as that is known, and up to this multiple of the gap objective.
+    bool weighsMoves = false;
+    double maxAbandonGapMultiple = 4;
     // How long the silent attempt of a stream is kept once the request was written to another upstream. Covers the refusal of
     // that one, and is short because both may run the request.
     base::Duration keepBesideReplacement = std::chrono::milliseconds(200);
--- a/src/forward/ExchangeSilence.cpp
+++ b/src/forward/ExchangeSilence.cpp
@@ -3,6 +3,8 @@
 #include "base/ScaledDuration.h"
 #include "forward/Exchange.h"
 
+#include <algorithm>
+
 namespace redwingseam::forward {
 
 using base::scaled;
@@ -118,6 +120,7 @@
         attempt.sinceEvent = since(m_attempts.current().lastProgress);
     attempt.sinceContact = since(m_fleet.lastContactAt(m_attempts.current().placement->target));
     attempt.sinceAnyContact = since(m_fleet.lastContactAt(m_request.service));
+    attempt.expectedFirstEvent = m_fleet.firstEventTime(m_request.service, now);
     return attempt;
 }
 
@@ -151,10 +154,20 @@
     return isSilent || now - m_attempts.current().sentAt > route.latencyObjective;
 }
 
+// Answers the load pattern of engines that read prompts all the time, so that all streams are slow: one that moves has its
+// prompt read again behind the others, ends later than it would have, and slows down the rest.
+base::Duration Exchange::stallLimit(base::Instant now) const
+{
+    auto limit = scaled(m_request.route->gapObjective, m_policy.abandonGapMultiple);
+    if (!m_policy.weighsMoves)
+        return limit;
+    return std::max(limit, std::min(m_fleet.firstEventTime(m_request.service, now), scaled(m_request.route->gapObjective, m_policy.maxAbandonGapMultiple)));
+}
+
 // Before its first event begins, a stream may wait for its prefill.
 bool Exchange::isStreamStalled(base::Instant now) const
 {
-    return m_attempts.current().lastProgress != base::Instant {} && now - m_attempts.current().lastProgress > scaled(m_request.route->gapObjective, m_policy.abandonGapMultiple);
+    return m_attempts.current().lastProgress != base::Instant {} && now - m_attempts.current().lastProgress > stallLimit(now);
 }
 
 Step Exchange::handleSilence(base::Instant now, uint64_t random)
--- a/src/forward/SilentAttempt.h
+++ b/src/forward/SilentAttempt.h
@@ -20,6 +20,8 @@
     std::optional<base::Duration> sinceContact;
     // Since any upstream of the service did. A long time points to this node's own link.
     std::optional<base::Duration> sinceAnyContact;
+    // In which streams of the service have begun lately; zero if not known.
+    base::Duration expectedFirstEvent {};
 };
 
 } // namespace redwingseam::forward
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -36,8 +36,9 @@
     base::Duration upstreamRemovalBound {};
     // Time from SIGTERM until the process is killed.
     base::Duration terminationGrace {};
-    // Whether the upstreams of plain services are shared with so many nodes that these must not ask full ones again and again.
-    bool boundsCrowding = false;
+    // Whether upstreams are shared with so many nodes that these must not ask full ones again and again, nor move streams for
+    // being slow like all others.
+    bool sharesUpstreams = false;
     // Retry limits per service, shared by all nodes.
     fleet::RetryLimits retries;
 };
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -51,7 +51,8 @@
     static forward::ExchangePolicy policyFor(const GatewaySettings& settings)
     {
         forward::ExchangePolicy policy;
-        policy.boundsCrowding = settings.boundsCrowding;
+        policy.boundsCrowding = settings.sharesUpstreams;
+        policy.weighsMoves = settings.sharesUpstreams;
         return policy;
     }
 
--- a/src/gateway/SessionReportingImpl.h
+++ b/src/gateway/SessionReportingImpl.h
@@ -107,6 +107,8 @@
         line.with("since_contact_ms", millisOf(*silent.sinceContact));
     if (silent.sinceAnyContact)
         line.with("since_any_contact_ms", millisOf(*silent.sinceAnyContact));
+    if (silent.expectedFirstEvent != base::Duration {})
+        line.with("expected_first_event_ms", millisOf(silent.expectedFirstEvent));
     LOG(WARNING) << line.with("kept", silent.isKept ? 1 : 0).with("next", next.id.text).with("next_data_centre", next.dataCentre.text).text();
 }
 
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -55,14 +55,14 @@
 {
     auto without = platform::parseBootSettings(completeSettings).value();
     LONGS_EQUAL(0, without.memoryBytes);
-    CHECK_FALSE(without.boundsCrowding);
+    CHECK_FALSE(without.sharesUpstreams);
     auto with = platform::parseBootSettings(std::string(completeSettings) + "limits.memoryMb=88\ncontracts=base,pool,stream\n").value();
     LONGS_EQUAL(88 * 1024 * 1024, with.memoryBytes);
-    CHECK_TRUE(with.boundsCrowding);
+    CHECK_TRUE(with.sharesUpstreams);
     for (const char* other : { "limits.memoryMb=x\ncontracts=base,pools\n", "limits.memoryMb=-5\ncontracts=\n" }) {
         auto settings = platform::parseBootSettings(std::string(completeSettings) + other).value();
         LONGS_EQUAL(0, settings.memoryBytes);
-        CHECK_FALSE(settings.boundsCrowding);
+        CHECK_FALSE(settings.sharesUpstreams);
     }
 }
 
