--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -221,6 +222,13 @@
                 await asyncio.wait_for(self.changed.wait(), left)
 
 
+def reset(writer):
+    """Closes the connection with a reset."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Worker:
     """A worker of one service. `respond(worker, request, writer, headers)` answers a request that it runs."""
 
@@ -261,7 +269,7 @@
             return
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
         self.record.line("worker-crashed", worker=self.id)
         crashed = self.id
         await asyncio.sleep(back_after)
