review: the stand-ins end their gateways when a script is ended from outside

Cause: a script that was ended with SIGTERM left its gateways running. Change: review/lab-2/lab.py cancels the case, which ends them.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -411,9 +411,14 @@
     async def guarded():
         record = Record(folder)
         gateways = []
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 result = await asyncio.wait_for(case(record, pathlib.Path(temporary), gateways), 118)
+            except asyncio.CancelledError:
+                record.say("could not run: ended from outside")
+                result = COULD_NOT_RUN
             except Exception as failure:  # noqa: BLE001 - whatever it is, the case did not run
                 record.say(f"could not run: {failure!r}")
                 result = COULD_NOT_RUN
