Manifest: an empty list of accounts admits nobody

When the operator removed the last account, all gateways served every request without looking at its key, also revoked keys and keys that never existed.

Cause: "needs keys" was derived from "has accounts", and the parser read a missing list and an empty one into the same empty vector. Ruled out: the way of the manifest through store and peers, which pass the text on unchanged.

Change: the accounts are optional. Not set means that no request needs a key; an empty list, or one that cannot be read, admits no key. check-manifest reports an empty list as an error.

--- a/include/redwingseam/manifest/Manifest.h
+++ b/include/redwingseam/manifest/Manifest.h
@@ -5,6 +5,7 @@
 #include "redwingseam/manifest/Route.h"
 #include "redwingseam/manifest/ServiceSpec.h"
 
+#include <optional>
 #include <vector>
 
 namespace redwingseam::manifest {
@@ -16,8 +17,8 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     ClientLimits limits;
-    // If empty, no request needs a key.
-    std::vector<ClientAccount> accounts;
+    // Not set if no request needs a key. An empty list admits no key at all.
+    std::optional<std::vector<ClientAccount>> accounts;
 };
 
 } // namespace redwingseam::manifest
--- a/src/manifest/CompareManifests.cpp
+++ b/src/manifest/CompareManifests.cpp
@@ -137,18 +137,19 @@
             addChange("limits", "idle timeout", before.idleTimeout, after.idleTimeout);
         }
 
-        static const ClientAccount* find(const Manifest& manifest, const base::ClientName& name)
+        static const ClientAccount* find(const ManifestIndex& index, const base::ClientName& name)
         {
-            auto found = std::find_if(manifest.accounts.begin(), manifest.accounts.end(), [&](const auto& account) { return account.name == name; });
-            return found == manifest.accounts.end() ? nullptr : &*found;
+            auto accounts = index.accounts();
+            auto found = std::find_if(accounts.begin(), accounts.end(), [&](const auto& account) { return account.name == name; });
+            return found == accounts.end() ? nullptr : &*found;
         }
 
         void compareAccounts()
         {
             if (m_before.requiresKeys() != m_after.requiresKeys())
                 add("accounts", m_after.requiresKeys() ? "requests need a key" : "requests need no key any more");
-            for (const auto& account : m_before.manifest().accounts) {
-                const auto* other = find(m_after.manifest(), account.name);
+            for (const auto& account : m_before.accounts()) {
+                const auto* other = find(m_after, account.name);
                 if (!other)
                     add(entryName(account), "removed");
                 for (const auto& key : account.keys) {
@@ -161,8 +162,8 @@
                 if (other && other->priority != account.priority)
                     add(entryName(account), "priority changed");
             }
-            for (const auto& account : m_after.manifest().accounts) {
-                if (!find(m_before.manifest(), account.name))
+            for (const auto& account : m_after.accounts()) {
+                if (!find(m_before, account.name))
                     add(entryName(account), "added");
                 for (const auto& key : account.keys) {
                     if (!m_before.account(key))
--- a/src/manifest/ManifestIndex.cpp
+++ b/src/manifest/ManifestIndex.cpp
@@ -16,7 +16,7 @@
             return left->prefix.size() > right->prefix.size();
         });
     }
-    for (const auto& account : m_manifest.accounts) {
+    for (const auto& account : accounts()) {
         for (const auto& key : account.keys)
             m_accountsByKey.emplace(key, &account);
     }
@@ -34,6 +34,13 @@
     return nullptr;
 }
 
+std::span<const ClientAccount> ManifestIndex::accounts() const
+{
+    if (!m_manifest.accounts)
+        return {};
+    return *m_manifest.accounts;
+}
+
 const ClientAccount* ManifestIndex::account(const base::ApiKey& key) const
 {
     auto found = m_accountsByKey.find(key);
--- a/src/manifest/ManifestIndex.h
+++ b/src/manifest/ManifestIndex.h
@@ -2,6 +2,7 @@
 
 #include "redwingseam/manifest/Manifest.h"
 
+#include <span>
 #include <string_view>
 #include <unordered_map>
 
@@ -20,8 +21,10 @@
     const ClientAccount* account(const base::ApiKey& key) const;
     // Returns the service of that name, or null if there is none.
     const ServiceSpec* service(const base::ServiceName&) const;
-    // A manifest without accounts requires no keys.
-    bool requiresKeys() const { return !m_manifest.accounts.empty(); }
+    // Whether requests need a key. A list of accounts without entries requires keys, and none is valid.
+    bool requiresKeys() const { return m_manifest.accounts.has_value(); }
+    // Returns the accounts, or none if no request needs a key.
+    std::span<const ClientAccount> accounts() const;
 
 private:
     Manifest m_manifest;
--- a/src/manifest/checks/RepeatedNames.h
+++ b/src/manifest/checks/RepeatedNames.h
@@ -20,7 +20,7 @@
             add(entryName(route));
         for (const auto& service : index.manifest().services)
             add(entryName(service));
-        for (const auto& account : index.manifest().accounts)
+        for (const auto& account : index.accounts())
             add(entryName(account));
     }
 };
--- a/tests/ManifestCheckTest.cpp
+++ b/tests/ManifestCheckTest.cpp
@@ -81,13 +81,26 @@
 TEST(ManifestCheck, AccountsAndKeys)
 {
     auto keyless = sound;
-    keyless.accounts.push_back({ { "other" }, {}, std::nullopt });
+    keyless.accounts->push_back({ { "other" }, {}, std::nullopt });
     checkOnly(keyless, FindingKind::NeverMatches, "account \"other\"", "no key");
     auto twice = sound;
-    twice.accounts.push_back({ { "other" }, { { "key" } }, std::nullopt });
+    twice.accounts->push_back({ { "other" }, { { "key" } }, std::nullopt });
     checkOnly(twice, FindingKind::Error, "account \"other\"", "belongs to account \"account\"");
 }
 
+TEST(ManifestCheck, EmptyListOfAccountsAdmitsNobody)
+{
+    auto nobody = sound;
+    nobody.accounts->clear();
+    checkOnly(nobody, FindingKind::Error, "accounts", "every request that needs a key is refused");
+    CHECK_TRUE(contains(differences(nobody), "account \"account\": removed"));
+    CHECK_FALSE(contains(differences(nobody), "need no key"));
+    auto open = sound;
+    open.accounts.reset();
+    STRCMP_EQUAL("", textOf(manifest::checkManifest(open)).c_str());
+    CHECK_TRUE(contains(differences(open), "accounts: requests need no key any more"));
+}
+
 TEST(ManifestCheck, RepeatedNames)
 {
     sound.services.push_back(sound.services[1]);
@@ -133,7 +146,7 @@
     after.routes[1].services = { { { "engines" }, 1 } };
     after.routes[1].timeout = milliseconds(900);
     after.routes.pop_back();
-    after.accounts[0].keys = { { "another-long-key" } };
+    after.accounts->front().keys = { { "another-long-key" } };
     after.limits.maxBodyBytes = 1000;
     auto text = differences(after);
     CHECK_TRUE_TEXT(contains(text, "route \"read\": requests to h/read/ go to engines (1) in place of desk (1)"), text.c_str());
--- a/tests/ManifestTest.cpp
+++ b/tests/ManifestTest.cpp
@@ -98,7 +98,7 @@
                     continue;
                 auto manifest = manifestOf(began < revokedAt ? 1 : 2);
                 if (began >= revokedAt)
-                    manifest.accounts.front().keys.clear();
+                    manifest.accounts->front().keys.clear();
                 holder.update(manifest, {}, at(began));
             }
             auto admission = rule.admit(holder.state(), { "h", "/book/", { "key" }, at(moment) });
@@ -142,7 +142,30 @@
     LONGS_EQUAL(1, plain.maxAttempts);
     LONGS_EQUAL(88000, manifest.services.at(0).engine->kvCapacityTokens);
     CHECK_FALSE(manifest.services.at(1).engine.has_value());
-    STRCMP_EQUAL("k2", manifest.accounts.at(0).keys.at(1).text.c_str());
+    STRCMP_EQUAL("k2", manifest.accounts->at(0).keys.at(1).text.c_str());
+}
+
+static manifest::ManifestState stateOf(const std::string& members)
+{
+    auto text = R"({"spec":{"version":7,"routes":[{"name":"open","host":"h","pathPrefix":"/open/","routeType":"idempotent","service":"y","skipAuth":true},{"name":"q","host":"h","pathPrefix":"/q/","routeType":"idempotent","service":"y"}])" + members + "}}";
+    manifest::ManifestHolder holder;
+    holder.update(platform::parseManifest(text).value(), text, at(0));
+    return holder.state();
+}
+
+// Guards against a key check that fails open once the last account has been removed.
+TEST(Manifest, EmptyListOfAccountsAdmitsNobody)
+{
+    forward::AdmissionRule rule(milliseconds(4600));
+    auto admit = [&](const char* path, const char* key, const std::string& members) { return rule.admit(stateOf(members), { "h", path, { key }, at(1) }).code; };
+    for (const char* list : { "[]", "null", "{}", "\"t\"", "[7]", R"([{"name":"t"}])", R"([{"name":"t","apiKeys":[]}])", R"([{"name":"t","apiKeys":[7]}])" }) {
+        auto members = std::string(R"(,"tenants":)") + list;
+        for (const char* key : { "", "key" })
+            CHECK_TRUE_TEXT(admit("/q/", key, members) == ResultCode::UnknownClient, list);
+        CHECK_TRUE_TEXT(admit("/open/", "", members) == ResultCode::Ok, list);
+    }
+    for (const char* key : { "", "key" })
+        CHECK_TRUE(admit("/q/", key, "") == ResultCode::Ok);
 }
 
 TEST(Manifest, CorruptedTextIsParsedOrRejectedWithoutACrash)
--- a/tests/fakes/FleetFixture.h
+++ b/tests/fakes/FleetFixture.h
@@ -32,7 +32,7 @@
         manifest.routes.push_back({ { "book" }, "h", "/book/", manifest::RouteKind::NonIdempotent, { { { "desk" }, 1 } }, milliseconds(1200), milliseconds(400), {}, 2, 1 });
         manifest.services.push_back({ { "engines" }, 370, manifest::EngineSpec { 64, 88000, true, std::chrono::seconds(4) } });
         manifest.services.push_back({ { "desk" }, 110, std::nullopt });
-        manifest.accounts.push_back({ { "account" }, { { "key" } }, std::nullopt });
+        manifest.accounts.emplace().push_back({ { "account" }, { { "key" } }, std::nullopt });
         return manifest;
     }
 
