Token counts: what clients state cannot wrap around

Two waiting requests that state 2^63 tokens each make a gateway end with SIGSEGV once their clients leave; the streams that it was serving were cut.

Cause: ServiceQueue summed the stated numbers in 64 bits and took a sum of 0 for an account without waiting work.

Change: base::TokenCount, with sums that saturate, for every stated number and every sum of them. The queue counts the requests of an account beside their cost. A request counts no more than the KV cache of one engine.

--- a/src/fleet/Placement.h
+++ b/src/fleet/Placement.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "redwingseam/fleet/UpstreamInstance.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace redwingseam::fleet {
@@ -12,9 +12,9 @@
     UpstreamInstance target;
     std::optional<UpstreamInstance> backup;
     // Tokens booked as pending prefill of `target`; 0 without an engine.
-    uint64_t promptTokens = 0;
+    base::TokenCount promptTokens;
     // Tokens booked in the KV caches of `target` and of `backup`; 0 without an engine.
-    uint64_t kvTokens = 0;
+    base::TokenCount kvTokens;
     // Whether the prompt still counts towards the pending prefill of `target`.
     bool isPrefillPending = false;
 };
--- a/src/fleet/PlacementQuery.h
+++ b/src/fleet/PlacementQuery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 #include "redwingseam/manifest/EngineSpec.h"
@@ -15,8 +16,8 @@
     base::ServiceName service;
     // Set only for services of model engines.
     std::optional<manifest::EngineSpec> engine;
-    uint64_t promptTokens = 0;
-    uint64_t maxOutputTokens = 0;
+    base::TokenCount promptTokens;
+    base::TokenCount maxOutputTokens;
     // Upstreams on which this request has failed.
     std::vector<base::UpstreamName> excluded;
     // Address of the upstream to prefer if it is usable, such as the one with a backup of the run's KV cache. An
--- a/src/fleet/PoolEntry.cpp
+++ b/src/fleet/PoolEntry.cpp
@@ -14,8 +14,8 @@
     auto pending = localLoad.pendingPrefillTokens + peerLoad.pendingPrefillTokens;
     auto cached = localLoad.kvTokens + peerLoad.kvTokens;
     // A request that is larger than the limits still gets an idle engine.
-    bool canPrefill = !pending || static_cast<double>(pending + query.promptTokens) <= maxPendingPrefillShare * static_cast<double>(capacity);
-    bool fitsCache = !cached || cached + query.promptTokens + query.maxOutputTokens <= capacity;
+    bool canPrefill = pending.isZero() || static_cast<double>(pending + query.promptTokens) <= maxPendingPrefillShare * static_cast<double>(capacity);
+    bool fitsCache = cached.isZero() || cached + query.promptTokens + query.maxOutputTokens <= base::TokenCount(capacity);
     return canPrefill && fitsCache;
 }
 
--- a/src/fleet/UpstreamLoad.h
+++ b/src/fleet/UpstreamLoad.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/TokenCount.h"
+
 #include <cstdint>
 
 namespace redwingseam::fleet {
@@ -8,9 +10,9 @@
 struct UpstreamLoad {
     uint32_t requests = 0;
     // Prompt tokens of requests that have not delivered their first event.
-    uint64_t pendingPrefillTokens = 0;
+    base::TokenCount pendingPrefillTokens;
     // Tokens in the KV cache, of running requests and of backups of runs on other upstreams.
-    uint64_t kvTokens = 0;
+    base::TokenCount kvTokens;
 
     UpstreamLoad& operator+=(const UpstreamLoad& other)
     {
--- a/src/forward/DispatchRate.h
+++ b/src/forward/DispatchRate.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "redwingseam/base/Instant.h"
 
-#include <cstdint>
+#include <algorithm>
 #include <optional>
 
 namespace redwingseam::forward {
@@ -15,23 +16,26 @@
     void start(base::Instant now)
     {
         m_startedAt = now;
-        m_tokens = 0;
+        m_tokens = {};
     }
-    void recordDispatch(uint64_t tokens) { m_tokens += tokens; }
+    void recordDispatch(base::TokenCount tokens) { m_tokens += tokens; }
     // Returns the time in which `tokens` will be dispatched, or nothing while too little has been measured.
-    std::optional<base::Duration> timeFor(uint64_t tokens, base::Instant now) const
+    std::optional<base::Duration> timeFor(base::TokenCount tokens, base::Instant now) const
     {
         auto measured = now - m_startedAt;
-        if (measured < minMeasurement || !m_tokens)
+        if (measured < minMeasurement || m_tokens.isZero())
             return std::nullopt;
-        return std::chrono::duration_cast<base::Duration>(measured * (static_cast<double>(tokens) / static_cast<double>(m_tokens)));
+        auto time = measured * (static_cast<double>(tokens) / static_cast<double>(m_tokens));
+        return std::chrono::duration_cast<base::Duration>(std::min<decltype(time)>(time, maxTime));
     }
 
 private:
     static constexpr base::Duration minMeasurement = std::chrono::milliseconds(500);
+    // Longer times mean the same and would overflow the duration type.
+    static constexpr base::Duration maxTime = std::chrono::hours(24);
 
     base::Instant m_startedAt {};
-    uint64_t m_tokens = 0;
+    base::TokenCount m_tokens;
 };
 
 } // namespace redwingseam::forward
--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -14,8 +14,27 @@
     return kind == manifest::RouteKind::Stream ? std::optional(policy.keepBesideReplacement) : std::nullopt;
 }
 
+// Beyond the KV cache of any engine, for services that do not state its size.
+static constexpr base::TokenCount maxEngineTokens = 1ULL << 32;
+
+static base::TokenCount engineCapacity(const ExchangeRequest& request)
+{
+    const auto* service = request.index->service(request.service);
+    bool isStated = service && service->engine && service->engine->kvCapacityTokens;
+    return isStated ? std::min<base::TokenCount>(service->engine->kvCapacityTokens, maxEngineTokens) : maxEngineTokens;
+}
+
+// A request takes no more of an engine than its whole KV cache, whatever the client states.
+static ExchangeRequest boundedByEngine(ExchangeRequest request)
+{
+    auto capacity = engineCapacity(request);
+    request.promptTokens = std::min(request.promptTokens, capacity);
+    request.maxOutputTokens = std::min(request.maxOutputTokens, capacity);
+    return request;
+}
+
 Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, origin::StreamOrigins& origins, const ExchangePolicy& policy)
-    : m_request(std::move(request))
+    : m_request(boundedByEngine(std::move(request)))
     , m_fleet(fleet)
     , m_queue(queue)
     , m_crashes(crashes)
--- a/src/forward/ExchangeQueueing.cpp
+++ b/src/forward/ExchangeQueueing.cpp
@@ -53,7 +53,7 @@
     work.request = m_request.id;
     work.client = m_request.client;
     work.rank = m_request.rank;
-    work.cost = std::max<uint64_t>(1, m_request.promptTokens + m_request.maxOutputTokens);
+    work.cost = std::max<base::TokenCount>(1, m_request.promptTokens + m_request.maxOutputTokens);
     auto wait = m_queue.with(m_request.service, [&](const ServiceQueue& queue) { return queue.expectedWait(work, now); });
     if (wait && now + *wait > latestDispatch())
         return refuseUntilRoom(*wait, now, random);
--- a/src/forward/ExchangeRequest.h
+++ b/src/forward/ExchangeRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "fleet/RetryLimits.h"
 #include "manifest/ManifestIndex.h"
 #include "redwingseam/base/Ids.h"
@@ -28,9 +29,9 @@
     base::Duration clientTimeout {};
     // Refused if it cannot be sent by then, because the node stops.
     base::Instant latestStart = base::Instant::max();
-    // Numbers of tokens from which the load on the upstream is estimated.
-    uint64_t promptTokens = 0;
-    uint64_t maxOutputTokens = 0;
+    // Numbers of tokens that the client states, from which the load on the upstream is estimated.
+    base::TokenCount promptTokens;
+    base::TokenCount maxOutputTokens;
     // See PlacementQuery::promptKey.
     std::optional<uint64_t> promptKey;
     // The parts of the prompt that other requests to the same service may share, in order.
--- a/src/forward/ServiceQueue.cpp
+++ b/src/forward/ServiceQueue.cpp
@@ -9,7 +9,9 @@
     if (isEmpty())
         m_rate.start(now);
     m_waitingCost[base::indexOf(work.rank)] += work.cost;
-    m_clientCost[work.client] += work.cost;
+    auto& client = m_clients[work.client];
+    ++client.requests;
+    client.cost += work.cost;
     work.deadline = onTimeUntil;
     (onTimeUntil > now ? m_onTime : m_late).push(std::move(work));
 }
@@ -49,10 +51,10 @@
 void ServiceQueue::subtractCost(const schedule::QueuedWork& work)
 {
     m_waitingCost[base::indexOf(work.rank)] -= work.cost;
-    auto client = m_clientCost.find(work.client);
-    client->second -= work.cost;
-    if (!client->second)
-        m_clientCost.erase(client);
+    auto client = m_clients.find(work.client);
+    client->second.cost -= work.cost;
+    if (!--client->second.requests)
+        m_clients.erase(client);
 }
 
 void ServiceQueue::recordDispatch(base::RequestId request, base::Instant now, base::Duration pause)
@@ -75,20 +77,21 @@
         m_late.remove(work.request);
 }
 
-uint64_t ServiceQueue::costAhead(const schedule::QueuedWork& work) const
+base::TokenCount ServiceQueue::costAhead(const schedule::QueuedWork& work) const
 {
     auto rank = base::indexOf(work.rank);
-    uint64_t byRank = 0;
+    base::TokenCount byRank;
     for (size_t index = 0; index <= rank; ++index)
         byRank += m_waitingCost[index];
-    auto client = m_clientCost.find(work.client);
-    bool isWaiting = client != m_clientCost.end();
-    auto clients = m_clientCost.size() + (isWaiting ? 0 : 1);
-    auto byClient = (isWaiting ? client->second : 0) * clients + work.cost * (clients - 1);
+    auto client = m_clients.find(work.client);
+    bool isWaiting = client != m_clients.end();
+    auto clients = m_clients.size() + (isWaiting ? 0 : 1);
+    auto ownCost = isWaiting ? client->second.cost : base::TokenCount {};
+    base::TokenCount byClient = ownCost.value() * clients + work.cost.value() * (clients - 1);
     auto ahead = std::min(byRank, byClient);
     static constexpr uint64_t permille = 1000;
     auto floor = static_cast<uint64_t>(m_onTime.floors().permille[rank]);
-    return floor ? std::min(ahead, (m_waitingCost[rank] + work.cost) * permille / floor) : ahead;
+    return floor ? std::min(ahead, base::TokenCount((m_waitingCost[rank] + work.cost).value() * permille / floor)) : ahead;
 }
 
 std::optional<base::Duration> ServiceQueue::expectedWait(const schedule::QueuedWork& work, base::Instant now) const
--- a/src/forward/ServiceQueue.h
+++ b/src/forward/ServiceQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/ClientBacklog.h"
 #include "forward/DispatchRate.h"
 #include "schedule/FairQueue.h"
 
@@ -37,15 +38,15 @@
     void subtractCost(const schedule::QueuedWork&);
     // Cost that is dispatched before the work: what precedes it by rank, but no more than its rank's floor and its client's
     // fair share allow.
-    uint64_t costAhead(const schedule::QueuedWork&) const;
+    base::TokenCount costAhead(const schedule::QueuedWork&) const;
 
     schedule::FairQueue m_onTime;
     schedule::FairQueue m_late;
     // The work that was taken from the queues and waits for room.
     std::optional<schedule::QueuedWork> m_next;
-    std::array<uint64_t, base::rankCount> m_waitingCost {};
-    // Waiting cost of each client that has work in the queue.
-    std::unordered_map<base::ClientName, uint64_t> m_clientCost;
+    std::array<base::TokenCount, base::rankCount> m_waitingCost {};
+    // The clients that have work in the queue.
+    std::unordered_map<base::ClientName, ClientBacklog> m_clients;
     unsigned m_dispatches = 0;
     base::Instant m_nextTurnAt {};
     DispatchRate m_rate;
--- a/src/gateway/RequestMetadata.h
+++ b/src/gateway/RequestMetadata.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 
@@ -26,8 +27,9 @@
     std::optional<uint64_t> promptKey;
     // The parts of the prompt that other requests may share, in order. Bounded by `maxPromptParts`.
     std::vector<base::PromptPartHash> promptParts;
-    uint64_t promptTokens = 0;
-    uint64_t maxOutputTokens = 0;
+    // As the client states them; 0 if it does not.
+    base::TokenCount promptTokens;
+    base::TokenCount maxOutputTokens;
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -60,7 +60,7 @@
     m_state.recorder.countRequest(m_requestSettings.rank);
     execute(m_exchange->begin(m_arrivedAt, random()));
     if (!m_isEnded && m_exchange->isQueued())
-        LOG(INFO) << log::LogLine("request_queued").with("request", m_requestMetadata.attempt.text).with("rank", base::nameOf(m_requestSettings.rank)).with("prompt_tokens", m_requestMetadata.promptTokens).text();
+        LOG(INFO) << log::LogLine("request_queued").with("request", m_requestMetadata.attempt.text).with("rank", base::nameOf(m_requestSettings.rank)).with("prompt_tokens", m_requestMetadata.promptTokens.value()).text();
 }
 
 template<HeaderCodec Codec, typename Worker>
--- a/src/node/NodeCoreDispatch.h
+++ b/src/node/NodeCoreDispatch.h
@@ -65,7 +65,7 @@
     }
     bool hasStarted = startAttempt(placement, context);
     if (hasStarted)
-        m_clientUsage.add(placement.work.client, placement.work.rank, placement.work.cost, placement.work.weight);
+        m_clientUsage.add(placement.work.client, placement.work.rank, placement.work.cost.value(), placement.work.weight);
     return hasStarted;
 }
 
--- a/src/replication/LoadFilter.h
+++ b/src/replication/LoadFilter.h
@@ -23,7 +23,7 @@
     fleet::LoadMap apply(const fleet::LoadMap&, const std::shared_ptr<const sync::UpstreamList>&);
 
 private:
-    static bool isNegligible(const fleet::UpstreamLoad& load) { return load.requests <= 1 && load.pendingPrefillTokens == 0; }
+    static bool isNegligible(const fleet::UpstreamLoad& load) { return load.requests <= 1 && load.pendingPrefillTokens.isZero(); }
 
     // Keeps the loads in a reply to a few kilobytes.
     static constexpr size_t maxUnfilteredUpstreams = 600;
--- a/src/replication/MessageCodec.cpp
+++ b/src/replication/MessageCodec.cpp
@@ -28,7 +28,7 @@
 {
     auto list = Json::array();
     for (const auto& [upstream, load] : loads)
-        list.push_back(Json::array({ upstream.text, load.requests, load.pendingPrefillTokens, load.kvTokens }));
+        list.push_back(Json::array({ upstream.text, load.requests, load.pendingPrefillTokens.value(), load.kvTokens.value() }));
     return list;
 }
 
--- a/src/schedule/FairQueue.h
+++ b/src/schedule/FairQueue.h
@@ -25,7 +25,7 @@
     size_t size() const;
     size_t waiting(base::Rank rank) const { return m_ranks[base::indexOf(rank)].size(); }
     size_t waitingForClient(base::Rank rank, const base::ClientName& client) const { return m_ranks[base::indexOf(rank)].waitingForClient(client); }
-    void charge(base::Rank rank, const base::ClientName& client, uint64_t cost, int64_t weight) { m_ranks[base::indexOf(rank)].charge(client, cost, weight); }
+    void charge(base::Rank rank, const base::ClientName& client, base::TokenCount cost, int64_t weight) { m_ranks[base::indexOf(rank)].charge(client, cost, weight); }
 
 private:
     std::array<RankQueue, base::rankCount> m_ranks;
--- a/src/schedule/QueuedWork.h
+++ b/src/schedule/QueuedWork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/TokenCount.h"
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Instant.h"
 #include "redwingseam/base/Rank.h"
@@ -16,7 +17,7 @@
     base::ClientName client;
     base::Rank rank = base::Rank::Standard;
     // Expected cost in token equivalents: the remaining prefill plus decode.
-    uint64_t cost = 1;
+    base::TokenCount cost = 1;
     // The client's weight in fair queueing: a client of twice the weight gets twice the share of its rank.
     int64_t weight = 100;
     base::Instant deadline;
--- a/src/schedule/RankQueue.cpp
+++ b/src/schedule/RankQueue.cpp
@@ -9,9 +9,9 @@
 // Idle clients are evicted once there are more clients than this, so memory is bounded by the active ones.
 static constexpr size_t idleEvictionThreshold = 8192;
 
-static uint64_t virtualCost(uint64_t cost, int64_t weight)
+static uint64_t virtualCost(base::TokenCount cost, int64_t weight)
 {
-    return std::max<uint64_t>(1, cost * virtualTimeScale / static_cast<uint64_t>(std::max<int64_t>(1, weight)));
+    return std::max<uint64_t>(1, cost.value() * virtualTimeScale / static_cast<uint64_t>(std::max<int64_t>(1, weight)));
 }
 
 void RankQueue::push(QueuedWork work)
@@ -69,7 +69,7 @@
     return work;
 }
 
-std::optional<uint64_t> RankQueue::headCost() const
+std::optional<base::TokenCount> RankQueue::headCost() const
 {
     if (!m_resumes.empty())
         return m_resumes.front().cost;
@@ -120,7 +120,7 @@
     return found == m_clients.end() ? 0 : found->second.work.size();
 }
 
-void RankQueue::charge(const base::ClientName& client, uint64_t cost, int64_t weight)
+void RankQueue::charge(const base::ClientName& client, base::TokenCount cost, int64_t weight)
 {
     auto& queue = m_clients[client];
     bool isWaiting = !queue.work.empty();
--- a/src/schedule/RankQueue.h
+++ b/src/schedule/RankQueue.h
@@ -18,7 +18,7 @@
     // Removes and returns the next resumed work that was not preempted.
     std::optional<QueuedWork> popResume();
     // Returns the cost of the work that `pop` returns next, or nothing if the queue is empty.
-    std::optional<uint64_t> headCost() const;
+    std::optional<base::TokenCount> headCost() const;
     // Removes and returns new work whose deadline has passed. Resumed work does not expire, since the caller
     // of expired work is refused as not run.
     std::vector<QueuedWork> expire(base::Instant now);
@@ -28,7 +28,7 @@
 
     // Charges the client for cost that it used at other nodes, so that spreading its requests over nodes
     // does not raise its share.
-    void charge(const base::ClientName&, uint64_t cost, int64_t weight);
+    void charge(const base::ClientName&, base::TokenCount cost, int64_t weight);
 
 private:
     using StartTagOrder = std::set<std::pair<uint64_t, base::ClientName>>;
--- a/tests/PeerSyncTest.cpp
+++ b/tests/PeerSyncTest.cpp
@@ -65,15 +65,15 @@
     for (auto* node : { &a1, &b1, &b2 }) {
         for (const auto& entry : node->fleet.entries()) {
             if (entry.instance.id.text == "e1")
-                LONGS_EQUAL(8000, entry.peerLoad.pendingPrefillTokens);
+                LONGS_EQUAL(8000, entry.peerLoad.pendingPrefillTokens.value());
         }
     }
     for (const auto& entry : a2.fleet.entries())
-        LONGS_EQUAL(0, entry.peerLoad.pendingPrefillTokens);
+        LONGS_EQUAL(0, entry.peerLoad.pendingPrefillTokens.value());
     a2.fleet.release(*placement);
     cluster.run(milliseconds(2500));
     for (const auto& entry : b2.fleet.entries())
-        LONGS_EQUAL(0, entry.peerLoad.pendingPrefillTokens);
+        LONGS_EQUAL(0, entry.peerLoad.pendingPrefillTokens.value());
 }
 
 TEST(PeerSync, SuspicionsReplicateUnlessANodeHasNewerEvidence)
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -214,8 +214,8 @@
     headers.set("Last-Event-Id", "12");
     auto metadata = platform::PlatformHeaderCodec::readRequest(headers);
     CHECK_TRUE(*metadata.timeout == milliseconds(2500));
-    LONGS_EQUAL(8000, metadata.promptTokens);
-    LONGS_EQUAL(650, metadata.maxOutputTokens);
+    LONGS_EQUAL(8000, metadata.promptTokens.value());
+    LONGS_EQUAL(650, metadata.maxOutputTokens.value());
     LONGS_EQUAL(12, *metadata.lastEventId);
     CHECK_FALSE(metadata.promptKey.has_value());
     headers.set("Redwingseam-Prompt-Prefix", "5c1e07a2:200,e4402b7d:7800");
