Exchange: a prompt that no engine can hold is refused at once

Cause: only the idle state of an engine was asked for a large request, not whether the request fits at all, although the manifest states the size.

Change: 413 RequestTooLarge at once, not run and without Retry-After. Only the prompt counts, since the output is a maximum; a service that states no KV cache is not concerned.

--- a/src/forward/Exchange.cpp
+++ b/src/forward/Exchange.cpp
@@ -17,24 +17,33 @@
 // Beyond the KV cache of any engine, for services that do not state its size.
 static constexpr base::TokenCount maxEngineTokens = 1ULL << 32;
 
-static base::TokenCount engineCapacity(const ExchangeRequest& request)
+// Returns the KV cache of one engine of the service, if the manifest states it.
+static std::optional<base::TokenCount> engineCapacity(const ExchangeRequest& request)
 {
     const auto* service = request.index->service(request.service);
-    bool isStated = service && service->engine && service->engine->kvCapacityTokens;
-    return isStated ? std::min<base::TokenCount>(service->engine->kvCapacityTokens, maxEngineTokens) : maxEngineTokens;
+    if (!service || !service->engine || !service->engine->kvCapacityTokens)
+        return std::nullopt;
+    return std::min<base::TokenCount>(service->engine->kvCapacityTokens, maxEngineTokens);
+}
+
+static bool exceedsEngines(const ExchangeRequest& request)
+{
+    auto capacity = engineCapacity(request);
+    return capacity && request.promptTokens > *capacity;
 }
 
 // A request takes no more of an engine than its whole KV cache, whatever the client states.
 static ExchangeRequest boundedByEngine(ExchangeRequest request)
 {
-    auto capacity = engineCapacity(request);
+    auto capacity = engineCapacity(request).value_or(maxEngineTokens);
     request.promptTokens = std::min(request.promptTokens, capacity);
     request.maxOutputTokens = std::min(request.maxOutputTokens, capacity);
     return request;
 }
 
 Exchange::Exchange(ExchangeRequest request, fleet::Fleet& fleet, PlacementQueue& queue, CrashEvidence& crashes, origin::StreamOrigins& origins, const ExchangePolicy& policy)
-    : m_request(boundedByEngine(std::move(request)))
+    : m_exceedsEngines(exceedsEngines(request))
+    , m_request(boundedByEngine(std::move(request)))
     , m_fleet(fleet)
     , m_queue(queue)
     , m_crashes(crashes)
@@ -69,6 +78,9 @@
 
 Step Exchange::begin(base::Instant now, uint64_t random)
 {
+    // Each engine would reject it as if it were full.
+    if (m_exceedsEngines)
+        return refuse(ResultCode::RequestTooLarge);
     m_fleet.countRequest(m_request.service, now);
     if (auto refusal = refuseWhileCrowded(now, random))
         return *refusal;
--- a/src/forward/Exchange.h
+++ b/src/forward/Exchange.h
@@ -183,6 +183,8 @@
     base::Instant deadline() const;
     bool isStream() const { return m_request.route->kind == manifest::RouteKind::Stream; }
 
+    // Whether the prompt is larger than the KV cache of the engines.
+    const bool m_exceedsEngines;
     ExchangeRequest m_request;
     fleet::Fleet& m_fleet;
     PlacementQueue& m_queue;
--- a/src/gateway/HttpStatusFor.h
+++ b/src/gateway/HttpStatusFor.h
@@ -4,7 +4,7 @@
 
 namespace redwingseam::gateway {
 
-// Returns the HTTP status of a local response to a request that was not admitted.
+// Returns the HTTP status of a local response to a request that was not admitted or was refused.
 constexpr unsigned httpStatusFor(base::ResultCode code)
 {
     switch (code) {
@@ -12,6 +12,8 @@
         return 404;
     case base::ResultCode::UnknownClient:
         return 401;
+    case base::ResultCode::RequestTooLarge:
+        return 413;
     default:
         return 503;
     }
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -63,6 +63,8 @@
     void execute(forward::Step);
     // Returns until when a request of the route may be sent so that its response ends before this process does.
     base::Instant latestStart(const manifest::Route&) const;
+    // Answers a request that was not run. Only a refusal that may not hold later asks the client to come back.
+    void refuseRequest(const forward::Step&);
     void startAttempt(const forward::SendParameters&);
     void writeRequest();
     // Returns the request line and the headers for the upstream.
--- a/src/gateway/SessionImpl.h
+++ b/src/gateway/SessionImpl.h
@@ -131,7 +131,7 @@
         deliverResponse();
         return;
     case forward::StepKind::Refuse:
-        sendLocalResponse({ 503, step.code, step.retryAfter }, SessionOutcome::Refused);
+        refuseRequest(step);
         return;
     case forward::StepKind::Fail:
         if (m_exchange->areHeadersSent())
@@ -152,6 +152,16 @@
     }
 }
 
+template<HeaderCodec Codec, typename Worker>
+void Session<Codec, Worker>::refuseRequest(const forward::Step& step)
+{
+    auto status = httpStatusFor(step.code);
+    if (status == 503)
+        sendLocalResponse({ status, step.code, step.retryAfter }, SessionOutcome::Refused);
+    else
+        sendLocalResponse({ status, step.code }, SessionOutcome::Rejected);
+}
+
 template<HeaderCodec Codec, typename Worker>
 void Session<Codec, Worker>::startAttempt(const forward::SendParameters& parameters)
 {
--- a/tests/StatedTokensTest.cpp
+++ b/tests/StatedTokensTest.cpp
@@ -4,6 +4,7 @@
 
 #include "PropertyCheck.h"
 #include "fakes/FloodRun.h"
+#include "fakes/GatewayFixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <deque>
@@ -142,6 +143,34 @@
     }
 }
 
+TEST(StatedTokens, PromptBeyondTheKvCacheIsRefusedAtOnce)
+{
+    FloodRun flood(engines);
+    auto begin = [&](uint64_t promptTokens) {
+        auto request = flood.fixture.makeRequest("/stream/x");
+        request.promptTokens = promptTokens;
+        forward::Exchange exchange(request, flood.fixture.fleet, flood.fixture.queue, flood.fixture.crashes, flood.fixture.origins, flood.fixture.exchangePolicy);
+        return exchange.begin(flood.now(), 1);
+    };
+    // The engines of the fixture hold 88,000 tokens.
+    CHECK_TRUE(begin(88'000).kind == forward::StepKind::Send);
+    for (uint64_t promptTokens : { uint64_t { 88'001 }, uint64_t { 1 } << 63, UINT64_MAX }) {
+        auto step = begin(promptTokens);
+        CHECK_TRUE(step.kind == forward::StepKind::Refuse && step.code == base::ResultCode::RequestTooLarge);
+    }
+}
+
+TEST(StatedTokens, RefusalOfAPromptThatNoEngineHoldsIsFinal)
+{
+    fakes::ScriptedUpstream upstream({ { fakes::GatewayFixture::ok("x") } });
+    fakes::GatewayFixture gateway;
+    gateway.addUpstream("e1", "engines", upstream);
+    auto response = gateway.exchange(fakes::GatewayFixture::post("/stream/x", "b", "Redwingseam-Token-Usage: 9223372036854775808,0\r\n"));
+    CHECK_TRUE_TEXT(response.find("HTTP/1.1 413 ") == 0 && response.find("RequestTooLarge") != std::string::npos, response.c_str());
+    CHECK_TRUE(response.find("Retry-After") == std::string::npos);
+    LONGS_EQUAL(0, upstream.requests().size());
+}
+
 TEST(StatedTokens, NumberBeyondItsTypeIsALargeOne)
 {
     for (const char* usage : { "18446744073709551615,18446744073709551615", "18446744073709551616,99999999999999999999999" }) {
