HTTP clients: responses without end are broken off

What callers saw: reported by other operators, not here: a faulty upstream sent bytes without end, in a head or a body, and the machine that read them ran out of memory, with the requests of other clients.

Cause: the gateway's own reader bounds both. redwingseamd's client of upstreams and both clients of the store appended a body without a bound, and libcurl keeps all header lines.

Change: limits on header lines, on a body and on all bodies of an asynchronous client together; a response beyond them is incomplete, so a call counts as one that may have run.

--- a/src/http/AsyncHttpClient.h
+++ b/src/http/AsyncHttpClient.h
@@ -16,13 +16,16 @@
 namespace redwingseam::http {
 
 // Runs many concurrent HTTP requests on one thread. `submit` and `cancel` are thread-safe. A cancelled
-// request gets no `onDone`, unless its response is already being delivered. The destructor stops the thread
-// and aborts the requests in progress.
+// request gets no `onDone`, unless its response is already being delivered. A response is broken off if its body
+// exceeds the limit of its request, or all buffered bodies together exceed `maxBufferedBytes`. The destructor stops
+// the thread and aborts the requests in progress.
 template<TransferHandler Handler>
 class AsyncHttpClient {
 public:
     using Context = typename Handler::Context;
 
+    static constexpr size_t maxBufferedBytes = 64 * 1024 * 1024;
+
     AsyncHttpClient(Handler& handler, const std::string& name)
         : m_handler(handler)
         , m_multi(curl_multi_init())
@@ -163,9 +166,19 @@
         if (!transfer.status)
             curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &transfer.status);
         std::string_view data(bytes, size * count);
-        if (!transfer.client.m_handler.onData(transfer.context, transfer.status, data))
-            transfer.body.append(data);
-        return data.size();
+        if (transfer.client.m_handler.onData(transfer.context, transfer.status, data))
+            return data.size();
+        // libcurl breaks off the transfer if not all bytes are taken.
+        return transfer.client.buffer(transfer, data) ? data.size() : 0;
+    }
+
+    bool buffer(Transfer& transfer, std::string_view data)
+    {
+        if (data.size() > transfer.request.maxBodyBytes - transfer.body.size() || data.size() > maxBufferedBytes - m_bufferedBytes)
+            return false;
+        transfer.body.append(data);
+        m_bufferedBytes += data.size();
+        return true;
     }
 
     void finishCompleted()
@@ -191,7 +204,9 @@
         curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
         // The server may have received anything that was handed to the socket, so it counts as sent.
         result.isSent = result.isComplete || requestBytes > 0 || sentBytes > 0;
+        m_bufferedBytes -= transfer.body.size();
         result.body = std::move(transfer.body);
+        transfer.body.clear();
         auto owner = m_transfers.extract(transfer.id);
         release(transfer);
         m_handler.onDone(transfer.context, std::move(result));
@@ -199,6 +214,7 @@
 
     void release(Transfer& transfer)
     {
+        m_bufferedBytes -= transfer.body.size();
         curl_multi_remove_handle(m_multi, transfer.easy);
         curl_easy_cleanup(transfer.easy);
         curl_slist_free_all(transfer.headers);
@@ -211,6 +227,8 @@
     std::vector<std::unique_ptr<Transfer>> m_submitted;
     std::vector<uint64_t> m_cancelled;
     std::unordered_map<uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    // Of the bodies of `m_transfers`.
+    size_t m_bufferedBytes = 0;
     base::NamedThread m_thread;
 };
 
--- a/src/http/BlockingClient.cpp
+++ b/src/http/BlockingClient.cpp
@@ -6,9 +6,22 @@
 
 namespace redwingseam::http {
 
-static size_t appendBody(char* bytes, size_t size, size_t count, void* body)
+namespace {
+
+    struct BoundedBody {
+        std::string& text;
+        size_t maxBytes;
+    };
+
+} // namespace
+
+// libcurl breaks off the transfer if not all bytes are taken.
+static size_t appendBody(char* bytes, size_t size, size_t count, void* userData)
 {
-    static_cast<std::string*>(body)->append(bytes, size * count);
+    auto& body = *static_cast<BoundedBody*>(userData);
+    if (size * count > body.maxBytes - body.text.size())
+        return 0;
+    body.text.append(bytes, size * count);
     return size * count;
 }
 
@@ -45,7 +58,8 @@
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &result.body);
+    BoundedBody body { result.body, request.maxBodyBytes };
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &body);
     ResponseHead head;
     head.watch(easy);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/http/ResponseHead.h
+++ b/src/http/ResponseHead.h
@@ -5,8 +5,8 @@
 
 namespace redwingseam::http {
 
-// Watches whether the head of a response arrives as a whole. libcurl takes a response whose connection closes within the
-// head for a complete one with an empty body.
+// Watches whether the head of a response arrives as a whole, and breaks off one without end. libcurl takes a response whose
+// connection closes within the head for a complete one with an empty body, and keeps all header lines in memory.
 class ResponseHead {
 public:
     // Must be called before the transfer starts. The object must outlive the transfer.
@@ -30,7 +30,11 @@
     static size_t onLine(char* bytes, size_t size, size_t count, void* self)
     {
         std::string_view line(bytes, size * count);
-        auto& isEnded = static_cast<ResponseHead*>(self)->m_isEnded;
+        auto& head = *static_cast<ResponseHead*>(self);
+        head.m_bytes += line.size();
+        if (head.m_bytes > maxBytes)
+            return 0;
+        auto& isEnded = head.m_isEnded;
         // The head of the final response follows that of an interim one.
         if (line.starts_with("HTTP/"))
             isEnded = false;
@@ -39,7 +43,11 @@
         return line.size();
     }
 
+    // Of all header lines, also those of interim responses and of trailers.
+    static constexpr size_t maxBytes = 64 * 1024;
+
     bool m_isEnded = false;
+    size_t m_bytes = 0;
 };
 
 } // namespace redwingseam::http
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -41,6 +41,8 @@
 private:
     static constexpr base::Duration callTimeout = std::chrono::seconds(2);
     static constexpr base::Duration longPollTimeout = std::chrono::seconds(20);
+    // A list holds all objects of its prefix.
+    static constexpr size_t maxListBytes = 64 * 1024 * 1024;
 
     http::HttpRequest makeRequest(const StoreCall& call) const
     {
@@ -67,6 +69,7 @@
         auto path = due.revision ? "/watch?prefix=" + due.prefix + "&after=" + std::to_string(due.revision) + "&wait_ms=" + std::to_string(longPollMillis) : "/list?prefix=" + due.prefix;
         http::HttpRequest request { "GET", m_url + path };
         request.timeout = longPollTimeout + callTimeout;
+        request.maxBodyBytes = maxListBytes;
         return request;
     }
 
--- a/tests/fakes/RecordingUpstreamEvents.h
+++ b/tests/fakes/RecordingUpstreamEvents.h
@@ -28,6 +28,11 @@
     void handle(const route::LoadReport&) { }
     void handle(const route::CacheEvent&) { }
 
+    std::vector<node::AttemptEnded> ends()
+    {
+        std::lock_guard guard(m_mutex);
+        return m_ended;
+    }
     // Waits until that many attempts have ended and returns them.
     std::vector<node::AttemptEnded> waitForEnds(size_t count)
     {
