Gateway: unread answers always count, and slow readers make way

Some hundred clients that read answers of 512 KB slowly made a gateway exceed its memory; it was killed with all requests in it.

Cause: an unread answer that the budget had no room for was not counted at all, so that the next one fitted again, and only the client's own next request was held back.

Change: unread answers always count. While all buffers exceed the limit, or an arriving answer finds no room, the connection with most to read is closed, of those that take nothing for 0.5 s or less than 4 KB in 0.5 s. InputProgress is TransferProgress now, since it measures both ways.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -2,9 +2,9 @@
 
 #include "gateway/BufferReservation.h"
 #include "gateway/EventLoop.h"
-#include "gateway/InputProgress.h"
 #include "gateway/RequestBodyFormat.h"
 #include "gateway/SocketCalls.h"
+#include "gateway/TransferProgress.h"
 #include "gateway/WriteBuffer.h"
 #include "redwingseam/base/ResultCode.h"
 #include "redwingseam/manifest/ClientLimits.h"
@@ -53,6 +53,10 @@
     bool isStalled(base::Instant now) const { return !m_isServing && !m_isClosing && m_hasRequestBytes && m_inputProgress.isStalled(now); }
     // Refuses the request that has begun to arrive, because the memory is needed for others.
     void turnAway() { reject(503, base::ResultCode::BuffersExhausted); }
+    // Whether the client has something to read, and took little or nothing of it of late.
+    bool isReadingSlowly(base::Instant now) const { return isOpen() && !m_writeBuffer.isEmpty() && m_outputProgress.isStalled(now); }
+    // Closes the connection in the middle of what the client reads slowly, because the memory is needed for others.
+    void cutOff();
     // Whether bytes of the client, or the end of its input, wait to be read.
     bool hasUnreadInput() const { return hasPendingInput(m_socket.descriptor()); }
     // Closes the connection if the client takes too long to send a request, after a response with status 408 if a part of
@@ -104,7 +108,8 @@
     bool reserveHead(size_t bytes);
     // Reserves memory for a part of an ordinary request in any case. If there is none, requests that make no progress are refused.
     void reserveOrdinary(BufferReservation&, size_t bytes);
-    // Counts the responses that the client has not read.
+    void recordOutput(size_t bytes);
+    // Counts the responses that the client has not read. If there is no memory for them, clients that read slowly are cut off.
     void countPendingResponses();
     // Checks the headers of the current request once they are complete. Returns false if it rejects them.
     bool acceptHeaders();
@@ -166,7 +171,7 @@
     bool m_isParseDeferred = false;
     // The client does not read its responses, so its requests are not read.
     bool m_isInputPaused = false;
-    // There is no memory for more of the responses that the client does not read.
+    // The responses that clients do not read take too much memory for more of them.
     bool m_isOutputOverBudget = false;
     // The client sends ahead, and its input is not read until the response is complete.
     bool m_isReadAheadPaused = false;
@@ -180,7 +185,8 @@
     // bytes of it were accepted after that, or the sending side was shut down, whichever is the latest.
     base::Instant m_phaseStartedAt {};
     base::Instant m_lastInputAt {};
-    InputProgress m_inputProgress;
+    TransferProgress m_inputProgress;
+    TransferProgress m_outputProgress;
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -121,6 +121,7 @@
         endConnection(errno);
         return;
     }
+    recordOutput(pendingBefore - m_writeBuffer.size());
     countPendingResponses();
     // The client is not idle while it reads the response.
     bool isResponseComplete = !m_isServing && !m_hasRequestBytes;
@@ -435,7 +436,24 @@
     static constexpr size_t usualPendingBytes = 8 * 1024;
     auto pending = m_writeBuffer.size() > usualPendingBytes ? m_writeBuffer.size() : 0;
     m_outputReservation.shrinkTo(pending);
-    m_isOutputOverBudget = !m_outputReservation.growTo(pending);
+    m_outputReservation.growAlwaysTo(pending);
+    auto& buffers = m_server.buffers();
+    m_isOutputOverBudget = pending && buffers.isExceeded(BufferUse::UnreadResponse);
+    while (buffers.isExceeded(BufferUse::Response) && m_server.disconnectSlowReader(*this)) { }
+}
+
+template<typename Server>
+void ClientConnection<Server>::cutOff()
+{
+    LOG(WARNING) << log::LogLine("slow_reader_cut_off").with("unread_bytes", m_writeBuffer.size()).with("buffered_bytes", m_server.buffers().usedBytes()).text();
+    disconnect();
+}
+
+template<typename Server>
+void ClientConnection<Server>::recordOutput(size_t bytes)
+{
+    if (bytes)
+        m_outputProgress.record(bytes, base::BootClock {}.now());
 }
 
 template<typename Server>
@@ -464,6 +482,8 @@
 {
     if (!isOpen())
         return;
+    if (m_writeBuffer.isEmpty())
+        m_outputProgress.reset(base::BootClock {}.now());
     m_writeBuffer.append(bytes);
     flush();
 }
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -63,6 +63,9 @@
     void execute(forward::Step);
     // Returns until when a request of the route may be sent so that its response ends before this process does.
     base::Instant latestStart(const manifest::Route&) const;
+    // Reserves memory for a response that is being received. What the upstream has done for an ordinary request is not lost for
+    // lack of memory. Returns false if there is none, also from clients that read slowly.
+    bool reserveResponse(BufferReservation&, size_t bytes);
     // Answers a request that was not run. Only a refusal that may not hold later asks the client to come back.
     void refuseRequest(const forward::Step&);
     void startAttempt(const forward::SendParameters&);
--- a/src/gateway/SessionResponsesImpl.h
+++ b/src/gateway/SessionResponsesImpl.h
@@ -69,13 +69,19 @@
         LOG(WARNING) << log::LogLine("retry_after_unreadable").with("upstream", connection.instance().id.text).with("value", stated->value()).text();
 }
 
-// What the upstream has done for an ordinary request is not lost for lack of memory.
-inline bool reserveResponse(BufferReservation& reservation, size_t bytes)
+template<HeaderCodec Codec, typename Worker>
+bool Session<Codec, Worker>::reserveResponse(BufferReservation& reservation, size_t bytes)
 {
     static constexpr size_t ordinaryResponseBytes = 8 * 1024;
-    if (bytes > ordinaryResponseBytes)
-        return reservation.growTo(bytes);
-    reservation.growAlwaysTo(bytes);
+    if (bytes <= ordinaryResponseBytes) {
+        reservation.growAlwaysTo(bytes);
+        return true;
+    }
+    // A client that reads slowly loses its response to one whose response is still to be delivered.
+    while (!reservation.growTo(bytes)) {
+        if (!m_worker.disconnectSlowReader(m_client))
+            return false;
+    }
     return true;
 }
 
--- a/src/gateway/TransferProgress.h
+++ b/src/gateway/TransferProgress.h
@@ -7,13 +7,13 @@
 
 namespace redwingseam::gateway {
 
-// Tells whether a client that sends a request makes progress. Not synchronised.
-class InputProgress {
+// Tells whether a client that sends a request, or reads a response, makes progress. Not synchronised.
+class TransferProgress {
 public:
-    // Begins anew, for another request.
+    // Begins anew, for another request or response.
     void reset(base::Instant now)
     {
-        m_windowStartedAt = m_lastInputAt = now;
+        m_windowStartedAt = m_lastTransferAt = now;
         m_windowBytes = 0;
         m_lastWindowBytes.reset();
     }
@@ -25,12 +25,12 @@
             m_windowStartedAt = now;
         }
         m_windowBytes += bytes;
-        m_lastInputAt = now;
+        m_lastTransferAt = now;
     }
-    // Whether nothing came of late, or so little that the client may hold its memory for long.
+    // Whether nothing was transferred of late, or so little that the client may hold its memory for long.
     bool isStalled(base::Instant now) const
     {
-        if (now - m_lastInputAt >= window)
+        if (now - m_lastTransferAt >= window)
             return true;
         if (now - m_windowStartedAt >= window)
             return m_windowBytes < minWindowBytes;
@@ -42,7 +42,7 @@
     static constexpr size_t minWindowBytes = 4 * 1024;
 
     base::Instant m_windowStartedAt {};
-    base::Instant m_lastInputAt {};
+    base::Instant m_lastTransferAt {};
     size_t m_windowBytes = 0;
     // Of the window before the current one, if there was one.
     std::optional<size_t> m_lastWindowBytes;
--- a/src/gateway/Worker.h
+++ b/src/gateway/Worker.h
@@ -50,6 +50,9 @@
     // Refuses the client that holds most memory for a request of which nothing came of late, if that is more than the
     // `bytes` that another one needs. Returns whether there is one.
     bool turnAwayHeavier(const Client&, size_t bytes);
+    // Closes the connection of the client that has most to read, of those that read slowly. Returns false if there is none beside the
+    // one that asks.
+    bool disconnectSlowReader(const Client&);
     // Returns when a client may come again whose request the node has no memory for.
     base::Duration retryAfter() const { return m_state.exchangePolicy.retryAfter; }
     // Returns the limits of the newest known manifest.
--- a/src/gateway/WorkerImpl.h
+++ b/src/gateway/WorkerImpl.h
@@ -149,6 +149,21 @@
     return true;
 }
 
+template<HeaderCodec Codec>
+bool Worker<Codec>::disconnectSlowReader(const Client& asking)
+{
+    auto now = base::BootClock {}.now();
+    Client* heaviest = nullptr;
+    for (const auto& [key, client] : m_clients) {
+        if (key != &asking && client->isReadingSlowly(now) && (!heaviest || client->pendingBytes() > heaviest->pendingBytes()))
+            heaviest = key;
+    }
+    if (!heaviest)
+        return false;
+    heaviest->cutOff();
+    return true;
+}
+
 template<HeaderCodec Codec>
 void Worker<Codec>::onRejected(Client& client, unsigned status, base::ResultCode code)
 {
--- a/tests/ClientMemoryTest.cpp
+++ b/tests/ClientMemoryTest.cpp
@@ -158,7 +158,7 @@
 TEST(ClientMemory, ClientWhoseInputSlowsDownIsStalled)
 {
     using std::chrono::milliseconds;
-    gateway::InputProgress progress;
+    gateway::TransferProgress progress;
     base::Instant start { std::chrono::seconds(1) };
     progress.reset(start);
     for (int i = 0; i < 20; ++i) {
--- a/tests/crowd/crowd_case.py
+++ b/tests/crowd/crowd_case.py
@@ -131,8 +131,9 @@
         # Of the requests that ran with a body, in bytes.
         self.received_body_sizes = checker.body_sizes
         self.publish_limits(self.body_limit)
-        for service in ("engines", "desk", "annex"):
-            await Upstream(service, service, "zone-a", "v1", self.store, checker, random.Random(1)).start()
+        self.upstreams = [Upstream(service, service, "zone-a", "v1", self.store, checker, random.Random(1)) for service in ("engines", "desk", "annex")]
+        for upstream in self.upstreams:
+            await upstream.start()
         bounds = BOUNDS | {"limits.memoryMb": self.memory_mb}
         self.gateway = Gateway("node-0", "zone-a", BINARY, pathlib.Path(self.folder.name), bounds)
         await self.gateway.prepare(self.store)
--- a/tests/fakes/AnsweringClientServer.h
+++ b/tests/fakes/AnsweringClientServer.h
@@ -17,6 +17,8 @@
     gateway::BufferBudget& buffers() { return budget; }
     template<typename Client>
     bool turnAwayHeavier(const Client&, size_t) { return false; }
+    template<typename Client>
+    bool disconnectSlowReader(const Client&) { return false; }
     manifest::ClientLimits clientLimits() const { return limits; }
     static base::Duration retryAfter() { return std::chrono::seconds(1); }
     void onRequest(Connection& connection, Connection::Request)
--- a/tests/fakes/RecordingClientServer.h
+++ b/tests/fakes/RecordingClientServer.h
@@ -19,6 +19,8 @@
     gateway::BufferBudget& buffers() { return budget; }
     template<typename Client>
     bool turnAwayHeavier(const Client&, size_t) { return false; }
+    template<typename Client>
+    bool disconnectSlowReader(const Client&) { return false; }
     manifest::ClientLimits clientLimits() const { return limits; }
     static base::Duration retryAfter() { return std::chrono::seconds(1); }
     void onRequest(Connection&, Connection::Request request) { requests.push_back(std::move(request)); }
