Gateway: a node that starts does not wait for the quarantine

Cause: a node that believes to be the leader, as every node does just after a loss of all, waited up to 500 ms for the store's quarantine before it accepted clients, also while the store was slow or away.

Change: it accepts clients meanwhile.

The check of hasRead() in QuarantineTask.RequestStaysInQuarantineWhenAllNodesAreKilled went with that accessor; the number of reads is checked in its place. process.quarantine_of_request and process.quarantine_of_prompt_part pass (one run each).

--- a/src/sync/QuarantineTask.h
+++ b/src/sync/QuarantineTask.h
@@ -9,7 +9,6 @@
 #include "sync/QuarantineStore.h"
 #include "sync/StoreEra.h"
 
-#include <atomic>
 #include <glog/logging.h>
 #include <optional>
 
@@ -50,9 +49,6 @@
         return !isFailed;
     }
 
-    // Returns whether this node has read what the store holds since its start.
-    bool hasRead() const { return m_hasRead; }
-
 private:
     base::Error synchronise()
     {
@@ -77,7 +73,6 @@
         m_crashes.applyLasting(m_stored.evidence, m_clock.now());
         m_readIn = m_stored.era;
         m_mustRead = false;
-        m_hasRead = true;
         return {};
     }
 
@@ -116,7 +111,6 @@
     std::optional<uint64_t> m_readIn;
     bool m_mustRead = true;
     base::Instant m_writtenAt {};
-    std::atomic<bool> m_hasRead { false };
 };
 
 } // namespace redwingseam::sync
--- a/tests/QuarantineTaskTest.cpp
+++ b/tests/QuarantineTaskTest.cpp
@@ -33,7 +33,7 @@
     timeOfDay += seconds(3);
     auto node = start(seconds(1));
     CHECK_TRUE(node.run(QuarantineNode::pollInterval));
-    CHECK_TRUE(node.task.hasRead());
+    LONGS_EQUAL(2, store.reads);
     auto until = node.crashes.requests.quarantinedUntil(request, node.now());
     CHECK_TRUE(until.has_value());
     CHECK_TRUE(*until - node.now() == remaining - seconds(3) - QuarantineNode::pollInterval);
--- a/tools/redwingseam-gateway/GatewayProcess.cpp
+++ b/tools/redwingseam-gateway/GatewayProcess.cpp
@@ -131,7 +131,7 @@
 {
     // Clients wait one second for a connection, and part of that time has passed by now.
     static constexpr base::Duration timeout = std::chrono::milliseconds(500);
-    waitUntil(timeout, [&] { return hasInitialState() && hasQuarantine(); });
+    waitUntil(timeout, [&] { return hasInitialState(); });
 }
 
 bool GatewayProcess::drain()
--- a/tools/redwingseam-gateway/GatewayProcess.h
+++ b/tools/redwingseam-gateway/GatewayProcess.h
@@ -26,8 +26,8 @@
 public:
     explicit GatewayProcess(const gateway::GatewaySettings&);
 
-    // Starts the servers and the pollers, waits up to 800 ms (300 for peers, then 500) for the manifest, the
-    // upstreams and the quarantine, and then accepts clients. Returns SocketFailure if it cannot listen on an address, and Ok otherwise.
+    // Starts the servers and the pollers, waits up to 800 ms (300 for peers, then 500) for the manifest and the
+    // upstreams, and then accepts clients. Returns SocketFailure if it cannot listen on an address, and Ok otherwise.
     base::Error start();
     // Fails the readiness check, closes each client connection after its current response, and waits until all
     // connections are closed. Returns whether they were closed within the termination grace period.
@@ -48,13 +48,11 @@
     static sync::PollSchedule originsPollSchedule();
     static sync::PollSchedule quarantinePollSchedule();
     static sync::PollSchedule fleetPollSchedule(const gateway::GatewaySettings&);
-    // Whether this node knows what crashes upstreams, as far as the store or its peers do.
-    bool hasQuarantine() const { return m_quarantineTask.hasRead() || !m_role.isLeader(); }
     bool hasInitialState() const { return m_state.manifest.state().index && m_state.fleet.listedAt() != base::Instant {}; }
     // Waits until peers have sent the manifest and the upstreams, this node is the first to ask the store, or
     // a timeout has passed.
     void awaitStateFromPeers();
-    // Waits until the manifest, the upstreams and the quarantine are known, or a timeout has passed.
+    // Waits until the manifest and the upstreams are known, or a timeout has passed.
     void awaitInitialState();
 
     gateway::GatewayState m_state;
