--- a/tests/QuarantineTaskTest.cpp
+++ b/tests/QuarantineTaskTest.cpp
@@ -237,6 +237,11 @@
     CHECK_TRUE(evidence.requests[1].lastCrashAt == reading.now && !evidence.requests[1].lastTrialAt);
     LONGS_EQUAL(1, evidence.parts.crashes.size());
     LONGS_EQUAL(1, evidence.parts.crashes[0].parts.size());
+    auto ancient = parse(R"({"requests":[{"request":"a","crashes":3,"crashed":0}]})");
+    CHECK_TRUE(ancient.value().evidence.requests.at(0).lastCrashAt < reading.now);
+    reading.wallMilliseconds = 1'800'000'000'000;
+    ancient = parse(R"({"requests":[{"request":"a","crashes":3,"crashed":0}]})");
+    CHECK_TRUE(ancient.value().evidence.requests.at(0).lastCrashAt < reading.now - std::chrono::hours(24));
     for (const char* spec : { "null", "[]", "7", "{}", R"({"requests":7,"crashes":{},"trials":[[]]})" })
         CHECK_TRUE_TEXT(parse(spec).has_value(), spec);
     CHECK_FALSE(platform::parseQuarantinePage("[]", reading).has_value());
