--- a/bench/QueueModel.h
+++ b/bench/QueueModel.h
@@ -60,7 +60,7 @@
             outcome.waitMsByRank[base::indexOf(work->rank)].add(waitedMs);
             outcome.servedCost[base::indexOf(work->rank)] += static_cast<double>(work->cost);
             outcome.servedByClient[work->client] += static_cast<double>(work->cost);
-            completions.push(now + perCost * static_cast<int64_t>(work->cost));
+            completions.push(now + perCost * static_cast<int64_t>(work->cost.value()));
         }
     }
     return outcome;
