Peers: queries and connections to silent nodes are bounded

Cause: each silent node that would be a hub was queried every two seconds, each with a connection of its own that stayed open until it timed out; neither the queries nor the connections were limited.

Change: a round queries up to 64 silent nodes (SilentNodeRotation): all while they are few, so nothing changes for fleets of the usual size; of many, those that were heard last, and the others in turn. PeerClient keeps up to 512 connections that are not established, whoever asks for them, and drops messages that would need another one.

Tests: process.removed_nodes, three gateways and 5,000 entries at addresses that do not answer, 110 MB.

--- a/src/peer/Http2Transport.cpp
+++ b/src/peer/Http2Transport.cpp
@@ -38,6 +38,7 @@
         auto count = ::send(m_socket.descriptor(), m_outgoing.data(), m_outgoing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count < 0)
             return errno == EAGAIN || errno == EINTR;
+        m_hasSent = true;
         m_outgoing.erase(0, static_cast<size_t>(count));
     }
 }
--- a/src/peer/Http2Transport.h
+++ b/src/peer/Http2Transport.h
@@ -27,6 +27,8 @@
     // Reads and writes as much as the socket allows without blocking. Returns false when the connection
     // is closed or has failed.
     bool processIo();
+    // Whether the connection has been established, and the socket has accepted output.
+    bool hasSent() const { return m_hasSent; }
     // Whether there is output that the socket has not accepted yet.
     bool hasPendingOutput() const { return !m_outgoing.empty(); }
 
@@ -42,6 +44,7 @@
     base::FileDescriptor m_socket;
     nghttp2_session* m_session = nullptr;
     std::string m_outgoing;
+    bool m_hasSent = false;
 };
 
 } // namespace redwingseam::peer
--- a/src/peer/OutboundConnection.h
+++ b/src/peer/OutboundConnection.h
@@ -16,6 +16,7 @@
 
     int descriptor() const { return m_transport.descriptor(); }
     bool processIo() { return m_transport.processIo(); }
+    bool isEstablished() const { return m_transport.hasSent(); }
     bool hasPendingOutput() const { return m_transport.hasPendingOutput(); }
 
     // Queues a message. Returns false and drops it if more than 8 MiB would be queued or the session
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -1,7 +1,6 @@
 #include "peer/PeerClient.h"
 
 #include <mutex>
-#include <set>
 
 namespace redwingseam::peer {
 
@@ -58,19 +57,17 @@
 
 OutboundConnection* PeerClient::connectionTo(const std::string& address)
 {
-    auto& connection = m_connections[address];
-    if (connection)
-        return connection.get();
+    if (auto found = m_connections.find(address); found != m_connections.end())
+        return found->second.get();
+    // The message is dropped, as for a peer that cannot be reached.
     auto parsed = http::parseSocketAddress(address);
-    if (!parsed) {
-        // The message is dropped, as for a peer that cannot be reached.
-        m_connections.erase(address);
+    if (!parsed || m_pendingAddresses.size() >= maxPendingConnections)
         return nullptr;
-    }
-    connection = std::make_unique<OutboundConnection>(parsed.value());
+    auto connection = std::make_unique<OutboundConnection>(parsed.value());
+    m_pendingAddresses.insert(address);
     m_addressByDescriptor[connection->descriptor()] = address;
     m_poller.add(connection->descriptor(), EPOLLIN | EPOLLOUT);
-    return connection.get();
+    return m_connections.emplace(address, std::move(connection)).first->second.get();
 }
 
 void PeerClient::processIo(const std::string& address)
@@ -79,7 +76,10 @@
     if (found == m_connections.end())
         return;
     auto& connection = *found->second;
-    if (connection.processIo()) {
+    bool isOpen = connection.processIo();
+    if (!isOpen || connection.isEstablished())
+        m_pendingAddresses.erase(address);
+    if (isOpen) {
         m_poller.change(connection.descriptor(), connection.hasPendingOutput() ? EPOLLIN | EPOLLOUT : EPOLLIN);
         return;
     }
--- a/src/peer/PeerClient.h
+++ b/src/peer/PeerClient.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,6 +24,10 @@
     PeerClient(const PeerClient&) = delete;
     PeerClient& operator=(const PeerClient&) = delete;
 
+    // Connections that are being established at a time. Each takes memory and a descriptor until its peer is found to be gone,
+    // and messages that would need another one are dropped.
+    static constexpr size_t maxPendingConnections = 512;
+
     // Queues a message for the peer that listens on `address` (`ip:port`). Does not block.
     void send(const std::string& address, std::string message);
     // Stops the thread and waits for it. Messages that are still queued are dropped.
@@ -50,6 +55,8 @@
     Poller m_poller;
     std::map<std::string, std::unique_ptr<OutboundConnection>> m_connections;
     std::unordered_map<int, std::string> m_addressByDescriptor;
+    // Addresses of the connections that are not established yet.
+    std::set<std::string> m_pendingAddresses;
     base::NamedThread m_thread;
 };
 
--- a/src/replication/NodeDirectory.cpp
+++ b/src/replication/NodeDirectory.cpp
@@ -170,9 +170,9 @@
     return first;
 }
 
-std::vector<sync::NodeRecord> NodeDirectory::silentHubCandidates(base::Instant now) const
+std::vector<SilentNode> NodeDirectory::silentHubCandidates(base::Instant now) const
 {
-    std::vector<sync::NodeRecord> silent;
+    std::vector<SilentNode> silent;
     std::set<base::DataCentreName> dataCentresWithHub;
     for (const auto& [name, entry] : m_entries) {
         const auto& dataCentre = entry.record.dataCentre;
@@ -183,7 +183,7 @@
         if (isLive(entry, now))
             dataCentresWithHub.insert(dataCentre);
         else
-            silent.push_back(entry.record);
+            silent.push_back({ entry.record, entry.lastMessageAt });
     }
     return silent;
 }
--- a/src/replication/NodeDirectory.h
+++ b/src/replication/NodeDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "redwingseam/base/Instant.h"
+#include "replication/SilentNode.h"
 #include "sync/NodeRecord.h"
 
 #include <map>
@@ -61,7 +62,7 @@
     std::optional<sync::NodeRecord> neighbourAfter(const base::VmName& name, base::Instant now) const;
     // Returns the nodes that are not live but would be hubs if they were. They are queried at long intervals to
     // detect their return.
-    std::vector<sync::NodeRecord> silentHubCandidates(base::Instant now) const;
+    std::vector<SilentNode> silentHubCandidates(base::Instant now) const;
 
 private:
     struct Entry {
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -12,6 +12,7 @@
 #include "replication/PeerLoadTable.h"
 #include "replication/PendingQuery.h"
 #include "replication/SentState.h"
+#include "replication/SilentNodeRotation.h"
 #include "replication/StateOnItsWay.h"
 #include "replication/StateTransfer.h"
 #include "replication/UnreadableManifest.h"
@@ -190,6 +191,7 @@
     base::Instant m_lastHubQuery {};
     base::Instant m_lastRemoteQuery {};
     base::Instant m_lastSilentNodeQuery {};
+    SilentNodeRotation m_silentNodeRotation;
     base::Instant m_lastNeighbourQuery {};
     base::Instant m_lastLinkCheck {};
     base::VmName m_lastLinkWitness;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -167,10 +167,11 @@
 void PeerSync<Parser>::querySilentNodes(OutgoingMessages& outgoing, base::Instant now)
 {
     m_lastSilentNodeQuery = now;
-    for (const auto& node : m_directory.silentHubCandidates(now)) {
-        if (isNeighbour(node) || (m_role.isHub() && hasState()))
-            outgoing.push_back(makeQuery(node, {}, now));
-    }
+    auto silent = m_directory.silentHubCandidates(now);
+    bool mayQueryOtherDataCentres = m_role.isHub() && hasState();
+    std::erase_if(silent, [&](const SilentNode& node) { return !isNeighbour(node.record) && !mayQueryOtherDataCentres; });
+    for (const auto& node : m_silentNodeRotation.next(std::move(silent)))
+        outgoing.push_back(makeQuery(node, {}, now));
 }
 
 template<ManifestParser Parser>
