Nodes: entries of nodes that are gone are deleted

Cause: no code deleted an entry, and only the leader ever read the list again after the start.

Change: the hub of a data centre deletes entries of its neighbours that have been silent for 15 minutes, in which it was the hub, heard others all the time, and queried these in the second half. The entry is deleted only in the revision that was read. Each node reads the list every 10 to 15 minutes and writes its own entry again if it is missing, so one that was only cut off comes back. A removed node is not learned again from nodes that still know it.

--- a/src/replication/NodeDirectory.cpp
+++ b/src/replication/NodeDirectory.cpp
@@ -17,22 +17,41 @@
         if (node.name == m_self.name)
             continue;
         auto before = m_entries.find(node.name);
-        auto lastMessageAt = before == m_entries.end() ? base::Instant {} : before->second.lastMessageAt;
-        entries.insert_or_assign(node.name, Entry { node, lastMessageAt });
+        auto entry = before == m_entries.end() ? Entry { node, {}, now } : before->second;
+        if (entry.record != node)
+            entry.knownSince = now;
+        entry.record = node;
+        entries.insert_or_assign(node.name, entry);
+        m_removals.erase(node.name);
     }
     m_entries = std::move(entries);
 }
 
-void NodeDirectory::add(const sync::NodeRecord& node)
+void NodeDirectory::add(const sync::NodeRecord& node, base::Instant now)
 {
-    if (node.name != m_self.name)
-        m_entries[node.name].record = node;
+    std::erase_if(m_removals, [&](const auto& item) { return now - item.second >= removalLifetime; });
+    if (node.name == m_self.name || m_removals.count(node.name))
+        return;
+    m_entries.try_emplace(node.name, Entry { node, {}, now }).first->second.record = node;
+}
+
+void NodeDirectory::remove(const base::VmName& name, base::Instant now)
+{
+    if (m_entries.erase(name))
+        m_removals[name] = now;
+}
+
+size_t NodeDirectory::sizeWithRemoved(base::Instant now) const
+{
+    auto removed = std::count_if(m_removals.begin(), m_removals.end(), [&](const auto& item) { return now - item.second < removalLifetime; });
+    return size() + static_cast<size_t>(removed);
 }
 
 void NodeDirectory::recordMessageFrom(const sync::NodeRecord& node, base::Instant now)
 {
     if (node.name == m_self.name)
         return;
+    m_removals.erase(node.name);
     auto& entry = m_entries[node.name];
     entry.record = node;
     entry.lastMessageAt = now;
@@ -188,4 +207,15 @@
     return silent;
 }
 
+std::vector<SilentNode> NodeDirectory::neighboursSilentFor(base::Duration duration, base::Instant attentiveSince, base::Instant now) const
+{
+    std::vector<SilentNode> silent;
+    for (const auto& [name, entry] : m_entries) {
+        auto silentSince = std::max({ entry.lastMessageAt, entry.knownSince, attentiveSince });
+        if (entry.record.dataCentre == m_self.dataCentre && now - silentSince >= duration)
+            silent.push_back({ entry.record, entry.lastMessageAt });
+    }
+    return silent;
+}
+
 } // namespace redwingseam::replication
--- a/src/replication/NodeDirectory.h
+++ b/src/replication/NodeDirectory.h
@@ -23,13 +23,17 @@
     // Replaces the known nodes by the store's list. The list may be some seconds old, so live nodes that it lacks
     // are kept.
     void setNodes(const std::vector<sync::NodeRecord>&, base::Instant now);
-    // Adds a node that another node reported. This does not make it live.
-    void add(const sync::NodeRecord& node);
+    // Adds a node that another node reported. This does not make it live. A node that was removed lately is not added.
+    void add(const sync::NodeRecord& node, base::Instant now);
+    // Forgets a node whose entry has been deleted from the store.
+    void remove(const base::VmName&, base::Instant now);
     // Records that a message from `node` arrived, which makes it live.
     void recordMessageFrom(const sync::NodeRecord& node, base::Instant now);
     std::vector<sync::NodeRecord> nodes() const;
     // Returns the number of known nodes, including this one.
     size_t size() const { return m_entries.size() + 1; }
+    // The same, and the nodes removed lately, which other nodes may still know.
+    size_t sizeWithRemoved(base::Instant now) const;
 
     // Returns the number of known nodes whose names precede that of this node.
     uint32_t position() const { return static_cast<uint32_t>(std::distance(m_entries.begin(), m_entries.lower_bound(m_self.name))); }
@@ -63,11 +67,15 @@
     // Returns the nodes that are not live but would be hubs if they were. They are queried at long intervals to
     // detect their return.
     std::vector<SilentNode> silentHubCandidates(base::Instant now) const;
+    // Returns the nodes of this data centre that have been silent for `duration`. The time before `attentiveSince` does not
+    // count, since this node could not hear them then.
+    std::vector<SilentNode> neighboursSilentFor(base::Duration, base::Instant attentiveSince, base::Instant now) const;
 
 private:
     struct Entry {
         sync::NodeRecord record;
         base::Instant lastMessageAt {};
+        base::Instant knownSince {};
     };
 
     // Longer than three unanswered queries within a data centre, which are sent every 250 ms. Between data centres, with
@@ -80,10 +88,15 @@
     // Of each data centre. Some of them may be gone, and only a hub knows which ones of other data centres are live.
     static constexpr size_t witnessCount = 3;
 
+    // Longer than the interval at which each node reads the list of nodes.
+    static constexpr base::Duration removalLifetime = std::chrono::minutes(20);
+
     bool isLive(const Entry&, base::Instant now) const;
 
     sync::NodeRecord m_self;
     std::map<base::VmName, Entry> m_entries;
+    // When nodes were removed.
+    std::map<base::VmName, base::Instant> m_removals;
 };
 
 } // namespace redwingseam::replication
--- a/src/replication/PeerSync.h
+++ b/src/replication/PeerSync.h
@@ -55,6 +55,11 @@
     // Returns whether this node precedes all known nodes, so that it need not wait for others before it queries the
     // store.
     bool isFirstKnownNode();
+    // Returns the nodes of this data centre that are taken for gone, so that their entries are to be deleted. A hub tells, after
+    // it has heard from other nodes all the time but not from these, though it queried them.
+    std::vector<sync::NodeRecord> goneNodes();
+    // Records that a node's entry has been deleted from the store.
+    void recordRemoval(const sync::NodeRecord&);
     // Returns the queries and notices to send. Must be called every `tickInterval`.
     OutgoingMessages tick(base::Instant now);
     // Returns the messages to send in response: a reply or forwarded notices.
@@ -85,6 +90,8 @@
     static constexpr base::Duration listCheckInterval = std::chrono::milliseconds(200);
     // A leader that stood still for longer may have been replaced.
     static constexpr base::Duration maxTickGap = std::chrono::milliseconds(400);
+    // Longer than machines take to restart and nearly all cuts last. Until then each silent node counts as a node that shares limits.
+    static constexpr base::Duration removalAge = std::chrono::minutes(15);
     // Limits the size of a message.
     static constexpr size_t maxAttemptsPerQuery = 256;
     // Older suspicions and crashes are neither applied nor forwarded.
@@ -137,6 +144,10 @@
     void queryHub(OutgoingMessages&, base::Instant now);
     void queryRemoteHubs(OutgoingMessages&, base::Instant now);
     void querySilentNodes(OutgoingMessages&, base::Instant now);
+    // Returns the neighbours that this hub does not query as hub candidates, but before it takes them for gone.
+    std::vector<SilentNode> silentNeighboursToQuery(base::Instant now) const;
+    // Returns whether this node would hear its neighbours now.
+    bool isAttentive(base::Instant now) const { return m_role.isHub() && m_directory.hasLivePeer(now); }
     // While the nodes that are asked regularly do not answer, asks a neighbour in turn, to tell their loss from that of this
     // node's own link.
     void checkOwnLink(OutgoingMessages&, base::Instant now);
@@ -178,6 +189,8 @@
     base::Instant m_lastListCheck {};
     // When this node became the leader, or began to tick again after it stood still.
     base::Instant m_leaderSince {};
+    // Since when this node would have heard its neighbours all the time.
+    base::Instant m_attentiveSince {};
     StateTransfer m_stateTransfer;
     // Nodes of the earlier release, which send full state unasked. They are asked for state only by requests for full state.
     std::set<base::VmName> m_unaskedSenders;
--- a/src/replication/PeerSyncImpl.h
+++ b/src/replication/PeerSyncImpl.h
@@ -44,6 +44,25 @@
     return m_directory.isFirstKnownNode();
 }
 
+template<ManifestParser Parser>
+std::vector<sync::NodeRecord> PeerSync<Parser>::goneNodes()
+{
+    std::lock_guard guard(m_mutex);
+    std::vector<sync::NodeRecord> gone;
+    if (!isAttentive(m_lastTick))
+        return gone;
+    for (auto& node : m_directory.neighboursSilentFor(removalAge, m_attentiveSince, m_lastTick))
+        gone.push_back(std::move(node.record));
+    return gone;
+}
+
+template<ManifestParser Parser>
+void PeerSync<Parser>::recordRemoval(const sync::NodeRecord& node)
+{
+    std::lock_guard guard(m_mutex);
+    m_directory.remove(node.name, m_lastTick);
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::updateRole(base::Instant now)
 {
@@ -68,10 +87,13 @@
     auto requests = m_crashes.requests.takeReports();
     FailureNotice notice { m_directory.self(), m_fleet.takeSuspicionReports(), std::move(requests.crashes), m_crashes.parts.takeReports(), std::move(requests.clearances), std::move(requests.trials), m_fleet.takeLeavingReports() };
     OutgoingMessages outgoing;
-    if (now - m_lastTick > maxTickGap)
+    bool hasStoodStill = now - m_lastTick > maxTickGap;
+    if (hasStoodStill)
         m_leaderSince = now;
     m_lastTick = now;
     updateRole(now);
+    if (hasStoodStill || !isAttentive(now))
+        m_attentiveSince = now;
     m_role.setReaderCutOff(now - m_readerCutOffAt < storeLossLifetime);
     std::erase_if(m_pendingQueries, [&](const auto& item) { return now - item.second.sentAt > item.second.timeout; });
     m_peerLoads.removeExpired(now);
@@ -102,7 +124,7 @@
     query.listVersion = snapshot ? snapshot->list->version : sync::StoreVersion {};
     query.listAge = snapshot ? now - snapshot->confirmedAt : base::Duration {};
     query.loads = std::move(loads);
-    query.nodeCount = m_directory.size();
+    query.nodeCount = m_directory.sizeWithRemoved(now);
     query.quarantineHash = m_crashes.parts.quarantineHash();
     query.wantsState = !m_unaskedSenders.count(node.name);
     query.wantsProbe = m_stateTransfer.isProbeDue(node.name, now);
@@ -170,10 +192,22 @@
     auto silent = m_directory.silentHubCandidates(now);
     bool mayQueryOtherDataCentres = m_role.isHub() && hasState();
     std::erase_if(silent, [&](const SilentNode& node) { return !isNeighbour(node.record) && !mayQueryOtherDataCentres; });
+    auto neighbours = silentNeighboursToQuery(now);
+    std::move(neighbours.begin(), neighbours.end(), std::back_inserter(silent));
     for (const auto& node : m_silentNodeRotation.next(std::move(silent)))
         outgoing.push_back(makeQuery(node, {}, now));
 }
 
+template<ManifestParser Parser>
+std::vector<SilentNode> PeerSync<Parser>::silentNeighboursToQuery(base::Instant now) const
+{
+    if (!isAttentive(now))
+        return {};
+    auto silent = m_directory.neighboursSilentFor(removalAge / 2, m_attentiveSince, now);
+    std::erase_if(silent, [&](const SilentNode& node) { return node.record.name < m_directory.self().name; });
+    return silent;
+}
+
 template<ManifestParser Parser>
 void PeerSync<Parser>::sendFailureNotice(OutgoingMessages& outgoing, const FailureNotice& notice, base::Instant now)
 {
@@ -321,7 +355,7 @@
         m_crashes.requests.applyClearance(clearance);
     m_crashes.parts.apply(withOlderClearances(reply.parts, now - queriedAt), now);
     for (const auto& node : reply.nodes)
-        m_directory.add(node);
+        m_directory.add(node, now);
     if (isNeighbour(reply.from) && !m_role.isHub() && !pending.mapped().isLinkCheck) {
         m_fleet.setPeerLoads(reply.loads);
         m_role.setDeputy(reply.isDeputy);
--- a/src/sync/PlatformStoreClient.h
+++ b/src/sync/PlatformStoreClient.h
@@ -30,6 +30,10 @@
     {
         client.registerNode(node)
         } -> std::same_as<base::Error>;
+    // Deletes the entry, unless the store holds another one of that name; fails with PlatformConflict then.
+    {
+        client.removeNode(node)
+        } -> std::same_as<base::Error>;
     {
         client.listNodes(freshness)
         } -> std::same_as<base::Result<NodeList>>;
--- a/tests/NodesTaskTest.cpp
+++ b/tests/NodesTaskTest.cpp
@@ -1,6 +1,7 @@
 #include "sync/NodesTask.h"
 
 #include "base/Condition.h"
+#include "fakes/FakeClockHandle.h"
 #include "fakes/FakeNodeStore.h"
 #include "fakes/RecordingNodeListener.h"
 
@@ -105,3 +106,108 @@
     CHECK_TRUE(task.poll());
     LONGS_EQUAL(1, store.entries.size());
 }
+
+// Guards against entries of removed machines that stay in the store for ever, and count as nodes that share limits.
+TEST_GROUP(NodeRemoval)
+{
+    FakeNodeStore store;
+    RecordingNodeListener listener;
+    fakes::FakeClock clock;
+    sync::NodeRole role;
+    sync::StoreEra era;
+    sync::NodeRecord self { { "a1" }, { "dc-a" }, "10.0.0.1:1" };
+    sync::NodesTask<FakeNodeStore, RecordingNodeListener, fakes::FakeClockHandle> task { store, listener, role, era, self, { &clock } };
+
+    // Adds entries of nodes that are gone, and tells the task so.
+    void addGoneNodes(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            store.entries.push_back({ { "b" + std::to_string(i) }, { "dc-a" }, "10.0.1.1:1" });
+            listener.gone.push_back(store.entries.back());
+        }
+    }
+    bool pollAfter(base::Duration duration)
+    {
+        clock.moveTo(clock.now() + duration);
+        return task.poll();
+    }
+};
+
+TEST(NodeRemoval, EntryOfAGoneNodeIsDeleted)
+{
+    CHECK_TRUE(task.poll());
+    addGoneNodes(1);
+    CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(1, store.entries.size());
+    LONGS_EQUAL(1, listener.removed.size());
+}
+
+TEST(NodeRemoval, FewEntriesAreDeletedAtATime)
+{
+    addGoneNodes(1000);
+    CHECK_TRUE(task.poll());
+    for (unsigned polls = 1; polls <= 10; ++polls) {
+        CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+        CHECK_TRUE(store.removals <= 4 * polls);
+    }
+    CHECK_TRUE(store.removals >= 10);
+}
+
+TEST(NodeRemoval, HubThatIsNotTheLeaderReadsTheListOnlyWhileItHasEntriesToDelete)
+{
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    auto readsBefore = store.recentReads;
+    for (int i = 0; i < 60; ++i)
+        CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(readsBefore, store.recentReads);
+    addGoneNodes(6);
+    for (int i = 0; i < 18; ++i)
+        CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(1, store.entries.size());
+    CHECK_TRUE(store.recentReads <= readsBefore + 3);
+}
+
+// The node that took it for gone may have been the one that was cut off.
+TEST(NodeRemoval, NodeWhoseEntryWasDeletedWritesItAgain)
+{
+    CHECK_TRUE(task.poll());
+    role.setLeader(false);
+    store.entries.clear();
+    for (auto end = clock.now() + std::chrono::minutes(16); clock.now() < end;)
+        CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(1, store.entries.size());
+    LONGS_EQUAL(2, store.writes);
+}
+
+TEST(NodeRemoval, EntryOfANewNodeOfTheSameNameStays)
+{
+    CHECK_TRUE(task.poll());
+    addGoneNodes(1);
+    store.entries.back().peerAddress = "10.0.1.2:1";
+    CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(2, store.entries.size());
+    LONGS_EQUAL(0, listener.removed.size());
+}
+
+// A call that fails is no reason to call the store more often.
+TEST(NodeRemoval, StoreThatRefusesRemovalsIsAskedOnceAList)
+{
+    CHECK_TRUE(task.poll());
+    addGoneNodes(10);
+    store.refusesRemovals = true;
+    CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    LONGS_EQUAL(0, listener.removed.size());
+    store.refusesRemovals = false;
+    CHECK_TRUE(pollAfter(std::chrono::seconds(5)));
+    CHECK_TRUE(listener.removed.size() > 0);
+}
+
+// A list that may be some seconds old lacks an entry that was written since.
+TEST(NodeRemoval, EntryThatWasJustWrittenIsNotTakenForDeleted)
+{
+    CHECK_TRUE(task.poll());
+    store.entries.clear();
+    CHECK_TRUE(pollAfter(std::chrono::seconds(4)));
+    LONGS_EQUAL(1, store.writes);
+}
--- a/tests/StoreApiTest.cpp
+++ b/tests/StoreApiTest.cpp
@@ -60,3 +60,24 @@
         CHECK_TRUE(store.listUpstreams().has_value());
     }
 }
+
+// Guards against the entry of a new machine that goes with that of the machine whose name it took over.
+TEST(StoreApi, EntryOfANodeIsDeletedOnlyInTheRevisionThatWasRead)
+{
+    sync::NodeRecord node { { "vm 1" }, { "dc-a" }, "10.0.0.1:1" };
+    auto entry = response(R"({"metadata":{"name":"vm 1","revision":17},"spec":{"zone":"dc-a","address":"10.0.0.1:1"}})", "");
+    ScriptedResponse notFound { "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}" };
+    ScriptedResponse conflict { "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}" };
+    ScriptedUpstream server({ entry, response("{}", ""), entry, conflict, entry, notFound, notFound, entry });
+    auto store = client(server);
+    CHECK_TRUE(store.removeNode(node).code == base::ResultCode::Ok);
+    CHECK_TRUE(server.requests()[0].starts_with("GET /api/objects/redwingseam-nodes/vm%201 "));
+    CHECK_TRUE(server.requests()[1].starts_with("DELETE /api/objects/redwingseam-nodes/vm%201?revision=17 "));
+    CHECK_TRUE(store.removeNode(node).code == base::ResultCode::PlatformConflict);
+    CHECK_TRUE(store.removeNode(node).code == base::ResultCode::Ok);
+    CHECK_TRUE(store.removeNode(node).code == base::ResultCode::Ok);
+    auto moved = node;
+    moved.peerAddress = "10.0.0.2:1";
+    CHECK_TRUE(store.removeNode(moved).code == base::ResultCode::PlatformConflict);
+    LONGS_EQUAL(8, server.requests().size());
+}
--- a/tests/fakes/FakeNodeStore.h
+++ b/tests/fakes/FakeNodeStore.h
@@ -2,6 +2,7 @@
 
 #include "sync/PlatformStoreClient.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace redwingseam::fakes {
@@ -12,7 +13,9 @@
     unsigned latestReads = 0;
     unsigned recentReads = 0;
     unsigned writes = 0;
+    unsigned removals = 0;
     bool isDown = false;
+    bool refusesRemovals = false;
     uint64_t era = 1;
 
     base::Result<sync::ManifestRead> readManifest() { return unavailable(); }
@@ -27,6 +30,19 @@
         entries.push_back(node);
         return {};
     }
+    base::Error removeNode(const sync::NodeRecord& node)
+    {
+        if (isDown || refusesRemovals)
+            return unavailable();
+        ++removals;
+        auto found = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry.name == node.name; });
+        if (found == entries.end())
+            return {};
+        if (*found != node)
+            return { base::ResultCode::PlatformConflict, "another entry" };
+        entries.erase(found);
+        return {};
+    }
     base::Result<sync::NodeList> listNodes(sync::Freshness freshness)
     {
         if (isDown)
--- a/tests/fakes/FakePeerCluster.h
+++ b/tests/fakes/FakePeerCluster.h
@@ -23,6 +23,8 @@
     std::vector<std::unique_ptr<PeerNode>> nodes;
     std::deque<MessageInTransit> messagesInTransit;
     std::set<std::string> stoppedNodes;
+    // Nodes that answer, and send nothing by themselves.
+    std::set<std::string> passiveNodes;
     // Nodes of the earlier release: they send state whenever it is newer, and never ask for full state.
     std::set<std::string> olderNodes;
     base::Instant now { std::chrono::seconds(100) };
@@ -118,7 +120,7 @@
                 continue;
             nextTick += std::chrono::milliseconds(50);
             for (const auto& node : nodes) {
-                if (!stoppedNodes.count(node->record.name.text))
+                if (!stoppedNodes.count(node->record.name.text) && !passiveNodes.count(node->record.name.text))
                     send(node->sync.tick(now));
             }
         }
--- a/tests/fakes/FakeUpstreamStore.h
+++ b/tests/fakes/FakeUpstreamStore.h
@@ -21,6 +21,7 @@
         return sync::UpstreamWatchResult { { 1, revision + 1 }, std::move(changes) };
     }
     base::Error registerNode(const sync::NodeRecord&) { return unavailable(); }
+    base::Error removeNode(const sync::NodeRecord&) { return unavailable(); }
     base::Result<sync::NodeList> listNodes(sync::Freshness) { return unavailable(); }
 
     static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
--- a/tests/fakes/RestorableStore.h
+++ b/tests/fakes/RestorableStore.h
@@ -69,6 +69,7 @@
         return result;
     }
     base::Error registerNode(const sync::NodeRecord&) { return { base::ResultCode::PlatformUnavailable, "not kept here" }; }
+    base::Error removeNode(const sync::NodeRecord&) { return { base::ResultCode::PlatformUnavailable, "not kept here" }; }
     base::Result<sync::NodeList> listNodes(sync::Freshness) { return sync::NodeList { era, {} }; }
 
     static base::Error unavailable() { return { base::ResultCode::PlatformUnavailable, "down" }; }
