PeerServer: it waits for descriptors without spinning

When the process has no descriptors left, the listener for other nodes stays readable, and the thread that serves all peers polled it without pause.

Cause: acceptAll gave up at the first error and left the listener watched.

Change: as the gateway's Acceptor does, the listener is not watched while descriptors are scarce, and accepting is tried again every 50 ms. isScarcity moves to base/, where both use it.

--- a/src/gateway/Acceptor.h
+++ b/src/gateway/Acceptor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/NamedThread.h"
+#include "base/ResourceScarcity.h"
 #include "gateway/EventLoop.h"
 #include "gateway/SocketCalls.h"
 #include "log/LogLine.h"
@@ -58,7 +59,7 @@
     {
         for (auto socket = acceptFrom(m_listener.descriptor()); socket.isOpen(); socket = acceptFrom(m_listener.descriptor()))
             m_handler.addConnection(std::move(socket));
-        setPaused(isScarcity(errno));
+        setPaused(base::isScarcity(errno));
     }
 
     // While paused, the waiting connections stay in the listen queue, and the listener, which remains readable, is not
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -86,11 +86,6 @@
     return result;
 }
 
-bool isScarcity(int error)
-{
-    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
-}
-
 size_t unreadBytes(int descriptor)
 {
     int bytes = 0;
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -9,7 +9,7 @@
 
 namespace redwingseam::gateway {
 
-// Starts a non-blocking connect. Returns a closed socket if it fails immediately; `isScarcity` tells from the value of
+// Starts a non-blocking connect. Returns a closed socket if it fails immediately; `base::isScarcity` tells from the value of
 // errno whether the process lacks the resources for it.
 base::FileDescriptor startConnect(const http::SocketAddress&);
 // Fails the connection if the peer has not acknowledged what is sent after `limit`, counted from its first retransmission.
@@ -24,10 +24,8 @@
 // Returns a non-blocking listening socket; closed if the address cannot be bound.
 base::FileDescriptor listenOn(const http::SocketAddress&);
 // Accepts the next pending connection. Returns a closed socket if there is none, or if the process lacks the resources
-// for it, which `isScarcity` tells from the value of errno.
+// for it, which `base::isScarcity` tells from the value of errno.
 base::FileDescriptor acceptFrom(int listener);
-// Whether the error means that the process or the machine has no descriptors or memory left at present.
-bool isScarcity(int error);
 // Returns how many received bytes wait to be read.
 size_t unreadBytes(int descriptor);
 // Returns about how many received bytes the system holds for a socket that is not read.
--- a/src/gateway/UpstreamConnectionImpl.h
+++ b/src/gateway/UpstreamConnectionImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ResourceScarcity.h"
 #include "gateway/MessageFraming.h"
 #include "gateway/UpstreamConnection.h"
 #include "redwingseam/base/BootClock.h"
@@ -15,7 +16,7 @@
     auto address = http::parseSocketAddress(m_instance.address);
     if (address)
         m_socket = startConnect(address.value());
-    if (address && !m_socket.isOpen() && isScarcity(errno))
+    if (address && !m_socket.isOpen() && base::isScarcity(errno))
         return ConnectStart::NoResources;
     if (!m_socket.isOpen()) {
         // An owner that were told here would start its next attempt here, and recurse once for each upstream.
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -1,15 +1,21 @@
 #pragma once
 
 #include "base/NamedThread.h"
+#include "base/ResourceScarcity.h"
 #include "http/SocketAddress.h"
+#include "log/LogLine.h"
 #include "peer/InboundConnection.h"
 #include "peer/Poller.h"
 
 #include <atomic>
+#include <cerrno>
 #include <concepts>
+#include <glog/logging.h>
 #include <memory>
+#include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
+#include <utility>
 
 namespace redwingseam::peer {
 
@@ -61,8 +67,10 @@
     void run()
     {
         while (!m_isStopping) {
-            for (auto descriptor : m_poller.wait())
+            for (auto descriptor : m_poller.wait(m_isPaused ? std::optional(retryInterval) : std::nullopt))
                 onReady(descriptor);
+            if (m_isPaused)
+                acceptAll();
         }
     }
 
@@ -89,17 +97,32 @@
     {
         while (true) {
             int descriptor = accept4(m_listener.descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (descriptor < 0)
+            if (descriptor < 0) {
+                setPaused(base::isScarcity(errno));
                 return;
+            }
             m_connections[descriptor] = std::make_unique<InboundConnection>(base::FileDescriptor(descriptor));
             m_poller.add(descriptor, EPOLLIN);
         }
     }
 
+    // While paused, the waiting connections stay in the listen queue, and the listener, which remains readable, is not
+    // watched.
+    void setPaused(bool isPaused)
+    {
+        if (std::exchange(m_isPaused, isPaused) == isPaused)
+            return;
+        LOG(WARNING) << log::LogLine(isPaused ? "peer_accept_paused" : "peer_accept_resumed").text();
+        m_poller.change(m_listener.descriptor(), isPaused ? 0U : static_cast<uint32_t>(EPOLLIN));
+    }
+
+    static constexpr base::Duration retryInterval = std::chrono::milliseconds(50);
+
     Handler& m_handler;
     base::FileDescriptor m_listener;
     Poller m_poller;
     std::atomic<bool> m_isStopping { false };
+    bool m_isPaused = false;
     std::unordered_map<int, std::unique_ptr<InboundConnection>> m_connections;
     base::NamedThread m_thread;
 };
--- a/src/peer/Poller.cpp
+++ b/src/peer/Poller.cpp
@@ -20,11 +20,12 @@
     epoll_ctl(m_epoll.descriptor(), operation, descriptor, &event);
 }
 
-std::vector<int> Poller::wait()
+std::vector<int> Poller::wait(std::optional<base::Duration> timeout)
 {
     static constexpr int noTimeout = -1;
+    auto timeoutMillis = timeout ? static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(*timeout).count()) : noTimeout;
     std::array<epoll_event, 64> events {};
-    int count = epoll_wait(m_epoll.descriptor(), events.data(), static_cast<int>(events.size()), noTimeout);
+    int count = epoll_wait(m_epoll.descriptor(), events.data(), static_cast<int>(events.size()), timeoutMillis);
     std::vector<int> ready;
     for (int i = 0; i < count; ++i) {
         auto descriptor = events[static_cast<size_t>(i)].data.fd;
--- a/src/peer/Poller.h
+++ b/src/peer/Poller.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "base/FileDescriptor.h"
+#include "redwingseam/base/Instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <sys/epoll.h>
 #include <vector>
 
@@ -17,8 +19,8 @@
     void add(int descriptor, uint32_t events) { control(EPOLL_CTL_ADD, descriptor, events); }
     void change(int descriptor, uint32_t events) { control(EPOLL_CTL_MOD, descriptor, events); }
 
-    // Blocks until a descriptor is ready or `wake` is called. Returns the descriptors that are ready.
-    std::vector<int> wait();
+    // Blocks until a descriptor is ready, `wake` is called or the time has passed. Returns the descriptors that are ready.
+    std::vector<int> wait(std::optional<base::Duration> timeout = {});
     // Makes `wait` return. Thread-safe.
     void wake();
 
