NodeDirectory: removals are forgotten when another one is recorded

Removed nodes were forgotten only when another node reported its list, which a hub that removes nodes need not see again, so their number grew with the past, and each query counted them.

Nothing changes for a node that was removed since. No test shows the growth; GoneNodes, NodeRemoval, PeerSync and PeerRoles pass.

--- a/src/replication/NodeDirectory.cpp
+++ b/src/replication/NodeDirectory.cpp
@@ -29,14 +29,16 @@
 
 void NodeDirectory::add(const sync::NodeRecord& node, base::Instant now)
 {
-    std::erase_if(m_removals, [&](const auto& item) { return now - item.second >= removalLifetime; });
-    if (node.name == m_self.name || m_removals.count(node.name))
+    auto removal = m_removals.find(node.name);
+    bool isRemoved = removal != m_removals.end() && now - removal->second < removalLifetime;
+    if (node.name == m_self.name || isRemoved)
         return;
     m_entries.try_emplace(node.name, Entry { node, {}, now }).first->second.record = node;
 }
 
 void NodeDirectory::remove(const base::VmName& name, base::Instant now)
 {
+    std::erase_if(m_removals, [&](const auto& item) { return now - item.second >= removalLifetime; });
     if (m_entries.erase(name))
         m_removals[name] = now;
 }
