Crowd tests: clients that send while the process is kept from the processor

The figure depends on how long the process was kept from the processor. The new cases stop it for 0.3 s after each 0.05 s and make that the test: requests sent ahead, bodies that are refused, bodies within the limits.

--- a/tests/crowd/body_crowd_test.py
+++ b/tests/crowd/body_crowd_test.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import itertools
+import os
+import signal
 import unittest
 
 from crowd_case import CrowdCase, Member, head, short_lines, status_mb, unread_mb
@@ -19,6 +21,9 @@
 PIECE_PAUSE_SECONDS = 0.02
 # Between the single bytes of a client that goes on without end.
 TRICKLE_PAUSE_SECONDS = 0.2
+# Of a process that other load keeps from the processor.
+RUN_SECONDS = 0.05
+STOP_SECONDS = 0.3
 # Of the clients that come again.
 ROUNDS = 4
 
@@ -160,6 +165,36 @@
         await self.check_process(2 * CONNECTIONS)
         self.assertLessEqual(self.peak_with_unread_mb, self.memory_mb)
 
+    async def check_unread_while_stopped(self, pieces, reads=True, upstream_connections=0):
+        """The process runs for a moment at a time, as beside other load, while all clients send at once."""
+        async def stop_again_and_again():
+            while True:
+                await asyncio.sleep(RUN_SECONDS)
+                os.kill(self.pid, signal.SIGSTOP)
+                await asyncio.sleep(STOP_SECONDS)
+                os.kill(self.pid, signal.SIGCONT)
+
+        tasks = [asyncio.create_task(self.sample_unread()), asyncio.create_task(stop_again_and_again())]
+        try:
+            await self.gather_crowd(CONNECTIONS, pieces, reads=reads, at_once=CONNECTIONS)
+        finally:
+            for task in tasks:
+                task.cancel()
+            os.kill(self.pid, signal.SIGCONT)
+        print(f"with unread bytes: {self.peak_with_unread_mb:.1f} MB", flush=True)
+        await self.check_process(CONNECTIONS + upstream_connections)
+        self.assertLessEqual(self.peak_with_unread_mb, self.memory_mb)
+
+    async def test_requests_sent_ahead_while_the_process_is_stopped(self):
+        # A stream that stood still while the process did may have a second upstream connection.
+        await self.check_unread_while_stopped([head("GET", "/stream/400") + b"\r\n", (head("GET", "/read/x") + b"\r\n") * 10000], reads=False, upstream_connections=2 * CONNECTIONS)
+
+    async def test_refused_bodies_while_the_process_is_stopped(self):
+        await self.check_unread_while_stopped([with_length(2 * BODY_LIMIT), b"x" * 2 * BODY_LIMIT])
+
+    async def test_bodies_while_the_process_is_stopped(self):
+        await self.check_unread_while_stopped([with_length(BODY_LIMIT), b"x" * (BODY_LIMIT - 1)])
+
     async def test_requests_begun_in_the_piece_that_ends_another(self):
         next_request = head("GET", "/read/x") + short_lines(14000) + b"\r\n"
         await self.gather_crowd(5 * CONNECTIONS, [head("GET", "/stream/2000") + b"\r\n" + next_request * 2])
