Gateway: what the system receives for a client before it is read is limited

Cause: the system enlarges the receive buffer of each connection that is read fast, to megabytes, and keeps filling it when the process gets no processor time. None of it is counted. Traces of single connections showed 1.1 MB each for requests sent ahead, up to 2.4 MB each for bodies.

Now a connection's receive buffer is limited to 64 KB when it is accepted. A client that has sent 256 KB of a body gets 256 KB, counted as read-ahead and only while that finds room. Input that is discarded gets 16 KB. A limit that is set keeps the system from raising it, so the bytes in question do not exist any more.

A long way was not measured.

--- a/src/gateway/ClientConnection.h
+++ b/src/gateway/ClientConnection.h
@@ -2,6 +2,7 @@
 
 #include "gateway/BufferReservation.h"
 #include "gateway/EventLoop.h"
+#include "gateway/ReceiveWindow.h"
 #include "gateway/RequestBodyFormat.h"
 #include "gateway/SocketCalls.h"
 #include "gateway/TransferProgress.h"
@@ -48,7 +49,7 @@
     // Whether the last response has been written and no byte of another request has arrived.
     bool isIdle() const { return !m_isServing && !m_isClosing && !m_hasRequestBytes && !m_isParseDeferred && m_writeBuffer.isEmpty(); }
     // Returns the size of the buffers that were reserved for this client.
-    size_t heldBytes() const { return m_headReservation.bytes() + m_inputReservation.bytes() + m_outputReservation.bytes() + m_bodyReservation.bytes(); }
+    size_t heldBytes() const { return m_headReservation.bytes() + m_inputReservation.bytes() + m_outputReservation.bytes() + m_bodyReservation.bytes() + m_receiveWindow.reservedBytes(); }
     // Whether a request has begun to arrive, and little or nothing of it came of late.
     bool isStalled(base::Instant now) const { return !m_isServing && !m_isClosing && m_hasRequestBytes && m_inputProgress.isStalled(now); }
     // Refuses the request that has begun to arrive, because the memory is needed for others.
@@ -159,6 +160,7 @@
     BufferReservation m_inputReservation;
     BufferReservation m_outputReservation;
     BufferReservation m_bodyReservation;
+    ReceiveWindow m_receiveWindow;
     // What the headers of the current request take, once they are parsed.
     size_t m_headBytes = 0;
     // How much of the buffer was searched for the end of the headers.
--- a/src/gateway/ClientConnectionImpl.h
+++ b/src/gateway/ClientConnectionImpl.h
@@ -30,6 +30,7 @@
     , m_inputReservation(server.buffers(), BufferUse::ReadAhead)
     , m_outputReservation(server.buffers(), BufferUse::UnreadResponse)
     , m_bodyReservation(server.buffers(), BufferUse::Request)
+    , m_receiveWindow(server.buffers(), m_socket.descriptor())
     , m_phaseStartedAt(now)
 {
     beginRequest();
@@ -182,6 +183,7 @@
 {
     m_isInputDiscarded = true;
     m_isReadAheadPaused = false;
+    m_receiveWindow.narrow();
     m_buffer.clear();
     m_buffer.shrink_to_fit();
     m_inputReservation.reset();
@@ -277,6 +279,7 @@
     if (m_parser->is_done()) {
         m_isServing = true;
         m_hasRequestBytes = false;
+        m_receiveWindow.restore();
         auto request = takeRequest();
         keepSentAhead();
         m_server.onRequest(*this, std::move(request));
@@ -390,6 +393,7 @@
         if (!m_server.turnAwayHeavier(*this, bytes))
             return false;
     }
+    m_receiveWindow.widenFor(bytes);
     return true;
 }
 
@@ -498,6 +502,7 @@
         return;
     if (!keepsAlive || m_isInputDiscarded) {
         m_isClosing = true;
+        m_receiveWindow.narrow();
         m_buffer.clear();
         m_buffer.shrink_to_fit();
         m_parser.reset();
--- a/src/gateway/SocketCalls.cpp
+++ b/src/gateway/SocketCalls.cpp
@@ -100,6 +100,15 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, &length) || bytes < 0 ? usualBytes : static_cast<size_t>(bytes);
 }
 
+void limitReceiveBuffer(int descriptor, size_t bytes)
+{
+    // The system doubles the size of the buffer for its own overhead. It does not raise the largest window by itself any more.
+    int halfBytes = static_cast<int>(bytes / 2);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &halfBytes, sizeof halfBytes);
+    int windowBytes = static_cast<int>(bytes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_WINDOW_CLAMP, &windowBytes, sizeof windowBytes);
+}
+
 bool hasPendingInput(int descriptor)
 {
     char byte = 0;
--- a/src/gateway/SocketCalls.h
+++ b/src/gateway/SocketCalls.h
@@ -28,6 +28,9 @@
 base::FileDescriptor acceptFrom(int listener);
 // Returns how many received bytes wait to be read.
 size_t unreadBytes(int descriptor);
+// Limits the received bytes that the system holds for a socket that is not read, and keeps it from raising the limit. What the
+// sender was told before may exceed it.
+void limitReceiveBuffer(int descriptor, size_t bytes);
 // Returns about how many received bytes the system holds for a socket that is not read.
 size_t receiveBufferBytes(int descriptor);
 // Returns whether unread bytes, the end of the input or an error are pending. Consumes nothing.
