redwingseamd: bodies of queued requests count against its memory

Callers: a crowd with large bodies that wait for an engine, or stop short of their end, took a VM of 64 MB to 198 and 155 MB; it would have been killed with every request in it.

Cause: bodies counted only until they had arrived, against 32 MB whatever the machine. Those of queued requests did not count, up to 1,000 of 1 MiB for each client.

Now the bodies of unfinished requests count until the response is complete, twice, since the call to the upstream holds them once more, against a quarter of the memory: memory_mb of the settings, or what the system states. Bodies of up to 8 KB are always received. A body arrives in blocks: RequestBody moves from gateway/ to http/ for it, MemoryLimit and HeapTrimmer to base/.

--- a/src/gateway/HeapTrimmer.cpp
+++ b/src/base/HeapTrimmer.cpp
@@ -1,12 +1,12 @@
-#include "gateway/HeapTrimmer.h"
+#include "base/HeapTrimmer.h"
 
 #include <algorithm>
 #include <malloc.h>
 #include <mutex>
 
-namespace redwingseam::gateway {
+namespace redwingseam::base {
 
-void HeapTrimmer::update(size_t peakBytes, size_t usedBytes, base::Instant now)
+void HeapTrimmer::update(size_t peakBytes, size_t usedBytes, Instant now)
 {
     {
         std::lock_guard guard(m_mutex);
@@ -21,4 +21,4 @@
     malloc_trim(0);
 }
 
-} // namespace redwingseam::gateway
+} // namespace redwingseam::base
--- a/src/gateway/MemoryLimit.cpp
+++ b/src/base/MemoryLimit.cpp
@@ -1,10 +1,10 @@
-#include "gateway/MemoryLimit.h"
+#include "base/MemoryLimit.h"
 
 #include <algorithm>
 #include <fstream>
 #include <unistd.h>
 
-namespace redwingseam::gateway {
+namespace redwingseam::base {
 
 static constexpr size_t mebibyte = 1024 * 1024;
 
@@ -28,4 +28,4 @@
     return std::clamp(memoryBytes / 4, minBytes, maxBytes);
 }
 
-} // namespace redwingseam::gateway
+} // namespace redwingseam::base
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Daemon.h"
 
+#include "base/HeapTrimmer.h"
 #include "base/Ticker.h"
 #include "daemon/AdminHandler.h"
 #include "daemon/ProbeSchedule.h"
@@ -31,6 +32,7 @@
     VmIo io;
     AdminHandler admin;
     ProbeSchedule probes;
+    base::HeapTrimmer heap;
     std::unique_ptr<http::BlockingServer<AdminHandler>> adminServer;
     std::unique_ptr<base::Ticker> ticker;
 };
@@ -68,6 +70,8 @@
         auto now = base::MonotonicClock {}.now();
         components.eventSink.handle(node::Tick {});
         components.io.storeClient.tick(now);
+        auto& bodies = components.io.callerServer.bodies();
+        components.heap.update(bodies.takePeakBytes(), bodies.usedBytes(), now);
         for (const auto& upstream : components.probes.dueUpstreams(components.node.node().upstreams(), now))
             components.io.upstreamClient.probe(upstream);
     });
--- a/src/daemon/VmConfig.cpp
+++ b/src/daemon/VmConfig.cpp
@@ -9,6 +9,7 @@
 using base::ResultCode;
 
 static constexpr uint64_t maxDrainSeconds = 24 * 3600;
+static constexpr uint64_t maxMemoryMb = 1024 * 1024;
 static constexpr size_t minSecretBytes = 16;
 
 static base::Result<http::SocketAddress> readAddress(codec::JsonReader& reader, const char* key)
@@ -65,6 +66,12 @@
     if (!drainSeconds || drainSeconds > maxDrainSeconds)
         return Error { ResultCode::SettingsInvalid, "/drain_timeout_s: expected 1 to " + std::to_string(maxDrainSeconds) + ", found " + std::to_string(drainSeconds) };
     config.drainTimeout = std::chrono::seconds(drainSeconds);
+    if (reader.has("memory_mb")) {
+        auto memoryMb = reader.number("memory_mb");
+        if (!memoryMb || memoryMb > maxMemoryMb)
+            return Error { ResultCode::SettingsInvalid, "/memory_mb: expected 1 to " + std::to_string(maxMemoryMb) + ", found " + std::to_string(memoryMb) };
+        config.memoryBytes = static_cast<size_t>(memoryMb) * 1024 * 1024;
+    }
     if (reader.has("peers") && !readSeeds(reader.array("peers"), config.node.seedVms))
         return Error { ResultCode::SettingsInvalid, "/peers: expected objects with name, data_centre and address" };
     return readAddresses(listen, std::move(config));
--- a/src/daemon/VmConfig.h
+++ b/src/daemon/VmConfig.h
@@ -21,6 +21,8 @@
     // Secret shared by all VMs of a deployment; it signs client keys and the event ids from which callers resume a stream.
     std::string secret;
     base::Duration drainTimeout {};
+    // Of the machine; 0 for what the system states.
+    size_t memoryBytes = 0;
 };
 
 // Parses the settings from JSON. Fails with SettingsUnreadable or SettingsInvalid; the detail holds the
--- a/src/daemon/VmIo.h
+++ b/src/daemon/VmIo.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/MemoryLimit.h"
 #include "daemon/NodeEventSink.h"
 #include "daemon/VmConfig.h"
 #include "http/CallerServer.h"
@@ -13,7 +14,7 @@
 // Servers and clients of one VM.
 struct VmIo {
     VmIo(const VmConfig& config, NodeEventSink& events)
-        : callerServer(config.secret, firstRequestId(config), events)
+        : callerServer(config.secret, firstRequestId(config), events, base::bufferBytesFor(config.memoryBytes ? config.memoryBytes : base::detectedMemoryBytes()))
         , upstreamClient(events)
         , storeClient(config.platformUrl, events)
         , peerServer(events)
--- a/src/gateway/GatewayState.h
+++ b/src/gateway/GatewayState.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/HeapTrimmer.h"
+#include "base/MemoryLimit.h"
 #include "fleet/Fleet.h"
 #include "forward/AdmissionRule.h"
 #include "forward/CrashEvidence.h"
@@ -10,8 +12,6 @@
 #include "gateway/BufferBudget.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/GatewaySettings.h"
-#include "gateway/HeapTrimmer.h"
-#include "gateway/MemoryLimit.h"
 #include "gateway/StopTimes.h"
 #include "manifest/ManifestHolder.h"
 #include "origin/StreamOrigins.h"
@@ -31,7 +31,7 @@
         , admission(maxConfirmationAge(given.revocationBound))
         , drain(StopTimes { given.terminationGrace }.abandonAt())
         , exchangePolicy(policyFor(given))
-        , buffers(bufferBytesFor(given.memoryBytes ? given.memoryBytes : detectedMemoryBytes()))
+        , buffers(base::bufferBytesFor(given.memoryBytes ? given.memoryBytes : base::detectedMemoryBytes()))
     {
     }
 
@@ -71,7 +71,7 @@
     GatewayMetrics metrics;
     // Shared by all connections.
     BufferBudget buffers;
-    HeapTrimmer heap;
+    base::HeapTrimmer heap;
     report::SloRecorder recorder;
     // When the node began to drain; a default Instant before that.
     std::atomic<base::Instant> drainStartedAt { base::Instant {} };
--- a/src/gateway/RequestBodyFormat.h
+++ b/src/gateway/RequestBodyFormat.h
@@ -4,12 +4,12 @@
 
 namespace redwingseam::gateway {
 
-// Makes a RequestBody the body of a message of Boost.Beast, which requires these names.
+// Makes an http::RequestBody the body of a message of Boost.Beast, which requires these names.
 struct RequestBodyFormat {
-    using value_type = RequestBody;
+    using value_type = http::RequestBody;
     using reader = RequestBodyReader;
 
-    static uint64_t size(const RequestBody& body) { return body.size(); }
+    static uint64_t size(const http::RequestBody& body) { return body.size(); }
 };
 
 } // namespace redwingseam::gateway
--- a/src/gateway/RequestBodyReader.h
+++ b/src/gateway/RequestBodyReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/RequestBody.h"
+#include "http/RequestBody.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
@@ -14,7 +14,7 @@
 class RequestBodyReader {
 public:
     template<bool isRequest, typename Fields>
-    RequestBodyReader(boost::beast::http::header<isRequest, Fields>&, RequestBody& body)
+    RequestBodyReader(boost::beast::http::header<isRequest, Fields>&, http::RequestBody& body)
         : m_body(body)
     {
     }
@@ -41,7 +41,7 @@
     void finish(boost::beast::error_code& error) { error = {}; }
 
 private:
-    RequestBody& m_body;
+    http::RequestBody& m_body;
 };
 
 } // namespace redwingseam::gateway
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/RequestBody.h"
 #include "redwingseam/base/Ids.h"
 #include "redwingseam/base/Mutex.h"
 
@@ -14,12 +15,13 @@
     base::Mutex mutex;
     MHD_Connection* native = nullptr;
     std::string path;
-    // Request body; after the request has been parsed, the tokens of a response that is not streamed.
-    std::string body;
+    RequestBody body;
+    // The tokens of a response that is not streamed.
+    std::string pieces;
     bool isBodyTooLarge = false;
     // The server had no memory for the body when it arrived.
     bool isBodyRefused = false;
-    // What the body takes of the server's memory for bodies.
+    // What the body, or the content of the request after it, takes of the server's memory for bodies.
     size_t reservedBytes = 0;
 
     base::RequestId id;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Condition.h"
+#include "http/BodyBudget.h"
 #include "http/CallerConnection.h"
 #include "http/ClientKeyCodec.h"
 #include "http/SocketAddress.h"
@@ -31,12 +32,16 @@
 // HTTP front end for callers: streams completions as server-sent events or returns them as one response,
 // and forwards calls of plain services. Uses threads of libmicrohttpd that wait on epoll, and suspends a
 // connection while it has nothing to send. Contains no scheduling or routing decisions. `send`, `finish`,
-// `refuse` and `unfinishedRequests` are thread-safe; `start` and `stop` must be called on one thread.
+// `refuse`, `unfinishedRequests` and `bodies` are thread-safe; `start` and `stop` must be called on one thread.
 template<CallerEventHandler Handler>
 class CallerServer {
 public:
-    // `handler` must outlive the server.
-    CallerServer(const std::string& secret, uint64_t firstRequestId, Handler& handler);
+    // What the bodies of all unfinished requests may take, unless the machine's memory says otherwise.
+    static constexpr size_t defaultBodyBytes = 32 * 1024 * 1024;
+
+    // `handler` must outlive the server. Larger bodies are refused while those of all unfinished requests take
+    // `maxBodyBytes` together.
+    CallerServer(const std::string& secret, uint64_t firstRequestId, Handler& handler, size_t maxBodyBytes = defaultBodyBytes);
     ~CallerServer();
     CallerServer(const CallerServer&) = delete;
     CallerServer& operator=(const CallerServer&) = delete;
@@ -50,6 +55,7 @@
     void stop();
     // Returns the number of requests whose response has not been sent completely.
     size_t unfinishedRequests() const { return m_unfinishedRequests; }
+    BodyBudget& bodies() { return m_bodies; }
 
     // Appends tokens to the response. Ignored if the caller has disconnected or the response has ended.
     void send(const node::SendTokens&);
@@ -66,9 +72,11 @@
     static void onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode);
     static ssize_t onRead(void*, uint64_t, char* buffer, size_t size);
 
-    // Reserves memory for `bytes` more of the body. Returns false if there is none.
-    bool reserveBody(CallerConnection&, size_t bytes);
-    void releaseBody(CallerConnection&);
+    // Reserves memory for what has arrived of the body. Returns false if there is none. Bodies of ordinary requests always
+    // find room.
+    bool reserveBody(CallerConnection&);
+    // Lowers what is reserved for the body.
+    void shrinkReservation(CallerConnection&, size_t bytes);
     MHD_Result receiveBody(CallerConnection&, const char* upload, size_t* uploadSize);
     MHD_Result startRequest(const ConnectionPointer&, const std::string& method);
     MHD_Result queueResponse(const ConnectionPointer&);
@@ -85,8 +93,7 @@
     stream::ResumeTokenCodec m_resumeTokens;
     std::atomic<uint64_t> m_nextId;
     std::atomic<size_t> m_unfinishedRequests { 0 };
-    // Bodies of requests that are being received.
-    std::atomic<size_t> m_bufferedBytes { 0 };
+    BodyBudget m_bodies;
     base::Sharded<ConnectionMap> m_connections;
     std::atomic<bool> m_isStopping { false };
     base::Mutex m_stopMutex;
--- a/src/http/CallerServerImpl.h
+++ b/src/http/CallerServerImpl.h
@@ -18,8 +18,10 @@
 namespace redwingseam::http {
 
 inline constexpr size_t maxRequestBodyBytes = 1024 * 1024;
-// Of the bodies that all callers together are sending. Callers beyond it are asked to come back.
-inline constexpr size_t maxBufferedBodyBytes = 32 * 1024 * 1024;
+// A body up to this size is received even if larger ones take all the memory.
+inline constexpr size_t usualRequestBodyBytes = 8 * 1024;
+// A body is held by its request, and once more while it is sent to an upstream.
+inline constexpr size_t copiesOfBody = 2;
 inline constexpr size_t maxIdempotencyKeyBytes = 200;
 inline constexpr unsigned callerServerThreads = 2;
 // A connection without any activity for this long, such as a stalled upload, is closed.
@@ -30,10 +32,11 @@
 inline constexpr base::Duration callerStopTimeout = std::chrono::milliseconds(500);
 
 template<CallerEventHandler Handler>
-CallerServer<Handler>::CallerServer(const std::string& secret, uint64_t firstRequestId, Handler& handler)
+CallerServer<Handler>::CallerServer(const std::string& secret, uint64_t firstRequestId, Handler& handler, size_t maxBodyBytes)
     : m_keys(secret)
     , m_resumeTokens(secret)
     , m_nextId(firstRequestId)
+    , m_bodies(maxBodyBytes)
     , m_handler(handler)
 {
 }
@@ -134,20 +137,25 @@
 }
 
 template<CallerEventHandler Handler>
-bool CallerServer<Handler>::reserveBody(CallerConnection& connection, size_t bytes)
+bool CallerServer<Handler>::reserveBody(CallerConnection& connection)
 {
-    if (m_bufferedBytes.fetch_add(bytes) + bytes > maxBufferedBodyBytes) {
-        m_bufferedBytes -= bytes;
+    auto bytes = connection.body.allocatedBytes() * copiesOfBody;
+    auto added = bytes - connection.reservedBytes;
+    if (connection.body.allocatedBytes() <= usualRequestBodyBytes)
+        m_bodies.reserveAlways(added);
+    else if (!m_bodies.tryReserve(added))
         return false;
-    }
-    connection.reservedBytes += bytes;
+    connection.reservedBytes = bytes;
     return true;
 }
 
 template<CallerEventHandler Handler>
-void CallerServer<Handler>::releaseBody(CallerConnection& connection)
+void CallerServer<Handler>::shrinkReservation(CallerConnection& connection, size_t bytes)
 {
-    m_bufferedBytes -= std::exchange(connection.reservedBytes, 0);
+    if (bytes >= connection.reservedBytes)
+        return;
+    m_bodies.release(connection.reservedBytes - bytes);
+    connection.reservedBytes = bytes;
 }
 
 template<CallerEventHandler Handler>
@@ -156,13 +164,13 @@
     // Reads and discards the rest of an oversized body, so that the caller can receive the error response.
     if (connection.body.size() + *uploadSize > maxRequestBodyBytes)
         connection.isBodyTooLarge = true;
-    else if (connection.isBodyRefused || !reserveBody(connection, *uploadSize))
-        connection.isBodyRefused = true;
-    else
-        connection.body.append(upload, *uploadSize);
+    if (!connection.isBodyTooLarge && !connection.isBodyRefused) {
+        connection.body.append({ upload, *uploadSize });
+        connection.isBodyRefused = !reserveBody(connection);
+    }
     if (connection.isBodyTooLarge || connection.isBodyRefused) {
         connection.body = {};
-        releaseBody(connection);
+        shrinkReservation(connection, 0);
     }
     *uploadSize = 0;
     return MHD_YES;
@@ -174,7 +182,8 @@
     node::CallerRequest request;
     auto error = parse(*connection, method, request);
     connection->hasStarted = true;
-    releaseBody(*connection);
+    // The content waits with the request, until the response is complete.
+    shrinkReservation(*connection, error.code == base::ResultCode::Ok ? request.content.size() * copiesOfBody : 0);
     ++m_unfinishedRequests;
     if (error.code != base::ResultCode::Ok) {
         setErrorResponse(*connection, error, "not-run");
@@ -219,7 +228,7 @@
 template<CallerEventHandler Handler>
 base::Error CallerServer<Handler>::parseCompletionRequest(CallerConnection& connection, node::CallerRequest& request)
 {
-    auto parsed = parseCompletion(connection.body);
+    auto parsed = parseCompletion(connection.body.text());
     if (!parsed)
         return parsed.error();
     request = std::move(parsed.value().request);
@@ -242,7 +251,7 @@
         return { base::ResultCode::UnknownRoute, "unknown route POST " + connection.path + ": expected POST /v1/completions or POST /v1/services/NAME" };
     request.kind = node::RequestKind::ServiceCall;
     request.target = connection.path.substr(prefix.size());
-    request.content = connection.body;
+    request.content = connection.body.text();
     request.work.text = request.target;
     const char* key = MHD_lookup_connection_value(connection.native, MHD_HEADER_KIND, "Idempotency-Key");
     if (!key)
@@ -312,9 +321,13 @@
 {
     auto& server = *static_cast<CallerServer*>(self);
     std::unique_ptr<ConnectionPointer> connection(static_cast<ConnectionPointer*>(*state));
-    if (connection)
-        server.releaseBody(**connection);
-    if (!connection || !(*connection)->hasStarted)
+    if (!connection)
+        return;
+    {
+        std::lock_guard guard((*connection)->mutex);
+        server.shrinkReservation(**connection, 0);
+    }
+    if (!(*connection)->hasStarted)
         return;
     if (!--server.m_unfinishedRequests && server.m_isStopping) {
         std::lock_guard guard(server.m_stopMutex);
@@ -368,7 +381,7 @@
         connection->areHeadersReady = true;
         wake(*connection);
     } else {
-        connection->body += dumpJson(data) + ",";
+        connection->pieces += dumpJson(data) + ",";
     }
 }
 
@@ -381,6 +394,7 @@
     std::lock_guard guard(connection->mutex);
     if (connection->isEnded)
         return;
+    shrinkReservation(*connection, 0);
     bool isServiceCall = effect.answer.status != 0;
     if (isServiceCall) {
         connection->status = effect.answer.status;
@@ -389,9 +403,9 @@
         connection->isEventStream = true;
         connection->outgoing += "event: done\ndata: " + dumpJson({ { "total", effect.totalTokens }, { "resumes", effect.resumes } }) + "\n\n";
     } else {
-        if (!connection->body.empty())
-            connection->body.pop_back();
-        connection->outgoing = "{\"total\":" + std::to_string(effect.totalTokens) + ",\"resumes\":" + std::to_string(effect.resumes) + ",\"pieces\":[" + connection->body + "]}";
+        if (!connection->pieces.empty())
+            connection->pieces.pop_back();
+        connection->outgoing = "{\"total\":" + std::to_string(effect.totalTokens) + ",\"resumes\":" + std::to_string(effect.resumes) + ",\"pieces\":[" + connection->pieces + "]}";
     }
     connection->areHeadersReady = true;
     connection->isEnded = true;
@@ -407,6 +421,7 @@
     std::lock_guard guard(connection->mutex);
     if (connection->isEnded)
         return;
+    shrinkReservation(*connection, 0);
     if (connection->isEventStream) {
         // The status line has already been sent, so the error is reported as an event.
         connection->outgoing += "event: error\ndata: " + errorBody(effect.error, base::nameOf(effect.runState)) + "\n\n";
--- a/src/gateway/RequestBody.cpp
+++ b/src/http/RequestBody.cpp
@@ -1,10 +1,10 @@
-#include "gateway/RequestBody.h"
+#include "http/RequestBody.h"
 
 #include "base/Hash.h"
 
 #include <algorithm>
 
-namespace redwingseam::gateway {
+namespace redwingseam::http {
 
 void RequestBody::append(std::string_view bytes)
 {
@@ -28,6 +28,15 @@
     m_allocatedBytes += m_blocks.back().capacity();
 }
 
+std::string RequestBody::text() const
+{
+    std::string result;
+    result.reserve(m_size);
+    for (const auto& block : m_blocks)
+        result += block;
+    return result;
+}
+
 uint64_t RequestBody::hash(uint64_t seed) const
 {
     if (m_blocks.empty())
@@ -37,4 +46,4 @@
     return seed;
 }
 
-} // namespace redwingseam::gateway
+} // namespace redwingseam::http
--- a/src/gateway/RequestBody.h
+++ b/src/http/RequestBody.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace redwingseam::gateway {
+namespace redwingseam::http {
 
 // The body of a request, in blocks that are allocated as it arrives, whatever length the client has announced. A body in one
 // piece would be allocated as a whole, or moved and held twice each time it grows. Not synchronised.
@@ -25,6 +25,8 @@
     // Returns the memory that the blocks take, in bytes.
     size_t allocatedBytes() const { return m_allocatedBytes; }
     const Blocks& blocks() const { return m_blocks; }
+    // Returns the body in one piece.
+    std::string text() const;
     // Returns a hash that is the same for the same bytes, however they arrived.
     uint64_t hash(uint64_t seed) const;
 
@@ -40,4 +42,4 @@
     uint64_t m_expectedBytes = std::numeric_limits<uint64_t>::max();
 };
 
-} // namespace redwingseam::gateway
+} // namespace redwingseam::http
--- a/tests/CallerBodiesTest.cpp
+++ b/tests/CallerBodiesTest.cpp
@@ -57,7 +57,7 @@
 {
     static constexpr size_t bodyBytes = 1000 * 1000;
     // All but the last byte, so that none of these requests begins.
-    for (size_t i = 0; i * bodyBytes <= http::maxBufferedBodyBytes; ++i)
+    for (size_t i = 0; i * bodyBytes <= http::CallerServer<fakes::SilentCallerHandler>::defaultBodyBytes; ++i)
         sendAll(head(bodyBytes) + std::string(bodyBytes - 1, 'x'));
     poll(nullptr, 0, 300);
     auto refused = read(sendAll(head(bodyBytes) + std::string(bodyBytes, 'x')));
--- a/tests/ClientMemoryTest.cpp
+++ b/tests/ClientMemoryTest.cpp
@@ -1,10 +1,10 @@
 // What clients make a gateway hold: it is counted at its real cost, and large requests do not crowd out ordinary ones.
 
+#include "base/MemoryLimit.h"
 #include "fakes/GatewayFixture.h"
 #include "fakes/ManualUpstream.h"
 #include "gateway/HeadCost.h"
 #include "gateway/HeaderUtils.h"
-#include "gateway/MemoryLimit.h"
 #include "platform/BootSettings.h"
 
 #include <CppUTest/TestHarness.h>
@@ -218,10 +218,10 @@
 TEST(ClientMemory, BuffersFollowTheMemoryOfTheMachine)
 {
     static constexpr size_t mebibyte = 1024 * 1024;
-    LONGS_EQUAL(22 * mebibyte, gateway::bufferBytesFor(88 * mebibyte));
-    LONGS_EQUAL(8 * mebibyte, gateway::bufferBytesFor(16 * mebibyte));
-    LONGS_EQUAL(256 * mebibyte, gateway::bufferBytesFor(size_t { 64 } * 1024 * mebibyte));
-    CHECK_TRUE(gateway::detectedMemoryBytes() > 8 * mebibyte);
+    LONGS_EQUAL(22 * mebibyte, base::bufferBytesFor(88 * mebibyte));
+    LONGS_EQUAL(8 * mebibyte, base::bufferBytesFor(16 * mebibyte));
+    LONGS_EQUAL(256 * mebibyte, base::bufferBytesFor(size_t { 64 } * 1024 * mebibyte));
+    CHECK_TRUE(base::detectedMemoryBytes() > 8 * mebibyte);
 }
 
 TEST(ClientMemory, OrdinaryRequestIsCountedAndAlwaysServed)
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -137,3 +137,14 @@
     CHECK_TRUE(error.code == base::ResultCode::SettingsInvalid);
     STRCMP_EQUAL("/listen/callers: expected an IPv4 address and port such as 127.0.0.1:8080, found \"nonsense\"", error.detail.c_str());
 }
+
+TEST(Codec, VmConfigStatesTheMemoryOfTheMachine)
+{
+    auto parse = [](const std::string& memory) {
+        return daemon::parseVmConfig(R"({"name":"v","data_centre":"d","region":"r","platform":"http://x","secret":"0123456789abcdef","drain_timeout_s":3)" + memory + R"(,"listen":{"callers":"127.0.0.1:1","admin":"127.0.0.1:2","peers":"127.0.0.1:3"}})");
+    };
+    LONGS_EQUAL(0, parse("").value().memoryBytes);
+    LONGS_EQUAL(64 * 1024 * 1024, parse(R"(,"memory_mb":64)").value().memoryBytes);
+    STRCMP_EQUAL("/memory_mb: expected 1 to 1048576, found 0", parse(R"(,"memory_mb":0)").error().detail.c_str());
+    CHECK_FALSE(parse(R"(,"memory_mb":"64")").has_value());
+}
--- a/tests/RequestBodyTest.cpp
+++ b/tests/RequestBodyTest.cpp
@@ -1,6 +1,6 @@
 // Bodies of requests: what they take follows what has arrived, and equal ones hash alike.
 
-#include "gateway/RequestBody.h"
+#include "http/RequestBody.h"
 #include "fakes/GatewayFixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -9,7 +9,7 @@
 using namespace redwingseam;
 using fakes::GatewayFixture;
 using gateway::BufferUse;
-using gateway::RequestBody;
+using http::RequestBody;
 
 TEST_GROUP(RequestBody)
 {
@@ -41,6 +41,7 @@
     for (const auto& block : body.blocks())
         joined += block;
     CHECK_TRUE(joined == text);
+    CHECK_TRUE(body.text() == text);
     LONGS_EQUAL(text.size(), body.size());
 }
 
